--- /dev/null
+++ b/cmake/packages.cmake
@@ -0,0 +1,30 @@
+# cw_library (NAME SOURCES a.c b.c LIBS x y)
+#   Static library cw-NAME; its header is included as "NAME/NAME.h".
+# cw_test (NAME SOURCES a_test.cc LIBS x y)
+#   GoogleTest program NAME, one ctest entry.
+# cw_program (NAME SOURCES a.c LIBS x y)
+#   Executable NAME.
+
+function (cw_library name)
+  cmake_parse_arguments (ARG "" "" "SOURCES;LIBS" ${ARGN})
+  add_library (cw-${name} STATIC ${ARG_SOURCES})
+  target_include_directories (cw-${name} PUBLIC ${CMAKE_SOURCE_DIR})
+  target_link_libraries (cw-${name} PUBLIC PkgConfig::GLIB ${ARG_LIBS})
+endfunction ()
+
+function (cw_program name)
+  cmake_parse_arguments (ARG "" "" "SOURCES;LIBS" ${ARGN})
+  add_executable (${name} ${ARG_SOURCES})
+  target_include_directories (${name} PRIVATE ${CMAKE_SOURCE_DIR})
+  target_link_libraries (${name} PRIVATE PkgConfig::GLIB ${ARG_LIBS})
+endfunction ()
+
+function (cw_test name)
+  cmake_parse_arguments (ARG "" "" "SOURCES;LIBS" ${ARGN})
+  add_executable (${name} ${ARG_SOURCES})
+  target_include_directories (${name} PRIVATE ${CMAKE_SOURCE_DIR})
+  target_link_libraries (${name} PRIVATE PkgConfig::GLIB ${ARG_LIBS}
+                         GTest::gtest GTest::gtest_main)
+  add_test (NAME ${name} COMMAND ${name})
+  set_tests_properties (${name} PROPERTIES TIMEOUT 240)
+endfunction ()
--- /dev/null
+++ b/conf/conf.h
@@ -0,0 +1,210 @@
+/* conf.h - the configuration of the fleet
+
+   SYNOPSIS
+     g_autoptr (GError) error = NULL;
+     CfConfig *config = cf_from_json (text, length, &error);
+     const CfCustomer *customer = cf_find_customer (config, "c1");
+     cf_unref (config);
+
+   DESCRIPTION
+     A configuration is immutable once it is in force and counted by
+     reference.  Arrays are GPtrArray of the type that the comment names, in
+     the order of the document; names are unique within an array.  Versions
+     only increase.
+
+     A document travels and is stored as parts: a manifest that lists the
+     SHA-256 and size of each part, and the parts themselves, each of at most
+     CF_PART_MAX_BYTES.  A part holds one section or, for blocks, one range of
+     addresses, so that a change of one row changes one part.
+
+   ERRORS
+     CF_ERROR_SYNTAX     the text is not JSON; the message has line and column
+     CF_ERROR_FIELD      a field is unknown, missing or ill-typed; the message
+                         has its path
+     CF_ERROR_REFERENCE  a name refers to nothing
+     CF_ERROR_RANGE      a value is outside its range
+     CF_ERROR_DUPLICATE  a name stands twice
+     CF_ERROR_PART       a part is missing or does not match its SHA-256  */
+
+#ifndef CF_CONF_H
+#define CF_CONF_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#define CF_NAME_MAX_BYTES 63
+#define CF_SHA256_BYTES 32
+#define CF_PART_MAX_BYTES (16 * 1024)
+
+#define CF_ERROR (cf_error_quark ())
+
+typedef enum
+{
+  CF_ERROR_SYNTAX,
+  CF_ERROR_FIELD,
+  CF_ERROR_REFERENCE,
+  CF_ERROR_RANGE,
+  CF_ERROR_DUPLICATE,
+  CF_ERROR_PART,
+} CfError;
+
+typedef struct
+{
+  char *id;
+  uint8_t sha256[CF_SHA256_BYTES];
+  gboolean withdrawn;
+} CfKey;
+
+typedef struct
+{
+  char *name;
+  uint32_t weight; /* for the fair queue; default: the rate */
+  uint32_t rate_per_s;
+  uint32_t burst;
+  GPtrArray *keys; /* CfKey */
+} CfCustomer;
+
+typedef struct
+{
+  char *name; /* also the service name in the platform's list */
+} CfService;
+
+typedef struct
+{
+  char *prefix; /* path prefix, starts with a slash */
+  char *service;
+  gboolean open;       /* needs no key */
+  gboolean idempotent; /* all methods, not only GET and HEAD */
+} CfRoute;
+
+typedef struct
+{
+  char *name;
+  GPtrArray *zones; /* char * */
+} CfRegion;
+
+typedef struct
+{
+  char *from; /* region */
+  char *to;   /* region */
+  uint32_t mbit_per_s;
+  uint32_t delay_us; /* one way */
+} CfLink;
+
+typedef struct
+{
+  uint8_t address[16]; /* IPv4 as ::ffff:a.b.c.d */
+  uint8_t prefix_bits; /* of 128 */
+  uint16_t region;     /* index into regions */
+} CfBlock;
+
+typedef enum
+{
+  CF_DRAIN_TARGET,
+  CF_DRAIN_VM,
+  CF_DRAIN_ZONE,
+  CF_DRAIN_REGION,
+} CfDrainKind;
+
+typedef struct
+{
+  char *name;
+  CfDrainKind kind;
+  char *object; /* name of the target, VM, zone or region */
+  int64_t start_ms;
+  int64_t end_ms;
+} CfDrain;
+
+typedef struct
+{
+  char *name;
+  char *service;
+  char *from; /* region */
+  char *to;   /* region */
+  int64_t start_ms;
+  int64_t end_ms;
+  int64_t ramp_ms; /* from start to the full share */
+  uint32_t share_permille;
+  uint32_t cap_per_s; /* requests moved, over the fleet */
+} CfShift;
+
+typedef struct
+{
+  int ref_count;
+  uint64_t version;
+  char *op_id;  /* operation that wrote this version */
+  char *author; /* operator that wrote it */
+  int64_t written_ms;
+  GPtrArray *customers; /* CfCustomer */
+  GPtrArray *services;  /* CfService */
+  GPtrArray *routes;    /* CfRoute */
+  GPtrArray *regions;   /* CfRegion */
+  GPtrArray *links;     /* CfLink */
+  GPtrArray *drains;    /* CfDrain */
+  GPtrArray *shifts;    /* CfShift */
+  GArray *blocks;       /* CfBlock, ordered by address and prefix_bits */
+} CfConfig;
+
+typedef struct
+{
+  char *name; /* section, and number of the range for blocks */
+  char sha256[2 * CF_SHA256_BYTES + 1];
+  uint32_t size_bytes;
+  GBytes *content; /* NULL while not fetched */
+} CfPart;
+
+typedef struct
+{
+  uint64_t version;
+  char *op_id;
+  char *author;
+  int64_t written_ms;
+  GPtrArray *parts; /* CfPart */
+} CfManifest;
+
+GQuark cf_error_quark (void);
+
+/* An empty configuration of version 0.  */
+CfConfig *cf_new (void);
+CfConfig *cf_ref (CfConfig *config);
+void cf_unref (CfConfig *config);
+
+/* Whole document as JSON with comments.  cf_to_json is its inverse.  Both
+   check references, ranges and duplicates.  */
+CfConfig *cf_from_json (const char *text, gsize length, GError **error);
+char *cf_to_json (const CfConfig *config);
+gboolean cf_check (const CfConfig *config, GError **error);
+
+/* Cuts CONFIG into parts with their content set.  */
+CfManifest *cf_cut (const CfConfig *config);
+/* Puts a configuration together; every part needs its content.  */
+CfConfig *cf_join (const CfManifest *manifest, GError **error);
+CfManifest *cf_manifest_from_json (const char *text, gsize length,
+                                   GError **error);
+char *cf_manifest_to_json (const CfManifest *manifest);
+void cf_manifest_free (CfManifest *manifest);
+/* Sets the content of every part whose SHA-256 matches CONTENT; returns how
+   many.  */
+uint32_t cf_manifest_fill (CfManifest *manifest, GBytes *content);
+
+const CfCustomer *cf_find_customer (const CfConfig *config, const char *name);
+const CfService *cf_find_service (const CfConfig *config, const char *name);
+/* The route with the longest prefix of PATH, matched at path segments.  */
+const CfRoute *cf_find_route (const CfConfig *config, const char *path);
+/* Region of ZONE, or -1.  */
+int cf_region_of_zone (const CfConfig *config, const char *zone);
+const CfLink *cf_find_link (const CfConfig *config, const char *from,
+                            const char *to);
+
+/* "10.1.0.0/16" or an IPv6 prefix.  */
+gboolean cf_parse_block (const char *cidr, CfBlock *block, GError **error);
+char *cf_format_block (const CfBlock *block);
+
+/* Human-readable lines, one for each difference; empty when equal.  Keys are
+   named by their id.  */
+GPtrArray *cf_diff (const CfConfig *from, const CfConfig *to);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (CfConfig, cf_unref)
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (CfManifest, cf_manifest_free)
+
+#endif
--- /dev/null
+++ b/event/catalogue.c
@@ -0,0 +1,117 @@
+#include "event/event.h"
+
+/* Ordered by number.  docs/events.md has one section for each row; a test
+   compares the two.  */
+static const EvKind catalogue[] = {
+  { EV_DAEMON_STARTED, EV_LEVEL_INFO, "daemon-started",
+    "The daemon has read its settings and listens." },
+  { EV_DAEMON_READY, EV_LEVEL_INFO, "daemon-ready",
+    "The daemon has a configuration and serves requests." },
+  { EV_DAEMON_DRAINING, EV_LEVEL_INFO, "daemon-draining",
+    "The daemon was asked to stop and finishes what it has." },
+  { EV_DAEMON_STOPPED, EV_LEVEL_INFO, "daemon-stopped",
+    "The daemon has finished all requests and stops." },
+  { EV_CONFIG_IN_FORCE, EV_LEVEL_INFO, "config-in-force",
+    "A new configuration version is in force on this daemon." },
+  { EV_CONFIG_REFUSED, EV_LEVEL_WARNING, "config-refused",
+    "A configuration was older than the one in force, or malformed." },
+  { EV_CONFIG_WRITTEN, EV_LEVEL_INFO, "config-written",
+    "An operator's change was written to the store." },
+  { EV_CONFIG_STALE, EV_LEVEL_WARNING, "config-stale",
+    "The configuration is no longer confirmed; keyed requests are refused." },
+  { EV_CONFIG_FRESH, EV_LEVEL_INFO, "config-fresh",
+    "The configuration is confirmed again." },
+  { EV_CONFIG_PART_MISSING, EV_LEVEL_WARNING, "config-part-missing",
+    "A part of a new configuration could not be fetched yet." },
+  { EV_LEASE_ACTIVE, EV_LEVEL_INFO, "lease-active",
+    "The daemon lease is active; all holdings may be used." },
+  { EV_LEASE_LAPSED, EV_LEVEL_WARNING, "lease-lapsed",
+    "Neither the successor nor the store renewed the lease in time." },
+  { EV_LEASE_FENCED, EV_LEVEL_WARNING, "lease-fenced",
+    "Another daemon has fenced this one; it starts a new incarnation." },
+  { EV_LEASE_FENCED_OTHER, EV_LEVEL_WARNING, "lease-fenced-other",
+    "This daemon has fenced a daemon whose lease lapsed." },
+  { EV_LEASE_SUCCESSOR, EV_LEVEL_INFO, "lease-successor",
+    "The daemon has chosen a new successor." },
+  { EV_ASSIGN_CHANGED, EV_LEVEL_INFO, "assign-changed",
+    "The daemon has changed its entry in the assignment." },
+  { EV_ASSIGN_CONFLICT, EV_LEVEL_INFO, "assign-conflict",
+    "Another daemon changed the assignment first; the change is redone." },
+  { EV_STORE_DOWN, EV_LEVEL_WARNING, "store-down",
+    "The store did not answer; the daemon goes on without it." },
+  { EV_STORE_UP, EV_LEVEL_INFO, "store-up", "The store answers again." },
+  { EV_STORE_OUTCOME_UNKNOWN, EV_LEVEL_WARNING, "store-outcome-unknown",
+    "The answer to a write was lost; the daemon reads back." },
+  { EV_PEER_CONNECTED, EV_LEVEL_INFO, "peer-connected",
+    "A connection to another daemon is open." },
+  { EV_PEER_LOST, EV_LEVEL_INFO, "peer-lost",
+    "A connection to another daemon has closed." },
+  { EV_PEER_FRAME_INVALID, EV_LEVEL_WARNING, "peer-frame-invalid",
+    "A malformed frame was received; the connection was closed." },
+  { EV_MEMBER_JOINED, EV_LEVEL_INFO, "member-joined",
+    "A daemon was heard for the first time." },
+  { EV_MEMBER_LEFT, EV_LEVEL_INFO, "member-left",
+    "A daemon is leaving or was no longer heard." },
+  { EV_HUB_CHANGED, EV_LEVEL_INFO, "hub-changed",
+    "Another daemon is now the hub of the zone." },
+  { EV_REQUEST_ADMITTED, EV_LEVEL_DEBUG, "request-admitted",
+    "Key and rate allow the request." },
+  { EV_REQUEST_SENT, EV_LEVEL_DEBUG, "request-sent",
+    "The request was handed to a connection to a target." },
+  { EV_REQUEST_ANSWERED, EV_LEVEL_DEBUG, "request-answered",
+    "The caller got the whole answer." },
+  { EV_REQUEST_REFUSED, EV_LEVEL_DEBUG, "request-refused",
+    "The request was refused and did not run." },
+  { EV_REQUEST_RETRIED, EV_LEVEL_DEBUG, "request-retried",
+    "An idempotent request is sent to another target." },
+  { EV_REQUEST_UNKNOWN, EV_LEVEL_WARNING, "request-unknown",
+    "The request may have run; the caller was told so." },
+  { EV_REQUEST_QUEUED, EV_LEVEL_DEBUG, "request-queued",
+    "The request waits for a slot of a target." },
+  { EV_REQUEST_CANCELLED, EV_LEVEL_DEBUG, "request-cancelled",
+    "The caller closed its connection before the answer." },
+  { EV_TARGET_HEALTHY, EV_LEVEL_INFO, "target-healthy",
+    "A target answers its probes again." },
+  { EV_TARGET_UNHEALTHY, EV_LEVEL_WARNING, "target-unhealthy",
+    "A target does not answer its probes or refuses connections." },
+  { EV_TARGET_SHED, EV_LEVEL_INFO, "target-shed",
+    "A target refused a request for lack of capacity." },
+  { EV_TARGET_LEAVING, EV_LEVEL_INFO, "target-leaving",
+    "A target drains or leaves; it gets no new work." },
+  { EV_TARGET_LIMIT, EV_LEVEL_DEBUG, "target-limit",
+    "The concurrency limit of a target was changed." },
+  { EV_ORDER_STARTED, EV_LEVEL_DEBUG, "order-started",
+    "The record of an order was created in the store." },
+  { EV_ORDER_DONE, EV_LEVEL_DEBUG, "order-done",
+    "The answer to an order was recorded in the store." },
+  { EV_ORDER_REPLAYED, EV_LEVEL_INFO, "order-replayed",
+    "A repeated order got the recorded answer." },
+  { EV_ORDER_UNKNOWN, EV_LEVEL_WARNING, "order-unknown",
+    "The outcome of an order is not known." },
+  { EV_PLAN_DRAIN_STARTED, EV_LEVEL_INFO, "plan-drain-started",
+    "A planned drain has started." },
+  { EV_PLAN_DRAIN_ENDED, EV_LEVEL_INFO, "plan-drain-ended",
+    "A planned drain has ended." },
+  { EV_PLAN_SHIFT_STEP, EV_LEVEL_INFO, "plan-shift-step",
+    "A traffic shift has reached its next step." },
+  { EV_PLAN_SHIFT_PAUSED, EV_LEVEL_WARNING, "plan-shift-paused",
+    "A traffic shift waits for headroom or warm targets." },
+  { EV_PLAN_SHIFT_ENDED, EV_LEVEL_INFO, "plan-shift-ended",
+    "A traffic shift has ended." },
+};
+
+const EvKind *
+ev_catalogue (uint32_t *count)
+{
+  *count = G_N_ELEMENTS (catalogue);
+  return catalogue;
+}
+
+const EvKind *
+ev_kind (uint32_t number)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (catalogue); i++)
+    if (catalogue[i].number == number)
+      return &catalogue[i];
+  return NULL;
+}
--- /dev/null
+++ b/event/event.h
@@ -0,0 +1,176 @@
+/* event.h - numbered events with a hybrid logical clock
+
+   SYNOPSIS
+     EvOptions opts = { .vm = "vm1", .capacity_count = 4096 };
+     EvRing *ring = ev_ring_new (&opts);
+     ev_record (ring, wall_ms, EV_REQUEST_ADMITTED,
+                &(EvFields){ .customer = "c1", .request_id = id });
+
+   DESCRIPTION
+     A ring holds the newest events of one daemon.  Each event has a number
+     from the catalogue (docs/events.md) and a stamp of a hybrid logical
+     clock: wall time in ms and a counter, so that an event that was caused
+     by a message has a later stamp than the event that sent it, also when
+     the wall clocks of two VMs differ.  Strings are copied and cut to the
+     size of their field.
+
+   ERRORS
+     None.  An unknown number is a programming error and is asserted.  */
+
+#ifndef EV_EVENT_H
+#define EV_EVENT_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#define EV_NAME_BYTES 64
+#define EV_DETAIL_BYTES 128
+
+typedef enum
+{
+  EV_DAEMON_STARTED = 100,
+  EV_DAEMON_READY = 101,
+  EV_DAEMON_DRAINING = 102,
+  EV_DAEMON_STOPPED = 103,
+
+  EV_CONFIG_IN_FORCE = 200,
+  EV_CONFIG_REFUSED = 201,
+  EV_CONFIG_WRITTEN = 202,
+  EV_CONFIG_STALE = 203,
+  EV_CONFIG_FRESH = 204,
+  EV_CONFIG_PART_MISSING = 205,
+
+  EV_LEASE_ACTIVE = 300,
+  EV_LEASE_LAPSED = 301,
+  EV_LEASE_FENCED = 302,
+  EV_LEASE_FENCED_OTHER = 303,
+  EV_LEASE_SUCCESSOR = 304,
+
+  EV_ASSIGN_CHANGED = 320,
+  EV_ASSIGN_CONFLICT = 321,
+
+  EV_STORE_DOWN = 340,
+  EV_STORE_UP = 341,
+  EV_STORE_OUTCOME_UNKNOWN = 342,
+
+  EV_PEER_CONNECTED = 360,
+  EV_PEER_LOST = 361,
+  EV_PEER_FRAME_INVALID = 362,
+  EV_MEMBER_JOINED = 363,
+  EV_MEMBER_LEFT = 364,
+  EV_HUB_CHANGED = 365,
+
+  EV_REQUEST_ADMITTED = 400,
+  EV_REQUEST_SENT = 401,
+  EV_REQUEST_ANSWERED = 402,
+  EV_REQUEST_REFUSED = 403,
+  EV_REQUEST_RETRIED = 404,
+  EV_REQUEST_UNKNOWN = 405,
+  EV_REQUEST_QUEUED = 406,
+  EV_REQUEST_CANCELLED = 407,
+
+  EV_TARGET_HEALTHY = 420,
+  EV_TARGET_UNHEALTHY = 421,
+  EV_TARGET_SHED = 422,
+  EV_TARGET_LEAVING = 423,
+  EV_TARGET_LIMIT = 424,
+
+  EV_ORDER_STARTED = 440,
+  EV_ORDER_DONE = 441,
+  EV_ORDER_REPLAYED = 442,
+  EV_ORDER_UNKNOWN = 443,
+
+  EV_PLAN_DRAIN_STARTED = 460,
+  EV_PLAN_DRAIN_ENDED = 461,
+  EV_PLAN_SHIFT_STEP = 462,
+  EV_PLAN_SHIFT_PAUSED = 463,
+  EV_PLAN_SHIFT_ENDED = 464,
+} EvNumber;
+
+typedef enum
+{
+  EV_LEVEL_DEBUG, /* ring only, one for each request */
+  EV_LEVEL_INFO,
+  EV_LEVEL_WARNING, /* an operator may want to look */
+} EvLevel;
+
+typedef struct
+{
+  EvNumber number;
+  EvLevel level;
+  const char *name;
+  const char *meaning;
+} EvKind;
+
+typedef struct
+{
+  uint64_t wall_ms;
+  uint32_t count;
+} EvStamp;
+
+/* All fields are optional.  */
+typedef struct
+{
+  const char *customer;
+  const char *target;
+  const char *request_id;
+  uint64_t config_version;
+  const char *detail;
+} EvFields;
+
+typedef struct
+{
+  EvStamp stamp;
+  EvNumber number;
+  char customer[EV_NAME_BYTES];
+  char target[EV_NAME_BYTES];
+  char request_id[EV_NAME_BYTES];
+  uint64_t config_version;
+  char detail[EV_DETAIL_BYTES];
+} EvEvent;
+
+typedef struct
+{
+  const char *vm;
+  uint32_t capacity_count;
+  /* Called for each event at EV_LEVEL_INFO and above; may be NULL.  */
+  void (*log) (const EvKind *kind, const EvEvent *event, void *data);
+  void *log_data;
+} EvOptions;
+
+typedef struct EvRing EvRing;
+
+EvRing *ev_ring_new (const EvOptions *options);
+void ev_ring_free (EvRing *ring);
+
+void ev_record (EvRing *ring, uint64_t wall_ms, EvNumber number,
+                const EvFields *fields);
+
+/* Advances the clock for a message that is about to be sent.  */
+EvStamp ev_send_stamp (EvRing *ring, uint64_t wall_ms);
+
+/* Merges the stamp of a received message into the clock.  A stamp more than
+   EV_SKEW_MAX_MS ahead of the wall clock is ignored.  */
+void ev_receive_stamp (EvRing *ring, uint64_t wall_ms, EvStamp stamp);
+
+/* One broken clock must not move the time line of all daemons.  */
+#define EV_SKEW_MAX_MS 60000
+
+/* Negative, zero or positive as A is before, equal to or after B.  */
+int ev_stamp_compare (EvStamp a, EvStamp b);
+
+uint32_t ev_ring_count (const EvRing *ring);
+
+/* The event INDEX places after the oldest one held.  */
+const EvEvent *ev_ring_at (const EvRing *ring, uint32_t index);
+
+/* True where every field that FILTER sets is equal in EVENT.  */
+gboolean ev_matches (const EvEvent *event, const EvFields *filter);
+
+/* Entry of the catalogue, or NULL.  */
+const EvKind *ev_kind (uint32_t number);
+
+/* The whole catalogue, ordered by number.  */
+const EvKind *ev_catalogue (uint32_t *count);
+
+#endif
--- /dev/null
+++ b/metric/metric.c
@@ -0,0 +1,233 @@
+#include "metric/metric.h"
+
+#include <string.h>
+
+#define SUB_BUCKET_BITS 5
+#define SUB_BUCKETS (1 << SUB_BUCKET_BITS)
+#define POWERS 40
+#define BUCKETS ((POWERS - SUB_BUCKET_BITS + 1) * SUB_BUCKETS)
+#define VALUE_MAX (((int64_t)1 << POWERS) - 1)
+
+struct MtCounter
+{
+  const char *type;
+  char *help;
+  int64_t value;
+};
+
+struct MtHistogram
+{
+  char *help;
+  uint64_t count;
+  int64_t sum;
+  uint64_t buckets[BUCKETS];
+};
+
+struct MtTable
+{
+  GTree *counters;   /* name -> MtCounter */
+  GTree *histograms; /* name -> MtHistogram */
+};
+
+static int
+compare_names (const void *a, const void *b, void *data)
+{
+  (void)data;
+  return strcmp (a, b);
+}
+
+static void
+counter_free (void *data)
+{
+  MtCounter *counter = data;
+  g_free (counter->help);
+  g_free (counter);
+}
+
+static void
+histogram_free (void *data)
+{
+  MtHistogram *histogram = data;
+  g_free (histogram->help);
+  g_free (histogram);
+}
+
+MtTable *
+mt_table_new (void)
+{
+  MtTable *table = g_new0 (MtTable, 1);
+
+  table->counters
+      = g_tree_new_full (compare_names, NULL, g_free, counter_free);
+  table->histograms
+      = g_tree_new_full (compare_names, NULL, g_free, histogram_free);
+  return table;
+}
+
+void
+mt_table_free (MtTable *table)
+{
+  if (table == NULL)
+    return;
+  g_tree_unref (table->counters);
+  g_tree_unref (table->histograms);
+  g_free (table);
+}
+
+static MtCounter *
+counter_of_type (MtTable *table, const char *name, const char *help,
+                 const char *type)
+{
+  MtCounter *counter = g_tree_lookup (table->counters, name);
+
+  if (counter != NULL)
+    return counter;
+  counter = g_new0 (MtCounter, 1);
+  counter->type = type;
+  counter->help = g_strdup (help);
+  g_tree_insert (table->counters, g_strdup (name), counter);
+  return counter;
+}
+
+MtCounter *
+mt_counter (MtTable *table, const char *name, const char *help)
+{
+  return counter_of_type (table, name, help, "counter");
+}
+
+MtCounter *
+mt_gauge (MtTable *table, const char *name, const char *help)
+{
+  return counter_of_type (table, name, help, "gauge");
+}
+
+MtHistogram *
+mt_histogram (MtTable *table, const char *name, const char *help)
+{
+  MtHistogram *histogram = g_tree_lookup (table->histograms, name);
+
+  if (histogram != NULL)
+    return histogram;
+  histogram = g_new0 (MtHistogram, 1);
+  histogram->help = g_strdup (help);
+  g_tree_insert (table->histograms, g_strdup (name), histogram);
+  return histogram;
+}
+
+void
+mt_add (MtCounter *counter, int64_t amount)
+{
+  counter->value += amount;
+}
+
+void
+mt_set (MtCounter *gauge, int64_t value)
+{
+  gauge->value = value;
+}
+
+int64_t
+mt_value (const MtCounter *counter)
+{
+  return counter->value;
+}
+
+static uint32_t
+bucket_of (int64_t value)
+{
+  uint32_t power;
+
+  if (value < SUB_BUCKETS)
+    return (uint32_t)MAX (value, 0);
+  value = MIN (value, VALUE_MAX);
+  power = 63 - (uint32_t)__builtin_clzll ((uint64_t)value);
+  return (power - SUB_BUCKET_BITS + 1) * SUB_BUCKETS
+         + (uint32_t)((value >> (power - SUB_BUCKET_BITS)) - SUB_BUCKETS);
+}
+
+static int64_t
+bucket_upper (uint32_t bucket)
+{
+  uint32_t shift;
+
+  if (bucket < SUB_BUCKETS)
+    return bucket;
+  shift = bucket / SUB_BUCKETS - 1;
+  return (((int64_t)(bucket % SUB_BUCKETS) + SUB_BUCKETS + 1) << shift) - 1;
+}
+
+void
+mt_observe (MtHistogram *histogram, int64_t value)
+{
+  histogram->count++;
+  histogram->sum += value;
+  histogram->buckets[bucket_of (value)]++;
+}
+
+uint64_t
+mt_observed_count (const MtHistogram *histogram)
+{
+  return histogram->count;
+}
+
+int64_t
+mt_percentile (const MtHistogram *histogram, uint32_t permille)
+{
+  uint64_t rank = (histogram->count * permille + 999) / 1000;
+  uint64_t seen = 0;
+
+  for (uint32_t i = 0; i < BUCKETS && histogram->count > 0; i++)
+    {
+      seen += histogram->buckets[i];
+      if (seen >= rank)
+        return bucket_upper (i);
+    }
+  return 0;
+}
+
+static gboolean
+format_counter (void *name, void *data, void *out)
+{
+  const MtCounter *counter = data;
+  const char *text = name;
+
+  g_string_append_printf (out, "# HELP %.*s %s\n# TYPE %.*s %s\n",
+                          (int)strcspn (text, "{"), text, counter->help,
+                          (int)strcspn (text, "{"), text, counter->type);
+  g_string_append_printf (out, "%s %" G_GINT64_FORMAT "\n", text,
+                          counter->value);
+  return FALSE;
+}
+
+static gboolean
+format_histogram (void *name, void *data, void *out)
+{
+  static const struct
+  {
+    uint32_t permille;
+    const char *label;
+  } quantiles[] = { { 500, "0.5" }, { 990, "0.99" }, { 999, "0.999" } };
+  const MtHistogram *histogram = data;
+  const char *text = name;
+
+  g_string_append_printf (out, "# HELP %s %s\n# TYPE %s summary\n", text,
+                          histogram->help, text);
+  for (size_t i = 0; i < G_N_ELEMENTS (quantiles); i++)
+    g_string_append_printf (out, "%s{quantile=\"%s\"} %" G_GINT64_FORMAT "\n",
+                            text, quantiles[i].label,
+                            mt_percentile (histogram, quantiles[i].permille));
+  g_string_append_printf (
+      out, "%s_sum %" G_GINT64_FORMAT "\n%s_count %" G_GUINT64_FORMAT "\n",
+      text, histogram->sum, text, histogram->count);
+  return FALSE;
+}
+
+char *
+mt_format (const MtTable *table)
+{
+  GString *out = g_string_new (NULL);
+
+  g_tree_foreach (table->counters, format_counter, out);
+  g_tree_foreach (table->histograms, format_histogram, out);
+  return g_string_free (out, FALSE);
+}
