--- a/conf/conf.h
+++ b/conf/conf.h
@@ -15,7 +15,12 @@
      A document travels and is stored as parts: a manifest that lists the
      SHA-256 and size of each part, and the parts themselves, each of at most
      CF_PART_MAX_BYTES.  A part holds one section or, for blocks, one range of
-     addresses, so that a change of one row changes one part.
+     addresses, so that a change of one row changes one part, or two where the
+     change splits or joins a range.
+
+     Reading, writing, cutting and joining 190,000 blocks takes longer than an
+     event loop may stand still.  Each of the four is therefore also offered
+     as a job that is done in steps of a bounded number of rows.
 
    ERRORS
      CF_ERROR_SYNTAX     the text is not JSON; the message has line and column
@@ -23,8 +28,10 @@
                          has its path
      CF_ERROR_REFERENCE  a name refers to nothing
      CF_ERROR_RANGE      a value is outside its range
-     CF_ERROR_DUPLICATE  a name stands twice
-     CF_ERROR_PART       a part is missing or does not match its SHA-256  */
+     CF_ERROR_DUPLICATE  a name, a block or a key's SHA-256 stands twice
+     CF_ERROR_PART       a part is missing or does not match its SHA-256
+     Messages never hold the value of a key field, in case somebody wrote a
+     plain key there.  */
 
 #ifndef CF_CONF_H
 #define CF_CONF_H
@@ -35,6 +42,11 @@
 #define CF_NAME_MAX_BYTES 63
 #define CF_SHA256_BYTES 32
 #define CF_PART_MAX_BYTES (16 * 1024)
+/* A customer with all its keys has to fit into one part.  */
+#define CF_KEYS_MAX 64
+#define CF_ZONES_MAX 64
+#define CF_PREFIX_MAX_BYTES 1024
+#define CF_ROWS_MAX 1000000
 
 #define CF_ERROR (cf_error_quark ())
 
@@ -80,7 +92,8 @@
 typedef struct
 {
   char *name;
-  GPtrArray *zones; /* char * */
+  GPtrArray *zones;        /* char * */
+  uint32_t capacity_per_s; /* requests all its targets carry; 0: not known */
 } CfRegion;
 
 typedef struct
@@ -135,6 +148,7 @@
   char *op_id;  /* operation that wrote this version */
   char *author; /* operator that wrote it */
   int64_t written_ms;
+  char *sheet_date;     /* of the sheet last applied, "2026-12-04", or "" */
   GPtrArray *customers; /* CfCustomer */
   GPtrArray *services;  /* CfService */
   GPtrArray *routes;    /* CfRoute */
@@ -159,6 +173,7 @@
   char *op_id;
   char *author;
   int64_t written_ms;
+  char *sheet_date;
   GPtrArray *parts; /* CfPart */
 } CfManifest;
 
@@ -187,6 +202,64 @@
    many.  */
 uint32_t cf_manifest_fill (CfManifest *manifest, GBytes *content);
 
+/* Takes from HAVE the content of the parts that both manifests list, without
+   hashing it; returns how many parts of MANIFEST still lack their content.  */
+uint32_t cf_manifest_adopt (CfManifest *manifest, const CfManifest *have);
+
+typedef struct CfJob CfJob;
+
+typedef enum
+{
+  CF_STEP_MORE,
+  CF_STEP_DONE,
+  CF_STEP_FAILED,
+} CfStep;
+
+/* 2,000 rows take about 1 ms.  */
+#define CF_STEP_ROWS 2000
+
+/* The begin functions keep a reference to GBytes and CfConfig; a manifest must
+   outlive its job.  */
+CfJob *cf_read_begin (GBytes *text);
+CfJob *cf_write_begin (CfConfig *config);
+CfJob *cf_cut_begin (CfConfig *config);
+CfJob *cf_join_begin (const CfManifest *manifest);
+
+/* Does about ROWS_MAX rows of work.  Sets ERROR on CF_STEP_FAILED.  */
+CfStep cf_job_step (CfJob *job, uint32_t rows_max, GError **error);
+
+/* What a job that is done has made: the config of a read or join, the text of
+   a write, the manifest of a cut.  The caller owns it.  */
+CfConfig *cf_job_take_config (CfJob *job);
+char *cf_job_take_text (CfJob *job, gsize *length);
+CfManifest *cf_job_take_manifest (CfJob *job);
+void cf_job_free (CfJob *job);
+
+/* Replaces comments by blanks, so that positions stay the same.  */
+void cf_blank_comments (char *text, gsize length);
+
+/* Lower-case hex digits of a SHA-256; HEX has room for 65 bytes.  */
+void cf_format_sha256 (const uint8_t *sha256, char *hex);
+gboolean cf_parse_sha256 (const char *hex, uint8_t *sha256);
+/* 1 to 63 bytes of [a-z0-9-].  */
+gboolean cf_is_name (const char *text);
+
+/* Rows with their strings empty and their arrays made, for programs that
+   build a configuration.  Each belongs to the array it is added to.  */
+CfCustomer *cf_add_customer (CfConfig *config, const char *name);
+CfKey *cf_add_key (CfCustomer *customer, const char *id);
+CfService *cf_add_service (CfConfig *config, const char *name);
+CfRoute *cf_add_route (CfConfig *config, const char *prefix,
+                       const char *service);
+CfRegion *cf_add_region (CfConfig *config, const char *name);
+CfLink *cf_add_link (CfConfig *config, const char *from, const char *to);
+CfDrain *cf_add_drain (CfConfig *config, const char *name, CfDrainKind kind,
+                       const char *object);
+CfShift *cf_add_shift (CfConfig *config, const char *name, const char *service,
+                       const char *from, const char *to);
+/* Orders blocks after they were appended in any order.  */
+void cf_sort_blocks (CfConfig *config);
+
 const CfCustomer *cf_find_customer (const CfConfig *config, const char *name);
 const CfService *cf_find_service (const CfConfig *config, const char *name);
 /* The route with the longest prefix of PATH, matched at path segments.  */
@@ -206,5 +279,6 @@
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (CfConfig, cf_unref)
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (CfManifest, cf_manifest_free)
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (CfJob, cf_job_free)
 
 #endif
