conf: model, JSON codec, checks, parts, diff and stepwise jobs

Need: a document of 190,000 blocks must be read, cut and joined without stalling the event loop, and the change of one block must transfer one or two parts.

json-c alone was ruled out for block rows: it builds a tree of the whole document and takes microseconds a row. Rows are read one at a time, block rows in the written form by hand. Chunks of a fixed row count were ruled out since an insertion moves all later boundaries; address ranges are halved until they fit 16 KB instead, so a block's part depends on its neighbours only.

--- /dev/null
+++ b/conf/conf.c
@@ -0,0 +1,305 @@
+#include "conf/internal.h"
+
+#include <string.h>
+
+G_DEFINE_QUARK (cf_error, cf_error)
+
+CfConfig *
+cf_new (void)
+{
+  CfConfig *config = g_new0 (CfConfig, 1);
+
+  config->ref_count = 1;
+  config->op_id = g_strdup ("");
+  config->author = g_strdup ("");
+  config->sheet_date = g_strdup ("");
+  for (uint32_t i = 0; i < cf_section_count; i++)
+    G_STRUCT_MEMBER (GPtrArray *, config, cf_sections[i]->offset)
+        = g_ptr_array_new ();
+  config->blocks = g_array_new (FALSE, FALSE, sizeof (CfBlock));
+  return config;
+}
+
+CfConfig *
+cf_ref (CfConfig *config)
+{
+  config->ref_count++;
+  return config;
+}
+
+void
+cf_unref (CfConfig *config)
+{
+  if (config == NULL || --config->ref_count > 0)
+    return;
+  for (uint32_t i = 0; i < cf_section_count; i++)
+    {
+      GPtrArray *rows = cf_rows (config, cf_sections[i]);
+
+      for (guint j = 0; j < rows->len; j++)
+        cf_row_free (cf_sections[i], g_ptr_array_index (rows, j));
+      g_ptr_array_unref (rows);
+    }
+  g_array_unref (config->blocks);
+  g_free (config->op_id);
+  g_free (config->author);
+  g_free (config->sheet_date);
+  g_free (config);
+}
+
+gboolean
+cf_is_name (const char *text)
+{
+  size_t length = strlen (text);
+
+  return length >= 1 && length <= CF_NAME_MAX_BYTES
+         && strspn (text, "abcdefghijklmnopqrstuvwxyz0123456789-") == length;
+}
+
+void
+cf_format_sha256 (const uint8_t *sha256, char *hex)
+{
+  static const char digits[] = "0123456789abcdef";
+
+  for (int i = 0; i < CF_SHA256_BYTES; i++)
+    {
+      hex[2 * i] = digits[sha256[i] >> 4];
+      hex[2 * i + 1] = digits[sha256[i] & 15];
+    }
+  hex[2 * CF_SHA256_BYTES] = '\0';
+}
+
+gboolean
+cf_parse_sha256 (const char *hex, uint8_t *sha256)
+{
+  if (strlen (hex) != 2 * CF_SHA256_BYTES
+      || strspn (hex, "0123456789abcdef") != 2 * CF_SHA256_BYTES)
+    return FALSE;
+  for (int i = 0; i < CF_SHA256_BYTES; i++)
+    sha256[i] = (uint8_t)(g_ascii_xdigit_value (hex[2 * i]) * 16
+                          + g_ascii_xdigit_value (hex[2 * i + 1]));
+  return TRUE;
+}
+
+static void *
+row_add (GPtrArray *rows, const CfSchema *schema, const char *first,
+         const char *second)
+{
+  void *row = cf_row_new (schema);
+  const char *texts[] = { first, second };
+
+  for (int i = 0; i < 2 && texts[i] != NULL; i++)
+    {
+      char **slot = G_STRUCT_MEMBER_P (row, schema->fields[i].offset);
+
+      g_free (*slot);
+      *slot = g_strdup (texts[i]);
+    }
+  g_ptr_array_add (rows, row);
+  return row;
+}
+
+static void *
+section_add (CfConfig *config, const char *section, const char *first,
+             const char *second)
+{
+  const CfSchema *schema = cf_find_section (section, strlen (section));
+
+  return row_add (cf_rows (config, schema), schema, first, second);
+}
+
+CfCustomer *
+cf_add_customer (CfConfig *config, const char *name)
+{
+  return section_add (config, "customers", name, NULL);
+}
+
+CfKey *
+cf_add_key (CfCustomer *customer, const char *id)
+{
+  const CfSchema *schema = cf_find_section ("customers", 9);
+
+  return row_add (customer->keys, schema->fields[schema->field_count - 1].rows,
+                  id, NULL);
+}
+
+CfService *
+cf_add_service (CfConfig *config, const char *name)
+{
+  return section_add (config, "services", name, NULL);
+}
+
+CfRoute *
+cf_add_route (CfConfig *config, const char *prefix, const char *service)
+{
+  return section_add (config, "routes", prefix, service);
+}
+
+CfRegion *
+cf_add_region (CfConfig *config, const char *name)
+{
+  return section_add (config, "regions", name, NULL);
+}
+
+CfLink *
+cf_add_link (CfConfig *config, const char *from, const char *to)
+{
+  return section_add (config, "links", from, to);
+}
+
+CfDrain *
+cf_add_drain (CfConfig *config, const char *name, CfDrainKind kind,
+              const char *object)
+{
+  CfDrain *drain = section_add (config, "drains", name, NULL);
+
+  drain->kind = kind;
+  g_free (drain->object);
+  drain->object = g_strdup (object);
+  return drain;
+}
+
+CfShift *
+cf_add_shift (CfConfig *config, const char *name, const char *service,
+              const char *from, const char *to)
+{
+  CfShift *shift = section_add (config, "shifts", name, service);
+
+  g_free (shift->from);
+  g_free (shift->to);
+  shift->from = g_strdup (from);
+  shift->to = g_strdup (to);
+  return shift;
+}
+
+const CfCustomer *
+cf_find_customer (const CfConfig *config, const char *name)
+{
+  for (guint i = 0; i < config->customers->len; i++)
+    {
+      const CfCustomer *customer = g_ptr_array_index (config->customers, i);
+
+      if (strcmp (customer->name, name) == 0)
+        return customer;
+    }
+  return NULL;
+}
+
+const CfService *
+cf_find_service (const CfConfig *config, const char *name)
+{
+  for (guint i = 0; i < config->services->len; i++)
+    {
+      const CfService *service = g_ptr_array_index (config->services, i);
+
+      if (strcmp (service->name, name) == 0)
+        return service;
+    }
+  return NULL;
+}
+
+/* "/a/" and "/a" both match "/a" and "/a/b", and neither matches "/ab".  */
+static gboolean
+prefix_matches (const char *prefix, const char *path)
+{
+  size_t length = strlen (prefix);
+
+  while (length > 0 && prefix[length - 1] == '/')
+    length--;
+  return strncmp (prefix, path, length) == 0
+         && strchr ("/?#", path[length]) != NULL;
+}
+
+const CfRoute *
+cf_find_route (const CfConfig *config, const char *path)
+{
+  const CfRoute *best = NULL;
+
+  for (guint i = 0; i < config->routes->len; i++)
+    {
+      const CfRoute *route = g_ptr_array_index (config->routes, i);
+
+      if (prefix_matches (route->prefix, path)
+          && (best == NULL || strlen (route->prefix) > strlen (best->prefix)))
+        best = route;
+    }
+  return best;
+}
+
+int
+cf_region_of_zone (const CfConfig *config, const char *zone)
+{
+  for (guint i = 0; i < config->regions->len; i++)
+    {
+      const CfRegion *region = g_ptr_array_index (config->regions, i);
+
+      for (guint j = 0; j < region->zones->len; j++)
+        if (strcmp (g_ptr_array_index (region->zones, j), zone) == 0)
+          return (int)i;
+    }
+  return -1;
+}
+
+const CfLink *
+cf_find_link (const CfConfig *config, const char *from, const char *to)
+{
+  for (guint i = 0; i < config->links->len; i++)
+    {
+      const CfLink *link = g_ptr_array_index (config->links, i);
+
+      if (strcmp (link->from, from) == 0 && strcmp (link->to, to) == 0)
+        return link;
+    }
+  return NULL;
+}
+
+gboolean
+cf_job_run (CfJob *job, GError **error)
+{
+  CfStep step;
+
+  do
+    step = cf_job_step (job, CF_ROWS_MAX, error);
+  while (step == CF_STEP_MORE);
+  return step == CF_STEP_DONE;
+}
+
+CfStep
+cf_job_step (CfJob *job, uint32_t rows_max, GError **error)
+{
+  return job->class->step (job, rows_max, error);
+}
+
+CfConfig *
+cf_job_take_config (CfJob *job)
+{
+  return g_steal_pointer (&job->config);
+}
+
+char *
+cf_job_take_text (CfJob *job, gsize *length)
+{
+  if (length != NULL)
+    *length = job->text->len;
+  return g_string_free (g_steal_pointer (&job->text), FALSE);
+}
+
+CfManifest *
+cf_job_take_manifest (CfJob *job)
+{
+  return g_steal_pointer (&job->manifest);
+}
+
+void
+cf_job_free (CfJob *job)
+{
+  if (job == NULL)
+    return;
+  if (job->class->free != NULL)
+    job->class->free (job);
+  cf_unref (job->config);
+  cf_manifest_free (job->manifest);
+  if (job->text != NULL)
+    g_string_free (job->text, TRUE);
+  g_free (job);
+}
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -235,7 +235,8 @@
 CfManifest *cf_job_take_manifest (CfJob *job);
 void cf_job_free (CfJob *job);
 
-/* Replaces comments by blanks, so that positions stay the same.  */
+/* Replaces comments by blanks, so that positions stay the same.  TEXT has a
+   NUL behind its LENGTH bytes.  */
 void cf_blank_comments (char *text, gsize length);
 
 /* Lower-case hex digits of a SHA-256; HEX has room for 65 bytes.  */
