sheet: the planners' CSV sheet and two example sheets

A sheet states the whole configuration with one wide header, so that a moved column or a cell in the wrong column is seen. Positional columns for each kind were ruled out: a moved column would only show where types differ. A key row without digest refers to the key in force, and a withdrawn key never becomes active again. All faults are reported at once; sums are not compared with a capacity that was read in part.

The tests cut the example at every 13th byte and break single cells.

--- a/settings/settings.c
+++ b/settings/settings.c
@@ -392,6 +392,35 @@
   report (reader, SE_ERROR_SYNTAX, place, "%s", what);
 }
 
+/* json-c keeps the last of two fields of one name without a word.  */
+static void
+report_duplicates (Reader *reader, const char *text)
+{
+  g_autoptr (GHashTable) seen
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  int depth = 0;
+
+  for (const char *at = text; *at != '\0'; at++)
+    {
+      const char *start = at + 1;
+
+      if (*at == '{' || *at == '[')
+        depth++;
+      if (*at == '}' || *at == ']')
+        depth--;
+      if (*at != '"')
+        continue;
+      for (at = start; *at != '"'; at++)
+        at += *at == '\\';
+      if (depth != 1 || *(at + 1 + strspn (at + 1, " \t\r\n")) != ':')
+        continue;
+      g_autofree char *name = g_strndup (start, (gsize)(at - start));
+
+      if (!g_hash_table_add (seen, g_strdup (name)))
+        report (reader, SE_ERROR_CONFLICT, name, "stands twice");
+    }
+}
+
 static struct json_object *
 read_json (Reader *reader, const char *text, gsize length)
 {
@@ -412,6 +441,8 @@
   else if (code != json_tokener_success)
     report_syntax (reader, copy, json_tokener_get_parse_end (tokener),
                    json_tokener_error_desc (code));
+  else
+    report_duplicates (reader, copy);
   json_tokener_free (tokener);
   g_free (copy);
   return root;
@@ -430,7 +461,7 @@
             SE_FILE_MAX_BYTES);
   else
     root = read_json (&reader, text, length);
-  if (reader.problems->len == 0)
+  if (root != NULL)
     {
       read_fields (&reader, root, settings);
       check_conflicts (&reader, settings);
--- a/settings/settings_test.cc
+++ b/settings/settings_test.cc
@@ -74,6 +74,7 @@
     { "true", "\"yes\"", SE_ERROR_TYPE, "trust_client_address" },
     { "100", "600001", SE_ERROR_RANGE, "drain_max_ms" },
     { "127.0.0.1:9001", "127.0.0.1:8001", SE_ERROR_CONFLICT, "peer_listen" },
+    { "\"log\"", "\"vm\": \"vm3\", \"log\"", SE_ERROR_CONFLICT, "vm: " },
     { "{\"vm2\"", "{\"vm1\"", SE_ERROR_CONFLICT, "peer_connect" },
   };
 
--- /dev/null
+++ b/sheet/sheet_test.cc
@@ -0,0 +1,380 @@
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "sheet/sheet.h"
+}
+
+#include <string>
+
+#ifndef CW_SOURCE_DIR
+#error "CW_SOURCE_DIR is not set"
+#endif
+
+namespace
+{
+
+std::string
+example (const char *name)
+{
+  std::string path = std::string (CW_SOURCE_DIR "/examples/") + name;
+  char *text = nullptr;
+  gsize length = 0;
+
+  EXPECT_TRUE (g_file_get_contents (path.c_str (), &text, &length, nullptr));
+  std::string copy (text, length);
+  g_free (text);
+  return copy;
+}
+
+CfConfig *
+parse (const std::string &text, GPtrArray **problems,
+       const char *today = "2026-12-04", const char *last_date = nullptr,
+       const CfConfig *current = nullptr)
+{
+  ShOptions options = { today, last_date, current };
+  return sh_parse (text.c_str (), text.size (), &options, problems);
+}
+
+void
+replace (std::string &text, const std::string &from, const std::string &to)
+{
+  size_t at = text.find (from);
+  ASSERT_NE (at, std::string::npos) << from;
+  text.replace (at, from.size (), to);
+}
+
+std::string
+listing (const GPtrArray *problems)
+{
+  std::string all;
+  for (guint i = 0; problems != nullptr && i < problems->len; i++)
+    {
+      auto *problem = (ShProblem *)g_ptr_array_index (problems, i);
+      g_autofree char *line = sh_format_problem (problem);
+      all += std::string (sh_error_name (problem->code)) + ": " + line + "\n";
+    }
+  return all;
+}
+
+const ShProblem *
+find (const GPtrArray *problems, ShError code)
+{
+  for (guint i = 0; i < problems->len; i++)
+    {
+      auto *problem = (const ShProblem *)g_ptr_array_index (problems, i);
+      if (problem->code == code)
+        return problem;
+    }
+  return nullptr;
+}
+
+/* Adds a row before the end row and corrects the count.  */
+void
+add_row (std::string &text, const std::string &row)
+{
+  size_t end = text.rfind ("\nend,") + 1;
+  size_t count = text.rfind (',') + 1;
+  int rows = std::stoi (text.substr (count));
+  text.replace (count, std::string::npos, std::to_string (rows + 1) + "\n");
+  text.insert (end, row + "\n");
+}
+
+} // namespace
+
+/* Guards against a sheet of the deployments being refused or read wrongly.  */
+TEST (Sheet, ExamplesGiveTheirConfiguration)
+{
+  g_autoptr (GPtrArray) problems = nullptr;
+  g_autoptr (CfConfig) config = parse (example ("tammemets.csv"), &problems);
+  ASSERT_NE (config, nullptr) << listing (problems);
+  EXPECT_EQ (config->customers->len, 8u);
+  EXPECT_STREQ (config->sheet_date, "2026-12-04");
+  EXPECT_EQ (cf_region_of_zone (config, "central-2"), 2);
+  EXPECT_EQ (cf_find_link (config, "nordic", "baltic")->delay_us, 12000u);
+  EXPECT_TRUE (cf_find_route (config, "/boards/public/x")->open);
+  EXPECT_FALSE (cf_find_route (config, "/boards/orders")->idempotent);
+  const CfCustomer *customer = cf_find_customer (config, "aalto-home");
+  EXPECT_EQ (customer->rate_per_s, 200u);
+  EXPECT_EQ (customer->weight, 200u);
+  g_autofree char *digest = g_compute_checksum_for_string (
+      G_CHECKSUM_SHA256, "key-aalto-home", -1);
+  char hex[65];
+  cf_format_sha256 (((CfKey *)g_ptr_array_index (customer->keys, 0))->sha256,
+                    hex);
+  EXPECT_STREQ (hex, digest);
+  auto *shift = (CfShift *)g_ptr_array_index (config->shifts, 0);
+  EXPECT_EQ (shift->start_ms, INT64_C (1800127800000));
+  EXPECT_EQ (shift->share_permille, 500u);
+  EXPECT_EQ (shift->ramp_ms, 1800000);
+
+  g_autoptr (CfConfig) other = parse (example ("cooperative.csv"), &problems);
+  ASSERT_NE (other, nullptr) << listing (problems);
+  EXPECT_EQ (((CfShift *)g_ptr_array_index (other->shifts, 0))->share_permille,
+             625u);
+}
+
+/* Guards against a faulty sheet coming into force, and against a report that
+   does not lead to the cell.  */
+TEST (Sheet, BrokenSheetsAreNamed)
+{
+  static const struct
+  {
+    const char *from, *to;
+    ShError code;
+    uint32_t row;
+    const char *field;
+  } cases[] = {
+    { ",51\n", ",50\n", SH_ERROR_COUNT, 53, "rows" },
+    { "drain,boards-03-disk", "end,boards-03-disk", SH_ERROR_COUNT, 52,
+      nullptr },
+    /* a column moved, renamed or removed; other separators */
+    { "rate_per_s,burst", "burst,rate_per_s", SH_ERROR_HEADER, 1,
+      "rate_per_s" },
+    { ",date,rows", ",rows", SH_ERROR_HEADER, 1, nullptr },
+    { "kind,name", "kind;name", SH_ERROR_HEADER, 1, nullptr },
+    /* cells */
+    { "boards-to-central,,boards", "boards-to-central,,boards,",
+      SH_ERROR_COLUMNS, 52, nullptr },
+    { "1800,50,80", "1800,\"50,5\",80", SH_ERROR_DECIMAL_COMMA, 52,
+      "share_percent" },
+    { "1800,50,80", "1800,50,\"1,000\"", SH_ERROR_DECIMAL_COMMA, 52,
+      "cap_per_s" },
+    { "1800,50,80", "1800,50.25,80", SH_ERROR_NUMBER, 52, "share_percent" },
+    { "1800,50,80", "1800,50,80.5", SH_ERROR_NUMBER, 52, "cap_per_s" },
+    { "1800,50,80", "1800,101,80", SH_ERROR_RANGE, 52, "share_percent" },
+    { "1800,50,80", "90000,50,80", SH_ERROR_RANGE, 52, "ramp_s" },
+    { "zone,nordic-1", "zoen,nordic-1", SH_ERROR_KIND, 9, "kind" },
+    { "zone,nordic-1", "zone,Nordic-1", SH_ERROR_NAME, 9, "name" },
+    { "zone,nordic-1", "zone,", SH_ERROR_MISSING, 9, "name" },
+    { ",,keyed,yes", ",,closed,yes", SH_ERROR_WORD, 20, "access" },
+    { "service,boards,,,", "service,boards,,,baltic", SH_ERROR_UNEXPECTED, 3,
+      "region" },
+    { "region,baltic", "region,\"bal\"tic", SH_ERROR_SYNTAX, 5, nullptr },
+    { "region,baltic", "region,b\xe4ltic", SH_ERROR_ENCODING, 5, nullptr },
+    /* times */
+    { "T21:30:00+02:00", "T21:30:00", SH_ERROR_TIME_ZONE, 52, "start" },
+    { "T21:30:00+02:00", "T25:30:00+02:00", SH_ERROR_TIME, 52, "start" },
+    { "2027-01-16T21:30", "2027-02-29T21:30", SH_ERROR_TIME, 52, "start" },
+    { "2027-01-17T03:30:00+02:00", "2027-01-16T19:30:00Z", SH_ERROR_TIME, 52,
+      "end" },
+    /* two rows for one thing, and rows that name nothing */
+    { "zone,nordic-1", "zone,baltic-1", SH_ERROR_DUPLICATE, 9, "name" },
+    { "block,127.1.0.0/16", "block,127.0.0.0/8", SH_ERROR_DUPLICATE, 43,
+      "name" },
+    { "block,127.1.0.0/16", "block,127.1.0.1/16", SH_ERROR_NAME, 43, "name" },
+    { "127.1.0.0/16,,,baltic", "127.1.0.0/16,,,baltik", SH_ERROR_REFERENCE, 43,
+      "region" },
+    { "switch,,,,,,zone,nordic-2", "switch,,,,,,zone,nordic-9",
+      SH_ERROR_REFERENCE, 50, "object" },
+    { "key,birk-living-1,birk-living", "key,birk-living-1,birk-lving",
+      SH_ERROR_REFERENCE, 29, "customer" },
+    /* dates */
+    { "2026-12-04,", "2026-12-03,", SH_ERROR_OLD_SHEET, 2, "date" },
+    { "2026-12-04,", "2026-12-05,", SH_ERROR_DATE, 2, "date" },
+    { "2026-12-04,", "4.12.2026,", SH_ERROR_DATE, 2, "date" },
+    /* sums */
+    { "aalto-home,,,,,,,,,,,,200", "aalto-home,,,,,,,,,,,,1201",
+      SH_ERROR_RATE_CAPACITY, 40, nullptr },
+    { "aalto-home,,,,,,,,,,,,200", "aalto-home,,,,,,,,,,,,1000",
+      SH_ERROR_DRAIN_CAPACITY, 50, "start" },
+    { "1800,50,80", "1800,50,601", SH_ERROR_SHIFT_CONFLICT, 52, "cap_per_s" },
+  };
+
+  for (const auto &c : cases)
+    {
+      std::string text = example ("tammemets.csv");
+      g_autoptr (GPtrArray) problems = nullptr;
+      replace (text, c.from, c.to);
+      EXPECT_EQ (parse (text, &problems), nullptr) << c.to;
+      if (problems == nullptr)
+        continue;
+      const ShProblem *problem = find (problems, c.code);
+      ASSERT_NE (problem, nullptr) << c.to << "\n" << listing (problems);
+      EXPECT_EQ (problem->row, c.row) << c.to << "\n" << listing (problems);
+      EXPECT_TRUE (c.field == nullptr
+                   || g_strcmp0 (problem->field, c.field) == 0)
+          << c.to << "\n"
+          << listing (problems);
+    }
+}
+
+/* Guards against a file that was cut off anywhere being taken for a whole one:
+   the customers behind the cut would lose their keys.  */
+TEST (Sheet, CutOffFileIsRefused)
+{
+  std::string text = example ("tammemets.csv");
+
+  for (size_t length = 0; length < text.size () - 2; length += 13)
+    {
+      g_autoptr (GPtrArray) problems = nullptr;
+      ASSERT_EQ (parse (text.substr (0, length), &problems), nullptr)
+          << length;
+      ASSERT_GT (problems->len, 0u);
+    }
+  g_autoptr (GPtrArray) problems = nullptr;
+  parse (text.substr (0, text.rfind ("end,")), &problems);
+  ASSERT_NE (find (problems, SH_ERROR_CUT_OFF), nullptr) << listing (problems);
+}
+
+/* Guards against good exports being refused for what spreadsheets add.  */
+TEST (Sheet, HarmlessExportsAreAccepted)
+{
+  std::string text = example ("tammemets.csv");
+  g_autoptr (GPtrArray) problems = nullptr;
+  std::string windows = "\xef\xbb\xbf";
+
+  for (char c : text)
+    windows += c == '\n' ? std::string ("\r\n") : std::string (1, c);
+  windows += std::string (25, ',') + "\r\n\r\n";
+  g_autoptr (CfConfig) config = parse (windows, &problems);
+  EXPECT_NE (config, nullptr) << listing (problems);
+}
+
+/* Guards against row numbers that differ from those the spreadsheet shows.  */
+TEST (Sheet, RowNumbersCountBlankLines)
+{
+  std::string text = example ("tammemets.csv");
+  g_autoptr (GPtrArray) problems = nullptr;
+  replace (text, "\nservice,boards", "\r\n\r\nservice,Boards");
+  ASSERT_EQ (parse (text, &problems), nullptr);
+  EXPECT_EQ (find (problems, SH_ERROR_NAME)->row, 4u) << listing (problems);
+}
+
+/* Guards against yesterday's sheet, whose date is today's on no clock, undoing
+   the sheet in force.  */
+TEST (Sheet, OlderThanTheSheetInForceIsRefused)
+{
+  g_autoptr (GPtrArray) problems = nullptr;
+  ASSERT_EQ (
+      parse (example ("tammemets.csv"), &problems, "2026-12-04", "2026-12-05"),
+      nullptr);
+  EXPECT_NE (find (problems, SH_ERROR_OLD_SHEET), nullptr);
+}
+
+/* Guards against a separator of another locale being reported as 26 faults. */
+TEST (Sheet, SemicolonsAreExplained)
+{
+  std::string text = example ("tammemets.csv");
+  g_autoptr (GPtrArray) problems = nullptr;
+  for (char &c : text)
+    c = c == ',' ? ';' : c;
+  ASSERT_EQ (parse (text, &problems), nullptr);
+  EXPECT_EQ (problems->len, 1u);
+  EXPECT_NE (listing (problems).find ("semicolons"), std::string::npos);
+}
+
+/* Guards against the planner having to export once for each fault.  */
+TEST (Sheet, AllFaultsAreReportedAtOnce)
+{
+  std::string text = example ("tammemets.csv");
+  g_autoptr (GPtrArray) problems = nullptr;
+  replace (text, "aalto-home,,,,,,,,,,,,200", "aalto-home,,,,,,,,,,,,2000");
+  replace (text, "T21:30:00+02:00", "T21:30:00");
+  replace (text, "route,/boards/,,boards", "route,/boards/,,bords");
+  replace (text, "2026-12-04", "2026-12-03");
+  ASSERT_EQ (parse (text, &problems), nullptr);
+  for (ShError code : { SH_ERROR_RATE_CAPACITY, SH_ERROR_TIME_ZONE,
+                        SH_ERROR_REFERENCE, SH_ERROR_OLD_SHEET })
+    EXPECT_NE (find (problems, code), nullptr) << sh_error_name (code);
+  EXPECT_EQ (problems->len, 4u) << listing (problems);
+}
+
+/* Guards against a plain key reaching the operator's terminal and its log.  */
+TEST (Sheet, PlainKeyIsNotRepeated)
+{
+  std::string text = example ("tammemets.csv");
+  g_autoptr (GPtrArray) problems = nullptr;
+  size_t at = text.find ("aalto-home-1,aalto-home,,,,,,,") + 30;
+  text.replace (at, 64, "hunter2");
+  ASSERT_EQ (parse (text, &problems), nullptr);
+  EXPECT_NE (find (problems, SH_ERROR_KEY), nullptr);
+  EXPECT_EQ (listing (problems).find ("hunter2"), std::string::npos);
+}
+
+/* Guards against this morning's sheet reviving a key that was withdrawn at
+   night, under its own or another id.  */
+TEST (Sheet, WithdrawnKeyStaysWithdrawn)
+{
+  std::string text = example ("tammemets.csv");
+  g_autoptr (GPtrArray) problems = nullptr;
+  g_autoptr (CfConfig) current = parse (text, &problems);
+  ASSERT_NE (current, nullptr);
+  auto *customer = (CfCustomer *)g_ptr_array_index (current->customers, 0);
+  ((CfKey *)g_ptr_array_index (customer->keys, 0))->withdrawn = TRUE;
+  replace (text, "aalto-home-1", "aalto-home-9");
+  ASSERT_EQ (parse (text, &problems, "2026-12-04", nullptr, current), nullptr);
+  EXPECT_NE (find (problems, SH_ERROR_KEY_WITHDRAWN), nullptr);
+
+  g_clear_pointer (&problems, g_ptr_array_unref);
+  size_t state = text.find (",active", text.find ("aalto-home-9"));
+  text.replace (state, 7, ",");
+  g_autoptr (CfConfig) next
+      = parse (text, &problems, "2026-12-04", nullptr, current);
+  ASSERT_NE (next, nullptr) << listing (problems);
+  customer = (CfCustomer *)g_ptr_array_index (next->customers, 0);
+  EXPECT_TRUE (((CfKey *)g_ptr_array_index (customer->keys, 0))->withdrawn);
+}
+
+/* Guards against a key that was added during the day, and stands in the sheet
+   by its id only, being lost.  */
+TEST (Sheet, KeyInForceIsNamedByItsId)
+{
+  std::string text = example ("tammemets.csv");
+  g_autoptr (GPtrArray) problems = nullptr;
+  g_autoptr (CfConfig) current = parse (text, &problems);
+  ASSERT_NE (current, nullptr);
+  size_t at = text.find ("aalto-home-1,aalto-home,,,,,,,") + 30;
+  text.replace (at, 64, "");
+  g_autoptr (CfConfig) next
+      = parse (text, &problems, "2026-12-04", nullptr, current);
+  ASSERT_NE (next, nullptr) << listing (problems);
+  g_autoptr (GPtrArray) lines = cf_diff (current, next);
+  EXPECT_EQ (lines->len, 0u);
+  ASSERT_EQ (parse (text, &problems), nullptr);
+  EXPECT_NE (find (problems, SH_ERROR_REFERENCE), nullptr);
+}
+
+/* Guards against shifts that no cap can satisfy together.  */
+TEST (Sheet, ContradictingShiftsAreRefused)
+{
+  static const struct
+  {
+    const char *service, *from, *to, *cells;
+    const char *field;
+  } cases[] = {
+    { "boards", "nordic", "central", "600,10,30", "cap_per_s" },
+    { "boards", "central", "nordic", "600,10,30", "from" },
+    { "boards", "nordic", "baltic", "600,51,30", "share_percent" },
+    { "palettes", "baltic", "central", "600,10,521", "cap_per_s" },
+  };
+
+  for (const auto &c : cases)
+    {
+      std::string text = example ("tammemets.csv");
+      g_autoptr (GPtrArray) problems = nullptr;
+      add_row (text, std::string ("shift,second,,") + c.service + ",," + c.from
+                         + "," + c.to
+                         + ",,,,,,,,,,,,,2027-01-16T20:00:00Z,"
+                           "2027-01-16T21:00:00Z,"
+                         + c.cells + ",,");
+      ASSERT_EQ (parse (text, &problems), nullptr) << c.cells;
+      const ShProblem *problem = find (problems, SH_ERROR_SHIFT_CONFLICT);
+      ASSERT_NE (problem, nullptr) << listing (problems);
+      EXPECT_STREQ (problem->field, c.field) << listing (problems);
+      EXPECT_EQ (problem->row, 53u);
+    }
+}
+
+/* Guards against two drains that are harmless alone emptying a region.  */
+TEST (Sheet, DrainsThatMeetAreCounted)
+{
+  std::string text = example ("tammemets.csv");
+  g_autoptr (GPtrArray) problems = nullptr;
+  const char *span = ",,,,,,,,,,,2027-01-16T22:00:00Z,2027-01-17T00:00:00Z,"
+                     ",,,,";
+  add_row (text, std::string ("drain,second,,,,,,zone,nordic-1") + span);
+  ASSERT_EQ (parse (text, &problems), nullptr);
+  EXPECT_NE (find (problems, SH_ERROR_DRAIN_CAPACITY), nullptr)
+      << listing (problems);
+}
--- /dev/null
+++ b/sheet/special.c
@@ -0,0 +1,295 @@
+/* Rows with rules of their own: sheet, key and block.  */
+
+#include "sheet/internal.h"
+
+#include <string.h>
+
+static gboolean
+is_date (const char *text)
+{
+  g_autofree char *time = g_strdup_printf ("%sT00:00Z", text);
+  int64_t time_ms;
+  ShError code;
+
+  return strlen (text) == 10 && sh_parse_time (time, &time_ms, &code);
+}
+
+static void
+check_date (ShSheet *sheet, const ShRow *row, const char *date)
+{
+  const ShOptions *options = sheet->options;
+
+  if (!is_date (date))
+    sh_report (sheet, SH_ERROR_DATE, row->number, SH_COLUMN_DATE,
+               "\"%.64s\" is not a date such as 2026-12-04", date);
+  else if (strcmp (date, options->today) < 0)
+    sh_report (sheet, SH_ERROR_OLD_SHEET, row->number, SH_COLUMN_DATE,
+               "the sheet is of %s and today is %s", date, options->today);
+  else if (strcmp (date, options->today) > 0)
+    sh_report (sheet, SH_ERROR_DATE, row->number, SH_COLUMN_DATE,
+               "the sheet is of %s, which is after today, %s", date,
+               options->today);
+  if (options->last_date != NULL && strcmp (date, options->last_date) < 0)
+    sh_report (sheet, SH_ERROR_OLD_SHEET, row->number, SH_COLUMN_DATE,
+               "the sheet is of %s and the one in force is of %s", date,
+               options->last_date);
+}
+
+void
+sh_read_sheet (ShSheet *sheet, const ShRow *row)
+{
+  const char *date = sh_cell (row, SH_COLUMN_DATE);
+  void *earlier = g_hash_table_lookup (sheet->defined, "sheet");
+
+  sh_read_name (sheet, row, SH_COLUMN_NAME);
+  if (earlier != NULL)
+    {
+      sh_report (sheet, SH_ERROR_DATE, row->number, SH_COLUMN_KIND,
+                 "row %u is already the sheet row",
+                 GPOINTER_TO_UINT (earlier));
+      return;
+    }
+  g_hash_table_insert (sheet->defined, g_strdup ("sheet"),
+                       GUINT_TO_POINTER (row->number));
+  if (*date == '\0')
+    return;
+  check_date (sheet, row, date);
+  g_free (sheet->config->sheet_date);
+  sheet->config->sheet_date = g_strdup (date);
+}
+
+static const CfKey *
+find_key (const CfCustomer *customer, const char *id)
+{
+  for (guint i = 0; customer != NULL && i < customer->keys->len; i++)
+    {
+      const CfKey *key = g_ptr_array_index (customer->keys, i);
+
+      if (strcmp (key->id, id) == 0)
+        return key;
+    }
+  return NULL;
+}
+
+/* A key that was withdrawn stays so, under whatever id or customer it stands
+   in the sheet.  */
+static gboolean
+was_withdrawn (const CfConfig *current, const CfKey *key)
+{
+  for (guint i = 0; current != NULL && i < current->customers->len; i++)
+    {
+      const CfCustomer *customer = g_ptr_array_index (current->customers, i);
+
+      for (guint j = 0; j < customer->keys->len; j++)
+        {
+          const CfKey *old = g_ptr_array_index (customer->keys, j);
+
+          if (old->withdrawn
+              && memcmp (old->sha256, key->sha256, CF_SHA256_BYTES) == 0)
+            return TRUE;
+        }
+    }
+  return FALSE;
+}
+
+/* The digest of the row, or of the key in force that has the same id.  */
+static gboolean
+read_digest (ShSheet *sheet, const ShRow *row, CfKey *key)
+{
+  const CfConfig *current = sheet->options->current;
+  g_autofree char *hex = g_ascii_strdown (sh_cell (row, SH_COLUMN_SHA256), -1);
+  const CfKey *known = NULL;
+
+  if (*hex != '\0')
+    {
+      if (cf_parse_sha256 (hex, key->sha256))
+        return TRUE;
+      sh_report (sheet, SH_ERROR_KEY, row->number, SH_COLUMN_SHA256,
+                 "is not a SHA-256 of 64 hex digits; if a plain key stands "
+                 "here, withdraw it, because the sheet has been copied");
+      return FALSE;
+    }
+  if (current != NULL)
+    known = find_key (
+        cf_find_customer (current, sh_cell (row, SH_COLUMN_CUSTOMER)),
+        key->id);
+  if (known == NULL)
+    {
+      sh_report (sheet, SH_ERROR_REFERENCE, row->number, SH_COLUMN_SHA256,
+                 "is empty and no key \"%s\" of this customer is in force",
+                 key->id);
+      return FALSE;
+    }
+  memcpy (key->sha256, known->sha256, CF_SHA256_BYTES);
+  return TRUE;
+}
+
+static void
+check_digest (ShSheet *sheet, const ShRow *row, const CfKey *key)
+{
+  char hex[2 * CF_SHA256_BYTES + 1];
+  g_autofree char *id = NULL;
+  void *earlier;
+
+  cf_format_sha256 (key->sha256, hex);
+  id = g_strdup_printf ("sha256 %s", hex);
+  earlier = g_hash_table_lookup (sheet->defined, id);
+  if (earlier != NULL)
+    sh_report (sheet, SH_ERROR_DUPLICATE, row->number, SH_COLUMN_SHA256,
+               "row %u has the same key", GPOINTER_TO_UINT (earlier));
+  else
+    g_hash_table_insert (sheet->defined, g_steal_pointer (&id),
+                         GUINT_TO_POINTER (row->number));
+}
+
+void
+sh_read_key (ShSheet *sheet, const ShRow *row)
+{
+  static const char *const states[] = { "active", "withdrawn", NULL };
+  CfCustomer *customer = (CfCustomer *)cf_find_customer (
+      sheet->config, sh_cell (row, SH_COLUMN_CUSTOMER));
+  CfKey *key = cf_add_key (customer, sh_cell (row, SH_COLUMN_NAME));
+  gboolean before;
+  int state;
+
+  if (customer->keys->len == CF_KEYS_MAX + 1)
+    sh_report (sheet, SH_ERROR_RANGE, row->number, SH_COLUMN_CUSTOMER,
+               "customer \"%s\" has more than %d keys", customer->name,
+               CF_KEYS_MAX);
+  if (!read_digest (sheet, row, key))
+    return;
+  check_digest (sheet, row, key);
+  before = was_withdrawn (sheet->options->current, key);
+  key->withdrawn = before;
+  if (!sh_read_word (sheet, row, SH_COLUMN_STATE, states, &state))
+    return;
+  key->withdrawn = state == 1;
+  if (before && !key->withdrawn)
+    sh_report (sheet, SH_ERROR_KEY_WITHDRAWN, row->number, SH_COLUMN_STATE,
+               "key \"%s\" has been withdrawn and may not become active "
+               "again; issue a new key",
+               key->id);
+}
+
+static uint16_t
+region_number (ShSheet *sheet, const char *name)
+{
+  GPtrArray *names = sheet->block_regions;
+
+  for (guint i = 0; i < names->len; i++)
+    if (strcmp (g_ptr_array_index (names, i), name) == 0)
+      return (uint16_t)i;
+  g_ptr_array_add (names, g_strdup (name));
+  return (uint16_t)(names->len - 1);
+}
+
+void
+sh_read_block (ShSheet *sheet, const ShRow *row)
+{
+  const char *cidr = sh_cell (row, SH_COLUMN_NAME);
+  CfBlock block;
+
+  if (*cidr == '\0' || !sh_read_name (sheet, row, SH_COLUMN_REGION))
+    return;
+  if (!cf_parse_block (cidr, &block, NULL))
+    {
+      sh_report (sheet, SH_ERROR_NAME, row->number, SH_COLUMN_NAME,
+                 "\"%.64s\" is not an address block such as 10.1.0.0/16 with "
+                 "the bits after the prefix zero",
+                 cidr);
+      return;
+    }
+  if (sheet->config->blocks->len >= CF_ROWS_MAX
+      || sheet->block_regions->len > UINT16_MAX - 1)
+    {
+      sh_report (sheet, SH_ERROR_TOO_MANY, row->number, SH_COLUMN_COUNT,
+                 "there are more than %d blocks", CF_ROWS_MAX);
+      return;
+    }
+  block.region = region_number (sheet, sh_cell (row, SH_COLUMN_REGION));
+  g_array_append_val (sheet->config->blocks, block);
+  g_array_append_val (sheet->block_rows, row->number);
+}
+
+static GArray *
+resolve_regions (ShSheet *sheet)
+{
+  GArray *indexes = g_array_new (FALSE, FALSE, sizeof (int));
+
+  for (guint i = 0; i < sheet->block_regions->len; i++)
+    {
+      const char *name = g_ptr_array_index (sheet->block_regions, i);
+      int index = -1;
+
+      for (guint j = 0; j < sheet->config->regions->len; j++)
+        if (strcmp (((const CfRegion *)g_ptr_array_index (
+                         sheet->config->regions, j))
+                        ->name,
+                    name)
+            == 0)
+          index = (int)j;
+      g_array_append_val (indexes, index);
+    }
+  return indexes;
+}
+
+typedef struct
+{
+  CfBlock block;
+  uint32_t row;
+} BlockRow;
+
+static int
+compare_blocks (const void *a, const void *b)
+{
+  const BlockRow *left = a;
+  const BlockRow *right = b;
+  int order = memcmp (left->block.address, right->block.address,
+                      sizeof left->block.address);
+
+  if (order == 0)
+    order = left->block.prefix_bits - right->block.prefix_bits;
+  return order != 0 ? order : (left->row < right->row ? -1 : 1);
+}
+
+static gboolean
+same_block (const CfBlock *a, const CfBlock *b)
+{
+  return a->prefix_bits == b->prefix_bits
+         && memcmp (a->address, b->address, sizeof a->address) == 0;
+}
+
+void
+sh_finish_blocks (ShSheet *sheet)
+{
+  g_autoptr (GArray) indexes = resolve_regions (sheet);
+  g_autoptr (GArray) rows = g_array_new (FALSE, FALSE, sizeof (BlockRow));
+  GArray *blocks = sheet->config->blocks;
+
+  for (guint i = 0; i < blocks->len; i++)
+    {
+      BlockRow entry = { g_array_index (blocks, CfBlock, i),
+                         g_array_index (sheet->block_rows, uint32_t, i) };
+      uint16_t number = entry.block.region;
+      int index = g_array_index (indexes, int, number);
+
+      if (index < 0)
+        sh_report (
+            sheet, SH_ERROR_REFERENCE, entry.row, SH_COLUMN_REGION,
+            "there is no region row \"%s\"",
+            (const char *)g_ptr_array_index (sheet->block_regions, number));
+      entry.block.region = (uint16_t)MAX (index, 0);
+      g_array_append_val (rows, entry);
+    }
+  g_array_sort (rows, compare_blocks);
+  g_array_set_size (blocks, 0);
+  for (guint i = 0; i < rows->len; i++)
+    {
+      const BlockRow *entry = &g_array_index (rows, BlockRow, i);
+
+      if (i > 0 && same_block (&entry[-1].block, &entry->block))
+        sh_report (sheet, SH_ERROR_DUPLICATE, entry->row, SH_COLUMN_NAME,
+                   "row %u is already for this block", entry[-1].row);
+      g_array_append_val (blocks, entry->block);
+    }
+}
