admin: HTTP server of a daemon for operators and metrics

The daemon fills in a table of functions; documents are read and written in steps of conf's jobs. Reading the body as one json-c tree was ruled out: it would hold the loop for the whole document. conf reads the envelope of a change in the same steps as the document.

--- a/admin/admin.h
+++ b/admin/admin.h
@@ -2,7 +2,7 @@
 
    SYNOPSIS
      AdOptions opts = { .base = base, .address = "127.0.0.1", .port = 7001,
-                        .vm = "vm1", .class = &class, .data = daemon };
+                        .vm = "vm1", .calls = &class, .data = daemon };
      g_autoptr (GError) error = NULL;
      AdServer *server = ad_new (&opts, &error);
 
@@ -19,7 +19,7 @@
      holds a key, or text that was sent in place of a SHA-256.
 
      Anyone who reaches the address may change the configuration; it belongs
-     on the operators' network.
+     on the operators' network.  The process must ignore SIGPIPE.
 
    ERRORS
      AD_ERROR_LISTEN  the address cannot be bound  */
@@ -142,9 +142,10 @@
   const EvRing *(*events) (void *data);
   /* New reference to the configuration in force, or NULL.  */
   CfConfig *(*config) (void *data);
-  /* CONFIG is checked; its version is BASE_VERSION + 1, and op_id and author
-     are set.  The daemon sets written_ms while the reference is its own, and
-     answers with ad_write_done, at once or later.  */
+  /* Gives CONFIG, a reference, to the daemon.  It is checked; its version is
+     BASE_VERSION + 1, and op_id and author are set.  The daemon sets
+     written_ms while no one else holds it, and answers with ad_write_done, at
+     once or later.  */
   void (*write) (AdCall *call, CfConfig *config, uint64_t base_version,
                  void *data);
   /* Answered with ad_operation_done.  BASE_VERSION is 0 if not given.  */
@@ -158,7 +159,7 @@
   const char *address;
   uint16_t port; /* 0: any free one */
   const char *vm;
-  const AdClass *class;
+  const AdClass *calls;
   void *data;
 } AdOptions;
 
--- /dev/null
+++ b/admin/internal.h
@@ -0,0 +1,51 @@
+/* internal.h - what the sources of admin share  */
+
+#ifndef AD_INTERNAL_H
+#define AD_INTERNAL_H
+
+#include "admin/admin.h"
+
+#include <event2/event.h>
+#include <event2/http.h>
+
+struct AdServer
+{
+  const AdClass *class;
+  void *data;
+  char *vm;
+  struct event_base *base;
+  struct evhttp *http;
+  uint16_t port;
+  GHashTable *calls; /* AdCall */
+  uint32_t write_count;
+};
+
+/* A request that is answered in a later turn of the loop.  */
+struct AdCall
+{
+  AdServer *server;
+  struct evhttp_request *request;
+  CfJob *job;
+  struct event *step;
+  gboolean is_write;
+};
+
+AdCall *ad_call_new (AdServer *server, struct evhttp_request *request);
+void ad_call_free (AdCall *call);
+
+void ad_send_text (struct evhttp_request *request, int status,
+                   const char *type, const char *text);
+/* {"result":RESULT,"errors":[ERROR]}; ERROR may be NULL.  */
+void ad_send_result (struct evhttp_request *request, int status,
+                     const char *result, const char *error);
+
+char *ad_status_json (const AdStatus *status);
+char *ad_events_json (const char *vm, const EvRing *ring,
+                      const EvFields *filter, uint32_t limit);
+
+void ad_get_config (AdServer *server, struct evhttp_request *request);
+void ad_post_config (AdServer *server, struct evhttp_request *request);
+void ad_get_operation (AdServer *server, struct evhttp_request *request,
+                       const char *op_id);
+
+#endif
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -221,6 +221,9 @@
 /* The begin functions keep a reference to GBytes and CfConfig; a manifest must
    outlive its job.  */
 CfJob *cf_read_begin (GBytes *text);
+/* An operator's change, {"op_id", "author", "base_version", "document"}; the
+   configuration gets op_id and author, and base_version + 1 as its version. */
+CfJob *cf_read_change_begin (GBytes *text);
 CfJob *cf_write_begin (CfConfig *config);
 CfJob *cf_cut_begin (CfConfig *config);
 CfJob *cf_join_begin (const CfManifest *manifest);
--- a/conf/conf_test.cc
+++ b/conf/conf_test.cc
@@ -280,6 +280,48 @@
       }
   }
 
+  /* Guards against a change whose document hides behind another version,
+   author or operation than the envelope states.  */
+  TEST (Conf, ChangeTakesItsEnvelope)
+  {
+    static const struct
+    {
+      const char *head, *tail;
+      gboolean good;
+    } cases[] = {
+      { "{\"op_id\":\"op-2\",\"author\":\"Ann\",\"base_version\":41,"
+        "\"document\":",
+        "}", TRUE },
+      { "{\"document\":",
+        ",\"author\":\"Ann\",\"op_id\":\"op-2\",\"base_version\":41}", TRUE },
+      { "{\"author\":\"Ann\",\"base_version\":41,\"document\":", "}", FALSE },
+      { "{\"op_id\":\"op-2\",\"author\":\"\",\"base_version\":41,"
+        "\"document\":",
+        "}", FALSE },
+      { "{\"op_id\":\"op-2\",\"author\":\"Ann\",\"base_version\":41,"
+        "\"document\":",
+        ",\"services\":[]}", FALSE },
+    };
+
+    for (const auto &c : cases)
+      {
+        std::string text = std::string (c.head) + document + c.tail;
+        g_autoptr (GBytes) bytes
+            = g_bytes_new_static (text.c_str (), text.size ());
+        g_autoptr (CfJob) job = cf_read_change_begin (bytes);
+        CfStep step;
+        while ((step = cf_job_step (job, 100, nullptr)) == CF_STEP_MORE)
+          continue;
+        ASSERT_EQ (step == CF_STEP_DONE, c.good) << c.head;
+        if (!c.good)
+          continue;
+        g_autoptr (CfConfig) config = cf_job_take_config (job);
+        EXPECT_EQ (config->version, 42u);
+        EXPECT_STREQ (config->op_id, "op-2");
+        EXPECT_STREQ (config->author, "Ann");
+      }
+  }
+
   /* Guards against an operator seeing less than what changes.  */
   TEST (Conf, DiffNamesEveryChange)
   {
--- a/conf/read.c
+++ b/conf/read.c
@@ -27,19 +27,42 @@
   PLACE_BLOCK_COMMENT,
 } Place;
 
+typedef struct
+{
+  char *op_id;
+  char *author;
+  uint64_t base_version;
+} Envelope;
+
+static const CfField envelope_fields[] = {
+  { "op_id", CF_FIELD_NAME, offsetof (Envelope, op_id) },
+  { "author", CF_FIELD_TEXT, offsetof (Envelope, author) },
+  { "base_version", CF_FIELD_U64, offsetof (Envelope, base_version),
+    .max = INT64_MAX - 1 },
+};
+
+/* "seen" has a bit for each section, for blocks and for each field.  */
+#define SEEN_BLOCKS 16
+#define SEEN_FIELDS 17
+#define SEEN_ENVELOPE 24
+#define SEEN_DOCUMENT 31
+
 typedef struct
 {
   CfJob job;
+  gboolean enveloped; /* the document is a member of the text */
+  gboolean inside;    /* the document */
+  Envelope envelope;
   GBytes *source;
   char *text; /* without comments, with a NUL */
   gsize length;
   gsize at;
   Place place;
   State state;
-  gboolean first;          /* no member or row was read yet */
+  gboolean first;          /* no member or row of what is open was read */
   const CfSchema *section; /* NULL for blocks */
   guint row;
-  uint32_t seen; /* bit for each section and field, to refuse a second one */
+  uint32_t seen; /* bit for each member, to refuse a second one */
   struct json_tokener *tokener;
   CfBlockReader blocks;
   CfBlock *spare; /* second array for merging */
@@ -190,18 +213,29 @@
 static gboolean
 read_scalar (Reader *reader, const char *name, GError **error)
 {
-  for (uint32_t i = 0; i < cf_document_schema.field_count; i++)
+  const CfField *fields = cf_document_schema.fields;
+  uint32_t count = cf_document_schema.field_count;
+  uint32_t bit = SEEN_FIELDS;
+  void *row = reader->job.config;
+
+  if (!reader->inside)
+    {
+      fields = envelope_fields;
+      count = G_N_ELEMENTS (envelope_fields);
+      bit = SEEN_ENVELOPE;
+      row = &reader->envelope;
+    }
+  for (uint32_t i = 0; i < count; i++)
     {
-      const CfField *field = &cf_document_schema.fields[i];
       struct json_object *value;
       gboolean done;
 
-      if (strcmp (field->name, name) != 0)
+      if (strcmp (fields[i].name, name) != 0)
         continue;
-      if (!mark_seen (reader, cf_section_count + 1 + i, name, error)
+      if (!mark_seen (reader, bit + i, name, error)
           || !read_value (reader, &value, error))
         return FALSE;
-      done = cf_field_read (field, value, reader->job.config, name, error);
+      done = cf_field_read (&fields[i], value, row, name, error);
       json_object_put (value);
       return done;
     }
@@ -211,12 +245,20 @@
 }
 
 static gboolean
-open_section (Reader *reader, const char *name, GError **error)
+open_member (Reader *reader, const char *name, GError **error)
 {
-  uint32_t bit = cf_section_count;
+  uint32_t bit = SEEN_BLOCKS;
 
+  if (!reader->inside && strcmp (name, "document") == 0)
+    {
+      reader->inside = TRUE;
+      reader->first = TRUE;
+      return mark_seen (reader, SEEN_DOCUMENT, name, error)
+             && expect (reader, '{', error);
+    }
   reader->section = cf_find_section (name, strlen (name));
-  if (reader->section == NULL && strcmp (name, "blocks") != 0)
+  if (!reader->inside
+      || (reader->section == NULL && strcmp (name, "blocks") != 0))
     return read_scalar (reader, name, error);
   for (uint32_t i = 0; i < cf_section_count; i++)
     if (cf_sections[i] == reader->section)
@@ -227,6 +269,21 @@
   return mark_seen (reader, bit, name, error) && expect (reader, '[', error);
 }
 
+static gboolean
+close_object (Reader *reader, GError **error)
+{
+  if (reader->inside && reader->enveloped)
+    {
+      reader->inside = FALSE;
+      reader->first = FALSE;
+      return TRUE;
+    }
+  reader->state = STATE_SORT;
+  if (peek (reader) != '\0' || reader->at != reader->length)
+    return fail (reader, error, "text after the document");
+  return TRUE;
+}
+
 static gboolean
 read_member (Reader *reader, GError **error)
 {
@@ -237,18 +294,14 @@
   if (!read_separator (reader, '}', &end, error))
     return FALSE;
   if (end)
-    {
-      reader->state = STATE_SORT;
-      if (peek (reader) != '\0' || reader->at != reader->length)
-        return fail (reader, error, "text after the document");
-      return TRUE;
-    }
+    return close_object (reader, error);
   if (peek (reader) != '"')
     return fail (reader, error, "expected the name of a field");
   if (!read_value (reader, &name, error))
     return FALSE;
-  done = expect (reader, ':', error) && (peek (reader), TRUE)
-         && open_section (reader, json_object_get_string (name), error);
+  done = expect (reader, ':', error);
+  peek (reader);
+  done = done && open_member (reader, json_object_get_string (name), error);
   json_object_put (name);
   return done;
 }
@@ -356,6 +409,7 @@
   if (end)
     {
       reader->state = STATE_MEMBER;
+      reader->first = FALSE;
       return TRUE;
     }
   peek (reader);
@@ -427,6 +481,28 @@
   return span;
 }
 
+static gboolean
+take_envelope (Reader *reader, GError **error)
+{
+  CfConfig *config = reader->job.config;
+  const uint32_t needed
+      = UINT32_C (7) << SEEN_ENVELOPE | UINT32_C (1) << SEEN_DOCUMENT;
+
+  if ((reader->seen & needed) != needed || *reader->envelope.author == '\0')
+    {
+      g_set_error_literal (error, CF_ERROR, CF_ERROR_FIELD,
+                           "op_id, author, base_version or document is "
+                           "missing or empty");
+      return FALSE;
+    }
+  g_free (config->op_id);
+  g_free (config->author);
+  config->op_id = g_strdup (reader->envelope.op_id);
+  config->author = g_strdup (reader->envelope.author);
+  config->version = reader->envelope.base_version + 1;
+  return TRUE;
+}
+
 static gboolean
 finish (Reader *reader, GError **error)
 {
@@ -439,7 +515,8 @@
       if (customer->weight == 0)
         customer->weight = customer->rate_per_s;
     }
-  return cf_block_resolve (&reader->blocks, config, error)
+  return (!reader->enveloped || take_envelope (reader, error))
+         && cf_block_resolve (&reader->blocks, config, error)
          && cf_check (config, error);
 }
 
@@ -491,11 +568,7 @@
           reader->first = TRUE;
         }
       else if (reader->state == STATE_MEMBER)
-        {
-          /* After a section at least one member was read.  */
-          reader->first = reader->first && reader->seen == 0;
-          good = read_member (reader, error);
-        }
+        good = read_member (reader, error);
       else if (reader->state == STATE_ROW)
         good = read_row (reader, error);
       else
@@ -515,6 +588,8 @@
   g_bytes_unref (reader->source);
   g_free (reader->text);
   g_free (reader->spare);
+  g_free (reader->envelope.op_id);
+  g_free (reader->envelope.author);
   json_tokener_free (reader->tokener);
   cf_block_reader_clear (&reader->blocks);
 }
@@ -527,6 +602,7 @@
 
   reader->job.class = &class;
   reader->job.config = cf_new ();
+  reader->inside = TRUE;
   reader->source = g_bytes_ref (text);
   reader->length = g_bytes_get_size (text);
   reader->text = g_malloc (reader->length + 1);
@@ -539,6 +615,19 @@
   return &reader->job;
 }
 
+CfJob *
+cf_read_change_begin (GBytes *text)
+{
+  CfJob *job = cf_read_begin (text);
+  Reader *reader = (Reader *)job;
+
+  reader->enveloped = TRUE;
+  reader->inside = FALSE;
+  reader->envelope.op_id = g_strdup ("");
+  reader->envelope.author = g_strdup ("");
+  return job;
+}
+
 CfConfig *
 cf_from_json (const char *text, gsize length, GError **error)
 {
