--- a/admin/admin.c
+++ b/admin/admin.c
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
+#include <stddef.h>
 #include <string.h>
 #include <sys/queue.h>
 
@@ -194,14 +195,15 @@
 static uint16_t
 bound_port (evutil_socket_t fd)
 {
-  struct sockaddr_storage address;
+  struct sockaddr_in6 address = { 0 };
   socklen_t length = sizeof address;
 
   if (getsockname (fd, (struct sockaddr *)&address, &length) != 0)
     return 0;
-  if (address.ss_family == AF_INET6)
-    return ntohs (((struct sockaddr_in6 *)&address)->sin6_port);
-  return ntohs (((struct sockaddr_in *)&address)->sin_port);
+  /* The port of an IPv4 address stands at the same place.  */
+  G_STATIC_ASSERT (offsetof (struct sockaddr_in, sin_port)
+                   == offsetof (struct sockaddr_in6, sin6_port));
+  return ntohs (address.sin6_port);
 }
 
 AdServer *
--- a/conf/conf.c
+++ b/conf/conf.c
@@ -172,6 +172,37 @@
   return shift;
 }
 
+static gboolean
+section_remove (CfConfig *config, const char *section, const char *name)
+{
+  const CfSchema *schema = cf_find_section (section, strlen (section));
+  GPtrArray *rows = cf_rows (config, schema);
+
+  for (guint i = 0; i < rows->len; i++)
+    {
+      g_autofree char *identity
+          = cf_row_identity (schema, g_ptr_array_index (rows, i));
+
+      if (strcmp (identity, name) != 0)
+        continue;
+      cf_row_free (schema, g_ptr_array_steal_index (rows, i));
+      return TRUE;
+    }
+  return FALSE;
+}
+
+gboolean
+cf_remove_drain (CfConfig *config, const char *name)
+{
+  return section_remove (config, "drains", name);
+}
+
+gboolean
+cf_remove_shift (CfConfig *config, const char *name)
+{
+  return section_remove (config, "shifts", name);
+}
+
 const CfCustomer *
 cf_find_customer (const CfConfig *config, const char *name)
 {
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -261,6 +261,9 @@
                        const char *object);
 CfShift *cf_add_shift (CfConfig *config, const char *name, const char *service,
                        const char *from, const char *to);
+/* FALSE if there is none.  */
+gboolean cf_remove_drain (CfConfig *config, const char *name);
+gboolean cf_remove_shift (CfConfig *config, const char *name);
 /* Orders blocks after they were appended in any order.  */
 void cf_sort_blocks (CfConfig *config);
 
