client: the operators' command line client

A change carries one operation id and one base version through all daemons of the list, so sending it again is harmless; where an answer was lost it is read back. Calling everything without an answer a failure was ruled out: it may have taken effect.

The tests run the commands against in-process admin servers on one loop.

--- /dev/null
+++ b/client/client.c
@@ -0,0 +1,395 @@
+#include "client/internal.h"
+
+#include <event2/event.h>
+#include <stddef.h>
+#include <string.h>
+
+#define DAEMON_DEFAULT "127.0.0.1:7001"
+
+typedef struct
+{
+  const char *name;
+  GOptionArg type;
+  size_t offset;
+  const char *help;
+  const char *value;
+} Option;
+
+typedef struct
+{
+  const char *word;
+  const char *second; /* or NULL */
+  const char *usage;
+  const char *help;
+  int argument_min;
+  int argument_max;
+  int (*run) (ClContext *context);
+  const Option *options; /* up to one without a name, or NULL */
+} Command;
+
+#define AT(field) offsetof (ClOptions, field)
+
+static const Option global_options[] = {
+  { "daemon", G_OPTION_ARG_STRING_ARRAY, AT (daemons),
+    "admin address of a daemon; may be given several times", "ADDRESS:PORT" },
+  { "json", G_OPTION_ARG_NONE, AT (json), "print JSON", NULL },
+  { "timeout-ms", G_OPTION_ARG_INT, AT (timeout_ms),
+    "time to wait for each answer (default 5000)", "MS" },
+  { NULL },
+};
+
+#define CHANGE_OPTIONS                                                        \
+  { "wait", G_OPTION_ARG_NONE, AT (wait),                                     \
+    "wait until the version is in force on each daemon", NULL },              \
+      { "wait-ms", G_OPTION_ARG_INT64, AT (wait_ms),                          \
+        "longest wait (default 10000)", "MS" },                               \
+  {                                                                           \
+    "author", G_OPTION_ARG_STRING, AT (author),                               \
+        "who makes the change (default: the user's name)", "NAME"             \
+  }
+
+#define SHEET_OPTIONS                                                         \
+  {                                                                           \
+    "today", G_OPTION_ARG_STRING, AT (today),                                 \
+        "date that the sheet must have (default: today)", "DATE"              \
+  }
+
+static const Option sheet_options[] = { SHEET_OPTIONS, { NULL } };
+
+static const Option apply_options[]
+    = { SHEET_OPTIONS, CHANGE_OPTIONS, { NULL } };
+
+static const Option change_options[] = { CHANGE_OPTIONS, { NULL } };
+
+static const Option key_options[] = {
+  { "id", G_OPTION_ARG_STRING, AT (id), "id of the key", "ID" },
+  { "file", G_OPTION_ARG_FILENAME, AT (file),
+    "read the key from FILE and not from standard input", "FILE" },
+  CHANGE_OPTIONS,
+  { NULL },
+};
+
+static const Option customer_options[] = {
+  { "rate", G_OPTION_ARG_INT64, AT (rate), "requests/s", "N" },
+  { "burst", G_OPTION_ARG_INT64, AT (burst), "requests at once", "N" },
+  { "weight", G_OPTION_ARG_INT64, AT (weight), "weight in the queue", "N" },
+  CHANGE_OPTIONS,
+  { NULL },
+};
+
+static const Option shift_options[] = {
+  { "service", G_OPTION_ARG_STRING, AT (service), "service", "NAME" },
+  { "from", G_OPTION_ARG_STRING, AT (from), "region it leaves", "REGION" },
+  { "to", G_OPTION_ARG_STRING, AT (to), "region it goes to", "REGION" },
+  { "start", G_OPTION_ARG_STRING, AT (start), "start, with offset or Z",
+    "TIME" },
+  { "end", G_OPTION_ARG_STRING, AT (end), "end, with offset or Z", "TIME" },
+  { "ramp", G_OPTION_ARG_STRING, AT (ramp_s), "time to the full share",
+    "SECONDS" },
+  { "share", G_OPTION_ARG_STRING, AT (share_percent), "share to move",
+    "PERCENT" },
+  { "cap", G_OPTION_ARG_INT64, AT (cap), "most requests/s to move", "N" },
+  CHANGE_OPTIONS,
+  { NULL },
+};
+
+static const Option timeline_options[] = {
+  { "customer", G_OPTION_ARG_STRING, AT (customer), "only this customer",
+    "NAME" },
+  { "target", G_OPTION_ARG_STRING, AT (target), "only this target", "NAME" },
+  { "request", G_OPTION_ARG_STRING, AT (request), "only this request", "ID" },
+  { "version", G_OPTION_ARG_INT64, AT (version),
+    "only this version of the configuration", "N" },
+  { "limit", G_OPTION_ARG_INT64, AT (limit),
+    "newest events of each daemon (default 1000)", "N" },
+  { NULL },
+};
+
+static const Option watch_options[] = {
+  { "interval-ms", G_OPTION_ARG_INT64, AT (interval_ms),
+    "time between two looks (default 1000)", "MS" },
+  { "count", G_OPTION_ARG_INT64, AT (count),
+    "stop after so many looks (default: never)", "N" },
+  { NULL },
+};
+
+static const Command commands[] = {
+  { "check", NULL, "SHEET", "check a sheet", 1, 1, cl_check, sheet_options },
+  { "diff", NULL, "SHEET", "show what a sheet would change", 1, 1, cl_diff,
+    sheet_options },
+  { "apply", NULL, "SHEET", "put a sheet into force", 1, 1, cl_apply,
+    apply_options },
+  { "key", "add", "CUSTOMER", "issue a key", 1, 1, cl_key_add, key_options },
+  { "key", "withdraw", "CUSTOMER", "withdraw a key", 1, 1, cl_key_withdraw,
+    key_options },
+  { "customer", "show", "[CUSTOMER]", "show customers", 0, 1, cl_customer_show,
+    NULL },
+  { "customer", "set", "CUSTOMER", "change rate, burst or weight", 1, 1,
+    cl_customer_set, customer_options },
+  { "drain", "add", "NAME target|vm|zone|region OBJECT START END",
+    "plan a drain", 5, 5, cl_drain_add, change_options },
+  { "drain", "cancel", "NAME", "cancel a drain", 1, 1, cl_drain_cancel,
+    change_options },
+  { "drain", "list", "", "list the drains", 0, 0, cl_drain_list, NULL },
+  { "shift", "add", "NAME", "plan a traffic shift", 1, 1, cl_shift_add,
+    shift_options },
+  { "shift", "cancel", "NAME", "cancel a shift", 1, 1, cl_shift_cancel,
+    change_options },
+  { "shift", "list", "", "list the shifts", 0, 0, cl_shift_list, NULL },
+  { "status", NULL, "", "show the state of the daemons", 0, 0, cl_status,
+    NULL },
+  { "timeline", NULL, "", "show the events of all daemons in order", 0, 0,
+    cl_timeline, timeline_options },
+  { "watch", NULL, "", "show changes and warnings as they happen", 0, 0,
+    cl_watch, watch_options },
+};
+
+void
+cl_say (ClContext *context, const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  vfprintf (context->io.out, format, args);
+  va_end (args);
+}
+
+void
+cl_complain (ClContext *context, const char *format, ...)
+{
+  va_list args;
+
+  fputs ("comfreywalk: ", context->io.err);
+  va_start (args, format);
+  vfprintf (context->io.err, format, args);
+  va_end (args);
+  fputc ('\n', context->io.err);
+}
+
+static void
+add_entries (GOptionContext *parser, ClOptions *values, const Option *options)
+{
+  GArray *entries = g_array_new (TRUE, TRUE, sizeof (GOptionEntry));
+
+  for (; options != NULL && options->name != NULL; options++)
+    {
+      GOptionEntry entry = { options->name,
+                             0,
+                             0,
+                             options->type,
+                             G_STRUCT_MEMBER_P (values, options->offset),
+                             options->help,
+                             options->value };
+
+      g_array_append_val (entries, entry);
+    }
+  g_option_context_add_main_entries (
+      parser, (const GOptionEntry *)(void *)entries->data, NULL);
+  g_array_unref (entries);
+}
+
+static void
+print_help (FILE *out)
+{
+  fputs ("usage: comfreywalk [--daemon ADDRESS:PORT]... [--json] COMMAND\n\n"
+         "Commands:\n",
+         out);
+  for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
+    {
+      const char *second = commands[i].second;
+      g_autofree char *head = g_strdup_printf (
+          "%s%s%s %s", commands[i].word, second != NULL ? " " : "",
+          second != NULL ? second : "", commands[i].usage);
+
+      fprintf (out, "  %-34s  %s\n", head, commands[i].help);
+    }
+  fputs ("\ncomfreywalk COMMAND --help shows the options of a command;\n"
+         "comfreywalk(1) describes them.\n",
+         out);
+}
+
+static const Command *
+find_command (char **words, int count, int *used)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
+    {
+      const Command *command = &commands[i];
+
+      *used = command->second != NULL ? 2 : 1;
+      if (count >= *used && strcmp (words[0], command->word) == 0
+          && (command->second == NULL
+              || strcmp (words[1], command->second) == 0))
+        return command;
+    }
+  return NULL;
+}
+
+/* Parses options up to the command's word, or behind it.  FALSE: the program
+   is to stop with EXIT.  */
+static gboolean
+parse_options (ClContext *context, const Command *command, char ***argv,
+               int *exit)
+{
+  g_autoptr (GError) error = NULL;
+  GOptionContext *parser
+      = g_option_context_new (command != NULL ? command->usage : "COMMAND");
+  gboolean help = FALSE;
+  const Option help_option
+      = { "help", G_OPTION_ARG_NONE, 0, "show this", NULL };
+  const GOptionEntry help_entries[]
+      = { { help_option.name, 'h', 0, help_option.type, &help,
+            help_option.help, NULL },
+          { NULL } };
+  gboolean good;
+
+  g_option_context_set_help_enabled (parser, FALSE);
+  g_option_context_set_strict_posix (parser, command == NULL);
+  g_option_context_add_main_entries (parser, help_entries, NULL);
+  add_entries (parser, &context->options, global_options);
+  if (command != NULL)
+    add_entries (parser, &context->options, command->options);
+  good = g_option_context_parse_strv (parser, argv, &error);
+  if (!good)
+    {
+      cl_complain (context, "%s", error->message);
+      *exit = CL_EXIT_USAGE;
+    }
+  else if (help)
+    {
+      g_autofree char *text = g_option_context_get_help (parser, TRUE, NULL);
+
+      if (command == NULL)
+        print_help (context->io.out);
+      else
+        fputs (text, context->io.out);
+      good = FALSE;
+      *exit = CL_EXIT_DONE;
+    }
+  g_option_context_free (parser);
+  return good;
+}
+
+static void
+daemon_free (void *data)
+{
+  ClDaemon *daemon = data;
+
+  g_free (daemon->text);
+  g_free (daemon->address.ip);
+  g_free (daemon);
+}
+
+static gboolean
+read_daemons (ClContext *context)
+{
+  static char *fallback[] = { (char *)DAEMON_DEFAULT, NULL };
+  char **texts = context->options.daemons;
+
+  for (texts = texts != NULL ? texts : fallback; *texts != NULL; texts++)
+    {
+      ClDaemon *daemon = g_new0 (ClDaemon, 1);
+
+      daemon->text = g_strdup (*texts);
+      g_ptr_array_add (context->daemons, daemon);
+      if (!se_parse_address (*texts, &daemon->address))
+        {
+          cl_complain (context,
+                       "\"%s\" is not an IP number and a port such as "
+                       "127.0.0.1:7001",
+                       *texts);
+          return FALSE;
+        }
+    }
+  return TRUE;
+}
+
+static int
+run_command (ClContext *context, char ***argv)
+{
+  const Command *command;
+  int used = 0;
+  int count;
+  int exit = CL_EXIT_USAGE;
+
+  if (!parse_options (context, NULL, argv, &exit))
+    return exit;
+  count = (int)g_strv_length (*argv) - 1;
+  command = count > 0 ? find_command (*argv + 1, count, &used) : NULL;
+  if (command == NULL)
+    {
+      if (count > 0)
+        cl_complain (context, "there is no command \"%s\"", (*argv)[1]);
+      print_help (context->io.err);
+      return CL_EXIT_USAGE;
+    }
+  if (!parse_options (context, command, argv, &exit))
+    return exit;
+  context->arguments = *argv + 1 + used;
+  context->argument_count = (int)g_strv_length (*argv) - 1 - used;
+  if (context->argument_count < command->argument_min
+      || context->argument_count > command->argument_max)
+    {
+      cl_complain (context, "usage: comfreywalk %s%s%s %s", command->word,
+                   command->second != NULL ? " " : "",
+                   command->second != NULL ? command->second : "",
+                   command->usage);
+      return CL_EXIT_USAGE;
+    }
+  if (!read_daemons (context))
+    return CL_EXIT_USAGE;
+  return command->run (context);
+}
+
+static void
+options_clear (ClOptions *options)
+{
+  g_strfreev (options->daemons);
+  g_free (options->author);
+  g_free (options->today);
+  g_free (options->id);
+  g_free (options->file);
+  g_free (options->service);
+  g_free (options->from);
+  g_free (options->to);
+  g_free (options->start);
+  g_free (options->end);
+  g_free (options->ramp_s);
+  g_free (options->share_percent);
+  g_free (options->customer);
+  g_free (options->target);
+  g_free (options->request);
+}
+
+int
+cl_run (int argc, char **argv, const ClIo *io)
+{
+  ClContext context = {
+    .io = *io,
+    .base = io->base != NULL ? io->base : event_base_new (),
+    .daemons = g_ptr_array_new_with_free_func (daemon_free),
+    .options = { .timeout_ms = CL_TIMEOUT_DEFAULT_MS,
+                 .wait_ms = CL_WAIT_DEFAULT_MS,
+                 .rate = -1,
+                 .burst = -1,
+                 .weight = -1,
+                 .cap = -1,
+                 .limit = 1000,
+                 .interval_ms = 1000 },
+  };
+  GStrvBuilder *words = g_strv_builder_new ();
+  char **copy;
+  int exit;
+
+  for (int i = 0; i < argc; i++)
+    g_strv_builder_add (words, argv[i]);
+  copy = g_strv_builder_end (words);
+  g_strv_builder_unref (words);
+  exit = run_command (&context, &copy);
+  fflush (io->out);
+  g_strfreev (copy);
+  options_clear (&context.options);
+  g_ptr_array_unref (context.daemons);
+  if (io->base == NULL)
+    event_base_free (context.base);
+  return exit;
+}
--- /dev/null
+++ b/client/client_test.cc
@@ -0,0 +1,452 @@
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "admin/admin.h"
+#include "client/client.h"
+}
+
+#include <event2/event.h>
+#include <functional>
+#include <signal.h>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+const char sheet[] = CW_SOURCE_DIR "/examples/tammemets.csv";
+
+/* What all daemons see: the manifest in the store.  */
+struct Fleet
+{
+  CfConfig *config = nullptr;
+  std::function<void ()> after_read;
+};
+
+struct Daemon
+{
+  Fleet *fleet = nullptr;
+  std::string vm;
+  AdServer *server = nullptr;
+  EvRing *ring = nullptr;
+  AdWriteResult says = AD_WRITE_APPLIED; /* after an applied write */
+  bool applies = true;
+  bool answers_writes = true;
+  bool in_force = true;
+  AdOperationResult operation = AD_OPERATION_UNKNOWN;
+};
+
+void
+metrics (GString *, void *)
+{
+}
+
+void
+status (AdStatus *out, void *data)
+{
+  auto *daemon = (Daemon *)data;
+  CfConfig *config = daemon->fleet->config;
+  out->vm = daemon->vm.c_str ();
+  out->zone = "baltic-1";
+  out->ready = TRUE;
+  out->lease_state = "active";
+  out->config_version = config == nullptr ? 0 : config->version;
+  out->config_in_force = daemon->in_force;
+}
+
+const EvRing *
+events (void *data)
+{
+  return ((Daemon *)data)->ring;
+}
+
+CfConfig *
+config (void *data)
+{
+  Fleet *fleet = ((Daemon *)data)->fleet;
+  CfConfig *now = fleet->config == nullptr ? nullptr : cf_ref (fleet->config);
+  if (fleet->after_read)
+    fleet->after_read ();
+  return now;
+}
+
+void
+write (AdCall *call, CfConfig *change, uint64_t base_version, void *data)
+{
+  auto *daemon = (Daemon *)data;
+  Fleet *fleet = daemon->fleet;
+  uint64_t current = fleet->config == nullptr ? 0 : fleet->config->version;
+  AdWriteAnswer answer = { daemon->says, change->version, change->op_id,
+                           change->author, nullptr };
+
+  if (current != base_version)
+    answer = { AD_WRITE_LOST, current, fleet->config->op_id,
+               fleet->config->author, nullptr };
+  else if (daemon->applies)
+    {
+      cf_unref (fleet->config);
+      fleet->config = cf_ref (change);
+    }
+  if (daemon->answers_writes)
+    ad_write_done (call, &answer);
+  cf_unref (change);
+}
+
+void
+operation (AdCall *call, const char *, uint64_t, void *data)
+{
+  ad_operation_done (call, ((Daemon *)data)->operation, 5);
+}
+
+const AdClass daemon_class
+    = { metrics, status, events, config, write, operation };
+
+class Client : public testing::Test
+{
+protected:
+  struct event_base *base = event_base_new ();
+  Fleet fleet;
+  std::vector<Daemon> daemons = std::vector<Daemon> (2);
+  std::string out, err;
+
+  void
+  SetUp () override
+  {
+    signal (SIGPIPE, SIG_IGN);
+    for (size_t i = 0; i < daemons.size (); i++)
+      {
+        Daemon &daemon = daemons[i];
+        daemon.fleet = &fleet;
+        daemon.vm = "vm" + std::to_string (i + 1);
+        EvOptions ring = { .vm = daemon.vm.c_str (), .capacity_count = 16 };
+        AdOptions options = { .base = base,
+                              .address = "127.0.0.1",
+                              .port = 0,
+                              .vm = daemon.vm.c_str (),
+                              .calls = &daemon_class,
+                              .data = &daemon };
+        daemon.ring = ev_ring_new (&ring);
+        daemon.server = ad_new (&options, nullptr);
+        ASSERT_NE (daemon.server, nullptr);
+      }
+  }
+
+  void
+  TearDown () override
+  {
+    for (Daemon &daemon : daemons)
+      {
+        ad_free (daemon.server);
+        ev_ring_free (daemon.ring);
+      }
+    cf_unref (fleet.config);
+    event_base_free (base);
+  }
+
+  int
+  run (std::vector<std::string> words, const std::string &input = "\n")
+  {
+    std::vector<std::string> all = { "comfreywalk", "--timeout-ms", "300" };
+    std::vector<char *> argv;
+    char *text[2] = {};
+    size_t length[2];
+
+    for (const Daemon &daemon : daemons)
+      {
+        all.push_back ("--daemon");
+        all.push_back ("127.0.0.1:"
+                       + std::to_string (daemon.server == nullptr
+                                             ? 1
+                                             : ad_port (daemon.server)));
+      }
+    all.insert (all.end (), words.begin (), words.end ());
+    for (std::string &word : all)
+      argv.push_back (word.data ());
+    ClIo io = { open_memstream (&text[0], &length[0]),
+                open_memstream (&text[1], &length[1]),
+                fmemopen ((void *)input.data (), input.size (), "r"), base };
+    int code = cl_run ((int)argv.size (), argv.data (), &io);
+    for (FILE *file : { io.out, io.err, io.in })
+      fclose (file);
+    out = text[0];
+    err = text[1];
+    free (text[0]);
+    free (text[1]);
+    return code;
+  }
+
+  int
+  apply (const char *option = "--author=Ann")
+  {
+    return run ({ "apply", sheet, "--today", "2026-12-04", option });
+  }
+
+  void
+  stop (Daemon &daemon)
+  {
+    ad_free (daemon.server);
+    daemon.server = nullptr;
+  }
+
+  /* Another operator's change of aalto-home's burst.  */
+  void
+  race ()
+  {
+    g_autofree char *text = cf_to_json (fleet.config);
+    CfConfig *next = cf_from_json (text, strlen (text), nullptr);
+    next->version++;
+    g_free (next->author);
+    next->author = g_strdup ("Bo");
+    g_free (next->op_id);
+    next->op_id = g_strdup ("op-bo");
+    ((CfCustomer *)g_ptr_array_index (next->customers, 0))->burst = 77;
+    cf_unref (fleet.config);
+    fleet.config = next;
+    fleet.after_read = nullptr;
+  }
+
+  const CfCustomer *
+  customer ()
+  {
+    return cf_find_customer (fleet.config, "aalto-home");
+  }
+};
+
+} // namespace
+
+/* Guards against a sheet being written twice, or without its author.  */
+TEST_F (Client, AppliesASheetOnce)
+{
+  EXPECT_EQ (run ({ "check", sheet, "--today", "2026-12-04" }), CL_EXIT_DONE)
+      << err;
+  EXPECT_EQ (apply (), CL_EXIT_DONE) << err;
+  EXPECT_NE (out.find ("applied: version 1"), std::string::npos) << out;
+  EXPECT_STREQ (fleet.config->author, "Ann");
+  EXPECT_EQ (apply (), CL_EXIT_DONE) << err;
+  EXPECT_NE (out.find ("no change to version 1"), std::string::npos) << out;
+  EXPECT_EQ (fleet.config->version, 1u);
+}
+
+/* Guards against yesterday's sheet and usage errors being taken for success
+   by the script that applies the sheet each morning.  */
+TEST_F (Client, FaultsHaveTheirExitCodes)
+{
+  EXPECT_EQ (run ({ "apply", sheet, "--today", "2026-12-05" }),
+             CL_EXIT_REFUSED);
+  EXPECT_NE (err.find ("old-sheet: row 2, column 25 (date)"),
+             std::string::npos)
+      << err;
+  EXPECT_EQ (run ({ "apply", "/nonexistent.csv" }), CL_EXIT_REFUSED);
+  EXPECT_EQ (run ({ "apply" }), CL_EXIT_USAGE);
+  EXPECT_EQ (run ({ "aply", sheet }), CL_EXIT_USAGE);
+  EXPECT_EQ (run ({ "apply", sheet, "--rate", "5" }), CL_EXIT_USAGE);
+  EXPECT_EQ (run ({ "--daemon", "localhost:1", "status" }), CL_EXIT_USAGE);
+  EXPECT_EQ (run ({ "--help" }), CL_EXIT_DONE);
+  EXPECT_NE (out.find ("key withdraw CUSTOMER"), std::string::npos);
+  EXPECT_EQ (fleet.config, nullptr);
+}
+
+/* Guards against one operator's change undoing another's unseen.  */
+TEST_F (Client, LostRaceNamesTheOtherChange)
+{
+  ASSERT_EQ (run ({ "apply", sheet, "--today", "2026-12-04" }), CL_EXIT_DONE);
+  ASSERT_EQ (run ({ "customer", "set", "aalto-home", "--rate", "150" }),
+             CL_EXIT_DONE)
+      << err;
+  fleet.after_read = [this] { race (); };
+  EXPECT_EQ (apply (), CL_EXIT_LOST);
+  EXPECT_NE (err.find ("Bo wrote version 3"), std::string::npos) << err;
+  EXPECT_NE (err.find ("customer aalto-home: burst 100 -> 77"),
+             std::string::npos)
+      << err;
+  EXPECT_EQ (customer ()->rate_per_s, 150u);
+}
+
+/* Guards against a change of one row being given up, or undoing the row that
+   another operator has just changed.  */
+TEST_F (Client, ChangeOfOneRowIsRedone)
+{
+  ASSERT_EQ (apply (), CL_EXIT_DONE);
+  fleet.after_read = [this] { race (); };
+  EXPECT_EQ (run ({ "customer", "set", "aalto-home", "--rate", "150" }),
+             CL_EXIT_DONE)
+      << err;
+  EXPECT_EQ (fleet.config->version, 3u);
+  EXPECT_EQ (customer ()->burst, 77u);
+  EXPECT_EQ (customer ()->rate_per_s, 150u);
+  EXPECT_EQ (customer ()->weight, 150u);
+}
+
+/* Guards against "applied" or "not applied" being said where nobody knows, and
+   against "unknown" where another daemon does know.  */
+TEST_F (Client, LostAnswerIsReadBack)
+{
+  static const struct
+  {
+    bool applies, answers;
+    AdWriteResult first, second;
+    AdOperationResult operation;
+    int code;
+  } cases[] = {
+    /* The write took effect; the second daemon knows it.  */
+    { true, true, AD_WRITE_UNKNOWN, AD_WRITE_APPLIED, AD_OPERATION_APPLIED,
+      CL_EXIT_DONE },
+    /* It took effect and no answer came at all.  */
+    { true, false, AD_WRITE_APPLIED, AD_WRITE_APPLIED, AD_OPERATION_APPLIED,
+      CL_EXIT_DONE },
+    /* Nobody can read it back, but the same change sent again meets its own
+       operation id.  */
+    { true, true, AD_WRITE_UNKNOWN, AD_WRITE_APPLIED, AD_OPERATION_UNKNOWN,
+      CL_EXIT_DONE },
+    /* It did not take effect; the second daemon writes it.  */
+    { false, true, AD_WRITE_UNKNOWN, AD_WRITE_APPLIED, AD_OPERATION_UNKNOWN,
+      CL_EXIT_DONE },
+    { false, true, AD_WRITE_UNKNOWN, AD_WRITE_APPLIED,
+      AD_OPERATION_NOT_APPLIED, CL_EXIT_LOST },
+    { false, true, AD_WRITE_UNKNOWN, AD_WRITE_UNKNOWN, AD_OPERATION_UNKNOWN,
+      CL_EXIT_UNKNOWN },
+    /* A refusal by one daemon says nothing of what the other did.  */
+    { false, true, AD_WRITE_UNKNOWN, AD_WRITE_REFUSED, AD_OPERATION_UNKNOWN,
+      CL_EXIT_UNKNOWN },
+    { false, true, AD_WRITE_REFUSED, AD_WRITE_REFUSED, AD_OPERATION_UNKNOWN,
+      CL_EXIT_REFUSED },
+  };
+
+  for (const auto &c : cases)
+    {
+      int i = (int)(&c - cases);
+      g_clear_pointer (&fleet.config, cf_unref);
+      daemons[0].applies = c.applies;
+      daemons[0].answers_writes = c.answers;
+      daemons[0].says = c.first;
+      daemons[1].applies = c.second == AD_WRITE_APPLIED;
+      daemons[1].says = c.second;
+      daemons[1].operation = c.operation;
+      EXPECT_EQ (apply (), c.code) << i << ": " << out << err;
+      EXPECT_EQ (fleet.config != nullptr, c.code == CL_EXIT_DONE) << i;
+    }
+}
+
+/* Guards against the client giving up with the first daemon of its list.  */
+TEST_F (Client, NextDaemonIsTried)
+{
+  stop (daemons[0]);
+  EXPECT_EQ (apply (), CL_EXIT_DONE) << err;
+  EXPECT_EQ (run ({ "status" }), CL_EXIT_PARTIAL);
+  stop (daemons[1]);
+  EXPECT_EQ (apply (), CL_EXIT_NO_DAEMON);
+}
+
+/* Guards against a version being reported in force on a daemon that does not
+   have it or does not answer.  */
+TEST_F (Client, WaitNamesEachDaemon)
+{
+  EXPECT_EQ (apply ("--wait"), CL_EXIT_DONE) << err;
+  EXPECT_NE (out.find ("vm2: in force"), std::string::npos) << out;
+  daemons[1].in_force = false;
+  EXPECT_EQ (run ({ "customer", "set", "aalto-home", "--burst", "9", "--wait",
+                    "--wait-ms", "200" }),
+             CL_EXIT_PARTIAL);
+  EXPECT_NE (out.find ("vm1: in force"), std::string::npos) << out;
+  EXPECT_NE (out.find ("vm2: not in force, has version 2"), std::string::npos)
+      << out;
+  stop (daemons[1]);
+  EXPECT_EQ (run ({ "--json", "customer", "set", "aalto-home", "--burst", "8",
+                    "--wait", "--wait-ms", "200" }),
+             CL_EXIT_PARTIAL);
+  EXPECT_NE (out.find ("\"does not answer\""), std::string::npos) << out;
+}
+
+/* Guards against a key in the output or the document, and against a withdrawal
+   of the wrong key.  */
+TEST_F (Client, KeysAreAddedAndWithdrawnByValue)
+{
+  ASSERT_EQ (apply (), CL_EXIT_DONE);
+  ASSERT_EQ (run ({ "key", "add", "aalto-home" }, "hunter2\n"), CL_EXIT_DONE)
+      << err;
+  EXPECT_NE (out.find ("aalto-home-2"), std::string::npos) << out;
+  EXPECT_EQ ((out + err).find ("hunter2"), std::string::npos);
+  g_autofree char *document = cf_to_json (fleet.config);
+  g_autofree char *digest
+      = g_compute_checksum_for_string (G_CHECKSUM_SHA256, "hunter2", -1);
+  EXPECT_EQ (strstr (document, "hunter2"), nullptr);
+  EXPECT_NE (strstr (document, digest), nullptr);
+  EXPECT_EQ (run ({ "key", "add", "aalto-home" }, "hunter2"), CL_EXIT_REFUSED);
+  EXPECT_EQ (run ({ "key", "add", "aalto-home" }, "two words"),
+             CL_EXIT_REFUSED);
+  EXPECT_EQ (run ({ "key", "add", "nobody" }, "hunter3"), CL_EXIT_REFUSED);
+
+  EXPECT_EQ (run ({ "key", "withdraw", "aalto-home" }, "other"),
+             CL_EXIT_REFUSED);
+  ASSERT_EQ (run ({ "key", "withdraw", "aalto-home" }, "hunter2"),
+             CL_EXIT_DONE);
+  auto *first = (CfKey *)g_ptr_array_index (customer ()->keys, 0);
+  auto *second = (CfKey *)g_ptr_array_index (customer ()->keys, 1);
+  EXPECT_FALSE (first->withdrawn);
+  EXPECT_TRUE (second->withdrawn);
+  ASSERT_EQ (run ({ "key", "withdraw", "aalto-home", "--id", "aalto-home-1" }),
+             CL_EXIT_DONE);
+  ASSERT_EQ (run ({ "customer", "show", "aalto-home" }), CL_EXIT_DONE);
+  EXPECT_NE (out.find ("key aalto-home-1 withdrawn"), std::string::npos)
+      << out;
+}
+
+/* Guards against plans whose times or names are taken wrongly.  */
+TEST_F (Client, DrainsAndShiftsAreAddedAndCancelled)
+{
+  ASSERT_EQ (apply (), CL_EXIT_DONE);
+  ASSERT_EQ (run ({ "drain", "add", "d9", "zone", "baltic-2",
+                    "2026-12-05T02:00:00+02:00", "2026-12-05T03:00:00Z" }),
+             CL_EXIT_DONE)
+      << err;
+  ASSERT_EQ (run ({ "drain", "list" }), CL_EXIT_DONE);
+  EXPECT_NE (out.find ("d9: zone baltic-2 from 2026-12-05T00:00:00Z"),
+             std::string::npos)
+      << out;
+  EXPECT_EQ (run ({ "drain", "add", "d8", "zone", "baltic-2",
+                    "2026-12-05T02:00:00", "2026-12-05T03:00:00Z" }),
+             CL_EXIT_USAGE);
+  EXPECT_EQ (run ({ "drain", "add", "d8", "zone", "nowhere",
+                    "2026-12-05T02:00:00Z", "2026-12-05T03:00:00Z" }),
+             CL_EXIT_REFUSED);
+  EXPECT_EQ (run ({ "drain", "cancel", "d9" }), CL_EXIT_DONE);
+  EXPECT_EQ (run ({ "drain", "cancel", "d9" }), CL_EXIT_REFUSED);
+
+  ASSERT_EQ (
+      run ({ "shift", "add", "s9", "--service", "boards", "--from", "baltic",
+             "--to", "nordic", "--start", "2026-12-05T02:00:00Z", "--end",
+             "2026-12-05T03:00:00Z", "--share", "12.5", "--cap", "40" }),
+      CL_EXIT_DONE)
+      << err;
+  ASSERT_EQ (run ({ "shift", "list" }), CL_EXIT_DONE);
+  EXPECT_NE (out.find ("s9: 12.5% of boards from baltic to nordic, at most "
+                       "40/s"),
+             std::string::npos)
+      << out;
+  EXPECT_EQ (run ({ "shift", "cancel", "s9" }), CL_EXIT_DONE);
+}
+
+/* Guards against events of two daemons in the order of the daemons, in which a
+   cause stands behind its effect.  */
+TEST_F (Client, TimelineIsOrderedByStamp)
+{
+  EvFields fields = { .request_id = "r1" };
+  ev_record (daemons[1].ring, 1000, EV_REQUEST_ADMITTED, &fields);
+  ev_record (daemons[0].ring, 2000, EV_REQUEST_SENT, &fields);
+  ev_record (daemons[1].ring, 3000, EV_REQUEST_ANSWERED, &fields);
+  EXPECT_EQ (run ({ "timeline", "--request", "r1" }), CL_EXIT_DONE);
+  size_t admitted = out.find ("vm2 400 request-admitted request_id=r1");
+  size_t sent = out.find ("vm1 401");
+  size_t answered = out.find ("vm2 402");
+  EXPECT_LT (admitted, sent) << out;
+  EXPECT_LT (sent, answered) << out;
+  EXPECT_NE (answered, std::string::npos) << out;
+  EXPECT_EQ (run ({ "timeline", "--request", "r2" }), CL_EXIT_DONE);
+  EXPECT_EQ (out, "");
+  stop (daemons[1]);
+  EXPECT_EQ (run ({ "timeline" }), CL_EXIT_PARTIAL);
+  EXPECT_EQ (run ({ "watch", "--count", "2", "--interval-ms", "100" }),
+             CL_EXIT_DONE);
+  EXPECT_NE (out.find ("does not answer"), std::string::npos) << out;
+}
--- /dev/null
+++ b/client/edit_commands.c
@@ -0,0 +1,372 @@
+/* Commands that change one row: key, customer, drain, shift.  */
+
+#include "client/internal.h"
+#include "sheet/sheet.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define PER_S_MAX 1000000000
+
+typedef struct
+{
+  uint8_t sha256[CF_SHA256_BYTES];
+  gboolean has_value;
+  char id[CF_NAME_MAX_BYTES + 1]; /* empty: not given */
+} KeyEdit;
+
+/* The key never stands in the arguments, where other users of the machine and
+   the shell's history see it.  */
+static gboolean
+read_key_value (ClContext *context, uint8_t *sha256)
+{
+  char text[CL_KEY_MAX_BYTES + 2];
+  FILE *in = context->io.in;
+  GChecksum *checksum;
+  gsize size = CF_SHA256_BYTES;
+  size_t length;
+
+  if (context->options.file != NULL)
+    in = fopen (context->options.file, "r");
+  if (in == NULL)
+    {
+      cl_complain (context, "the key's file cannot be opened");
+      return FALSE;
+    }
+  length = fread (text, 1, sizeof text, in);
+  if (in != context->io.in)
+    fclose (in);
+  while (length > 0 && (text[length - 1] == '\n' || text[length - 1] == '\r'))
+    length--;
+  for (size_t i = 0; i < length; i++)
+    if (text[i] <= ' ' || text[i] > '~')
+      length = 0;
+  if (length == 0 || length > CL_KEY_MAX_BYTES)
+    {
+      cl_complain (context,
+                   "the key is empty, longer than %d bytes, or has "
+                   "characters that no header can carry",
+                   CL_KEY_MAX_BYTES);
+      return FALSE;
+    }
+  checksum = g_checksum_new (G_CHECKSUM_SHA256);
+  g_checksum_update (checksum, (const guchar *)text, (gssize)length);
+  g_checksum_get_digest (checksum, sha256, &size);
+  g_checksum_free (checksum);
+  explicit_bzero (text, sizeof text);
+  return TRUE;
+}
+
+static CfCustomer *
+find_customer (ClContext *context, CfConfig *config)
+{
+  const char *name = context->arguments[0];
+  const CfCustomer *customer = cf_find_customer (config, name);
+
+  if (customer == NULL)
+    cl_complain (context, "there is no customer \"%s\"", name);
+  return (CfCustomer *)customer;
+}
+
+static CfKey *
+find_key (CfCustomer *customer, const KeyEdit *edit)
+{
+  for (guint i = 0; i < customer->keys->len; i++)
+    {
+      CfKey *key = g_ptr_array_index (customer->keys, i);
+
+      if (edit->has_value
+              ? memcmp (key->sha256, edit->sha256, CF_SHA256_BYTES) == 0
+              : strcmp (key->id, edit->id) == 0)
+        return key;
+    }
+  return NULL;
+}
+
+static gboolean
+id_is_used (const CfCustomer *customer, const char *id)
+{
+  for (guint i = 0; i < customer->keys->len; i++)
+    if (strcmp (((const CfKey *)g_ptr_array_index (customer->keys, i))->id, id)
+        == 0)
+      return TRUE;
+  return FALSE;
+}
+
+static gboolean
+add_key (ClContext *context, CfConfig *config, void *data)
+{
+  KeyEdit *edit = data;
+  CfCustomer *customer = find_customer (context, config);
+  g_autofree char *id = g_strdup (context->options.id);
+  CfKey *key;
+
+  if (customer == NULL)
+    return FALSE;
+  if (find_key (customer, edit) != NULL)
+    {
+      cl_complain (context, "the customer has this key already; a key that "
+                            "was withdrawn is not issued again");
+      return FALSE;
+    }
+  for (int i = 1;
+       id == NULL
+       || (context->options.id == NULL && id_is_used (customer, id));
+       i++)
+    {
+      g_free (id);
+      id = g_strdup_printf ("%.50s-%d", customer->name, i);
+    }
+  if (!cf_is_name (id) || id_is_used (customer, id))
+    {
+      cl_complain (context, "the id \"%s\" is malformed or used already", id);
+      return FALSE;
+    }
+  key = cf_add_key (customer, id);
+  memcpy (key->sha256, edit->sha256, CF_SHA256_BYTES);
+  g_strlcpy (edit->id, id, sizeof edit->id);
+  return TRUE;
+}
+
+int
+cl_key_add (ClContext *context)
+{
+  KeyEdit edit = { .has_value = TRUE };
+  int exit;
+
+  if (!read_key_value (context, edit.sha256))
+    return CL_EXIT_REFUSED;
+  exit = cl_change (context, add_key, &edit);
+  if ((exit == CL_EXIT_DONE || exit == CL_EXIT_PARTIAL)
+      && !context->options.json)
+    cl_say (context,
+            "key %s; put its id into the sheet, or the next sheet "
+            "removes it\n",
+            edit.id);
+  return exit;
+}
+
+static gboolean
+withdraw_key (ClContext *context, CfConfig *config, void *data)
+{
+  CfCustomer *customer = find_customer (context, config);
+  CfKey *key = customer != NULL ? find_key (customer, data) : NULL;
+
+  if (customer != NULL && key == NULL)
+    cl_complain (context, "the customer has no such key");
+  if (key != NULL)
+    key->withdrawn = TRUE;
+  return key != NULL;
+}
+
+int
+cl_key_withdraw (ClContext *context)
+{
+  KeyEdit edit = { 0 };
+
+  if (context->options.id != NULL)
+    g_strlcpy (edit.id, context->options.id, sizeof edit.id);
+  else if (read_key_value (context, edit.sha256))
+    edit.has_value = TRUE;
+  else
+    return CL_EXIT_REFUSED;
+  return cl_change (context, withdraw_key, &edit);
+}
+
+static gboolean
+in_range (ClContext *context, const char *name, gint64 value)
+{
+  if (value >= 1 && value <= PER_S_MAX)
+    return TRUE;
+  cl_complain (context, "--%s must be within 1 and %d", name, PER_S_MAX);
+  return FALSE;
+}
+
+static gboolean
+set_customer (ClContext *context, CfConfig *config, void *data)
+{
+  const ClOptions *options = &context->options;
+  CfCustomer *customer = find_customer (context, config);
+  /* A weight that was left to its default goes on to follow the rate.  */
+  gboolean follows
+      = customer != NULL && customer->weight == customer->rate_per_s;
+
+  (void)data;
+  if (customer == NULL)
+    return FALSE;
+  if (options->rate >= 0)
+    customer->rate_per_s = (uint32_t)options->rate;
+  if (options->burst >= 0)
+    customer->burst = (uint32_t)options->burst;
+  if (options->weight >= 0)
+    customer->weight = (uint32_t)options->weight;
+  else if (follows)
+    customer->weight = customer->rate_per_s;
+  return TRUE;
+}
+
+int
+cl_customer_set (ClContext *context)
+{
+  const ClOptions *options = &context->options;
+
+  if (options->rate < 0 && options->burst < 0 && options->weight < 0)
+    {
+      cl_complain (context, "give --rate, --burst or --weight");
+      return CL_EXIT_USAGE;
+    }
+  if ((options->rate >= 0 && !in_range (context, "rate", options->rate))
+      || (options->burst >= 0 && !in_range (context, "burst", options->burst))
+      || (options->weight >= 0
+          && !in_range (context, "weight", options->weight)))
+    return CL_EXIT_USAGE;
+  return cl_change (context, set_customer, NULL);
+}
+
+static gboolean
+read_time (ClContext *context, const char *text, int64_t *time_ms)
+{
+  ShError code;
+
+  if (text != NULL && sh_parse_time (text, time_ms, &code))
+    return TRUE;
+  cl_complain (context,
+               "\"%s\" is not a time with Z or an offset, such as "
+               "2026-12-04T22:00:00Z",
+               text != NULL ? text : "");
+  return FALSE;
+}
+
+static gboolean
+add_drain (ClContext *context, CfConfig *config, void *data)
+{
+  const CfDrain *drain = data;
+  CfDrain *added
+      = cf_add_drain (config, drain->name, drain->kind, drain->object);
+
+  (void)context;
+  added->start_ms = drain->start_ms;
+  added->end_ms = drain->end_ms;
+  return TRUE;
+}
+
+int
+cl_drain_add (ClContext *context)
+{
+  static const char *const kinds[]
+      = { "target", "vm", "zone", "region", NULL };
+  char **arguments = context->arguments;
+  CfDrain drain = { .name = arguments[0], .object = arguments[2] };
+  int kind = 0;
+
+  while (kinds[kind] != NULL && strcmp (kinds[kind], arguments[1]) != 0)
+    kind++;
+  drain.kind = (CfDrainKind)kind;
+  if (kinds[kind] == NULL || !cf_is_name (drain.name)
+      || !cf_is_name (drain.object))
+    {
+      cl_complain (context, "a drain is NAME target|vm|zone|region OBJECT "
+                            "START END; names have [a-z0-9-]");
+      return CL_EXIT_USAGE;
+    }
+  if (!read_time (context, arguments[3], &drain.start_ms)
+      || !read_time (context, arguments[4], &drain.end_ms))
+    return CL_EXIT_USAGE;
+  return cl_change (context, add_drain, &drain);
+}
+
+static gboolean
+cancel_drain (ClContext *context, CfConfig *config, void *data)
+{
+  (void)data;
+  if (cf_remove_drain (config, context->arguments[0]))
+    return TRUE;
+  cl_complain (context, "there is no drain \"%s\"", context->arguments[0]);
+  return FALSE;
+}
+
+int
+cl_drain_cancel (ClContext *context)
+{
+  return cl_change (context, cancel_drain, NULL);
+}
+
+static gboolean
+add_shift (ClContext *context, CfConfig *config, void *data)
+{
+  const CfShift *shift = data;
+  CfShift *added = cf_add_shift (config, shift->name, shift->service,
+                                 shift->from, shift->to);
+
+  (void)context;
+  added->start_ms = shift->start_ms;
+  added->end_ms = shift->end_ms;
+  added->ramp_ms = shift->ramp_ms;
+  added->share_permille = shift->share_permille;
+  added->cap_per_s = shift->cap_per_s;
+  return TRUE;
+}
+
+/* "12.5" with SCALE 10 is 125.  */
+static gboolean
+read_scaled (ClContext *context, const char *name, const char *text,
+             double scale, double max, double *value)
+{
+  char *end = NULL;
+
+  *value = text != NULL ? g_ascii_strtod (text, &end) * scale : 0;
+  if (text != NULL && end != text && *end == '\0' && *value >= 0
+      && *value <= max)
+    return TRUE;
+  cl_complain (context, "--%s is missing, no number or out of range", name);
+  return FALSE;
+}
+
+int
+cl_shift_add (ClContext *context)
+{
+  const ClOptions *options = &context->options;
+  CfShift shift = { .name = context->arguments[0],
+                    .service = options->service,
+                    .from = options->from,
+                    .to = options->to };
+  double share;
+  double ramp = 0;
+
+  if (shift.service == NULL || shift.from == NULL || shift.to == NULL
+      || !cf_is_name (shift.name))
+    {
+      cl_complain (context, "a shift needs a name of [a-z0-9-], --service, "
+                            "--from and --to");
+      return CL_EXIT_USAGE;
+    }
+  if (!read_time (context, options->start, &shift.start_ms)
+      || !read_time (context, options->end, &shift.end_ms)
+      || !read_scaled (context, "share", options->share_percent, 10, 1000,
+                       &share)
+      || !in_range (context, "cap", options->cap)
+      || (options->ramp_s != NULL
+          && !read_scaled (context, "ramp", options->ramp_s, 1000, 1e12,
+                           &ramp)))
+    return CL_EXIT_USAGE;
+  shift.share_permille = (uint32_t)(share + 0.5);
+  shift.ramp_ms = (int64_t)ramp;
+  shift.cap_per_s = (uint32_t)options->cap;
+  return cl_change (context, add_shift, &shift);
+}
+
+static gboolean
+cancel_shift (ClContext *context, CfConfig *config, void *data)
+{
+  (void)data;
+  if (cf_remove_shift (config, context->arguments[0]))
+    return TRUE;
+  cl_complain (context, "there is no shift \"%s\"", context->arguments[0]);
+  return FALSE;
+}
+
+int
+cl_shift_cancel (ClContext *context)
+{
+  return cl_change (context, cancel_shift, NULL);
+}
--- /dev/null
+++ b/client/http.c
@@ -0,0 +1,134 @@
+#include "client/internal.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <string.h>
+
+typedef struct
+{
+  ClAnswer *answer;
+  gboolean done;
+} Exchange;
+
+static void
+on_answer (struct evhttp_request *request, void *data)
+{
+  Exchange *exchange = data;
+  struct evbuffer *body;
+
+  exchange->done = TRUE;
+  if (request == NULL)
+    return;
+  body = evhttp_request_get_input_buffer (request);
+  exchange->answer->status = evhttp_request_get_response_code (request);
+  exchange->answer->length = evbuffer_get_length (body);
+  exchange->answer->body = g_malloc (exchange->answer->length + 1);
+  evbuffer_remove (body, exchange->answer->body, exchange->answer->length);
+  exchange->answer->body[exchange->answer->length] = '\0';
+}
+
+void
+cl_answer_clear (ClAnswer *answer)
+{
+  g_clear_pointer (&answer->body, g_free);
+}
+
+void
+cl_ask (ClContext *context, const ClDaemon *daemon, const char *path,
+        const char *body, ClAnswer *answer)
+{
+  Exchange exchange = { .answer = answer };
+  struct evhttp_connection *connection = evhttp_connection_base_new (
+      context->base, NULL, daemon->address.ip, daemon->address.port);
+  struct evhttp_request *request = evhttp_request_new (on_answer, &exchange);
+  const struct timeval timeout = { context->options.timeout_ms / 1000,
+                                   context->options.timeout_ms % 1000 * 1000 };
+
+  *answer = (ClAnswer){ 0 };
+  evhttp_connection_set_timeout_tv (connection, &timeout);
+  evhttp_connection_set_max_body_size (connection, CL_BODY_MAX_BYTES);
+  evhttp_add_header (evhttp_request_get_output_headers (request), "Host",
+                     daemon->text);
+  if (body != NULL)
+    evbuffer_add (evhttp_request_get_output_buffer (request), body,
+                  strlen (body));
+  if (evhttp_make_request (connection, request,
+                           body != NULL ? EVHTTP_REQ_POST : EVHTTP_REQ_GET,
+                           path)
+      != 0)
+    exchange.done = TRUE;
+  while (!exchange.done && event_base_loop (context->base, EVLOOP_ONCE) == 0)
+    continue;
+  evhttp_connection_free (connection);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *data)
+{
+  (void)fd;
+  (void)what;
+  *(gboolean *)data = TRUE;
+}
+
+void
+cl_sleep (ClContext *context, int64_t ms)
+{
+  const struct timeval delay = { ms / 1000, ms % 1000 * 1000 };
+  gboolean done = FALSE;
+
+  event_base_once (context->base, -1, EV_TIMEOUT, on_timer, &done, &delay);
+  while (!done && event_base_loop (context->base, EVLOOP_ONCE) == 0)
+    continue;
+}
+
+struct json_object *
+cl_ask_json (ClContext *context, const ClDaemon *daemon, const char *path)
+{
+  struct json_object *object = NULL;
+  ClAnswer answer;
+
+  cl_ask (context, daemon, path, NULL, &answer);
+  if (answer.status == 200)
+    object = json_tokener_parse (answer.body);
+  cl_answer_clear (&answer);
+  return object;
+}
+
+struct json_object *
+cl_member (struct json_object *object, const char *name)
+{
+  struct json_object *member = NULL;
+
+  json_object_object_get_ex (object, name, &member);
+  return member;
+}
+
+const char *
+cl_text (struct json_object *object, const char *name)
+{
+  struct json_object *member = cl_member (object, name);
+
+  return member != NULL ? json_object_get_string (member) : "";
+}
+
+int64_t
+cl_number (struct json_object *object, const char *name)
+{
+  return json_object_get_int64 (cl_member (object, name));
+}
+
+gboolean
+cl_bool (struct json_object *object, const char *name)
+{
+  return json_object_get_boolean (cl_member (object, name));
+}
+
+void
+cl_print_json (ClContext *context, struct json_object *object)
+{
+  cl_say (
+      context, "%s\n",
+      json_object_to_json_string_ext (
+          object, JSON_C_TO_STRING_PRETTY | JSON_C_TO_STRING_NOSLASHESCAPE));
+}
