Connections between daemons

Need: daemons have to reach each other by VM name over one connection each, match replies with requests, and notice a cut link, which gives no sign on TCP. Ruled out: TCP keep-alive, whose shortest interval is above the 3 s of a lease. Change: requests time out on their own; two unanswered ones close the connection. The send time of a request is taken before it is written, since leases count from it.

--- /dev/null
+++ b/clock/clock.c
@@ -0,0 +1,30 @@
+#include "clock/clock.h"
+
+#include <time.h>
+
+static int64_t
+read_us (clockid_t clock)
+{
+  struct timespec at;
+
+  clock_gettime (clock, &at);
+  return (int64_t)at.tv_sec * CK_US_PER_S + at.tv_nsec / 1000;
+}
+
+int64_t
+ck_boot_us (void)
+{
+  return read_us (CLOCK_BOOTTIME);
+}
+
+int64_t
+ck_wall_ms (void)
+{
+  return read_us (CLOCK_REALTIME) / CK_US_PER_MS;
+}
+
+int64_t
+ck_cpu_us (void)
+{
+  return read_us (CLOCK_PROCESS_CPUTIME_ID);
+}
--- /dev/null
+++ b/peer/peer.c
@@ -0,0 +1,539 @@
+#include "peer/peer.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+#include "clock/clock.h"
+
+/* A VM that is down is dialled again at most this often.  */
+#define RECONNECT_US (500 * CK_US_PER_MS)
+#define UNANSWERED_MAX 2
+
+struct PrConnection
+{
+  PrNet *net;
+  struct bufferevent *bev;
+  char *vm; /* NULL until the first message */
+  uint32_t unanswered_count;
+};
+
+typedef struct
+{
+  char *address;
+  uint16_t port;
+  PrConnection *connection; /* the one that this side opened, or NULL */
+  int64_t dialled_us;
+} Endpoint;
+
+typedef struct
+{
+  PrNet *net;
+  uint64_t id;
+  char *vm;
+  PrConnection *connection;
+  struct event *timer;
+  int64_t sent_us;
+  PrOnReply reply;
+  void *data;
+} Pending;
+
+struct PrNet
+{
+  PrOptions options;
+  char *vm;
+  struct evconnlistener *listener;
+  GHashTable *endpoints;   /* vm -> Endpoint */
+  GHashTable *connections; /* set of PrConnection */
+  GHashTable *pending;     /* id -> Pending */
+  uint64_t next_id;
+  MtCounter *bytes_in;
+  MtCounter *bytes_out;
+  MtCounter *messages_in;
+  MtCounter *messages_out;
+  MtCounter *dropped;
+  MtCounter *invalid;
+};
+
+G_DEFINE_QUARK (pr_error, pr_error)
+
+gboolean
+pr_parse_address (const char *text, char **address, uint16_t *port,
+                  GError **error)
+{
+  struct sockaddr_storage storage;
+  int length = sizeof storage;
+  char host[INET6_ADDRSTRLEN];
+  const struct sockaddr_in *v4 = (const void *)&storage;
+  const struct sockaddr_in6 *v6 = (const void *)&storage;
+
+  if (evutil_parse_sockaddr_port (text, (struct sockaddr *)&storage, &length)
+      != 0)
+    {
+      g_set_error (error, PR_ERROR, PR_ERROR_ADDRESS,
+                   "\"%s\" is not an IP number with a port", text);
+      return FALSE;
+    }
+  if (storage.ss_family == AF_INET)
+    inet_ntop (AF_INET, &v4->sin_addr, host, sizeof host);
+  else
+    inet_ntop (AF_INET6, &v6->sin6_addr, host, sizeof host);
+  *port = ntohs (storage.ss_family == AF_INET ? v4->sin_port : v6->sin6_port);
+  if (*port == 0)
+    {
+      g_set_error (error, PR_ERROR, PR_ERROR_ADDRESS, "\"%s\" has no port",
+                   text);
+      return FALSE;
+    }
+  *address = g_strdup (host);
+  return TRUE;
+}
+
+static gboolean
+make_sockaddr (const char *address, uint16_t port,
+               struct sockaddr_storage *storage, int *length)
+{
+  g_autofree char *text = strchr (address, ':') != NULL
+                              ? g_strdup_printf ("[%s]:%u", address, port)
+                              : g_strdup_printf ("%s:%u", address, port);
+
+  *length = sizeof *storage;
+  return evutil_parse_sockaddr_port (text, (struct sockaddr *)storage, length)
+         == 0;
+}
+
+static void
+pending_free (void *data)
+{
+  Pending *pending = data;
+
+  event_free (pending->timer);
+  g_free (pending->vm);
+  g_free (pending);
+}
+
+/* Removes PENDING before the call, since the callback may send again.  */
+static void
+finish_pending (Pending *pending, const Peer__Envelope *envelope)
+{
+  g_hash_table_steal (pending->net->pending, &pending->id);
+  pending->reply (pending->vm, envelope, pending->sent_us, pending->data);
+  pending_free (pending);
+}
+
+static void
+fail_pending_of (PrNet *net, const PrConnection *connection)
+{
+  g_autoptr (GPtrArray) failed = g_ptr_array_new ();
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, net->pending);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((Pending *)value)->connection == connection)
+      g_ptr_array_add (failed, value);
+  for (guint i = 0; i < failed->len; i++)
+    finish_pending (g_ptr_array_index (failed, i), NULL);
+}
+
+static void
+forget_endpoint_connection (PrNet *net, const PrConnection *connection)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, net->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((Endpoint *)value)->connection == connection)
+      ((Endpoint *)value)->connection = NULL;
+}
+
+static void
+record_peer_event (const PrNet *net, EvNumber number, const char *detail)
+{
+  ev_record (net->options.ring, (uint64_t)ck_wall_ms (), number,
+             &(EvFields){ .detail = detail });
+}
+
+static void
+connection_close (PrConnection *connection)
+{
+  PrNet *net = connection->net;
+
+  if (!g_hash_table_remove (net->connections, connection))
+    return;
+  if (connection->vm != NULL)
+    record_peer_event (net, EV_PEER_LOST, connection->vm);
+  forget_endpoint_connection (net, connection);
+  fail_pending_of (net, connection);
+  bufferevent_free (connection->bev);
+  g_free (connection->vm);
+  g_free (connection);
+}
+
+static void
+learn_vm (PrConnection *connection, const char *vm)
+{
+  if (connection->vm != NULL || *vm == '\0')
+    return;
+  connection->vm = g_strdup (vm);
+  record_peer_event (connection->net, EV_PEER_CONNECTED, vm);
+}
+
+static void
+dispatch (PrConnection *connection, const Peer__Envelope *envelope)
+{
+  PrNet *net = connection->net;
+  Pending *pending = NULL;
+
+  mt_add (net->messages_in, 1);
+  learn_vm (connection, envelope->from_vm);
+  if (envelope->stamp != NULL)
+    ev_receive_stamp (
+        net->options.ring, (uint64_t)ck_wall_ms (),
+        (EvStamp){ envelope->stamp->wall_ms, envelope->stamp->count });
+  connection->unanswered_count = 0;
+  if (envelope->id != 0)
+    pending = g_hash_table_lookup (net->pending, &envelope->id);
+  if (pending != NULL && pending->connection == connection)
+    finish_pending (pending, envelope);
+  else
+    net->options.on_message (connection, envelope, net->options.data);
+}
+
+static void
+on_read (struct bufferevent *bev, void *data)
+{
+  PrConnection *connection = data;
+  PrNet *net = connection->net;
+  struct evbuffer *input = bufferevent_get_input (bev);
+
+  for (;;)
+    {
+      g_autoptr (GError) error = NULL;
+      Peer__Envelope *envelope = NULL;
+      size_t length = evbuffer_get_length (input);
+      size_t used = 0;
+      WrResult result = wr_next_frame (evbuffer_pullup (input, -1), length,
+                                       &used, &envelope, &error);
+
+      if (result == WR_INCOMPLETE)
+        return;
+      if (result == WR_INVALID)
+        {
+          mt_add (net->invalid, 1);
+          record_peer_event (net, EV_PEER_FRAME_INVALID, error->message);
+          connection_close (connection);
+          return;
+        }
+      mt_add (net->bytes_in, (int64_t)used);
+      evbuffer_drain (input, used);
+      dispatch (connection, envelope);
+      wr_envelope_free (envelope);
+      if (!g_hash_table_contains (net->connections, connection))
+        return;
+    }
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *data)
+{
+  (void)bev;
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0)
+    connection_close (data);
+}
+
+static PrConnection *
+connection_new (PrNet *net, evutil_socket_t fd)
+{
+  PrConnection *connection = g_new0 (PrConnection, 1);
+
+  connection->net = net;
+  connection->bev = bufferevent_socket_new (
+      net->options.base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  bufferevent_setcb (connection->bev, on_read, NULL, on_event, connection);
+  bufferevent_setwatermark (connection->bev, EV_READ, 0,
+                            WR_FRAME_MAX_BYTES + WR_HEADER_BYTES);
+  bufferevent_enable (connection->bev, EV_READ | EV_WRITE);
+  g_hash_table_add (net->connections, connection);
+  return connection;
+}
+
+static void
+set_no_delay (evutil_socket_t fd)
+{
+  int one = 1;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+}
+
+static PrConnection *
+dial (PrNet *net, const char *address, uint16_t port)
+{
+  struct sockaddr_storage storage;
+  int length;
+  PrConnection *connection;
+
+  if (!make_sockaddr (address, port, &storage, &length))
+    return NULL;
+  connection = connection_new (net, -1);
+  if (bufferevent_socket_connect (connection->bev, (struct sockaddr *)&storage,
+                                  length)
+      != 0)
+    {
+      connection_close (connection);
+      return NULL;
+    }
+  set_no_delay (bufferevent_getfd (connection->bev));
+  return connection;
+}
+
+static void
+on_accept (struct evconnlistener *listener, evutil_socket_t fd,
+           struct sockaddr *address, int length, void *data)
+{
+  (void)listener;
+  (void)address;
+  (void)length;
+  set_no_delay (fd);
+  connection_new (data, fd);
+}
+
+static void
+endpoint_free (void *data)
+{
+  Endpoint *endpoint = data;
+
+  g_free (endpoint->address);
+  g_free (endpoint);
+}
+
+static void
+make_metrics (PrNet *net)
+{
+  MtTable *table = net->options.metrics;
+
+  net->bytes_in = mt_counter (table, "peer_received_bytes_total",
+                              "Bytes received from other daemons");
+  net->bytes_out = mt_counter (table, "peer_sent_bytes_total",
+                               "Bytes sent to other daemons");
+  net->messages_in = mt_counter (table, "peer_received_messages_total",
+                                 "Messages received from other daemons");
+  net->messages_out = mt_counter (table, "peer_sent_messages_total",
+                                  "Messages sent to other daemons");
+  net->dropped = mt_counter (table, "peer_dropped_messages_total",
+                             "Messages dropped because output was full");
+  net->invalid = mt_counter (table, "peer_invalid_frames_total",
+                             "Malformed frames received");
+}
+
+PrNet *
+pr_net_new (const PrOptions *options, GError **error)
+{
+  PrNet *net = g_new0 (PrNet, 1);
+  struct sockaddr_storage storage;
+  int length;
+
+  net->options = *options;
+  net->vm = g_strdup (options->vm);
+  net->endpoints
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, endpoint_free);
+  net->connections = g_hash_table_new (NULL, NULL);
+  net->pending = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                        pending_free);
+  /* Ids of different processes of one VM must not meet on a connection.  */
+  net->next_id = (options->incarnation << 20) | 1;
+  make_metrics (net);
+  if (make_sockaddr (options->listen_address, options->listen_port, &storage,
+                     &length))
+    net->listener = evconnlistener_new_bind (
+        options->base, on_accept, net,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
+        (struct sockaddr *)&storage, length);
+  if (net->listener != NULL)
+    return net;
+  g_set_error (error, PR_ERROR, PR_ERROR_LISTEN,
+               "cannot listen for peers on %s port %u: %s",
+               options->listen_address, options->listen_port,
+               g_strerror (errno));
+  pr_net_free (net);
+  return NULL;
+}
+
+static void
+close_all (PrNet *net)
+{
+  g_autoptr (GList) all = g_hash_table_get_keys (net->connections);
+
+  for (GList *at = all; at != NULL; at = at->next)
+    connection_close (at->data);
+}
+
+void
+pr_net_free (PrNet *net)
+{
+  if (net == NULL)
+    return;
+  if (net->listener != NULL)
+    evconnlistener_free (net->listener);
+  g_hash_table_remove_all (net->pending);
+  close_all (net);
+  g_hash_table_unref (net->pending);
+  g_hash_table_unref (net->connections);
+  g_hash_table_unref (net->endpoints);
+  g_free (net->vm);
+  g_free (net);
+}
+
+void
+pr_set_incarnation (PrNet *net, uint64_t incarnation)
+{
+  net->options.incarnation = incarnation;
+}
+
+void
+pr_set_address (PrNet *net, const char *vm, const char *address, uint16_t port)
+{
+  Endpoint *endpoint = g_hash_table_lookup (net->endpoints, vm);
+
+  if (endpoint == NULL)
+    {
+      endpoint = g_new0 (Endpoint, 1);
+      endpoint->dialled_us = INT64_MIN / 2;
+      g_hash_table_insert (net->endpoints, g_strdup (vm), endpoint);
+    }
+  else if (endpoint->port == port && strcmp (endpoint->address, address) == 0)
+    return;
+  g_free (endpoint->address);
+  endpoint->address = g_strdup (address);
+  endpoint->port = port;
+}
+
+gboolean
+pr_has_address (const PrNet *net, const char *vm)
+{
+  return g_hash_table_contains (net->endpoints, vm);
+}
+
+/* The connection that this side opened to VM; dials if there is none.  */
+static PrConnection *
+connection_to (PrNet *net, const char *vm)
+{
+  Endpoint *endpoint = g_hash_table_lookup (net->endpoints, vm);
+  int64_t now_us = ck_boot_us ();
+
+  if (endpoint == NULL)
+    return NULL;
+  if (endpoint->connection != NULL)
+    return endpoint->connection;
+  if (now_us - endpoint->dialled_us < RECONNECT_US)
+    return NULL;
+  endpoint->dialled_us = now_us;
+  endpoint->connection = dial (net, endpoint->address, endpoint->port);
+  return endpoint->connection;
+}
+
+static gboolean
+write_envelope (PrConnection *connection, Peer__Envelope *envelope)
+{
+  PrNet *net = connection->net;
+  struct evbuffer *output = bufferevent_get_output (connection->bev);
+  g_autoptr (GByteArray) frame = g_byte_array_new ();
+  EvStamp stamp = ev_send_stamp (net->options.ring, (uint64_t)ck_wall_ms ());
+  Peer__Stamp message = PEER__STAMP__INIT;
+
+  message.wall_ms = stamp.wall_ms;
+  message.count = stamp.count;
+  envelope->stamp = &message;
+  envelope->from_vm = net->vm;
+  envelope->from_incarnation = net->options.incarnation;
+  wr_append_frame (frame, envelope);
+  envelope->stamp = NULL;
+  if (evbuffer_get_length (output) + frame->len > PR_OUTPUT_MAX_BYTES)
+    {
+      mt_add (net->dropped, 1);
+      return FALSE;
+    }
+  mt_add (net->bytes_out, frame->len);
+  mt_add (net->messages_out, 1);
+  return bufferevent_write (connection->bev, frame->data, frame->len) == 0;
+}
+
+void
+pr_contact (PrNet *net, const char *address, uint16_t port,
+            Peer__Envelope *hello)
+{
+  PrConnection *connection = dial (net, address, port);
+
+  if (connection == NULL)
+    return;
+  hello->id = 0;
+  write_envelope (connection, hello);
+}
+
+gboolean
+pr_send (PrNet *net, const char *vm, Peer__Envelope *envelope)
+{
+  PrConnection *connection = connection_to (net, vm);
+
+  envelope->id = 0;
+  return connection != NULL && write_envelope (connection, envelope);
+}
+
+/* Closing fails PENDING together with the other requests on the connection. */
+static void
+on_timeout (evutil_socket_t fd, short what, void *data)
+{
+  Pending *pending = data;
+  PrConnection *connection = pending->connection;
+
+  (void)fd;
+  (void)what;
+  if (++connection->unanswered_count >= UNANSWERED_MAX)
+    connection_close (connection);
+  else
+    finish_pending (pending, NULL);
+}
+
+gboolean
+pr_request (PrNet *net, const char *vm, Peer__Envelope *envelope,
+            uint32_t timeout_ms, PrOnReply reply, void *data)
+{
+  PrConnection *connection = connection_to (net, vm);
+  struct timeval timeout
+      = { timeout_ms / 1000, (timeout_ms % 1000) * CK_US_PER_MS };
+  int64_t now_us = ck_boot_us ();
+  Pending *pending;
+
+  envelope->id = net->next_id++;
+  if (connection == NULL || !write_envelope (connection, envelope))
+    {
+      reply (vm, NULL, now_us, data);
+      return FALSE;
+    }
+  pending = g_new0 (Pending, 1);
+  pending->net = net;
+  pending->id = envelope->id;
+  pending->vm = g_strdup (vm);
+  pending->connection = connection;
+  pending->sent_us = now_us;
+  pending->reply = reply;
+  pending->data = data;
+  pending->timer = evtimer_new (net->options.base, on_timeout, pending);
+  evtimer_add (pending->timer, &timeout);
+  g_hash_table_insert (net->pending, &pending->id, pending);
+  return TRUE;
+}
+
+void
+pr_reply (PrConnection *connection, uint64_t request_id,
+          Peer__Envelope *envelope)
+{
+  envelope->id = request_id;
+  write_envelope (connection, envelope);
+}
--- /dev/null
+++ b/peer/peer_test.cc
@@ -0,0 +1,215 @@
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "clock/clock.h"
+#include "peer/peer.h"
+}
+
+namespace
+{
+
+uint16_t
+free_port ()
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address = {};
+  socklen_t length = sizeof address;
+
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  EXPECT_EQ (0, bind (fd, (sockaddr *)&address, length));
+  EXPECT_EQ (0, getsockname (fd, (sockaddr *)&address, &length));
+  close (fd);
+  return ntohs (address.sin_port);
+}
+
+struct Node
+{
+  event_base *base;
+  EvRing *ring;
+  MtTable *metrics;
+  PrNet *net;
+  uint16_t port;
+  bool answers = true;
+  int promise_requests = 0;
+  std::vector<std::string> replies;
+  std::vector<int64_t> sent_us;
+
+  Node (event_base *b, const char *vm) : base (b), port (free_port ())
+  {
+    EvOptions ring_options = {};
+    ring_options.vm = vm;
+    ring_options.capacity_count = 64;
+    ring = ev_ring_new (&ring_options);
+    metrics = mt_table_new ();
+    PrOptions options = {};
+    options.base = base;
+    options.vm = vm;
+    options.incarnation = 1;
+    options.listen_address = "127.0.0.1";
+    options.listen_port = port;
+    options.ring = ring;
+    options.metrics = metrics;
+    options.on_message = on_message;
+    options.data = this;
+    net = pr_net_new (&options, NULL);
+    EXPECT_NE (nullptr, net);
+  }
+
+  ~Node ()
+  {
+    pr_net_free (net);
+    mt_table_free (metrics);
+    ev_ring_free (ring);
+  }
+
+  static void
+  on_message (PrConnection *connection, const Peer__Envelope *envelope,
+              void *data)
+  {
+    Node *node = static_cast<Node *> (data);
+    Peer__Envelope reply = PEER__ENVELOPE__INIT;
+    Peer__PromiseReply body = PEER__PROMISE_REPLY__INIT;
+
+    node->promise_requests++;
+    if (!node->answers)
+      return;
+    body.granted = 1;
+    reply.body_case = PEER__ENVELOPE__BODY_PROMISE_REPLY;
+    reply.promise_reply = &body;
+    pr_reply (connection, envelope->id, &reply);
+  }
+
+  static void
+  on_reply (const char *vm, const Peer__Envelope *envelope, int64_t sent_us,
+            void *data)
+  {
+    Node *node = static_cast<Node *> (data);
+    node->replies.push_back (envelope == NULL ? "none"
+                                              : std::string (vm) + ":"
+                                                    + wr_body_name (envelope));
+    node->sent_us.push_back (sent_us);
+  }
+
+  void
+  ask (const char *vm, uint32_t timeout_ms)
+  {
+    Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+    Peer__PromiseRequest body = PEER__PROMISE_REQUEST__INIT;
+
+    envelope.body_case = PEER__ENVELOPE__BODY_PROMISE_REQUEST;
+    envelope.promise_request = &body;
+    pr_request (net, vm, &envelope, timeout_ms, on_reply, this);
+  }
+};
+
+template <class Condition>
+void
+run_until (event_base *base, Condition condition)
+{
+  int64_t end_us = ck_boot_us () + 5 * CK_US_PER_S;
+  while (!condition () && ck_boot_us () < end_us)
+    {
+      timeval tick = { 0, 5000 };
+      event_base_loopexit (base, &tick);
+      event_base_dispatch (base);
+    }
+  EXPECT_TRUE (condition ());
+}
+
+class Peer : public testing::Test
+{
+protected:
+  event_base *base = event_base_new ();
+  ~Peer () { event_base_free (base); }
+};
+
+/* Guards against a reply that is matched with the wrong request, and against a
+   sent time that is taken after the answer came.  */
+TEST_F (Peer, RepliesComeBackOnce)
+{
+  Node a (base, "vm1"), b (base, "vm2");
+  int64_t before_us = ck_boot_us ();
+
+  pr_set_address (a.net, "vm2", "127.0.0.1", b.port);
+  a.ask ("vm2", 1000);
+  int64_t after_us = ck_boot_us ();
+  a.ask ("vm2", 1000);
+  run_until (base, [&] { return a.replies.size () == 2; });
+  EXPECT_EQ ("vm2:promise_reply", a.replies[0]);
+  EXPECT_EQ (2, b.promise_requests);
+  EXPECT_LE (before_us, a.sent_us[0]);
+  EXPECT_GE (after_us, a.sent_us[0]);
+}
+
+/* Guards against a request that waits for ever when its peer hangs, and
+   against a connection over a cut link being kept.  */
+TEST_F (Peer, SilentPeerFailsRequestsAndIsDialledAgain)
+{
+  Node a (base, "vm1"), b (base, "vm2");
+
+  b.answers = false;
+  pr_set_address (a.net, "vm2", "127.0.0.1", b.port);
+  a.ask ("vm2", 50);
+  a.ask ("vm2", 60);
+  run_until (base, [&] { return a.replies.size () == 2; });
+  EXPECT_EQ ("none", a.replies[1]);
+  b.answers = true;
+  run_until (base, [&] {
+    if (a.replies.back () == "none")
+      a.ask ("vm2", 1000);
+    return a.replies.back () != "none";
+  });
+}
+
+/* Guards against a malformed frame reaching a handler or being passed over
+   without a count.  */
+TEST_F (Peer, MalformedFrameClosesTheConnection)
+{
+  Node a (base, "vm1");
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address = {};
+  const uint8_t bytes[] = { 0, 0, 0, 3, 0xff, 0xff, 0xff };
+  MtCounter *invalid = mt_counter (a.metrics, "peer_invalid_frames_total", "");
+
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons (a.port);
+  ASSERT_EQ (0, connect (fd, (sockaddr *)&address, sizeof address));
+  ASSERT_EQ ((ssize_t)sizeof bytes, write (fd, bytes, sizeof bytes));
+  run_until (base, [&] { return mt_value (invalid) == 1; });
+  EXPECT_EQ (0, a.promise_requests);
+  char byte;
+  EXPECT_EQ (0, read (fd, &byte, 1));
+  close (fd);
+}
+
+/* Guards against two processes of one VM running with the same address, on
+   which the take-over of a lease record rests.  */
+TEST_F (Peer, AddressIsBoundExclusively)
+{
+  Node a (base, "vm1");
+  PrOptions options = {};
+  GError *error = NULL;
+
+  options.base = base;
+  options.vm = "vm1";
+  options.listen_address = "127.0.0.1";
+  options.listen_port = a.port;
+  options.ring = a.ring;
+  options.metrics = a.metrics;
+  EXPECT_EQ (nullptr, pr_net_new (&options, &error));
+  EXPECT_TRUE (g_error_matches (error, PR_ERROR, PR_ERROR_LISTEN));
+  g_clear_error (&error);
+}
+
+}
