prefix: longest-prefix match over flattened ranges

The fleet needs a match under 200 ns in 32 MB at 190,000 blocks, rebuilt while the daemon serves. A table indexed by the leading address bits was ruled out: it takes the whole 32 MB for IPv4 alone, and IPv6 blocks share their leading bits. A binary trie was ruled out for its cache misses, one for each bit.

Blocks are flattened into disjoint ranges; their starts are searched through a static 16-ary tree, one cache line a node for IPv4. A build advances by a budget of units and never touches the table in use.

--- a/prefix/prefix.h
+++ b/prefix/prefix.h
@@ -39,7 +39,7 @@
 
 #define PX_FANOUT 16
 #define PX_REGION_MAX 0xffff
-#define PX_UNITS_PER_BLOCK 6
+#define PX_UNITS_PER_BLOCK 4
 
 #define PX_ERROR (px_error_quark ())
 
--- /dev/null
+++ b/prefix/prefix_test.cc
@@ -0,0 +1,219 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstring>
+#include <random>
+#include <vector>
+
+extern "C"
+{
+#include "prefix/prefix.h"
+}
+
+namespace
+{
+
+using Bytes = std::array<uint8_t, 16>;
+
+CfBlock
+block (Bytes address, uint8_t bits, uint16_t region)
+{
+  CfBlock b = {};
+  for (int i = 0; i < 128; i++)
+    if (i >= bits)
+      address[i / 8] &= ~(0x80 >> i % 8);
+  memcpy (b.address, address.data (), 16);
+  b.prefix_bits = bits;
+  b.region = region;
+  return b;
+}
+
+bool
+before (const CfBlock &a, const CfBlock &b)
+{
+  int order = memcmp (a.address, b.address, 16);
+  return order != 0 ? order < 0 : a.prefix_bits < b.prefix_bits;
+}
+
+bool
+same (const CfBlock &a, const CfBlock &b)
+{
+  return !before (a, b) && !before (b, a);
+}
+
+bool
+contains (const CfBlock &b, const Bytes &address)
+{
+  for (int i = 0; i < b.prefix_bits; i++)
+    if ((b.address[i / 8] ^ address[i / 8]) & (0x80 >> i % 8))
+      return false;
+  return true;
+}
+
+/* The definition that the table is checked against.  */
+int
+scan (const std::vector<CfBlock> &blocks, const Bytes &address)
+{
+  const CfBlock *best = nullptr;
+  for (const CfBlock &b : blocks)
+    if (contains (b, address)
+        && (best == nullptr || b.prefix_bits >= best->prefix_bits))
+      best = &b;
+  return best == nullptr ? -1 : best->region;
+}
+
+/* Addresses share few leading bytes, so that blocks nest and touch.  */
+Bytes
+random_address (std::mt19937_64 &random)
+{
+  static const Bytes roots[]
+      = { { 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff }, { 0x20, 0x01 }, {} };
+  uint32_t kind = random () % 4;
+  Bytes address = kind < 3 ? roots[kind] : Bytes{};
+  for (int i = kind == 0 ? 12 : kind == 1 ? 2 : 0; i < 16; i++)
+    {
+      uint8_t choices[] = { 0, 0xff, 1, (uint8_t)random () };
+      address[i] = choices[random () % 4];
+    }
+  return address;
+}
+
+std::vector<CfBlock>
+random_blocks (std::mt19937_64 &random, uint32_t count)
+{
+  std::vector<CfBlock> blocks;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      Bytes address = random_address (random);
+      uint8_t bits = random () % 8 ? 64 + random () % 65 : random () % 129;
+      blocks.push_back (block (address, bits, random () % 6));
+    }
+  std::sort (blocks.begin (), blocks.end (), before);
+  blocks.erase (std::unique (blocks.begin (), blocks.end (), same),
+                blocks.end ());
+  return blocks;
+}
+
+/* First and last address of a block, and their neighbours.  */
+std::vector<Bytes>
+edges (const CfBlock &b)
+{
+  Bytes first, last;
+  memcpy (first.data (), b.address, 16);
+  last = first;
+  for (int i = b.prefix_bits; i < 128; i++)
+    last[i / 8] |= 0x80 >> i % 8;
+  Bytes below = first, above = last;
+  for (int i = 15; i >= 0 && below[i]-- == 0; i--)
+    ;
+  for (int i = 15; i >= 0 && ++above[i] == 0; i--)
+    ;
+  return { first, last, below, above };
+}
+
+/* Guards against a range that is lost, cut wrongly at the IPv4 addresses, or
+   given to the outer of two nested blocks.  */
+TEST (Prefix, AgreesWithLinearScan)
+{
+  for (uint64_t seed = 1; seed <= 60; seed++)
+    {
+      SCOPED_TRACE ("seed " + std::to_string (seed));
+      std::mt19937_64 random (seed);
+      std::vector<CfBlock> blocks = random_blocks (random, random () % 400);
+      g_autoptr (PxTable) table
+          = px_table_new (blocks.data (), blocks.size (), nullptr);
+      ASSERT_NE (nullptr, table);
+      std::vector<Bytes> addresses;
+      for (const CfBlock &b : blocks)
+        for (const Bytes &edge : edges (b))
+          addresses.push_back (edge);
+      for (int i = 0; i < 500; i++)
+        addresses.push_back (random_address (random));
+      for (const Bytes &address : addresses)
+        ASSERT_EQ (scan (blocks, address), px_match (table, address.data ()));
+    }
+}
+
+/* Guards against a crash or a match where there are no blocks, and against a
+   default route that misses one kind of address.  */
+TEST (Prefix, EmptyAndDefault)
+{
+  Bytes v4 = { 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff, 255, 255, 255, 255 };
+  Bytes last;
+  last.fill (0xff);
+  CfBlock all = block ({}, 0, 3);
+  g_autoptr (PxTable) none = px_table_new (nullptr, 0, nullptr);
+  g_autoptr (PxTable) some = px_table_new (&all, 1, nullptr);
+
+  EXPECT_EQ (-1, px_match (none, v4.data ()));
+  EXPECT_EQ (-1, px_match (none, last.data ()));
+  EXPECT_EQ (3, px_match (some, v4.data ()));
+  EXPECT_EQ (3, px_match (some, last.data ()));
+  EXPECT_EQ (3, px_match_v4 (some, 0));
+}
+
+/* Guards against a step that stalls the event loop, and against a build whose
+   result depends on how it is cut into steps.  */
+TEST (Prefix, StepsAreBounded)
+{
+  std::mt19937_64 random (7);
+  std::vector<CfBlock> blocks = random_blocks (random, 3000);
+  PxBuild *build = px_build_new (blocks.data (), blocks.size ());
+  uint32_t steps = 0;
+
+  while (px_build_step (build, 10, nullptr) == PX_STEP_MORE)
+    steps++;
+  EXPECT_LE (steps * 10, PX_UNITS_PER_BLOCK * blocks.size () + 100);
+  EXPECT_GE (steps * 10, blocks.size ());
+  g_autoptr (PxTable) table = px_build_finish (build);
+  for (int i = 0; i < 1000; i++)
+    {
+      Bytes address = random_address (random);
+      ASSERT_EQ (scan (blocks, address), px_match (table, address.data ()));
+    }
+}
+
+/* Guards against a table that exceeds the memory bound of 32 MB at 190,000
+   blocks in the worst case: no two ranges merge and all are IPv6.  */
+TEST (Prefix, MemoryIsBounded)
+{
+  std::vector<CfBlock> blocks;
+  for (uint32_t i = 0; i < 190000; i++)
+    {
+      Bytes a
+          = { 0x20, 0x01, (uint8_t)(i >> 16), (uint8_t)(i >> 8), (uint8_t)i };
+      blocks.push_back (block (a, 48, i % 6));
+    }
+  g_autoptr (PxTable) table
+      = px_table_new (blocks.data (), blocks.size (), nullptr);
+  EXPECT_LE (px_table_bytes (table), 32u * 1000 * 1000);
+}
+
+/* Guards against wrong answers from input that the algorithm cannot take.  */
+TEST (Prefix, RefusesBadBlocks)
+{
+  CfBlock good = block ({ 0x20, 0x01 }, 16, 1);
+  CfBlock inner = block ({ 0x20, 0x01 }, 32, 1);
+  CfBlock stray = good, wide = good, region = good;
+  stray.address[15] = 1;
+  wide.prefix_bits = 129;
+  region.region = PX_REGION_MAX;
+  struct
+  {
+    std::vector<CfBlock> blocks;
+    PxError code;
+  } cases[] = { { { inner, good }, PX_ERROR_ORDER },
+                { { good, good }, PX_ERROR_ORDER },
+                { { stray }, PX_ERROR_RANGE },
+                { { wide }, PX_ERROR_RANGE },
+                { { region }, PX_ERROR_RANGE } };
+  for (const auto &c : cases)
+    {
+      g_autoptr (GError) error = nullptr;
+      EXPECT_EQ (nullptr,
+                 px_table_new (c.blocks.data (), c.blocks.size (), &error));
+      EXPECT_TRUE (g_error_matches (error, PX_ERROR, c.code));
+    }
+}
+
+}
