--- /dev/null
+++ b/quota/quota.h
@@ -0,0 +1,169 @@
+/* quota.h - shares of fleet-wide rates and bursts, and lending between daemons
+
+   SYNOPSIS
+     QtOptions opts = { .vm = "vm1", .incarnation = wall_ms };
+     QtTable *table = qt_new (&opts);
+     qt_define (table, id, rate_utok_per_s, burst_utok, now_us);
+     qt_set_share (table, base_weight, flex_weight, now_us);
+     qt_set_validity (table, ls_active_until_us (lease),
+                      ls_base_until_us (lease));
+     if (qt_take (table, id, QT_TOKEN, now_us))
+       run ();
+
+   DESCRIPTION
+     The fleet holds QT_WEIGHT units.  For every quota a daemon has a base and
+     a flex bucket with rate and burst in proportion to its units.  A bucket
+     starts empty, and what a bucket gains by a larger share or burst starts
+     empty as well, since its former holder may just have spent all.
+
+     A lender moves tokens out of a bucket into a grant.  The bucket's
+     capacity is lowered by the amount until the borrower has settled the
+     grant, or its validity plus QT_DRIFT_PERMILLE has passed.  So the tokens
+     in buckets and grants never exceed the burst, and tokens enter only by
+     refill: over any time t the fleet admits at most burst + rate x t.
+
+     A share shrinks in two steps: qt_set_share with the lower weights stops
+     the use at once; the caller gives the difference away only when
+     qt_share_settled tells that no grant out of it is left.
+
+     The borrower counts a grant's validity from the moment it sent the
+     request, and a grant never outlives the validity of the part that it
+     comes from.  A grant that arrives twice counts once.  Every grant is
+     settled once, when it is spent or has expired; a settlement may be lost.
+
+     Borrowed tokens may be lent on.  Such a grant ends before the grants it
+     is made of, and those are settled only after it.
+
+     Refill follows the daemon's own clock: a clock that is fast by a share p
+     admits that share more of the daemon's part.
+
+   ERRORS
+     None of type GError.  qt_define returns FALSE for a negative rate or
+     burst or one above QT_AMOUNT_MAX, and when QT_QUOTAS_MAX is reached.  */
+
+#ifndef QT_QUOTA_H
+#define QT_QUOTA_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#define QT_WEIGHT 65536
+#define QT_TOKEN 1000000 /* utok of one request */
+#define QT_NAME_BYTES 64
+#define QT_QUOTAS_MAX 4096
+#define QT_AMOUNT_MAX ((int64_t)1 << 52)
+
+#define QT_GRANT_VALID_US G_USEC_PER_SEC
+/* Two clocks that drift by 1% each, in opposite directions.  */
+#define QT_DRIFT_PERMILLE 25
+/* Demand that is borrowed in advance.  */
+#define QT_PREFETCH_US (200 * 1000)
+#define QT_PEERS_PER_ROUND 8
+/* Open grants of one lender and one borrower; more requests are refused.  */
+#define QT_GRANTS_MAX 8192
+
+typedef struct
+{
+  const char *vm;
+  uint64_t incarnation; /* makes grant ids unique among processes of a VM */
+  gboolean split;       /* baseline: no lending and no borrowing */
+} QtOptions;
+
+/* A grant with amount_utok of 0 means that nothing is lent.  */
+typedef struct
+{
+  uint32_t quota_id;
+  uint32_t valid_ms; /* from when the borrower sent its request */
+  uint64_t grant_id;
+  int64_t amount_utok;
+  char lender[QT_NAME_BYTES];
+} QtGrant;
+
+typedef struct
+{
+  char lender[QT_NAME_BYTES];
+  uint64_t grant_id;
+  int64_t spent_utok;
+} QtSettle;
+
+/* What a peer has reported for one quota.  */
+typedef struct
+{
+  const char *vm;
+  uint32_t quota_id;
+  int64_t surplus_utok;
+} QtSurplus;
+
+typedef struct
+{
+  const char *vm; /* pointer of the QtSurplus that it was chosen by */
+  uint32_t quota_id;
+  int64_t want_utok;
+} QtAsk;
+
+typedef struct
+{
+  uint32_t quota_id;
+  int64_t surplus_utok;
+  int64_t demand_utok_per_s;
+} QtReport;
+
+typedef struct QtTable QtTable;
+
+QtTable *qt_new (const QtOptions *options);
+void qt_free (QtTable *table);
+
+/* Adds a quota or changes its rate and burst; levels are clipped.  */
+gboolean qt_define (QtTable *table, uint32_t quota_id, int64_t rate_utok_per_s,
+                    int64_t burst_utok, int64_t now_us);
+void qt_remove (QtTable *table, uint32_t quota_id);
+
+void qt_set_share (QtTable *table, uint32_t base_weight, uint32_t flex_weight,
+                   int64_t now_us);
+/* TRUE when the open grants fit into the present share.  */
+gboolean qt_share_settled (QtTable *table, int64_t now_us);
+/* Until when, on the caller's clock, each part may be used.  */
+void qt_set_validity (QtTable *table, int64_t flex_until_us,
+                      int64_t base_until_us);
+/* Empties the flex buckets; to be called for a new incarnation.  */
+void qt_empty_flex (QtTable *table, int64_t now_us);
+
+/* Takes AMOUNT or nothing, and counts it as demand.  */
+gboolean qt_take (QtTable *table, uint32_t quota_id, int64_t amount_utok,
+                  int64_t now_us);
+/* The same for a request that was counted already.  */
+gboolean qt_retake (QtTable *table, uint32_t quota_id, int64_t amount_utok,
+                    int64_t now_us);
+int64_t qt_available (QtTable *table, uint32_t quota_id, int64_t now_us);
+
+/* Lends up to WANT, beyond what the daemon's own demand needs next.  */
+QtGrant qt_lend (QtTable *table, uint32_t quota_id, const char *borrower,
+                 int64_t want_utok, int64_t now_us);
+/* Returns FALSE, without effect, for a grant that has ended or was counted
+   before.  */
+gboolean qt_borrowed (QtTable *table, const QtGrant *grant,
+                      int64_t request_sent_us, int64_t now_us);
+/* At the lender.  What wasn't spent returns to the bucket.  */
+void qt_settled (QtTable *table, uint64_t grant_id, int64_t spent_utok,
+                 int64_t now_us);
+/* At the borrower: the next grant to settle; FALSE when there is none.  */
+gboolean qt_next_settle (QtTable *table, int64_t now_us, QtSettle *settle);
+
+/* What to ask from whom now, given what the peers reported; at most
+   QT_PEERS_PER_ROUND peers for each quota and ASK_MAX in all.  Counts what is
+   asked as under way for a short time, so it may be called every few
+   milliseconds.  Returns the number of asks.  */
+uint32_t qt_plan_borrow (QtTable *table, const QtSurplus *peers,
+                         uint32_t peer_count, QtAsk *asks, uint32_t ask_max,
+                         int64_t now_us);
+/* An ask was answered, also with nothing.  */
+void qt_asked_done (QtTable *table, uint32_t quota_id, const char *vm,
+                    int64_t want_utok, int64_t now_us);
+
+/* Surplus and demand of up to MAX quotas, the most wanted first.  */
+uint32_t qt_report (QtTable *table, QtReport *reports, uint32_t max,
+                    int64_t now_us);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (QtTable, qt_free)
+
+#endif
--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &peer__target_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__echo__init
+                     (Peer__Echo         *message)
+{
+  static const Peer__Echo init_value = PEER__ECHO__INIT;
+  *message = init_value;
+}
+size_t peer__echo__get_packed_size
+                     (const Peer__Echo *message)
+{
+  assert(message->base.descriptor == &peer__echo__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__echo__pack
+                     (const Peer__Echo *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__echo__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__echo__pack_to_buffer
+                     (const Peer__Echo *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__echo__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Echo *
+       peer__echo__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Echo *)
+     protobuf_c_message_unpack (&peer__echo__descriptor,
+                                allocator, len, data);
+}
+void   peer__echo__free_unpacked
+                     (Peer__Echo *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__echo__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__report__init
                      (Peer__Report         *message)
 {
@@ -1485,7 +1530,84 @@
   (ProtobufCMessageInit) peer__target_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__report__field_descriptors[14] =
+static const ProtobufCFieldDescriptor peer__echo__field_descriptors[4] =
+{
+  {
+    "sent_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Echo, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Echo, echo_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Echo, held_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "acked_change",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Echo, acked_change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__echo__field_indices_by_name[] = {
+  3,   /* field[3] = acked_change */
+  1,   /* field[1] = echo_ms */
+  2,   /* field[2] = held_ms */
+  0,   /* field[0] = sent_ms */
+};
+static const ProtobufCIntRange peer__echo__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__echo__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Echo",
+  "Echo",
+  "Peer__Echo",
+  "peer",
+  sizeof(Peer__Echo),
+  4,
+  peer__echo__field_descriptors,
+  peer__echo__field_indices_by_name,
+  1,  peer__echo__number_ranges,
+  (ProtobufCMessageInit) peer__echo__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__report__field_descriptors[16] =
 {
   {
     "vm",
@@ -1655,10 +1777,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "assign_version",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Report, assign_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Report, echo),
+    &peer__echo__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__report__field_indices_by_name[] = {
   9,   /* field[9] = age_ms */
+  14,   /* field[14] = assign_version */
   6,   /* field[6] = config_version */
+  15,   /* field[15] = echo */
   4,   /* field[4] = http_address */
   1,   /* field[1] = incarnation */
   7,   /* field[7] = leaving */
@@ -1675,7 +1823,7 @@
 static const ProtobufCIntRange peer__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor peer__report__descriptor =
 {
@@ -1685,14 +1833,14 @@
   "Peer__Report",
   "peer",
   sizeof(Peer__Report),
-  14,
+  16,
   peer__report__field_descriptors,
   peer__report__field_indices_by_name,
   1,  peer__report__number_ranges,
   (ProtobufCMessageInit) peer__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__zone_summary__field_descriptors[10] =
+static const ProtobufCFieldDescriptor peer__zone_summary__field_descriptors[14] =
 {
   {
     "zone",
@@ -1814,11 +1962,63 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "assign_version",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ZoneSummary, assign_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ages_ms",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Peer__ZoneSummary, n_ages_ms),
+    offsetof(Peer__ZoneSummary, ages_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "counts",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Peer__ZoneSummary, n_counts),
+    offsetof(Peer__ZoneSummary, counts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "current_count",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ZoneSummary, current_count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__zone_summary__field_indices_by_name[] = {
   4,   /* field[4] = age_ms */
+  11,   /* field[11] = ages_ms */
+  10,   /* field[10] = assign_version */
   7,   /* field[7] = config_version_max */
   8,   /* field[8] = config_version_min */
+  12,   /* field[12] = counts */
+  13,   /* field[13] = current_count */
   6,   /* field[6] = fresh_member_count */
   2,   /* field[2] = hub_vm */
   5,   /* field[5] = member_count */
@@ -1830,7 +2030,7 @@
 static const ProtobufCIntRange peer__zone_summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor peer__zone_summary__descriptor =
 {
@@ -1840,14 +2040,14 @@
   "Peer__ZoneSummary",
   "peer",
   sizeof(Peer__ZoneSummary),
-  10,
+  14,
   peer__zone_summary__field_descriptors,
   peer__zone_summary__field_indices_by_name,
   1,  peer__zone_summary__number_ranges,
   (ProtobufCMessageInit) peer__zone_summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__digest__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__digest__field_descriptors[7] =
 {
   {
     "members",
@@ -1885,16 +2085,68 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "assign_version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Digest, assign_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Digest, echo),
+    &peer__echo__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "change",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Digest, change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Digest, answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__digest__field_indices_by_name[] = {
+  6,   /* field[6] = answer */
+  3,   /* field[3] = assign_version */
+  5,   /* field[5] = change */
   2,   /* field[2] = config_version */
+  4,   /* field[4] = echo */
   0,   /* field[0] = members */
   1,   /* field[1] = zones */
 };
 static const ProtobufCIntRange peer__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor peer__digest__descriptor =
 {
@@ -1904,14 +2156,14 @@
   "Peer__Digest",
   "peer",
   sizeof(Peer__Digest),
-  3,
+  7,
   peer__digest__field_descriptors,
   peer__digest__field_indices_by_name,
   1,  peer__digest__number_ranges,
   (ProtobufCMessageInit) peer__digest__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__promise_request__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__promise_request__field_descriptors[4] =
 {
   {
     "holder_vm",
@@ -1949,16 +2201,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "named_incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PromiseRequest, named_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__promise_request__field_indices_by_name[] = {
   1,   /* field[1] = holder_incarnation */
   2,   /* field[2] = holder_sequence */
   0,   /* field[0] = holder_vm */
+  3,   /* field[3] = named_incarnation */
 };
 static const ProtobufCIntRange peer__promise_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor peer__promise_request__descriptor =
 {
@@ -1968,7 +2233,7 @@
   "Peer__PromiseRequest",
   "peer",
   sizeof(Peer__PromiseRequest),
-  3,
+  4,
   peer__promise_request__field_descriptors,
   peer__promise_request__field_indices_by_name,
   1,  peer__promise_request__number_ranges,
--- a/wire/peer.pb-c.h
+++ b/wire/peer.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct Peer__Hello Peer__Hello;
 typedef struct Peer__QuotaDemand Peer__QuotaDemand;
 typedef struct Peer__TargetState Peer__TargetState;
+typedef struct Peer__Echo Peer__Echo;
 typedef struct Peer__Report Peer__Report;
 typedef struct Peer__ZoneSummary Peer__ZoneSummary;
 typedef struct Peer__Digest Peer__Digest;
@@ -110,6 +111,32 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Bounds the age of a message by the receiver's own clock, and acknowledges
+ * its last message.
+ */
+struct  Peer__Echo
+{
+  ProtobufCMessage base;
+  /*
+   * Sender's clock when this message was sent, its own choice of origin.
+   */
+  uint64_t sent_ms;
+  /*
+   * sent_ms of the last message from the receiver, and how long ago it came.
+   */
+  uint64_t echo_ms;
+  uint32_t held_ms;
+  /*
+   * Entries up to this change of the receiver have arrived.
+   */
+  uint64_t acked_change;
+};
+#define PEER__ECHO__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__echo__descriptor) \
+    , 0, 0, 0, 0 }
+
+
 /*
  * State of one member, sent to its hub and passed on within the zone.
  */
@@ -135,10 +162,15 @@
   Peer__QuotaDemand **quotas;
   size_t n_targets;
   Peer__TargetState **targets;
+  uint64_t assign_version;
+  /*
+   * Set in a message to a hub, not in the entries of a digest.
+   */
+  Peer__Echo *echo;
 };
 #define PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL }
 
 
 struct  Peer__ZoneSummary
@@ -159,10 +191,22 @@
   uint64_t config_version_min;
   size_t n_quotas;
   Peer__QuotaDemand **quotas;
+  uint64_t assign_version;
+  /*
+   * Ages of the statements of count members each, the youngest first.
+   */
+  size_t n_ages_ms;
+  uint32_t *ages_ms;
+  size_t n_counts;
+  uint32_t *counts;
+  /*
+   * Members whose statement has config_version_max.
+   */
+  uint32_t current_count;
 };
 #define PEER__ZONE_SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__zone_summary__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0 }
 
 
 struct  Peer__Digest
@@ -173,10 +217,17 @@
   size_t n_zones;
   Peer__ZoneSummary **zones;
   uint64_t config_version;
+  uint64_t assign_version;
+  Peer__Echo *echo;
+  /*
+   * The entries bring the receiver up to this change of the sender.
+   */
+  uint64_t change;
+  protobuf_c_boolean answer;
 };
 #define PEER__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__digest__descriptor) \
-    , 0,NULL, 0,NULL, 0 }
+    , 0,NULL, 0,NULL, 0, 0, NULL, 0, 0 }
 
 
 struct  Peer__PromiseRequest
@@ -185,10 +236,14 @@
   char *holder_vm;
   uint64_t holder_incarnation;
   uint64_t holder_sequence;
+  /*
+   * Incarnation of the receiver that the holder's record names.
+   */
+  uint64_t named_incarnation;
 };
 #define PEER__PROMISE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__promise_request__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Peer__PromiseReply
@@ -527,6 +582,25 @@
 void   peer__target_state__free_unpacked
                      (Peer__TargetState *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Echo methods */
+void   peer__echo__init
+                     (Peer__Echo         *message);
+size_t peer__echo__get_packed_size
+                     (const Peer__Echo   *message);
+size_t peer__echo__pack
+                     (const Peer__Echo   *message,
+                      uint8_t             *out);
+size_t peer__echo__pack_to_buffer
+                     (const Peer__Echo   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Echo *
+       peer__echo__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__echo__free_unpacked
+                     (Peer__Echo *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Report methods */
 void   peer__report__init
                      (Peer__Report         *message);
@@ -959,6 +1033,9 @@
 typedef void (*Peer__TargetState_Closure)
                  (const Peer__TargetState *message,
                   void *closure_data);
+typedef void (*Peer__Echo_Closure)
+                 (const Peer__Echo *message,
+                  void *closure_data);
 typedef void (*Peer__Report_Closure)
                  (const Peer__Report *message,
                   void *closure_data);
@@ -1035,6 +1112,7 @@
 extern const ProtobufCMessageDescriptor peer__hello__descriptor;
 extern const ProtobufCMessageDescriptor peer__quota_demand__descriptor;
 extern const ProtobufCMessageDescriptor peer__target_state__descriptor;
+extern const ProtobufCMessageDescriptor peer__echo__descriptor;
 extern const ProtobufCMessageDescriptor peer__report__descriptor;
 extern const ProtobufCMessageDescriptor peer__zone_summary__descriptor;
 extern const ProtobufCMessageDescriptor peer__digest__descriptor;
