--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -2520,7 +2520,7 @@
   (ProtobufCMessageInit) peer__settle__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__slot_request__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__slot_request__field_descriptors[3] =
 {
   {
     "target",
@@ -2546,15 +2546,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "region",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__SlotRequest, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__slot_request__field_indices_by_name[] = {
+  2,   /* field[2] = region */
   0,   /* field[0] = target */
   1,   /* field[1] = valid_ms */
 };
 static const ProtobufCIntRange peer__slot_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor peer__slot_request__descriptor =
 {
@@ -2564,7 +2577,7 @@
   "Peer__SlotRequest",
   "peer",
   sizeof(Peer__SlotRequest),
-  2,
+  3,
   peer__slot_request__field_descriptors,
   peer__slot_request__field_indices_by_name,
   1,  peer__slot_request__number_ranges,
@@ -2635,7 +2648,7 @@
   (ProtobufCMessageInit) peer__slot_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__slot_return__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__slot_return__field_descriptors[4] =
 {
   {
     "grant_id",
@@ -2673,16 +2686,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "not_sent",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__SlotReturn, not_sent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__slot_return__field_indices_by_name[] = {
   2,   /* field[2] = failed */
   0,   /* field[0] = grant_id */
+  3,   /* field[3] = not_sent */
   1,   /* field[1] = shed */
 };
 static const ProtobufCIntRange peer__slot_return__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor peer__slot_return__descriptor =
 {
@@ -2692,7 +2718,7 @@
   "Peer__SlotReturn",
   "peer",
   sizeof(Peer__SlotReturn),
-  3,
+  4,
   peer__slot_return__field_descriptors,
   peer__slot_return__field_indices_by_name,
   1,  peer__slot_return__number_ranges,
--- a/wire/peer.pb-c.h
+++ b/wire/peer.pb-c.h
@@ -318,10 +318,14 @@
   ProtobufCMessage base;
   char *target;
   uint32_t valid_ms;
+  /*
+   * Region of the borrower, for the lender's headroom rule.
+   */
+  char *region;
 };
 #define PEER__SLOT_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__slot_request__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Peer__SlotReply
@@ -345,10 +349,11 @@
    */
   protobuf_c_boolean shed;
   protobuf_c_boolean failed;
+  protobuf_c_boolean not_sent;
 };
 #define PEER__SLOT_RETURN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__slot_return__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 struct  Peer__ConfigNotice
