Add the platform adapter over Consul's HTTP API

The daemon needs reads, watches, compare-and-swap writes and the list of VMs without ever taking a lost answer for a failure. Each call has one deadline from submission to callback; an error before the connection is open is DOWN, anything later is UNKNOWN for a write. The index after a successful compare-and-swap comes from a read of the key, because Consul answers a write with true or false only. The function table is named methods, since class is a keyword in the C++ tests.

--- /dev/null
+++ b/store/consul.c
@@ -0,0 +1,574 @@
+#include "store/store.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <string.h>
+
+#include "store/answer.h"
+
+#define TIMEOUT_DEFAULT_MS 2000
+#define CONNECTIONS_DEFAULT 8
+/* The whole call may last this much longer than one silent period of its
+   connection, so that a failed connect is seen as such before the call ends
+   with an unknown outcome.  */
+#define TIMEOUT_SLACK_MS 50
+/* The API adds up to a sixteenth of the wait as jitter.  */
+#define WAIT_JITTER_DIVISOR 16
+
+typedef enum
+{
+  CALL_GET,
+  CALL_WATCH,
+  CALL_CAS,
+  CALL_REMOVE,
+  CALL_LIST,
+} CallKind;
+
+typedef struct Consul Consul;
+typedef struct Connection Connection;
+
+typedef struct
+{
+  Consul *consul;
+  CallKind kind;
+  Connection *connection; /* NULL while queued or finished */
+  struct event *timer;    /* first the deadline, then the delivery */
+  gboolean finished;
+  gboolean error_seen; /* the connection failed after it was open */
+  gboolean reading_back;
+  char *path;
+  char *key;
+  GBytes *body; /* NULL for a read */
+  uint32_t deadline_ms;
+  StDone done;
+  StListDone list_done;
+  void *data;
+  StResult result;
+  char *value;
+  GPtrArray *vms;
+} Call;
+
+struct Connection
+{
+  struct evhttp_connection *http;
+  Call *call; /* NULL while idle */
+  gboolean for_watch;
+};
+
+struct Consul
+{
+  StStore store;
+  StOptions options;
+  char *address;
+  GPtrArray *connections; /* Connection */
+  GHashTable *calls;      /* Call; all that are not yet delivered */
+  GQueue *queue;          /* Call without a connection */
+};
+
+static void run_queue (Consul *consul);
+static gboolean dispatch (Connection *connection, Call *call);
+
+static gboolean
+is_write (const Call *call)
+{
+  return call->kind == CALL_CAS || call->kind == CALL_REMOVE;
+}
+
+static gboolean
+is_watch (const Call *call)
+{
+  return call->kind == CALL_WATCH
+         || (call->kind == CALL_LIST && strstr (call->path, "wait=") != NULL);
+}
+
+static struct timeval
+timeval_of (uint32_t ms)
+{
+  return (struct timeval){ .tv_sec = ms / 1000,
+                           .tv_usec = (ms % 1000) * 1000 };
+}
+
+static void
+call_free (void *data)
+{
+  Call *call = data;
+
+  event_free (call->timer);
+  g_free (call->path);
+  g_free (call->key);
+  g_free (call->value);
+  if (call->body != NULL)
+    g_bytes_unref (call->body);
+  if (call->vms != NULL)
+    g_ptr_array_unref (call->vms);
+  g_free (call);
+}
+
+static void
+connection_free (void *data)
+{
+  Connection *connection = data;
+
+  if (connection->http != NULL)
+    evhttp_connection_free (connection->http);
+  g_free (connection);
+}
+
+/* Runs from the event loop and not inside a callback of evhttp, so that the
+   owner may free the store from its callback.  */
+static void
+deliver (Call *call)
+{
+  g_hash_table_steal (call->consul->calls, call);
+  if (call->kind == CALL_LIST)
+    call->list_done (call->vms, call->result.index, call->data);
+  else
+    call->done (&call->result, call->data);
+  call_free (call);
+}
+
+static void
+finish (Call *call, StOutcome outcome)
+{
+  call->finished = TRUE;
+  call->result.outcome = outcome;
+  call->result.value = call->value;
+  event_del (call->timer);
+  event_active (call->timer, EV_TIMEOUT, 0);
+}
+
+/* An aborted connection takes its request with it; evhttp calls no callback
+   for it any more.  */
+static void
+abort_connection (Call *call)
+{
+  Consul *consul = call->consul;
+
+  if (call->connection == NULL)
+    g_queue_remove (consul->queue, call);
+  else
+    g_ptr_array_remove_fast (consul->connections, call->connection);
+  call->connection = NULL;
+}
+
+static void
+on_timer (evutil_socket_t fd, short events, void *data)
+{
+  Call *call = data;
+  gboolean sent = call->connection != NULL;
+  Consul *consul = call->consul;
+
+  (void)fd;
+  (void)events;
+  if (call->finished)
+    {
+      deliver (call);
+      return;
+    }
+  abort_connection (call);
+  if (call->reading_back)
+    finish (call, ST_OUTCOME_OK);
+  else
+    finish (call,
+            sent && is_write (call) ? ST_OUTCOME_UNKNOWN : ST_OUTCOME_DOWN);
+  run_queue (consul);
+}
+
+static void
+on_request_error (enum evhttp_request_error error, void *data)
+{
+  Call *call = data;
+
+  (void)error;
+  call->error_seen = TRUE;
+}
+
+static uint64_t
+index_header (struct evhttp_request *request)
+{
+  const char *text = evhttp_find_header (
+      evhttp_request_get_input_headers (request), "X-Consul-Index");
+
+  return text == NULL ? 0 : g_ascii_strtoull (text, NULL, 10);
+}
+
+static StOutcome
+read_key (Call *call, struct evhttp_request *request, const char *text,
+          gsize length_bytes)
+{
+  int status = evhttp_request_get_response_code (request);
+
+  if (status == HTTP_NOTFOUND)
+    {
+      call->result.index
+          = call->kind == CALL_WATCH ? index_header (request) : 0;
+      return ST_OUTCOME_ABSENT;
+    }
+  if (status != HTTP_OK
+      || !st_parse_key (text, length_bytes, &call->value,
+                        &call->result.length_bytes, &call->result.index))
+    return ST_OUTCOME_DOWN;
+  if (call->kind == CALL_WATCH && index_header (request) > 0)
+    call->result.index = index_header (request);
+  return ST_OUTCOME_OK;
+}
+
+static StOutcome
+read_list (Call *call, struct evhttp_request *request, const char *text,
+           gsize length_bytes)
+{
+  if (evhttp_request_get_response_code (request) != HTTP_OK)
+    return ST_OUTCOME_DOWN;
+  call->vms = st_parse_list (text, length_bytes);
+  call->result.index = index_header (request);
+  return call->vms == NULL ? ST_OUTCOME_DOWN : ST_OUTCOME_OK;
+}
+
+/* A status other than 200 does not tell whether the write took effect: the
+   leader may have changed after it was recorded.  */
+static StOutcome
+read_write (struct evhttp_request *request, const char *text,
+            gsize length_bytes)
+{
+  gboolean won;
+
+  if (evhttp_request_get_response_code (request) != HTTP_OK
+      || !st_parse_bool (text, length_bytes, &won))
+    return ST_OUTCOME_UNKNOWN;
+  return won ? ST_OUTCOME_OK : ST_OUTCOME_LOST;
+}
+
+/* Takes the index of the own write from the read that follows it.  */
+static void
+read_own_index (Call *call, struct evhttp_request *request, const char *text,
+                gsize length_bytes)
+{
+  g_autofree char *value = NULL;
+  gsize value_bytes = 0, own_bytes;
+  const char *own = g_bytes_get_data (call->body, &own_bytes);
+  uint64_t index = 0;
+
+  if (evhttp_request_get_response_code (request) == HTTP_OK
+      && st_parse_key (text, length_bytes, &value, &value_bytes, &index)
+      && value_bytes == own_bytes
+      && (own_bytes == 0 || memcmp (value, own, own_bytes) == 0))
+    call->result.index = index;
+}
+
+static StOutcome
+read_answer (Call *call, struct evhttp_request *request)
+{
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  gsize length_bytes = evbuffer_get_length (input);
+  const char *text = (const char *)evbuffer_pullup (input, -1);
+
+  if (text == NULL)
+    text = "";
+  if (call->reading_back)
+    {
+      read_own_index (call, request, text, length_bytes);
+      return ST_OUTCOME_OK;
+    }
+  if (call->kind == CALL_LIST)
+    return read_list (call, request, text, length_bytes);
+  if (is_write (call))
+    return read_write (request, text, length_bytes);
+  return read_key (call, request, text, length_bytes);
+}
+
+/* Without an answer evhttp passes no request after an error on an open
+   connection, and a request with status 0 where the connect failed.  */
+static StOutcome
+outcome_without_answer (const Call *call, gboolean connect_failed)
+{
+  if (call->reading_back)
+    return ST_OUTCOME_OK;
+  if (!is_write (call) || connect_failed)
+    return ST_OUTCOME_DOWN;
+  return ST_OUTCOME_UNKNOWN;
+}
+
+static char *
+key_path (const char *key)
+{
+  g_autofree char *escaped = g_uri_escape_string (key, "/", FALSE);
+  return g_strdup_printf ("/v1/kv/%s", escaped);
+}
+
+static void
+start_reading_back (Call *call)
+{
+  g_autofree char *path = key_path (call->key);
+
+  g_free (call->path);
+  call->path = g_strdup_printf ("%s?consistent", path);
+  call->reading_back = TRUE;
+  g_queue_push_head (call->consul->queue, call);
+}
+
+static void
+on_answer (struct evhttp_request *request, void *data)
+{
+  Call *call = data;
+  Consul *consul = call->consul;
+  StOutcome outcome;
+
+  if (request != NULL && !call->error_seen
+      && evhttp_request_get_response_code (request) != 0)
+    outcome = read_answer (call, request);
+  else
+    outcome
+        = outcome_without_answer (call, request != NULL && !call->error_seen);
+  call->connection->call = NULL;
+  call->connection = NULL;
+  if (call->kind == CALL_CAS && outcome == ST_OUTCOME_OK
+      && !call->reading_back)
+    start_reading_back (call);
+  else
+    finish (call, outcome);
+  run_queue (consul);
+}
+
+static gboolean
+dispatch (Connection *connection, Call *call)
+{
+  static const enum evhttp_cmd_type methods[] = {
+    [CALL_GET] = EVHTTP_REQ_GET,       [CALL_WATCH] = EVHTTP_REQ_GET,
+    [CALL_CAS] = EVHTTP_REQ_PUT,       [CALL_LIST] = EVHTTP_REQ_GET,
+    [CALL_REMOVE] = EVHTTP_REQ_DELETE,
+  };
+  struct evhttp_request *request = evhttp_request_new (on_answer, call);
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+  enum evhttp_cmd_type method
+      = call->reading_back ? EVHTTP_REQ_GET : methods[call->kind];
+  struct timeval silence = timeval_of (call->deadline_ms);
+
+  evhttp_request_set_error_cb (request, on_request_error);
+  evhttp_add_header (headers, "Host", call->consul->address);
+  if (method == EVHTTP_REQ_PUT)
+    evbuffer_add (evhttp_request_get_output_buffer (request),
+                  g_bytes_get_data (call->body, NULL),
+                  g_bytes_get_size (call->body));
+  evhttp_connection_set_timeout_tv (connection->http, &silence);
+  connection->call = call;
+  call->connection = connection;
+  call->error_seen = FALSE;
+  return evhttp_make_request (connection->http, request, method, call->path)
+         == 0;
+}
+
+static Connection *
+find_connection (Consul *consul, gboolean for_watch)
+{
+  Connection *connection;
+  uint32_t count = 0;
+  uint32_t count_max
+      = for_watch ? ST_WATCHES_MAX : consul->options.connections_max;
+
+  for (guint i = 0; i < consul->connections->len; i++)
+    {
+      connection = g_ptr_array_index (consul->connections, i);
+      if (connection->for_watch != for_watch)
+        continue;
+      if (connection->call == NULL)
+        return connection;
+      count++;
+    }
+  if (count >= count_max)
+    return NULL;
+  connection = g_new0 (Connection, 1);
+  connection->for_watch = for_watch;
+  connection->http = evhttp_connection_base_new (
+      consul->options.base, NULL, consul->address, consul->options.port);
+  evhttp_connection_set_max_body_size (connection->http, ST_ANSWER_MAX_BYTES);
+  g_ptr_array_add (consul->connections, connection);
+  return connection;
+}
+
+/* Sends CALL if there is a connection for it.  */
+static gboolean
+start (Consul *consul, Call *call)
+{
+  Connection *connection = find_connection (consul, is_watch (call));
+
+  if (connection == NULL)
+    return FALSE;
+  /* evhttp refuses only where it could not even open a socket.  */
+  if (!dispatch (connection, call) && !call->finished)
+    {
+      connection->call = NULL;
+      call->connection = NULL;
+      finish (call, call->reading_back ? ST_OUTCOME_OK : ST_OUTCOME_DOWN);
+    }
+  return TRUE;
+}
+
+static void
+run_queue (Consul *consul)
+{
+  while (!g_queue_is_empty (consul->queue))
+    {
+      Call *call = g_queue_pop_head (consul->queue);
+
+      if (start (consul, call))
+        continue;
+      g_queue_push_head (consul->queue, call);
+      return;
+    }
+}
+
+static Call *
+call_new (StStore *store, CallKind kind, char *path, void *data)
+{
+  Consul *consul = (Consul *)store;
+  Call *call = g_new0 (Call, 1);
+
+  call->consul = consul;
+  call->kind = kind;
+  call->path = path;
+  call->data = data;
+  call->deadline_ms = consul->options.timeout_ms;
+  call->timer = evtimer_new (consul->options.base, on_timer, call);
+  g_hash_table_add (consul->calls, call);
+  return call;
+}
+
+static void
+submit (Call *call)
+{
+  Consul *consul = call->consul;
+  struct timeval deadline = timeval_of (call->deadline_ms + TIMEOUT_SLACK_MS);
+
+  evtimer_add (call->timer, &deadline);
+  if ((is_watch (call) || g_queue_is_empty (consul->queue))
+      && start (consul, call))
+    return;
+  if (is_watch (call) || g_queue_get_length (consul->queue) >= ST_QUEUE_MAX)
+    finish (call, ST_OUTCOME_DOWN);
+  else
+    g_queue_push_tail (consul->queue, call);
+}
+
+static void
+consul_get (StStore *store, const char *key, StDone done, void *data)
+{
+  g_autofree char *path = key_path (key);
+  Call *call = call_new (store, CALL_GET,
+                         g_strdup_printf ("%s?consistent", path), data);
+
+  call->done = done;
+  submit (call);
+}
+
+static uint32_t
+watch_deadline_ms (const Consul *consul, uint32_t wait_ms)
+{
+  return wait_ms + wait_ms / WAIT_JITTER_DIVISOR + consul->options.timeout_ms;
+}
+
+static void
+consul_watch (StStore *store, const char *key, uint64_t after,
+              uint32_t wait_ms, StDone done, void *data)
+{
+  g_autofree char *path = key_path (key);
+  Call *call
+      = call_new (store, CALL_WATCH,
+                  g_strdup_printf ("%s?consistent&index=%" G_GUINT64_FORMAT
+                                   "&wait=%" G_GUINT32_FORMAT "ms",
+                                   path, after, wait_ms),
+                  data);
+
+  call->done = done;
+  call->deadline_ms = watch_deadline_ms ((Consul *)store, wait_ms);
+  submit (call);
+}
+
+static void
+consul_cas (StStore *store, const char *key, uint64_t expected,
+            const char *value, gsize length_bytes, StDone done, void *data)
+{
+  g_autofree char *path = key_path (key);
+  Call *call = call_new (
+      store, CALL_CAS,
+      g_strdup_printf ("%s?cas=%" G_GUINT64_FORMAT, path, expected), data);
+
+  call->done = done;
+  call->key = g_strdup (key);
+  call->body = g_bytes_new (value, length_bytes);
+  submit (call);
+}
+
+static void
+consul_remove_prefix (StStore *store, const char *prefix, StDone done,
+                      void *data)
+{
+  g_autofree char *path = key_path (prefix);
+  Call *call = call_new (store, CALL_REMOVE,
+                         g_strdup_printf ("%s?recurse", path), data);
+
+  call->done = done;
+  submit (call);
+}
+
+static void
+consul_list (StStore *store, const char *service, uint64_t after,
+             uint32_t wait_ms, StListDone done, void *data)
+{
+  g_autofree char *escaped = g_uri_escape_string (service, NULL, FALSE);
+  GString *path = g_string_new (NULL);
+  Call *call;
+
+  g_string_printf (path, "/v1/catalog/service/%s", escaped);
+  if (wait_ms > 0)
+    g_string_append_printf (
+        path, "?index=%" G_GUINT64_FORMAT "&wait=%" G_GUINT32_FORMAT "ms",
+        after, wait_ms);
+  call = call_new (store, CALL_LIST, g_string_free (path, FALSE), data);
+  call->list_done = done;
+  if (wait_ms > 0)
+    call->deadline_ms = watch_deadline_ms ((Consul *)store, wait_ms);
+  submit (call);
+}
+
+static void
+consul_free (StStore *store)
+{
+  Consul *consul = (Consul *)store;
+
+  g_ptr_array_unref (consul->connections);
+  g_queue_free (consul->queue);
+  g_hash_table_unref (consul->calls);
+  g_free (consul->address);
+  g_free (consul);
+}
+
+static const StClass consul_class = {
+  .get = consul_get,
+  .watch = consul_watch,
+  .cas = consul_cas,
+  .remove_prefix = consul_remove_prefix,
+  .list = consul_list,
+  .free = consul_free,
+};
+
+StStore *
+st_consul_new (const StOptions *options)
+{
+  Consul *consul = g_new0 (Consul, 1);
+
+  g_assert (options->base != NULL);
+  consul->store.methods = &consul_class;
+  consul->options = *options;
+  consul->address = g_strdup (options->address);
+  if (consul->options.timeout_ms == 0)
+    consul->options.timeout_ms = TIMEOUT_DEFAULT_MS;
+  if (consul->options.connections_max == 0)
+    consul->options.connections_max = CONNECTIONS_DEFAULT;
+  consul->connections = g_ptr_array_new_with_free_func (connection_free);
+  consul->calls
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, call_free, NULL);
+  consul->queue = g_queue_new ();
+  return &consul->store;
+}
--- a/store/store.h
+++ b/store/store.h
@@ -15,6 +15,12 @@
      request may have been received and its answer was lost; the caller has
      to read back.  It is never reported as failure or success.
 
+     Every call ends within timeout_ms, counted from the call and including
+     the time it waits for a connection; a watch within wait_ms, its jitter
+     and timeout_ms.  A watch has a connection of its own, so it delays no
+     other call.  At most ST_QUEUE_MAX calls wait and at most ST_WATCHES_MAX
+     watches are armed; a further one ends with ST_OUTCOME_DOWN.
+
    ERRORS
      Callbacks get an StOutcome; there is no other way to fail.  */
 
@@ -26,6 +32,13 @@
 
 struct event_base;
 
+/* A stalled store must not collect more calls than it can answer within one
+   timeout: two thousand reads a second for two seconds, shared by many VMs. */
+#define ST_QUEUE_MAX 1024
+#define ST_WATCHES_MAX 32
+/* A value of 1 MB in base64, with room for the other fields.  */
+#define ST_ANSWER_MAX_BYTES (2 * 1024 * 1024)
+
 typedef enum
 {
   ST_OUTCOME_OK,      /* read: found; write: took effect */
@@ -38,7 +51,10 @@
 typedef struct
 {
   StOutcome outcome;
-  uint64_t index; /* of the key; for a watch, what to wait after */
+  /* Of the key; for a watch, what to wait after.  After a write that took
+     effect it comes from a read of the key, and is 0 where that read failed
+     or found another value.  */
+  uint64_t index;
   const char *value;
   gsize length_bytes;
 } StResult;
@@ -62,7 +78,8 @@
 typedef struct
 {
   void (*get) (StStore *store, const char *key, StDone done, void *data);
-  /* Answers when the key's index is above AFTER, or after wait_ms.  */
+  /* Answers when the key's index is above AFTER, or after wait_ms; at once
+     where AFTER is 0.  */
   void (*watch) (StStore *store, const char *key, uint64_t after,
                  uint32_t wait_ms, StDone done, void *data);
   /* Writes VALUE if the key's index is EXPECTED; 0 creates.  */
@@ -80,7 +97,7 @@
 
 struct StStore
 {
-  const StClass *class;
+  const StClass *methods;
   uint64_t read_count;
   uint64_t write_count;
   uint64_t watch_count;
@@ -91,7 +108,7 @@
   struct event_base *base;
   const char *address;
   uint16_t port;
-  uint32_t timeout_ms;      /* default 2000; a watch has wait_ms more */
+  uint32_t timeout_ms;      /* default 2000 */
   uint32_t connections_max; /* default 8 */
 } StOptions;
 
--- /dev/null
+++ b/store/store_test.cc
@@ -0,0 +1,459 @@
+#include <gtest/gtest.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include <arpa/inet.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "store/store.h"
+}
+
+namespace
+{
+
+struct Reply
+{
+  std::string bytes;
+  bool close_after = false;
+  bool silent = false;
+};
+
+std::string
+answer (int status, const std::string &body, uint64_t index = 0)
+{
+  return "HTTP/1.1 " + std::to_string (status)
+         + " X\r\nContent-Type: application/json\r\nX-Consul-Index: "
+         + std::to_string (index) + "\r\nContent-Length: "
+         + std::to_string (body.size ()) + "\r\n\r\n" + body;
+}
+
+std::string
+key_row (const std::string &value, uint64_t index)
+{
+  g_autofree char *encoded = g_base64_encode (
+      reinterpret_cast<const guchar *> (value.data ()), value.size ());
+  return std::string ("[{\"Key\":\"k\",\"Value\":\"") + encoded
+         + "\",\"ModifyIndex\":" + std::to_string (index) + "}]";
+}
+
+/* Answers each request with the bytes that a test wants, so that broken
+   answers can be sent as well.  */
+class Server
+{
+public:
+  explicit Server (event_base *base) : base_ (base)
+  {
+    sockaddr_in sin = {};
+    sin.sin_family = AF_INET;
+    sin.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    listener_ = evconnlistener_new_bind (
+        base, on_accept, this, LEV_OPT_CLOSE_ON_FREE, -1,
+        reinterpret_cast<sockaddr *> (&sin), sizeof sin);
+    socklen_t length = sizeof sin;
+    getsockname (evconnlistener_get_fd (listener_),
+                 reinterpret_cast<sockaddr *> (&sin), &length);
+    port = ntohs (sin.sin_port);
+  }
+  ~Server ()
+  {
+    for (bufferevent *bev : open_)
+      bufferevent_free (bev);
+    if (listener_ != nullptr)
+      evconnlistener_free (listener_);
+  }
+  void
+  refuse ()
+  {
+    evconnlistener_free (listener_);
+    listener_ = nullptr;
+  }
+
+  uint16_t port = 0;
+  uint32_t accepted = 0;
+  std::vector<std::string> requests; /* "METHOD PATH" */
+  std::function<Reply (const std::string &request)> handler;
+
+private:
+  static void
+  on_accept (evconnlistener *, evutil_socket_t fd, sockaddr *, int, void *data)
+  {
+    auto *self = static_cast<Server *> (data);
+    bufferevent *bev
+        = bufferevent_socket_new (self->base_, fd, BEV_OPT_CLOSE_ON_FREE);
+    self->accepted++;
+    self->open_.push_back (bev);
+    bufferevent_setcb (bev, on_read, nullptr, nullptr, self);
+    bufferevent_enable (bev, EV_READ | EV_WRITE);
+  }
+  static void
+  on_read (bufferevent *bev, void *data)
+  {
+    static_cast<Server *> (data)->serve (bev);
+  }
+  void
+  serve (bufferevent *bev)
+  {
+    evbuffer *input = bufferevent_get_input (bev);
+    std::string all (evbuffer_get_length (input), '\0');
+    evbuffer_copyout (input, all.data (), all.size ());
+    size_t head = all.find ("\r\n\r\n");
+    if (head == std::string::npos)
+      return;
+    size_t field = all.find ("Content-Length: "), body = 0;
+    if (field < head)
+      body = std::stoul (all.substr (field + 16));
+    if (all.size () < head + 4 + body)
+      return;
+    evbuffer_drain (input, head + 4 + body);
+    std::string line = all.substr (0, all.find (" HTTP/"));
+    requests.push_back (line);
+    Reply reply = handler (line);
+    if (reply.silent)
+      return;
+    bufferevent_write (bev, reply.bytes.data (), reply.bytes.size ());
+    if (reply.close_after)
+      bufferevent_setcb (bev, on_read, on_written, nullptr, this);
+  }
+  static void
+  on_written (bufferevent *bev, void *data)
+  {
+    auto *self = static_cast<Server *> (data);
+    std::erase (self->open_, bev);
+    bufferevent_free (bev);
+  }
+
+  event_base *base_;
+  evconnlistener *listener_ = nullptr;
+  std::vector<bufferevent *> open_;
+};
+
+struct Got
+{
+  int calls = 0;
+  StOutcome outcome = ST_OUTCOME_OK;
+  uint64_t index = 0;
+  std::string value;
+  int64_t at_us = 0;
+};
+
+void
+on_done (const StResult *result, void *data)
+{
+  auto *got = static_cast<Got *> (data);
+  got->calls++;
+  got->outcome = result->outcome;
+  got->index = result->index;
+  if (result->value != nullptr)
+    got->value.assign (result->value, result->length_bytes);
+  got->at_us = g_get_monotonic_time ();
+}
+
+class Store : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    base = event_base_new ();
+    server = std::make_unique<Server> (base);
+    open_store (200, 2);
+  }
+  void
+  TearDown () override
+  {
+    st_free (store);
+    server.reset ();
+    event_base_free (base);
+  }
+  void
+  open_store (uint32_t timeout_ms, uint32_t connections_max)
+  {
+    st_free (store);
+    StOptions options = {};
+    options.base = base;
+    options.address = "127.0.0.1";
+    options.port = server->port;
+    options.timeout_ms = timeout_ms;
+    options.connections_max = connections_max;
+    store = st_consul_new (&options);
+  }
+  void
+  always (const Reply &reply)
+  {
+    server->handler = [reply] (const std::string &) { return reply; };
+  }
+  /* Runs the loop until COUNT callbacks came, at most 3 s.  */
+  void
+  run (const Got &got, int count = 1)
+  {
+    int64_t end_us = g_get_monotonic_time () + 3 * G_USEC_PER_SEC;
+    timeval step = { 0, 5000 };
+    while (got.calls < count && g_get_monotonic_time () < end_us)
+      {
+        event_base_loopexit (base, &step);
+        event_base_dispatch (base);
+      }
+    EXPECT_EQ (got.calls, count);
+  }
+  Got
+  write ()
+  {
+    Got got;
+    st_cas (store, "k", 1, "v", 1, on_done, &got);
+    run (got);
+    return got;
+  }
+  Got
+  read ()
+  {
+    Got got;
+    st_get (store, "k", on_done, &got);
+    run (got);
+    return got;
+  }
+
+  event_base *base = nullptr;
+  std::unique_ptr<Server> server;
+  StStore *store = nullptr;
+};
+
+/* Guards against a value that is cut at a zero byte, an index that is not the
+   key's, and a read that may be stale.  */
+TEST_F (Store, ReadsValueAndIndexConsistently)
+{
+  always ({ answer (200, key_row (std::string ("a\0b", 3), 42), 99) });
+  Got got = read ();
+  EXPECT_EQ (got.outcome, ST_OUTCOME_OK);
+  EXPECT_EQ (got.index, 42U);
+  EXPECT_EQ (got.value, std::string ("a\0b", 3));
+  EXPECT_EQ (server->requests.at (0), "GET /v1/kv/k?consistent");
+}
+
+/* Guards against a missing key being reported as an unreachable store.  */
+TEST_F (Store, MissingKeyIsAbsent)
+{
+  always ({ answer (404, "", 7) });
+  EXPECT_EQ (read ().outcome, ST_OUTCOME_ABSENT);
+}
+
+/* Guards against broken answers to a read being taken for a value.  */
+TEST_F (Store, BrokenAnswersToReadsAreDown)
+{
+  std::string row = key_row ("value", 5);
+  std::string whole = answer (200, row, 5);
+  for (const Reply &reply :
+       std::vector<Reply>{ { answer (200, "<html>") },
+                           { answer (200, "[]") },
+                           { answer (200, "[{\"Value\":\"YQ==\"}]") },
+                           { answer (500, row) },
+                           { answer (301, row) },
+                           { whole.substr (0, whole.size () - 4), true },
+                           { "garbage\r\n\r\n", true },
+                           { "", true },
+                           { "", false, true } })
+    {
+      always (reply);
+      EXPECT_EQ (read ().outcome, ST_OUTCOME_DOWN) << reply.bytes;
+    }
+}
+
+/* Guards against a write that may have taken effect being reported as failed
+   or as done.  */
+TEST_F (Store, WriteWithoutWholeAnswerIsUnknown)
+{
+  std::string whole = answer (200, "true");
+  for (const Reply &reply :
+       std::vector<Reply>{ { whole.substr (0, whole.size () - 2), true },
+                           { "", true },
+                           { "", false, true },
+                           { answer (500, "true") },
+                           { answer (200, "oops") } })
+    {
+      always (reply);
+      EXPECT_EQ (write ().outcome, ST_OUTCOME_UNKNOWN) << reply.bytes;
+    }
+}
+
+/* Guards against a write that the store has not received being reported as
+   possibly done, which would stop an order for good.  */
+TEST_F (Store, RefusedConnectIsDown)
+{
+  server->refuse ();
+  EXPECT_EQ (write ().outcome, ST_OUTCOME_DOWN);
+  EXPECT_EQ (read ().outcome, ST_OUTCOME_DOWN);
+}
+
+/* Guards against a lost race being taken for a win, and against an index that
+   belongs to a later write by somebody else.  */
+TEST_F (Store, CasReportsWinLossAndOwnIndex)
+{
+  std::string stored = "v";
+  server->handler = [&] (const std::string &request) {
+    return Reply{ request.starts_with ("PUT")
+                      ? answer (200, "true")
+                      : answer (200, key_row (stored, 8)) };
+  };
+  Got won = write ();
+  EXPECT_EQ (won.outcome, ST_OUTCOME_OK);
+  EXPECT_EQ (won.index, 8U);
+  EXPECT_EQ (server->requests.at (0), "PUT /v1/kv/k?cas=1");
+  stored = "other";
+  EXPECT_EQ (write ().index, 0U);
+  always ({ answer (200, "false") });
+  EXPECT_EQ (write ().outcome, ST_OUTCOME_LOST);
+}
+
+/* Guards against a won write being reported as unknown because only the read
+   of its index failed.  */
+TEST_F (Store, FailedReadOfTheIndexKeepsTheWin)
+{
+  server->handler = [] (const std::string &request) {
+    return request.starts_with ("PUT") ? Reply{ answer (200, "true") }
+                                       : Reply{ "", false, true };
+  };
+  Got got = write ();
+  EXPECT_EQ (got.outcome, ST_OUTCOME_OK);
+  EXPECT_EQ (got.index, 0U);
+}
+
+/* Guards against waiting watches using up the connections of other calls.  */
+TEST_F (Store, WatchesDoNotDelayOtherCalls)
+{
+  Got watches, got;
+  server->handler = [] (const std::string &request) {
+    return request.find ("wait=") != std::string::npos
+               ? Reply{ "", false, true }
+               : Reply{ answer (200, key_row ("v", 3)) };
+  };
+  for (int i = 0; i < 10; i++)
+    st_watch (store, "k", 3, 400, on_done, &watches);
+  int64_t start_us = g_get_monotonic_time ();
+  st_get (store, "k", on_done, &got);
+  run (got);
+  EXPECT_EQ (got.outcome, ST_OUTCOME_OK);
+  EXPECT_LT (got.at_us - start_us, 200 * 1000);
+  run (watches, 10);
+  EXPECT_EQ (watches.outcome, ST_OUTCOME_DOWN);
+  EXPECT_EQ (store->watch_count, 10U);
+  EXPECT_EQ (store->read_count, 1U);
+}
+
+/* Guards against a watch that is armed with an index that misses a change. */
+TEST_F (Store, WatchReturnsTheIndexToWaitAfter)
+{
+  Got got;
+  always ({ answer (200, key_row ("new", 12), 12) });
+  st_watch (store, "k", 11, 1000, on_done, &got);
+  run (got);
+  EXPECT_EQ (got.index, 12U);
+  EXPECT_EQ (got.value, "new");
+  EXPECT_EQ (server->requests.at (0),
+             "GET /v1/kv/k?consistent&index=11&wait=1000ms");
+}
+
+/* Guards against unbounded connections, and against queued writes that were
+   never sent being reported as possibly done.  */
+TEST_F (Store, SlowServerBoundsConnectionsAndQueue)
+{
+  Got got;
+  std::vector<StOutcome> outcomes;
+  always ({ "", false, true });
+  int calls = 2 + ST_QUEUE_MAX + 5;
+  for (int i = 0; i < calls; i++)
+    st_cas (
+        store, "k", 1, "v", 1,
+        [] (const StResult *result, void *data) {
+          static_cast<std::vector<StOutcome> *> (data)->push_back (
+              result->outcome);
+        },
+        &outcomes);
+  int64_t end_us = g_get_monotonic_time () + 3 * G_USEC_PER_SEC;
+  timeval step = { 0, 5000 };
+  while ((int)outcomes.size () < calls && g_get_monotonic_time () < end_us)
+    {
+      event_base_loopexit (base, &step);
+      event_base_dispatch (base);
+    }
+  ASSERT_EQ ((int)outcomes.size (), calls);
+  EXPECT_EQ (outcomes.at (0), ST_OUTCOME_DOWN);
+  EXPECT_GE (
+      std::count (outcomes.begin (), outcomes.end (), ST_OUTCOME_UNKNOWN), 2);
+}
+
+/* Guards against callbacks after the store was freed, also when it is freed
+   by a callback.  */
+TEST_F (Store, FreeInCallbackEndsAllCalls)
+{
+  struct Context
+  {
+    StStore **store;
+    int calls;
+  } context = { &store, 0 };
+  Got late;
+  always ({ answer (200, key_row ("v", 1)) });
+  st_get (
+      store, "k",
+      [] (const StResult *, void *data) {
+        auto *c = static_cast<Context *> (data);
+        c->calls++;
+        st_free (*c->store);
+        *c->store = nullptr;
+      },
+      &context);
+  for (int i = 0; i < 5; i++)
+    st_watch (store, "k", 1, 50, on_done, &late);
+  timeval wait = { 0, 300000 };
+  event_base_loopexit (base, &wait);
+  event_base_dispatch (base);
+  EXPECT_EQ (context.calls, 1);
+}
+
+/* Guards against a list with a malformed entry being read as a shorter list,
+   which would look like a VM that has left.  */
+TEST_F (Store, ListIsWholeOrNotAtAll)
+{
+  std::string good = "{\"ServiceID\":\"vm1\",\"ServiceAddress\":\"127.0.0.1\","
+                     "\"ServicePort\":80,\"ServiceMeta\":"
+                     "{\"zone\":\"z1\",\"state\":\"leaving\"}}";
+  std::vector<std::string> seen;
+  StListDone done = [] (const GPtrArray *vms, uint64_t index, void *data) {
+    auto *out = static_cast<std::vector<std::string> *> (data);
+    if (vms == nullptr)
+      {
+        out->push_back ("none");
+        return;
+      }
+    ASSERT_EQ (vms->len, 1U);
+    auto *vm = static_cast<StVm *> (g_ptr_array_index (vms, 0));
+    out->push_back (std::string (vm->id) + " " + vm->zone + " " + vm->address
+                    + ":" + std::to_string (vm->port)
+                    + (vm->leaving ? " leaving " : " ")
+                    + std::to_string (index));
+  };
+  auto list = [&] {
+    size_t before = seen.size ();
+    st_list (store, "entry", 0, 0, done, &seen);
+    for (int i = 0; i < 200 && seen.size () == before; i++)
+      {
+        timeval step = { 0, 5000 };
+        event_base_loopexit (base, &step);
+        event_base_dispatch (base);
+      }
+  };
+  always ({ answer (200, "[" + good + "]", 4) });
+  list ();
+  always ({ answer (200, "[" + good + ",{\"ServiceID\":\"vm2\"}]", 5) });
+  list ();
+  EXPECT_EQ (seen, (std::vector<std::string>{ "vm1 z1 127.0.0.1:80 leaving 4",
+                                              "none" }));
+}
+
+}
