--- /dev/null
+++ b/standin/error.c
@@ -0,0 +1,3 @@
+#include "standin/harness.h"
+
+G_DEFINE_QUARK (si_error, si_error)
