--- a/standin/serve.c
+++ b/standin/serve.c
@@ -127,6 +127,11 @@
       &x->query);
   g_hash_table_insert (server->exchanges, request, x);
   count_request (server, x);
+  /* evhttp stops reading until the answer and would not notice a caller that
+     closes.  A caller must therefore not send its next request early.  */
+  bufferevent_enable (evhttp_connection_get_bufferevent (
+                          evhttp_request_get_connection (request)),
+                      EV_READ);
   server->handler (x, server->data);
 }
 
