--- a/standin/harness.h
+++ b/standin/harness.h
@@ -15,7 +15,8 @@
      writes the settings files to a temporary folder, and starts the
      programs of the build folder with posix_spawn.  All calls block and are
      for one thread.  si_free, and exit, kill every process that the harness
-     started and no other.
+     started and no other.  The folder with logs and settings is removed
+     unless CW_KEEP_LOGS is set in the environment.
 
      With `proxied` all links between VMs, from VMs to targets and from VMs
      to the platform run through one fault-proxy, with the delays and rates
@@ -122,6 +123,8 @@
 
 gboolean si_start_platform (SiHarness *harness, GError **error);
 gboolean si_start_targets (SiHarness *harness, GError **error);
+/* Needs `proxied`; si_start_daemons does it where it was not done.  */
+gboolean si_start_proxy (SiHarness *harness, GError **error);
 /* Starts the proxy (if `proxied`) and all daemons, and waits until each
    answers on its admin address.  */
 gboolean si_start_daemons (SiHarness *harness, GError **error);
@@ -146,7 +149,7 @@
 gboolean si_wait_exit (SiHarness *harness, pid_t pid, uint32_t wait_ms,
                        int *status);
 
-/* `comfreywalk apply SHEET` at the admin address of the first running VM.  */
+/* Runs `comfreywalk apply SHEET` at the first running VM.  */
 gboolean si_apply_sheet (SiHarness *harness, const char *sheet,
                          GError **error);
 
@@ -154,6 +157,7 @@
 typedef gboolean (*SiCondition) (void *data);
 gboolean si_wait (SiCondition condition, void *data, uint32_t wait_ms);
 /* Waits until /v1/status of every running VM has `"ready": true`.  */
+gboolean si_is_ready (const SiVm *vm);
 gboolean si_wait_ready (SiHarness *harness, uint32_t wait_ms, GError **error);
 
 /* One request on a connection of its own.  HEADERS are "Name: value" and end
@@ -165,9 +169,17 @@
 void si_answer_clear (SiAnswer *answer);
 /* Posts to a control path and expects 200.  */
 gboolean si_control (const char *address, const char *path, GError **error);
+gboolean si_post (const char *address, const char *path, const char *body,
+                  GError **error);
+/* Body of an answer with status 200, or NULL.  Free with g_free.  */
+char *si_get_text (const char *address, const char *path, GError **error);
 /* Value of a metric of the daemon at ADMIN_ADDRESS, or -1.  */
 double si_metric (const char *admin_address, const char *name);
 
+/* Address of the link of KIND from FROM to TO, or NULL.  FROM and TO are names
+   of VMs and targets, "store" or "callers".  */
+const char *si_link_address (const SiHarness *harness, const char *kind,
+                             const char *from, const char *to);
 /* Sets links whose names match PATTERN; SETTING is a query such as
    "delay_us=12000&mbit=280&cut=1" (see fault-proxy(1)).  */
 gboolean si_link (SiHarness *harness, const char *pattern, const char *setting,
@@ -183,6 +195,9 @@
 gboolean si_set_listed (SiHarness *harness, const char *name,
                         const char *state, GError **error);
 
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (SiHarness, si_free)
+
 uint16_t si_free_port (void);
+void si_sleep_ms (uint32_t ms);
 
 #endif
--- a/standin/link.c
+++ b/standin/link.c
@@ -100,14 +100,15 @@
 {
   int64_t now_us = g_get_monotonic_time ();
   SiPipe *pipe = link->pipe;
+  int lane = link->pipe_flipped ? 1 - (int)direction : (int)direction;
   int64_t start_us;
 
   if (pipe->mbit_per_s <= 0)
     return now_us + link->delay_us;
-  start_us = MAX (now_us, pipe->free_at_us[direction]);
-  pipe->free_at_us[direction]
+  start_us = MAX (now_us, pipe->free_at_us[lane]);
+  pipe->free_at_us[lane]
       = start_us + (int64_t)length_bytes * 8 / pipe->mbit_per_s;
-  return pipe->free_at_us[direction] + link->delay_us;
+  return pipe->free_at_us[lane] + link->delay_us;
 }
 
 static void
--- a/standin/link.h
+++ b/standin/link.h
@@ -32,7 +32,8 @@
   gboolean cut;
   gboolean hold;
   gboolean partition;
-  SiPipe *pipe; /* shared or own; not freed with the link */
+  SiPipe *pipe;          /* shared or own; not freed with the link */
+  gboolean pipe_flipped; /* up is the second direction of the pipe */
   uint64_t accepted_count;
   uint64_t forwarded_bytes[2];
   GPtrArray *connections;
--- /dev/null
+++ b/standin/process.c
@@ -0,0 +1,141 @@
+#include "standin/process.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <time.h>
+
+#define POLL_MS 2
+
+extern char **environ;
+
+/* Processes that are still running, for the end of the program.  */
+static GHashTable *running;
+
+static void
+kill_running (void)
+{
+  GHashTableIter iter;
+  void *pid;
+
+  g_hash_table_iter_init (&iter, running);
+  while (g_hash_table_iter_next (&iter, &pid, NULL))
+    {
+      kill (GPOINTER_TO_INT (pid), SIGKILL);
+      waitpid (GPOINTER_TO_INT (pid), NULL, 0);
+    }
+  g_hash_table_unref (running);
+  running = NULL;
+}
+
+static void
+remember (pid_t pid)
+{
+  if (running == NULL)
+    {
+      running = g_hash_table_new (g_direct_hash, g_direct_equal);
+      atexit (kill_running);
+    }
+  g_hash_table_add (running, GINT_TO_POINTER (pid));
+}
+
+void
+si_sleep_ms (uint32_t ms)
+{
+  struct timespec pause
+      = { .tv_sec = ms / 1000, .tv_nsec = (ms % 1000) * 1000000L };
+  nanosleep (&pause, NULL);
+}
+
+pid_t
+si_process_spawn (const char *const *argv, const char *log_path,
+                  GError **error)
+{
+  posix_spawn_file_actions_t actions;
+  pid_t pid;
+  int result;
+
+  posix_spawn_file_actions_init (&actions);
+  posix_spawn_file_actions_addopen (&actions, 0, "/dev/null", O_RDONLY, 0);
+  posix_spawn_file_actions_addopen (&actions, 1, log_path,
+                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2 (&actions, 1, 2);
+  result = posix_spawn (&pid, argv[0], &actions, NULL, (char *const *)argv,
+                        environ);
+  posix_spawn_file_actions_destroy (&actions);
+  if (result != 0)
+    {
+      g_set_error (error, SI_ERROR, SI_ERROR_SPAWN, "cannot start %s: %s",
+                   argv[0], g_strerror (result));
+      return 0;
+    }
+  remember (pid);
+  return pid;
+}
+
+gboolean
+si_process_ended (pid_t pid, int *status)
+{
+  int own_status;
+
+  if (pid <= 0 || running == NULL
+      || !g_hash_table_contains (running, GINT_TO_POINTER (pid)))
+    return TRUE;
+  if (waitpid (pid, &own_status, WNOHANG) != pid)
+    return FALSE;
+  g_hash_table_remove (running, GINT_TO_POINTER (pid));
+  if (status != NULL)
+    *status = own_status;
+  return TRUE;
+}
+
+gboolean
+si_process_wait (pid_t pid, uint32_t wait_ms, int *status)
+{
+  int64_t end_us = g_get_monotonic_time () + (int64_t)wait_ms * 1000;
+
+  while (!si_process_ended (pid, status))
+    {
+      if (g_get_monotonic_time () >= end_us)
+        return FALSE;
+      si_sleep_ms (POLL_MS);
+    }
+  return TRUE;
+}
+
+void
+si_process_kill (pid_t pid)
+{
+  if (pid <= 0 || running == NULL
+      || !g_hash_table_remove (running, GINT_TO_POINTER (pid)))
+    return;
+  kill (pid, SIGKILL);
+  waitpid (pid, NULL, 0);
+}
+
+gboolean
+si_process_signal (pid_t pid, int signal)
+{
+  if (pid <= 0 || running == NULL
+      || !g_hash_table_contains (running, GINT_TO_POINTER (pid)))
+    return FALSE;
+  return kill (pid, signal) == 0;
+}
+
+gboolean
+si_wait (SiCondition condition, void *data, uint32_t wait_ms)
+{
+  int64_t end_us = g_get_monotonic_time () + (int64_t)wait_ms * 1000;
+
+  while (!condition (data))
+    {
+      if (g_get_monotonic_time () >= end_us)
+        return FALSE;
+      si_sleep_ms (5);
+    }
+  return TRUE;
+}
--- a/standin/proxy.c
+++ b/standin/proxy.c
@@ -43,6 +43,7 @@
 
   if (pipe != NULL)
     link->pipe = pipe_named (proxy, pipe);
+  link->pipe_flipped = int_setting (settings, "flip", link->pipe_flipped) != 0;
   link->delay_us = int_setting (settings, "delay_us", link->delay_us);
   link->pipe->mbit_per_s
       = int_setting (settings, "mbit", link->pipe->mbit_per_s);
@@ -80,7 +81,7 @@
   g_ptr_array_add (proxy->links, link);
   if (words[3] == NULL)
     return TRUE;
-  evhttp_parse_query_str (words[3], &settings);
+  si_parse_query (words[3], &settings);
   set_link (proxy, link, &settings);
   evhttp_clear_headers (&settings);
   return TRUE;
--- a/standin/proxy.h
+++ b/standin/proxy.h
@@ -12,7 +12,8 @@
                                for every link whose name matches the glob P;
                                more patterns may stand in the body, one a line
          delay_us, mbit        one way delay; rate, 0 is unlimited
-         pipe=NAME             links that share a rate
+         pipe=NAME, flip=1     links that share a rate; with flip the link
+                               lies in the pipe the other way round
          cut=1                 closes connections and refuses new ones
          hold=1                keeps connections and forwards nothing
          partition=1           as hold; connections made meanwhile are closed
--- a/standin/serve.c
+++ b/standin/serve.c
@@ -4,7 +4,9 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -102,6 +104,24 @@
   evhttp_connection_set_closecb (connection, on_connection_closed, server);
 }
 
+void
+si_parse_query (const char *text, struct evkeyvalq *query)
+{
+  g_auto (GStrv) pairs = g_strsplit (text == NULL ? "" : text, "&", -1);
+
+  TAILQ_INIT (query);
+  for (char **pair = pairs; *pair != NULL; pair++)
+    {
+      g_auto (GStrv) parts = g_strsplit (*pair, "=", 2);
+      const char *value = parts[0] == NULL ? NULL : parts[1];
+      char *decoded = evhttp_uridecode (value == NULL ? "" : value, 1, NULL);
+
+      if (parts[0] != NULL && *parts[0] != '\0')
+        evhttp_add_header (query, parts[0], decoded);
+      free (decoded);
+    }
+}
+
 static void
 on_request (struct evhttp_request *request, void *data)
 {
@@ -122,9 +142,7 @@
   x->server = server;
   x->request = request;
   x->timer = evtimer_new (server->base, on_timer, x);
-  evhttp_parse_query_str (
-      evhttp_uri_get_query (uri) == NULL ? "" : evhttp_uri_get_query (uri),
-      &x->query);
+  si_parse_query (evhttp_uri_get_query (uri), &x->query);
   g_hash_table_insert (server->exchanges, request, x);
   count_request (server, x);
   /* evhttp stops reading until the answer and would not notice a caller that
--- a/standin/serve.h
+++ b/standin/serve.h
@@ -80,6 +80,10 @@
 /* Closes the connection without an answer.  */
 void si_drop (SiExchange *x);
 
+/* Fills QUERY; clear it with evhttp_clear_headers.  A parameter without value
+   is kept, which evhttp's own parser refuses.  */
+void si_parse_query (const char *text, struct evkeyvalq *query);
+
 /* "ip:port" to its parts.  */
 gboolean si_split_address (const char *address, char **ip, uint16_t *port);
 
--- a/standin/target.c
+++ b/standin/target.c
@@ -317,8 +317,8 @@
   set->targets = g_ptr_array_new_with_free_func (target_free);
   set->records = g_ptr_array_new_with_free_func (si_record_free);
   set->orders = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  set->control = si_serve (options->base, options->control, si_target_control,
-                           set, error);
+  set->control = si_serve (options->base, options->control,
+                           si_target_set_control, set, error);
   if (set->control != NULL)
     return set;
   si_targets_free (set);
--- a/standin/target_control.c
+++ b/standin/target_control.c
@@ -237,7 +237,7 @@
 }
 
 void
-si_target_control (SiExchange *x, void *set)
+si_target_set_control (SiExchange *x, void *set)
 {
   static const struct
   {
--- a/standin/target_set.h
+++ b/standin/target_set.h
@@ -85,7 +85,7 @@
 /* Handler of the work and probe addresses.  */
 void si_target_serve (SiExchange *x, void *target);
 /* Handler of the control address.  */
-void si_target_control (SiExchange *x, void *set);
+void si_target_set_control (SiExchange *x, void *set);
 void si_record_free (void *record);
 
 #endif
