--- /dev/null
+++ b/front/front.h
@@ -0,0 +1,129 @@
+/* front.h - the HTTP server for callers
+
+   SYNOPSIS
+     FrOptions options = { .base = base, .listen = "127.0.0.1:8001",
+                           .on_request = on_request, .data = daemon };
+     FrServer *server = fr_new (&options, &error);
+
+     static void
+     on_request (FrRequest *request, void *data)
+     {
+       fr_reply (request, 200, NULL, "{}", 2);
+     }
+
+   DESCRIPTION
+     A server on libevhtp.  Every byte is checked by the strict parser of
+     http/http.h before libevhtp sees it, and a request reaches libevhtp and
+     the callback only when it is complete.  Requests of one connection are
+     handled one after the other, so answers keep their order; at most
+     FR_AHEAD_MAX_BYTES of the following ones are read ahead.
+
+     A request belongs to the caller of the package from on_request until
+     fr_reply, which may be called at any later time from the loop, or until
+     the callback of fr_on_cancel returns.  It is cancelled when the caller's
+     connection closes in either direction, or fails, before the answer.  A
+     request without a cancel callback must not be used after that; set one
+     before on_request returns unless the reply is sent within it.
+
+     A malformed request gets a 4xx with outcome not_run and the connection
+     closes.  Time limits cover a request that arrives slowly, an idle
+     connection and an answer that is not read.
+
+     Times are of CLOCK_BOOTTIME in microseconds.
+
+   ERRORS
+     FR_ERROR_ADDRESS  the address is not an IP number and port
+     FR_ERROR_LISTEN   the address cannot be listened on  */
+
+#ifndef FR_FRONT_H
+#define FR_FRONT_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "http/http.h"
+
+struct event_base;
+
+#define FR_BODY_MAX_BYTES (1024 * 1024)
+#define FR_AHEAD_MAX_BYTES (64 * 1024)
+
+#define FR_ERROR (fr_error_quark ())
+
+typedef enum
+{
+  FR_ERROR_ADDRESS,
+  FR_ERROR_LISTEN,
+} FrError;
+
+typedef struct FrServer FrServer;
+
+/* Read-only for users, but for user_data.  */
+typedef struct
+{
+  const char *method;
+  const char *path;   /* as sent, still percent-encoded */
+  const char *query;  /* after the question mark; NULL without one */
+  HtHeaders *headers; /* may be changed, for instance by ky_strip */
+  const uint8_t *body;
+  gsize body_bytes;
+  uint8_t peer_address[16]; /* IPv4 as ::ffff:a.b.c.d */
+  uint16_t peer_port;
+  int64_t arrived_us; /* when its first byte was read */
+  void *user_data;
+} FrRequest;
+
+typedef void (*FrHandler) (FrRequest *request, void *data);
+
+typedef struct
+{
+  struct event_base *base;
+  const char *listen; /* "127.0.0.1:8001"; port 0 takes a free one */
+  FrHandler on_request;
+  void *data;
+  uint32_t body_max_bytes;     /* default FR_BODY_MAX_BYTES */
+  uint32_t connections_max;    /* default 4096; more are closed at once */
+  uint32_t request_timeout_ms; /* first to last byte; default 10000 */
+  uint32_t idle_timeout_ms;    /* between requests; default 60000 */
+  uint32_t write_timeout_ms;   /* answer not read; default 30000 */
+  uint32_t stop_idle_ms; /* fr_stop closes idle ones after; default 1000 */
+} FrOptions;
+
+typedef struct
+{
+  uint64_t accepted_count;
+  uint64_t over_limit_count; /* connections closed for connections_max */
+  uint64_t request_count;
+  uint64_t malformed_count;
+  uint64_t cancelled_count;
+  uint64_t timeout_count;
+  uint32_t connection_count; /* now open */
+  uint32_t running_count;    /* requests not yet answered */
+} FrCounters;
+
+GQuark fr_error_quark (void);
+
+FrServer *fr_new (const FrOptions *options, GError **error);
+
+/* Closes everything at once; cancel callbacks are called.  */
+void fr_free (FrServer *server);
+
+uint16_t fr_port (const FrServer *server);
+const FrCounters *fr_counters (const FrServer *server);
+
+/* Sends the answer and ends the request.  HEADERS may be NULL; without a
+   Content-Type the body is announced as application/json.  Content-Length,
+   Connection and other headers of framing in HEADERS are ignored, as are
+   headers that cannot be sent.  */
+void fr_reply (FrRequest *request, uint32_t status, const HtHeaders *headers,
+               const void *body, gsize body_bytes);
+
+/* HANDLER is called when the connection closes before the answer.  */
+void fr_on_cancel (FrRequest *request, FrHandler handler, void *data);
+
+/* Stops accepting.  Requests that arrive on open connections are served, each
+   with "Connection: close".  ON_IDLE is called once, from the loop, when no
+   connection is left; it may call fr_free.  */
+void fr_stop (FrServer *server, void (*on_idle) (void *data), void *data);
+
+#endif
