--- /dev/null
+++ b/http/http_test.cc
@@ -0,0 +1,194 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C"
+{
+#include "http/http.h"
+}
+
+namespace
+{
+
+int
+request_error (const std::string &text)
+{
+  g_autoptr (GError) error = NULL;
+  g_auto (HtHead) head = {};
+
+  if (ht_parse_request (text.data (), text.size (), &head, &error))
+    return -1;
+  return error->code;
+}
+
+int
+answer_error (const std::string &text)
+{
+  g_autoptr (GError) error = NULL;
+  g_auto (HtHead) head = {};
+
+  if (ht_parse_answer (text.data (), text.size (), "GET", &head, &error))
+    return -1;
+  return error->code;
+}
+
+struct Case
+{
+  const char *text;
+  int error;
+};
+
+/* Guards against request smuggling: heads that another parser could read
+   differently must not pass.  */
+TEST (Http, RefusesAmbiguousRequests)
+{
+  const Case cases[] = {
+    { "GET / HTTP/1.1\r\nHost: a\r\n\r\n", -1 },
+    { "GET /a%20b/..c?x=../y HTTP/1.1\r\nHost: [::1]:80\r\n\r\n", -1 },
+    { "GET / HTTP/1.1\nHost: a\r\n\r\n", HT_ERROR_VERSION },
+    { "GET / HTTP/1.1\r\nHost: a\nX: b\r\n\r\n", HT_ERROR_SYNTAX },
+    { "GET / HTTP/1.1\r\nHost: a\rX: b\r\n\r\n", HT_ERROR_SYNTAX },
+    { "GET / HTTP/1.1\r\nHost: a\r\nX: a\r\n b\r\n\r\n", HT_ERROR_SYNTAX },
+    { "GET / HTTP/1.1\r\nHost : a\r\n\r\n", HT_ERROR_SYNTAX },
+    { "GET / HTTP/1.1\r\n: a\r\nHost: a\r\n\r\n", HT_ERROR_SYNTAX },
+    { "GET / HTTP/1.1\r\n\r\n", HT_ERROR_HOST },
+    { "GET / HTTP/1.1\r\nHost: a\r\nhost: a\r\n\r\n", HT_ERROR_HOST },
+    { "GET / HTTP/1.1\r\nHost: a/b\r\n\r\n", HT_ERROR_HOST },
+    { "GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n", HT_ERROR_TARGET },
+    { "OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n", HT_ERROR_TARGET },
+    { "GET /a b HTTP/1.1\r\nHost: a\r\n\r\n", HT_ERROR_TARGET },
+    { "GET /a#b HTTP/1.1\r\nHost: a\r\n\r\n", HT_ERROR_TARGET },
+    { "GET /o/../s HTTP/1.1\r\nHost: a\r\n\r\n", HT_ERROR_TARGET },
+    { "GET /o/%2e%2E%2fs HTTP/1.1\r\nHost: a\r\n\r\n", HT_ERROR_TARGET },
+    { "GET /o/. HTTP/1.1\r\nHost: a\r\n\r\n", HT_ERROR_TARGET },
+    { "GET /%zz HTTP/1.1\r\nHost: a\r\n\r\n", HT_ERROR_TARGET },
+    { "GET /%00 HTTP/1.1\r\nHost: a\r\n\r\n", HT_ERROR_TARGET },
+    { "CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n", HT_ERROR_METHOD },
+    { "get / HTTP/1.1\r\nHost: a\r\n\r\n", HT_ERROR_METHOD },
+    { "GET / HTTP/2.0\r\nHost: a\r\n\r\n", HT_ERROR_VERSION },
+    { "GET / HTTP/1.1 \r\nHost: a\r\n\r\n", HT_ERROR_VERSION },
+    { "GET /\r\nHost: a\r\n\r\n", HT_ERROR_SYNTAX },
+    { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n"
+      "Content-Length: 1\r\n\r\n",
+      HT_ERROR_FRAMING },
+    { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n",
+      HT_ERROR_FRAMING },
+    { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1, 1\r\n\r\n",
+      HT_ERROR_FRAMING },
+    { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +1\r\n\r\n",
+      HT_ERROR_FRAMING },
+    { "POST / HTTP/1.1\r\nHost: a\r\n"
+      "Content-Length: 99999999999999999999\r\n\r\n",
+      HT_ERROR_FRAMING },
+    { "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+      HT_ERROR_FRAMING },
+    { "POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+      HT_ERROR_FRAMING },
+  };
+
+  for (const Case &c : cases)
+    EXPECT_EQ (c.error, request_error (c.text)) << c.text;
+  EXPECT_EQ (HT_ERROR_SYNTAX,
+             request_error (std::string ("GET / HTTP/1.1\r\nHost: a\r\n"
+                                         "X: \0\r\n\r\n",
+                                         33)));
+}
+
+/* Guards against heads that grow without bound.  */
+TEST (Http, RefusesHeadsAboveTheLimits)
+{
+  std::string many = "GET / HTTP/1.1\r\nHost: a\r\n";
+
+  for (int i = 0; i < HT_HEADERS_MAX_COUNT - 1; i++)
+    many += "X: y\r\n";
+  EXPECT_EQ (-1, request_error (many + "\r\n"));
+  EXPECT_EQ (HT_ERROR_LIMIT, request_error (many + "X: y\r\n\r\n"));
+  std::string target (HT_TARGET_MAX_BYTES, '/');
+  std::string rest = " HTTP/1.1\r\nHost: a\r\n\r\n";
+  EXPECT_EQ (-1, request_error ("GET " + target + rest));
+  EXPECT_EQ (HT_ERROR_LIMIT, request_error ("GET " + target + "/" + rest));
+}
+
+/* Guards against answers whose end is not certain.  */
+TEST (Http, RefusesAmbiguousAnswers)
+{
+  const Case cases[] = {
+    { "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n", -1 },
+    { "HTTP/1.1 200\r\n\r\n", -1 },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+      HT_ERROR_FRAMING },
+    { "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", HT_ERROR_FRAMING },
+    { "HTTP/1.1 20 OK\r\n\r\n", HT_ERROR_SYNTAX },
+    { "HTTP/1.1 999 OK\r\n\r\n", HT_ERROR_SYNTAX },
+    { "HTTP/1.1 200OK\r\n\r\n", HT_ERROR_SYNTAX },
+    { "HTTP/1.2 200 OK\r\n\r\n", HT_ERROR_VERSION },
+    { "200 OK\r\n\r\n", HT_ERROR_SYNTAX },
+  };
+
+  for (const Case &c : cases)
+    EXPECT_EQ (c.error, answer_error (c.text)) << c.text;
+}
+
+HtChunkResult
+feed (const std::string &text, gsize piece, GByteArray *body, gsize *used)
+{
+  HtChunked chunked = {};
+  HtChunkResult result = HT_CHUNK_MORE;
+
+  *used = 0;
+  for (gsize i = 0; i < text.size () && result == HT_CHUNK_MORE; i += piece)
+    {
+      gsize took = 0;
+      result = ht_chunk_feed (&chunked, text.data () + i,
+                              MIN (piece, text.size () - i), &took, body);
+      *used += took;
+    }
+  return result;
+}
+
+/* Guards against a decoder whose result depends on how the bytes arrive, and
+   against one that consumes bytes of the next message.  */
+TEST (Http, DecodesChunksInAnyPieces)
+{
+  const std::string text = "3\r\nabc\r\n0A\r\n0123456789\r\n0\r\nX: y\r\n\r\n";
+
+  for (gsize piece = 1; piece <= text.size () + 4; piece++)
+    {
+      g_autoptr (GByteArray) body = g_byte_array_new ();
+      gsize used;
+      ASSERT_EQ (HT_CHUNK_DONE, feed (text + "GET ", piece, body, &used));
+      EXPECT_EQ (text.size (), used);
+      EXPECT_EQ ("abc0123456789",
+                 std::string ((const char *)body->data, body->len));
+    }
+}
+
+/* Guards against chunk framing that other parsers read differently.  */
+TEST (Http, RefusesWrongChunks)
+{
+  for (const char *text :
+       { "\r\n", "g\r\n", "-1\r\n", " 1\r\na\r\n", "1;x=y\r\na\r\n",
+         "1\na\r\n", "1\r\nab\r\n", "00000001\r\n", "1\r\na\n", "0\r\n x\r\n",
+         "0\r\nX y\r\n\r\n", "0\r\nX: a\rb\r\n\r\n" })
+    {
+      gsize used;
+      EXPECT_EQ (HT_CHUNK_INVALID, feed (text, 1, NULL, &used)) << text;
+    }
+}
+
+/* Guards against a header of one hop that reaches the next.  */
+TEST (Http, RemovesHopByHopHeaders)
+{
+  g_autoptr (HtHeaders) headers = ht_headers_new ();
+
+  for (const char *name :
+       { "connection", "Keep-Alive", "TE", "X-Named", "Transfer-Encoding",
+         "x-named", "Accept", "Upgrade", "Trailer", "Proxy-Connection" })
+    ht_headers_add (headers, name, "x, X-Named ,close");
+  ht_remove_hop_by_hop (headers);
+  ASSERT_EQ (1u, headers->count);
+  EXPECT_STREQ ("Accept", headers->items[0].name);
+}
+
+}
--- a/key/key.h
+++ b/key/key.h
@@ -60,7 +60,7 @@
 
 typedef struct KyTable KyTable;
 
-/* Both live as long as the table.  */
+/* Both belong to the table's configuration.  */
 typedef struct
 {
   const CfCustomer *customer;
@@ -69,8 +69,8 @@
 
 GQuark ky_error_quark (void);
 
-/* Holds a reference to CONFIG.  */
-KyTable *ky_table_new (CfConfig *config);
+/* CONFIG must outlive the table.  */
+KyTable *ky_table_new (const CfConfig *config);
 void ky_table_free (KyTable *table);
 
 /* A digest that is on record as withdrawn is refused even where another
