--- a/lease/lease.h
+++ b/lease/lease.h
@@ -156,7 +156,7 @@
 void ls_set_peers (LsLease *lease, const LsPeer *peers, uint32_t count,
                    int64_t now_us);
 
-/* Members that aren't heard and aren't known to be fenced or released.  */
+/* Members of the assignment or the platform's list that aren't heard.  */
 void ls_set_suspects (LsLease *lease, const LsSuspect *suspects,
                       uint32_t count, int64_t now_us);
 
@@ -172,6 +172,11 @@
 /* TRUE once the store has the record as released, or it was fenced.  */
 gboolean ls_released (const LsLease *lease);
 
+/* Records of other daemons that were read as fenced or released and weren't
+   seen otherwise since.  Returns the count.  */
+uint32_t ls_ended (const LsLease *lease, const LsRecord **records,
+                   uint32_t max);
+
 /* Next action; FALSE with LS_ACTION_NONE when there is none now.  */
 gboolean ls_poll (LsLease *lease, int64_t now_us, LsAction *action);
 /* When ls_poll has to be called again without any event.  */
