--- /dev/null
+++ b/standin/load_plan.c
@@ -0,0 +1,164 @@
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin/harness.h"
+#include "standin/load.h"
+
+static const char *const outcome_names[]
+    = { "pending", "answered", "refused", "unknown", "wrong" };
+
+const char *
+si_load_outcome_name (SiLoadOutcome outcome)
+{
+  return outcome_names[outcome];
+}
+
+void
+si_load_customer_free (void *data)
+{
+  SiLoadCustomer *customer = data;
+
+  g_free (customer->name);
+  g_free (customer->key);
+  g_free (customer->path);
+  g_free (customer);
+}
+
+static gboolean
+set_field (SiLoadCustomer *customer, const char *name, const char *value)
+{
+  double number = g_ascii_strtod (value, NULL);
+
+  if (strcmp (name, "name") == 0)
+    customer->name = g_strdup (value);
+  else if (strcmp (name, "key") == 0)
+    customer->key = g_strdup (value);
+  else if (strcmp (name, "path") == 0)
+    customer->path = g_strdup (value);
+  else if (strcmp (name, "rate") == 0)
+    customer->rate_per_s = number;
+  else if (strcmp (name, "orders") == 0)
+    customer->order_permille = (uint32_t)number;
+  else if (strcmp (name, "fresh") == 0)
+    customer->fresh_permille = (uint32_t)number;
+  else if (strcmp (name, "pin") == 0)
+    customer->pin = (int32_t)number;
+  else if (strcmp (name, "pin_from_ms") == 0)
+    customer->pin_from_ms = (int64_t)number;
+  else if (strcmp (name, "factor") == 0)
+    customer->factor = number;
+  else if (strcmp (name, "from_ms") == 0)
+    customer->factor_from_ms = (int64_t)number;
+  else if (strcmp (name, "to_ms") == 0)
+    customer->factor_to_ms = (int64_t)number;
+  else
+    return FALSE;
+  return TRUE;
+}
+
+gboolean
+si_load_add_customer (GPtrArray *customers, const char *text, MtTable *metrics,
+                      GError **error)
+{
+  g_auto (GStrv) pairs = g_strsplit (text, ",", -1);
+  SiLoadCustomer *customer = g_new0 (SiLoadCustomer, 1);
+  g_autofree char *metric = NULL;
+  gboolean ok = TRUE;
+
+  customer->pin = -1;
+  customer->factor = 1;
+  customer->factor_to_ms = G_MAXINT64;
+  for (char **pair = pairs; *pair != NULL && ok; pair++)
+    {
+      g_auto (GStrv) parts = g_strsplit (*pair, "=", 2);
+      ok = g_strv_length (parts) == 2
+           && set_field (customer, parts[0], parts[1]);
+    }
+  if (!ok || customer->name == NULL)
+    {
+      g_set_error (error, SI_ERROR, SI_ERROR_OPTION,
+                   "\"%s\" does not describe a customer", text);
+      si_load_customer_free (customer);
+      return FALSE;
+    }
+  metric = g_strdup_printf ("latency_us{customer=\"%s\"}", customer->name);
+  customer->latency = mt_histogram (metrics, metric, "Latency");
+  g_ptr_array_add (customers, customer);
+  return TRUE;
+}
+
+static double
+rate_at (const SiLoadCustomer *customer, int64_t at_us)
+{
+  int64_t at_ms = at_us / 1000;
+  gboolean raised
+      = at_ms >= customer->factor_from_ms && at_ms < customer->factor_to_ms;
+  return customer->rate_per_s * (raised ? customer->factor : 1);
+}
+
+static void
+plan_customer (const SiLoadOptions *options, SiLoadCustomer *customer,
+               SiLoadKind kind, GRand *rand, GArray *plan)
+{
+  double rate_max = customer->rate_per_s * MAX (customer->factor, 1);
+  int64_t end_us = (int64_t)options->duration_ms * 1000;
+  int64_t at_us = 0;
+
+  if (rate_max <= 0)
+    return;
+  /* Thinning: arrivals at the highest rate, kept in proportion to the rate of
+     their time.  */
+  for (;;)
+    {
+      SiArrival arrival = { .customer = customer, .kind = kind };
+      uint32_t vm
+          = (uint32_t)g_rand_int_range (rand, 0, (int)options->vms->len);
+
+      at_us += (int64_t)(-log (1 - g_rand_double (rand)) / rate_max * 1e6);
+      if (at_us >= end_us)
+        return;
+      if (g_rand_double (rand) * rate_max > rate_at (customer, at_us))
+        continue;
+      arrival.at_us = at_us;
+      arrival.vm = customer->pin >= 0 && at_us / 1000 >= customer->pin_from_ms
+                       ? (uint32_t)customer->pin % options->vms->len
+                       : vm;
+      if (kind == SI_LOAD_READ
+          && g_rand_int_range (rand, 0, 1000) < (int)customer->order_permille)
+        arrival.kind = SI_LOAD_ORDER;
+      arrival.fresh
+          = g_rand_int_range (rand, 0, 1000) < (int)customer->fresh_permille;
+      g_array_append_val (plan, arrival);
+    }
+}
+
+static int
+compare_arrivals (const void *a, const void *b)
+{
+  int64_t at_a = ((const SiArrival *)a)->at_us;
+  int64_t at_b = ((const SiArrival *)b)->at_us;
+  return at_a < at_b ? -1 : at_a > at_b;
+}
+
+GArray *
+si_load_plan (const SiLoadOptions *options)
+{
+  GArray *plan = g_array_new (FALSE, FALSE, sizeof (SiArrival));
+
+  for (guint i = 0; i < options->customers->len; i++)
+    {
+      SiLoadCustomer *customer = g_ptr_array_index (options->customers, i);
+      /* One generator a customer: a change of one leaves the others.  */
+      GRand *rand = g_rand_new_with_seed (options->seed + i * 7919);
+      plan_customer (options, customer,
+                     strcmp (customer->name, "lookup") == 0 ? SI_LOAD_LOOKUP
+                                                            : SI_LOAD_READ,
+                     rand, plan);
+      g_rand_free (rand);
+    }
+  g_array_sort (plan, compare_arrivals);
+  for (guint i = 0; i < plan->len; i++)
+    g_array_index (plan, SiArrival, i).number = i;
+  return plan;
+}
--- a/standin/standin_test.cc
+++ b/standin/standin_test.cc
@@ -397,6 +397,36 @@
   EXPECT_EQ (count (), 1U);
 }
 
+/* Guards against a generator that waits for a stalled server and so hides the
+   latency of the requests that were due in the meantime.  */
+TEST_F (Standin, LoadCountsTheWaitOfAStall)
+{
+  std::string program = std::string (CW_BINARY_DIR) + "/standin/load-gen";
+  std::string out = std::string (si_folder (harness)) + "/load.json";
+  const char *argv[] = { program.c_str (),
+                         "--vm",
+                         link,
+                         "--duration-ms=1500",
+                         "--customer=name=c1,rate=40,orders=300",
+                         "--out",
+                         out.c_str (),
+                         nullptr };
+  int status = -1;
+  pid_t pid = si_spawn (harness, argv, "load.log", nullptr);
+  si_sleep_ms (300);
+  set_link ("hold=1");
+  si_sleep_ms (700);
+  set_link ("hold=0");
+  ASSERT_TRUE (si_wait_exit (harness, pid, 20000, &status));
+  EXPECT_EQ (status, 0);
+  g_autofree char *text = nullptr;
+  ASSERT_TRUE (g_file_get_contents (out.c_str (), &text, nullptr, nullptr));
+  const char *p99 = strstr (text, "\"p99_us\":");
+  ASSERT_NE (p99, nullptr) << text;
+  EXPECT_GE (atoi (p99 + strlen ("\"p99_us\":")), 600000) << text;
+  EXPECT_NE (strstr (text, "\"wrong\":0"), nullptr) << text;
+}
+
 /* Guards against processes that outlive the harness and disturb later runs. */
 TEST_F (Standin, FreeEndsAllProcesses)
 {
