--- a/standin/deployment.c
+++ b/standin/deployment.c
@@ -269,6 +269,8 @@
   deployment->targets = g_ptr_array_new_with_free_func (target_free);
   deployment->links = g_ptr_array_new_with_free_func (link_free);
   deployment->store_zone = g_strdup (kind->zones[0]);
+  deployment->region_mbit = (uint32_t)kind->region_mbit;
+  deployment->region_delay_us = (uint32_t)kind->region_delay_us;
   deployment->platform_address = free_address ();
   deployment->platform_control = free_address ();
   deployment->target_control = free_address ();
--- a/standin/deployment.h
+++ b/standin/deployment.h
@@ -25,6 +25,8 @@
   GPtrArray *targets; /* SiTarget */
   GPtrArray *links;   /* SiPlannedLink; empty unless proxied */
   char *store_zone;
+  uint32_t region_mbit;
+  uint32_t region_delay_us;
   char *platform_address; /* of the store */
   char *platform_control;
   char *target_control;
--- a/standin/harness.c
+++ b/standin/harness.c
@@ -125,6 +125,20 @@
   return NULL;
 }
 
+void
+si_region_link (const SiHarness *harness, uint32_t *mbit_per_s,
+                uint32_t *delay_us)
+{
+  *mbit_per_s = harness->deployment->region_mbit;
+  *delay_us = harness->deployment->region_delay_us;
+}
+
+char *
+si_settings_text (const SiHarness *harness, const SiVm *vm)
+{
+  return si_deployment_settings (harness->deployment, vm, &harness->options);
+}
+
 const char *
 si_folder (const SiHarness *harness)
 {
@@ -373,8 +387,7 @@
 {
   g_autofree char *name = g_strdup_printf ("%s.json", vm->name);
   g_autofree char *log = g_strdup_printf ("%s.log", vm->name);
-  g_autofree char *text
-      = si_deployment_settings (harness->deployment, vm, &harness->options);
+  g_autofree char *text = si_settings_text (harness, vm);
 
   g_free (vm->settings_path);
   g_free (vm->log_path);
--- a/standin/harness.h
+++ b/standin/harness.h
@@ -115,6 +115,11 @@
 const GPtrArray *si_targets (const SiHarness *harness); /* SiTarget */
 SiVm *si_find_vm (const SiHarness *harness, const char *name);
 SiTarget *si_find_target (const SiHarness *harness, const char *name);
+/* Rate and one-way delay of the links between regions.  */
+void si_region_link (const SiHarness *harness, uint32_t *mbit_per_s,
+                     uint32_t *delay_us);
+/* Text of the settings file of VM.  Free with g_free.  */
+char *si_settings_text (const SiHarness *harness, const SiVm *vm);
 const char *si_folder (const SiHarness *harness);
 /* Addresses of the control interfaces.  */
 const char *si_platform_address (const SiHarness *harness);
--- a/standin/standin_test.cc
+++ b/standin/standin_test.cc
@@ -8,8 +8,11 @@
 
 extern "C"
 {
+#include "settings/settings.h"
 #include "standin/echo.h"
+#include "standin/fixture.h"
 #include "standin/harness.h"
+#include "standin/verify.h"
 #include "store/store.h"
 }
 
@@ -427,6 +430,77 @@
   EXPECT_NE (strstr (text, "\"wrong\":0"), nullptr) << text;
 }
 
+/* Guards against checks of a run that pass whatever happened: each kind of
+   violation is made on purpose and must be found.  */
+TEST_F (Standin, VerifyFindsViolations)
+{
+  std::string trace = std::string (si_folder (harness)) + "/trace";
+  int64_t now_us = g_get_monotonic_time ();
+  std::string lines;
+  auto request = [&] (const char *tag, const char *customer, const char *kind,
+                      const char *outcome, int runs) {
+    std::string header = std::string ("X-Request-Tag: ") + tag;
+    for (int i = 0; i < runs; i++)
+      fetch (target, "/w", { header.c_str (), "X-Customer: c1" });
+    lines += std::string (tag) + " " + customer + " " + kind + " "
+             + std::to_string (now_us) + " 0 200 " + outcome + " -\n";
+  };
+  request ("good", "c1", "order", "answered", 1);
+  request ("doubled", "c1", "order", "unknown", 2);
+  request ("lost", "c1", "order", "answered", 0);
+  request ("not-run", "c1", "read", "refused", 1);
+  request ("foreign", "c2", "read", "answered", 1);
+  request ("wrong", "c1", "read", "wrong", 1);
+  fetch (target, "/w?api_key=x");
+  ASSERT_TRUE (
+      g_file_set_contents (trace.c_str (), lines.c_str (), -1, nullptr));
+  SiRate rates[] = { { "c1", 1, 3 }, { "c2", 1, 3 } };
+  SiVerdict verdict;
+  ASSERT_TRUE (
+      si_verify (harness, trace.c_str (), rates, 2, &verdict, nullptr));
+  EXPECT_EQ (verdict.request_count, 6U);
+  EXPECT_EQ (verdict.doubled_count, 1U);
+  EXPECT_EQ (verdict.lost_count, 1U);
+  EXPECT_EQ (verdict.false_not_run_count, 1U);
+  EXPECT_EQ (verdict.foreign_count, 1U);
+  EXPECT_EQ (verdict.wrong_count, 1U);
+  EXPECT_EQ (verdict.key_seen_count, 1U);
+  EXPECT_EQ (verdict.over_rate_count, 1U);
+  EXPECT_EQ (si_verify_after (harness, "boards-01", now_us, nullptr), 7);
+}
+
+/* Guards against settings that the daemon refuses and a configuration that
+   fails its checks.  */
+TEST_F (Standin, DeploymentPassesTheChecksOfTheDaemon)
+{
+  for (const char *deployment : { "tammemets", "cooperative" })
+    {
+      SiOptions options = {};
+      options.bin = CW_BINARY_DIR;
+      options.deployment = deployment;
+      options.proxied = TRUE;
+      options.client_links = TRUE;
+      g_autoptr (SiHarness) other = si_new (&options, nullptr);
+      ASSERT_NE (other, nullptr);
+      EXPECT_EQ (si_vms (other)->len, 7U);
+      auto *vm = static_cast<SiVm *> (si_vms (other)->pdata[0]);
+      g_autofree char *text = si_settings_text (other, vm);
+      GPtrArray *problems = nullptr;
+      SeSettings *settings
+          = se_parse (text, strlen (text), "vm1.json", &problems);
+      EXPECT_NE (settings, nullptr)
+          << static_cast<SeProblem *> (problems->pdata[0])->message;
+      se_free (settings);
+      g_clear_pointer (&problems, g_ptr_array_unref);
+      SiFixtureOptions fixture = {};
+      fixture.blocks_count = 1000;
+      g_autoptr (CfConfig) config = si_fixture_config (other, &fixture);
+      GError *error = nullptr;
+      EXPECT_TRUE (cf_check (config, &error)) << error->message;
+      EXPECT_EQ (config->regions->len, 3U);
+    }
+}
+
 /* Guards against processes that outlive the harness and disturb later runs. */
 TEST_F (Standin, FreeEndsAllProcesses)
 {
