--- a/client/client.c
+++ b/client/client.c
@@ -147,23 +147,25 @@
 void
 cl_say (ClContext *context, const char *format, ...)
 {
+  g_autofree char *text = NULL;
   va_list args;
 
   va_start (args, format);
-  vfprintf (context->io.out, format, args);
+  text = g_strdup_vprintf (format, args);
   va_end (args);
+  fputs (text, context->io.out);
 }
 
 void
 cl_complain (ClContext *context, const char *format, ...)
 {
+  g_autofree char *text = NULL;
   va_list args;
 
-  fputs ("comfreywalk: ", context->io.err);
   va_start (args, format);
-  vfprintf (context->io.err, format, args);
+  text = g_strdup_vprintf (format, args);
   va_end (args);
-  fputc ('\n', context->io.err);
+  fprintf (context->io.err, "comfreywalk: %s\n", text);
 }
 
 static void
@@ -188,6 +190,14 @@
   g_array_unref (entries);
 }
 
+static char *
+command_usage (const Command *command)
+{
+  return g_strjoin (" ", command->word,
+                    command->second != NULL ? command->second : command->usage,
+                    command->second != NULL ? command->usage : NULL, NULL);
+}
+
 static void
 print_help (FILE *out)
 {
@@ -196,10 +206,7 @@
          out);
   for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
     {
-      const char *second = commands[i].second;
-      g_autofree char *head = g_strdup_printf (
-          "%s%s%s %s", commands[i].word, second != NULL ? " " : "",
-          second != NULL ? second : "", commands[i].usage);
+      g_autofree char *head = command_usage (&commands[i]);
 
       fprintf (out, "  %-34s  %s\n", head, commands[i].help);
     }
@@ -231,8 +238,9 @@
                int *exit)
 {
   g_autoptr (GError) error = NULL;
-  GOptionContext *parser
-      = g_option_context_new (command != NULL ? command->usage : "COMMAND");
+  g_autofree char *usage
+      = command != NULL ? command_usage (command) : g_strdup ("COMMAND");
+  GOptionContext *parser = g_option_context_new (usage);
   gboolean help = FALSE;
   const Option help_option
       = { "help", G_OPTION_ARG_NONE, 0, "show this", NULL };
@@ -329,10 +337,9 @@
   if (context->argument_count < command->argument_min
       || context->argument_count > command->argument_max)
     {
-      cl_complain (context, "usage: comfreywalk %s%s%s %s", command->word,
-                   command->second != NULL ? " " : "",
-                   command->second != NULL ? command->second : "",
-                   command->usage);
+      g_autofree char *usage = command_usage (command);
+
+      cl_complain (context, "usage: comfreywalk %s", usage);
       return CL_EXIT_USAGE;
     }
   if (!read_daemons (context))
