--- a/conf/check.c
+++ b/conf/check.c
@@ -72,13 +72,6 @@
     {
       const CfCustomer *customer = g_ptr_array_index (config->customers, i);
 
-      if (customer->rate_per_s == 0 || customer->burst == 0
-          || customer->weight == 0)
-        return fail (error, CF_ERROR_RANGE, "customer", customer->name,
-                     "rate, burst and weight must be above zero", NULL);
-      if (customer->keys->len > CF_KEYS_MAX)
-        return fail (error, CF_ERROR_RANGE, "customer", customer->name,
-                     "has more than 64 keys", NULL);
       if (!check_keys (customer, digests, error))
         return FALSE;
     }
@@ -223,6 +216,8 @@
   GHashTable *services = NULL;
   GHashTable *regions = NULL;
 
+  if (!cf_row_check (&cf_document_schema, config, "document", error))
+    return FALSE;
   for (uint32_t i = 0; i < cf_section_count; i++)
     {
       GHashTable *set = name_set ();
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -47,6 +47,8 @@
 #define CF_ZONES_MAX 64
 #define CF_PREFIX_MAX_BYTES 1024
 #define CF_ROWS_MAX 1000000
+/* Of a section other than blocks.  These are checked in a single step.  */
+#define CF_SECTION_ROWS_MAX 5000
 
 #define CF_ERROR (cf_error_quark ())
 
@@ -247,6 +249,8 @@
 gboolean cf_parse_sha256 (const char *hex, uint8_t *sha256);
 /* 1 to 63 bytes of [a-z0-9-].  */
 gboolean cf_is_name (const char *text);
+/* A path of at most CF_PREFIX_MAX_BYTES, without query.  */
+gboolean cf_is_prefix (const char *text);
 
 /* Rows with their strings empty and their arrays made, for programs that
    build a configuration.  Each belongs to the array it is added to.  */
--- a/conf/conf_bench.c
+++ b/conf/conf_bench.c
@@ -5,9 +5,11 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define BLOCKS_DEFAULT 190000
 #define REGIONS 6
+#define CUSTOMERS CF_SECTION_ROWS_MAX
 
 typedef struct
 {
@@ -30,6 +32,15 @@
 
       g_ptr_array_add (region->zones, g_strdup_printf ("region-%u-1", i));
     }
+  for (uint32_t i = 0; i < CUSTOMERS; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("customer-%u", i);
+      CfCustomer *customer = cf_add_customer (config, name);
+      CfKey *key = cf_add_key (customer, name);
+
+      customer->rate_per_s = customer->burst = customer->weight = 100;
+      memcpy (key->sha256, &i, sizeof i);
+    }
   for (uint32_t i = 0; i < block_count; i++)
     {
       /* Spread over the IPv4 space in /24, as many as asked for.  */
--- a/conf/conf_test.cc
+++ b/conf/conf_test.cc
@@ -159,8 +159,27 @@
       }
   }
 
+  /* Guards against a configuration that a program has built being written in a
+   form that no daemon reads.  */
+  TEST (Conf, CheckCoversWhatProgramsBuild)
+  {
+    g_autoptr (CfConfig) config = parse (document);
+    EXPECT_TRUE (cf_check (config, nullptr));
+    auto *customer = (CfCustomer *)g_ptr_array_index (config->customers, 0);
+    customer->burst = 0;
+    EXPECT_FALSE (cf_check (config, nullptr));
+    customer->burst = 1;
+    auto *route = (CfRoute *)g_ptr_array_index (config->routes, 0);
+    route->prefix[1] = '\x7f';
+    EXPECT_FALSE (cf_check (config, nullptr));
+    route->prefix[1] = 'b';
+    EXPECT_TRUE (cf_check (config, nullptr));
+    cf_add_service (config, "Boards");
+    EXPECT_FALSE (cf_check (config, nullptr));
+  }
+
   /* Guards against a plain key, written where its digest belongs, showing up
-     in a log or an answer.  */
+       in a log or an answer.  */
   TEST (Conf, PlainKeyStaysOutOfMessages)
   {
     std::string text = document;
--- a/conf/cut.c
+++ b/conf/cut.c
@@ -19,6 +19,9 @@
 {
   CfJob job;
   uint32_t section;
+  guint row;        /* of the section */
+  uint32_t number;  /* of the section's next part */
+  GString *part;    /* being filled; NULL: none */
   GString *lines;   /* blocks, one a line */
   gsize *ends;      /* end of each block's line */
   guint line_count; /* so many blocks have been written */
@@ -42,41 +45,46 @@
   return hash % CUT_BYTES_MEAN < row_bytes;
 }
 
-static uint32_t
-cut_section (Cutter *cutter, const CfSchema *schema)
+static void
+end_part (Cutter *cutter, const CfSchema *schema)
 {
-  GPtrArray *rows = cf_rows (cutter->job.config, schema);
-  CfManifest *manifest = cutter->job.manifest;
-  GString *part = NULL;
-  uint32_t number = 0;
+  if (cutter->part == NULL)
+    return;
+  g_string_append (cutter->part, "\n]");
+  cf_manifest_add (
+      cutter->job.manifest,
+      g_strdup_printf ("%s/%u", schema->section, cutter->number++),
+      take_bytes (g_steal_pointer (&cutter->part)));
+}
 
-  for (guint i = 0; i < rows->len; i++)
-    {
-      const void *row = g_ptr_array_index (rows, i);
-      g_autoptr (GString) text = g_string_new (NULL);
+static void
+cut_row (Cutter *cutter, const CfSchema *schema)
+{
+  const GPtrArray *rows = cf_rows (cutter->job.config, schema);
+  const void *row;
+  g_autoptr (GString) text = NULL;
 
-      cf_row_write (schema, row, text);
-      if (part != NULL && part->len + text->len + 4 > CF_PART_MAX_BYTES)
-        {
-          g_string_append (part, "\n]");
-          cf_manifest_add (
-              manifest, g_strdup_printf ("%s/%u", schema->section, number++),
-              take_bytes (g_steal_pointer (&part)));
-        }
-      if (part == NULL)
-        part = g_string_new ("[\n");
-      else
-        g_string_append (part, ",\n");
-      g_string_append_len (part, text->str, (gssize)text->len);
-      if (i + 1 == rows->len || ends_part (schema, row, text->len))
-        {
-          g_string_append (part, "\n]");
-          cf_manifest_add (
-              manifest, g_strdup_printf ("%s/%u", schema->section, number++),
-              take_bytes (g_steal_pointer (&part)));
-        }
+  if (cutter->row == rows->len)
+    {
+      end_part (cutter, schema);
+      cutter->section++;
+      cutter->row = 0;
+      cutter->number = 0;
+      return;
     }
-  return rows->len + 1;
+  row = g_ptr_array_index (rows, cutter->row++);
+  text = g_string_new (NULL);
+  cf_row_write (schema, row, text);
+  if (cutter->part != NULL
+      && cutter->part->len + text->len + 4 > CF_PART_MAX_BYTES)
+    end_part (cutter, schema);
+  if (cutter->part == NULL)
+    cutter->part = g_string_new ("[\n");
+  else
+    g_string_append (cutter->part, ",\n");
+  g_string_append_len (cutter->part, text->str, (gssize)text->len);
+  if (ends_part (schema, row, text->len))
+    end_part (cutter, schema);
 }
 
 static void
@@ -175,7 +183,10 @@
   for (uint32_t done = 0; done < rows_max;)
     {
       if (cutter->section < cf_section_count)
-        done += cut_section (cutter, cf_sections[cutter->section++]);
+        {
+          cut_row (cutter, cf_sections[cutter->section]);
+          done += CF_SECTION_ROW_COST;
+        }
       else if (cutter->line_count < count)
         {
           write_line (cutter);
@@ -196,6 +207,8 @@
 {
   Cutter *cutter = (Cutter *)job;
 
+  if (cutter->part != NULL)
+    g_string_free (cutter->part, TRUE);
   g_string_free (cutter->lines, TRUE);
   g_free (cutter->ends);
   g_array_unref (cutter->ranges);
--- a/conf/internal.h
+++ b/conf/internal.h
@@ -12,6 +12,8 @@
 #include <stddef.h>
 
 #define CF_TEXT_MAX_BYTES 128
+/* Steps count a row of a section as so many blocks.  */
+#define CF_SECTION_ROW_COST 8
 #define CF_PER_S_MAX 1000000000
 #define CF_TIME_MAX_MS INT64_C (4102444800000) /* 2100-01-01 */
 
@@ -71,6 +73,9 @@
 /* Reads OBJECT into ROW, which cf_row_new has made.  PATH is for messages.  */
 gboolean cf_row_read (const CfSchema *schema, struct json_object *object,
                       void *row, const char *path, GError **error);
+/* The checks of cf_row_read, for a row that a program has made.  */
+gboolean cf_row_check (const CfSchema *schema, const void *row,
+                       const char *path, GError **error);
 /* Appends ROW as a JSON object.  */
 void cf_row_write (const CfSchema *schema, const void *row, GString *out);
 void cf_field_write (const CfField *field, const void *row, GString *out);
--- a/conf/join.c
+++ b/conf/join.c
@@ -108,7 +108,7 @@
     return fail (error, part, "belongs to no section");
   if (schema == NULL)
     return join_blocks (joiner, part, rows, error);
-  /* A section's rows take about four times as long as a block.  */
+  /* Rows of about 130 bytes, at CF_SECTION_ROW_COST each.  */
   *rows += part->size_bytes / 16;
   return join_section (joiner, part, schema, error);
 }
@@ -119,11 +119,14 @@
   Joiner *joiner = (Joiner *)job;
   GPtrArray *parts = joiner->source->parts;
 
-  for (uint32_t rows = 0; rows < rows_max && joiner->part < parts->len;)
+  uint32_t rows = 0;
+
+  while (rows < rows_max && joiner->part < parts->len)
     if (!join_part (joiner, g_ptr_array_index (parts, joiner->part++), &rows,
                     error))
       return CF_STEP_FAILED;
-  if (joiner->part < parts->len)
+  /* The checks are one piece of work and get a step of their own.  */
+  if (joiner->part < parts->len || rows > 0)
     return CF_STEP_MORE;
   if (joiner->blocks.unordered)
     {
--- a/conf/read.c
+++ b/conf/read.c
@@ -557,6 +557,9 @@
       gboolean good = TRUE;
       uint32_t used = 1;
 
+      /* The checks are one piece of work and get a step of their own.  */
+      if (reader->state == STATE_FINISH && done > 0)
+        break;
       if (reader->state == STATE_FINISH)
         return finish (reader, error) ? CF_STEP_DONE : CF_STEP_FAILED;
       if (reader->state <= STATE_BLANK)
@@ -570,7 +573,10 @@
       else if (reader->state == STATE_MEMBER)
         good = read_member (reader, error);
       else if (reader->state == STATE_ROW)
-        good = read_row (reader, error);
+        {
+          used = reader->section != NULL ? CF_SECTION_ROW_COST : 1;
+          good = read_row (reader, error);
+        }
       else
         used = sort_some (reader);
       if (!good)
--- a/conf/row.c
+++ b/conf/row.c
@@ -19,6 +19,49 @@
   return TRUE;
 }
 
+gboolean
+cf_is_prefix (const char *text)
+{
+  return text[0] == '/' && strlen (text) <= CF_PREFIX_MAX_BYTES
+         && strpbrk (text, "?# ") == NULL && text_is_plain (text)
+         && g_utf8_validate (text, -1, NULL);
+}
+
+/* What is wrong with TEXT, or NULL.  */
+static const char *
+text_fault (const CfField *field, const char *text)
+{
+  if (field->type == CF_FIELD_PREFIX)
+    return cf_is_prefix (text) ? NULL : "is not a path such as /boards/";
+  if (field->type == CF_FIELD_TEXT)
+    return strlen (text) <= CF_TEXT_MAX_BYTES && text_is_plain (text)
+                   && g_utf8_validate (text, -1, NULL)
+               ? NULL
+               : "is longer than 128 bytes or has control characters";
+  return cf_is_name (text) ? NULL : "is not 1 to 63 bytes of [a-z0-9-]";
+}
+
+static gboolean
+check_text (const CfField *field, const char *text, const char *path,
+            GError **error)
+{
+  const char *fault = text_fault (field, text);
+
+  return fault == NULL || fail (error, CF_ERROR_RANGE, path, fault);
+}
+
+static gboolean
+check_number (const CfField *field, int64_t number, const char *path,
+              GError **error)
+{
+  if (number >= field->min && number <= field->max)
+    return TRUE;
+  g_set_error (error, CF_ERROR, CF_ERROR_RANGE,
+               "%s: %" PRId64 " is not within %" PRId64 " and %" PRId64, path,
+               number, field->min, field->max);
+  return FALSE;
+}
+
 static gboolean
 read_string (const CfField *field, struct json_object *value, char **slot,
              const char *path, GError **error)
@@ -30,18 +73,8 @@
   text = json_object_get_string (value);
   if (strlen (text) != (size_t)json_object_get_string_len (value))
     return fail (error, CF_ERROR_FIELD, path, "contains a NUL character");
-  if (field->type == CF_FIELD_NAME && !cf_is_name (text))
-    return fail (error, CF_ERROR_RANGE, path,
-                 "is not 1 to 63 bytes of [a-z0-9-]");
-  if (field->type == CF_FIELD_PREFIX
-      && (text[0] != '/' || strlen (text) > CF_PREFIX_MAX_BYTES
-          || strpbrk (text, "?# ") != NULL || !text_is_plain (text)))
-    return fail (error, CF_ERROR_RANGE, path,
-                 "is not a path such as /boards/");
-  if (field->type == CF_FIELD_TEXT
-      && (strlen (text) > CF_TEXT_MAX_BYTES || !text_is_plain (text)))
-    return fail (error, CF_ERROR_RANGE, path,
-                 "is longer than 128 bytes or has control characters");
+  if (!check_text (field, text, path, error))
+    return FALSE;
   g_free (*slot);
   *slot = g_strdup (text);
   return TRUE;
@@ -56,13 +89,8 @@
   if (!json_object_is_type (value, json_type_int))
     return fail (error, CF_ERROR_FIELD, path, "is not a whole number");
   number = json_object_get_int64 (value);
-  if (number < field->min || number > field->max)
-    {
-      g_set_error (error, CF_ERROR, CF_ERROR_RANGE,
-                   "%s: %" PRId64 " is not within %" PRId64 " and %" PRId64,
-                   path, number, field->min, field->max);
-      return FALSE;
-    }
+  if (!check_number (field, number, path, error))
+    return FALSE;
   if (field->type == CF_FIELD_U32)
     *(uint32_t *)slot = (uint32_t)number;
   else
@@ -100,31 +128,16 @@
                "is not a SHA-256 of 64 lower-case hex digits");
 }
 
-static gboolean
-check_array (const CfField *field, struct json_object *value, const char *path,
-             GError **error)
-{
-  int64_t count;
-
-  if (!json_object_is_type (value, json_type_array))
-    return fail (error, CF_ERROR_FIELD, path, "is not an array");
-  count = (int64_t)json_object_array_length (value);
-  if (count >= field->min && count <= field->max)
-    return TRUE;
-  g_set_error (error, CF_ERROR, CF_ERROR_RANGE,
-               "%s: %" PRId64 " members are not within %" PRId64
-               " and %" PRId64,
-               path, count, field->min, field->max);
-  return FALSE;
-}
-
 static gboolean
 read_array (const CfField *field, struct json_object *value, GPtrArray *slot,
             const char *path, GError **error)
 {
   static const CfField name = { .type = CF_FIELD_NAME };
 
-  if (!check_array (field, value, path, error))
+  if (!json_object_is_type (value, json_type_array))
+    return fail (error, CF_ERROR_FIELD, path, "is not an array");
+  if (!check_number (field, (int64_t)json_object_array_length (value), path,
+                     error))
     return FALSE;
   for (size_t i = 0; i < json_object_array_length (value); i++)
     {
@@ -221,6 +234,69 @@
   return TRUE;
 }
 
+static gboolean
+check_members (const CfField *field, const GPtrArray *members,
+               const char *path, GError **error)
+{
+  static const CfField name = { .type = CF_FIELD_NAME };
+
+  if (!check_number (field, members->len, path, error))
+    return FALSE;
+  for (guint i = 0; i < members->len; i++)
+    {
+      g_autofree char *member = g_strdup_printf ("%s[%u]", path, i);
+      const void *item = g_ptr_array_index (members, i);
+
+      if (field->type == CF_FIELD_ROWS
+              ? !cf_row_check (field->rows, item, member, error)
+              : !check_text (&name, item, member, error))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static gboolean
+field_check (const CfField *field, const void *slot, const char *path,
+             GError **error)
+{
+  switch (field->type)
+    {
+    case CF_FIELD_NAME:
+    case CF_FIELD_TEXT:
+    case CF_FIELD_PREFIX:
+      return check_text (field, *(char *const *)slot, path, error);
+    case CF_FIELD_U32:
+      return check_number (field, *(const uint32_t *)slot, path, error);
+    case CF_FIELD_U64:
+    case CF_FIELD_I64:
+      return check_number (field, *(const int64_t *)slot, path, error);
+    case CF_FIELD_NAMES:
+    case CF_FIELD_ROWS:
+      return check_members (field, *(GPtrArray *const *)slot, path, error);
+    case CF_FIELD_BOOL:
+    case CF_FIELD_WORD:
+    case CF_FIELD_SHA256:
+      return TRUE;
+    }
+  g_assert_not_reached ();
+}
+
+gboolean
+cf_row_check (const CfSchema *schema, const void *row, const char *path,
+              GError **error)
+{
+  for (uint32_t i = 0; i < schema->field_count; i++)
+    {
+      const CfField *field = &schema->fields[i];
+      g_autofree char *member = g_strdup_printf ("%s.%s", path, field->name);
+
+      if (!field_check (field, (const char *)row + field->offset, member,
+                        error))
+        return FALSE;
+    }
+  return TRUE;
+}
+
 void
 cf_string_write (const char *text, GString *out)
 {
--- a/sheet/rows.c
+++ b/sheet/rows.c
@@ -101,8 +101,7 @@
   CfRoute *route;
   int word;
 
-  if (prefix[0] != '/' || strpbrk (prefix, "?# ") != NULL
-      || strlen (prefix) > CF_PREFIX_MAX_BYTES)
+  if (!cf_is_prefix (prefix))
     {
       if (*prefix != '\0')
         sh_report (sheet, SH_ERROR_NAME, row->number, SH_COLUMN_NAME,
--- a/sheet/sheet_test.cc
+++ b/sheet/sheet_test.cc
@@ -147,6 +147,8 @@
     { "zone,nordic-1", "zoen,nordic-1", SH_ERROR_KIND, 9, "kind" },
     { "zone,nordic-1", "zone,Nordic-1", SH_ERROR_NAME, 9, "name" },
     { "zone,nordic-1", "zone,", SH_ERROR_MISSING, 9, "name" },
+    { "route,/boards/public/", "route,/boards/\x7fpublic/", SH_ERROR_NAME, 21,
+      "name" },
     { ",,keyed,yes", ",,closed,yes", SH_ERROR_WORD, 20, "access" },
     { "service,boards,,,", "service,boards,,,baltic", SH_ERROR_UNEXPECTED, 3,
       "region" },
