slot: slots of targets held, lent and borrowed

All daemons share the 3 slots of a target, and no message may be needed for safety. Each slot is kept as an object with its own time of first use and its own occupant, because a request that began on a flex slot must not make room on it when the lease lapses and must not block the base slot.

A slot stays occupied until the end of its request is known, else until the deadline and 0.5 s: the target counts its time left from when it gets the request. For the same reason slots of unknown past rest for 10.5 s and not 10 s.

A daemon that does not know where a slot came from lets it rest.

Repeated numbers after a restart are not found by the schedule but by their own test.

--- a/slot/slot.h
+++ b/slot/slot.h
@@ -21,10 +21,10 @@
      slots, valid until flex_until_us.  A request or grant stays with the slot
      it began on.  A slot that is taken away while occupied serves its request
      to the end and is then dropped.  A slot that was added may be used from
-     usable_at_us on: SL_REQUEST_MAX_US after the fence for slots that came
-     from a fenced holder, and SL_REQUEST_MAX_US after the start for a new
-     process that takes over the holding of the process before it, because
-     requests and grants that it knows nothing of may run until then.
+     usable_at_us on.  That is SL_QUARANTINE_US from now for slots that came
+     from a fenced holder, and for all slots of a new process that takes over
+     the holding of the process before it: requests and grants that it knows
+     nothing of may run until then.
 
      Occupation.  A slot is occupied until the end of its request is known.  If
      that never becomes known, it is occupied until the deadline and
@@ -64,8 +64,11 @@
    clock rate over the longest request.  */
 #define SL_DEADLINE_MARGIN_US ((int64_t)500000)
 
-/* A target notices within this time that the connection of a cancelled request
-   was closed.  */
+/* How long a slot rests whose former requests nobody here knows of.  */
+#define SL_QUARANTINE_US (SL_REQUEST_MAX_US + SL_DEADLINE_MARGIN_US)
+
+/* A target that has closed the connection of a cancelled request stops the
+   work within this time.  */
 #define SL_CANCEL_GRACE_US ((int64_t)1000000)
 
 #define SL_RAISE_COUNT 20
@@ -90,11 +93,14 @@
 typedef enum
 {
   SL_OUTCOME_GOOD,
-  SL_OUTCOME_SHED,      /* 503 of the target */
-  SL_OUTCOME_FAILED,    /* whole answer, but an error or too slow */
-  SL_OUTCOME_NOT_SENT,  /* no byte was handed to the target */
-  SL_OUTCOME_CANCELLED, /* the connection was closed by the daemon */
-  SL_OUTCOME_LOST,      /* no whole answer; it may run until its deadline */
+  SL_OUTCOME_SHED,     /* 503 of the target */
+  SL_OUTCOME_FAILED,   /* whole answer, but an error or too slow */
+  SL_OUTCOME_NOT_SENT, /* no byte was handed to the target */
+  /* The daemon shut its side of the connection and has seen the target close
+     the other.  Without the latter it is lost: a close that is held up by the
+     network stops nothing.  */
+  SL_OUTCOME_CANCELLED,
+  SL_OUTCOME_LOST, /* no whole answer; it may run until its deadline */
 } SlOutcome;
 
 typedef struct SlTable SlTable;
@@ -104,7 +110,9 @@
 
 typedef struct
 {
-  uint64_t first_id; /* tickets and grants count from here; the incarnation */
+  /* Wall clock in ms at the start of the process.  Grants of an earlier
+     process of this VM must not have the number of a new one.  */
+  uint64_t incarnation;
 } SlOptions;
 
 typedef struct
@@ -142,7 +150,9 @@
                       int64_t base_until_us);
 
 /* Sets what the assignment gives this daemon.  Slots that are added are usable
-   from USABLE_AT_US on; the others keep their time.  Undoes sl_retire.  */
+   from USABLE_AT_US on; the others keep their time.  When several are added,
+   that is the latest of their times; when it is not known whether one came
+   from a fenced holder, SL_QUARANTINE_US from now.  Undoes sl_retire.  */
 gboolean sl_set_holding (SlTable *table, const char *target, uint32_t base,
                          uint32_t flex, int64_t usable_at_us, int64_t now_us,
                          GError **error);
