--- /dev/null
+++ b/bench/direct.c
@@ -0,0 +1,143 @@
+#include "bench/bench.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "standin/serve.h"
+
+#define ROUNDS 5
+#define REQUESTS 400
+#define BUFFER_BYTES 8192
+#define TIMEOUT_S 5
+
+static int
+open_connection (const char *address)
+{
+  struct sockaddr_in to = { .sin_family = AF_INET };
+  struct timeval timeout = { .tv_sec = TIMEOUT_S };
+  g_autofree char *ip = NULL;
+  uint16_t port;
+  int fd, on = 1;
+
+  if (!si_split_address (address, &ip, &port)
+      || inet_pton (AF_INET, ip, &to.sin_addr) != 1)
+    return -1;
+  to.sin_port = htons (port);
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  if (connect (fd, (struct sockaddr *)&to, sizeof to) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+static gboolean
+read_answer (int fd)
+{
+  char buffer[BUFFER_BYTES + 1];
+  gsize used = 0;
+
+  while (used < BUFFER_BYTES)
+    {
+      ssize_t got = read (fd, buffer + used, BUFFER_BYTES - used);
+      const char *end, *field;
+
+      if (got <= 0)
+        return FALSE;
+      used += (gsize)got;
+      buffer[used] = '\0';
+      end = strstr (buffer, "\r\n\r\n");
+      field = strcasestr (buffer, "content-length:");
+      if (end == NULL || field == NULL)
+        continue;
+      if (used >= (gsize)(end + 4 - buffer)
+                      + g_ascii_strtoull (field + 15, NULL, 10))
+        return strncmp (buffer, "HTTP/1.1 200", 12) == 0;
+    }
+  return FALSE;
+}
+
+static int
+compare_times (const void *a, const void *b)
+{
+  int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+  return x < y ? -1 : x > y;
+}
+
+/* Median and 99th percentile of requests sent one after the other on one
+   connection.  */
+static gboolean
+time_requests (const char *address, const char *path, double *p50_us,
+               double *p99_us)
+{
+  g_autofree char *request = g_strdup_printf (
+      "GET %s HTTP/1.1\r\nHost: bench\r\nAuthorization: Bearer key-c1\r\n"
+      "X-Work-Ms: 0\r\n\r\n",
+      path);
+  int64_t times_us[REQUESTS];
+  int fd = open_connection (address);
+  gboolean ok = fd >= 0;
+
+  for (int i = -1; i < REQUESTS && ok; i++)
+    {
+      int64_t start_us = g_get_monotonic_time ();
+      ok = write (fd, request, strlen (request)) == (ssize_t)strlen (request)
+           && read_answer (fd);
+      /* The first one pays for the connections.  */
+      if (i >= 0)
+        times_us[i] = g_get_monotonic_time () - start_us;
+    }
+  if (fd >= 0)
+    close (fd);
+  if (!ok)
+    return FALSE;
+  qsort (times_us, REQUESTS, sizeof times_us[0], compare_times);
+  *p50_us = (double)times_us[REQUESTS / 2];
+  *p99_us = (double)times_us[REQUESTS * 99 / 100];
+  return TRUE;
+}
+
+gboolean
+bn_run_added (const BnOptions *options, GError **error)
+{
+  SiOptions extra = { 0 };
+  /* The sequential requests of one customer are far faster than its rate in
+     the other scenarios.  */
+  SiFixtureOptions fixture = { .rate_per_s = 20000 };
+  SiHarness *harness = bn_start (options, &extra, &fixture, error);
+  BnTable *table;
+  gboolean ok = TRUE;
+
+  if (harness == NULL)
+    return FALSE;
+  table = bn_table_new (options, "added");
+  for (int round = 0; round < ROUNDS && ok; round++)
+    {
+      const SiVm *vm = g_ptr_array_index (si_vms (harness), 0);
+      const SiTarget *target = g_ptr_array_index (si_targets (harness), 0);
+      g_autofree char *path = g_strdup_printf ("/%s/view", target->service);
+      double direct_p50, direct_p99, through_p50, through_p99;
+
+      ok = time_requests (target->address, path, &direct_p50, &direct_p99)
+           && time_requests (vm->http_address, path, &through_p50,
+                             &through_p99);
+      if (!ok)
+        break;
+      bn_add (table, "direct_p50", "us", direct_p50);
+      bn_add (table, "through_daemon_p50", "us", through_p50);
+      bn_add (table, "added_p50", "us", through_p50 - direct_p50);
+      bn_add (table, "added_p99", "us", through_p99 - direct_p99);
+    }
+  bn_table_end (table);
+  if (!ok)
+    g_set_error (error, SI_ERROR, SI_ERROR_HTTP,
+                 "a request of the comparison was not answered with 200");
+  si_free (harness);
+  return ok;
+}
--- /dev/null
+++ b/bench/main.c
@@ -0,0 +1,239 @@
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bench/bench.h"
+#include "standin/process.h"
+
+/* Trials that run side by side.  Each is mostly idle: the targets' service
+   time is a delay, and the load is a few hundred requests a second.  */
+#define WORKERS 3
+#define TRIAL_MAX_MS (300 * 1000)
+#define HEADER                                                                \
+  "scenario\tdeployment\tpolicy\tmeasure\tunit\tmedian\tlow\thigh\n"
+
+typedef struct
+{
+  char *bin;
+  char *scenario;
+  char *deployment;
+  char *policy;
+  char *admission;
+  char *out;
+  char *hammer;
+  char *path;
+  int connections;
+  int duration_ms;
+} Arguments;
+
+static const struct
+{
+  const char *deployment;
+  const char *policy;
+  const char *admission;
+} trials[] = {
+  { "tammemets", "headroom", "lend" },
+  { "tammemets", "nearest", "lend" },
+  { "tammemets", "random", "lend" },
+  { "tammemets", "least-reported", "lend" },
+  { "tammemets", "headroom", "split" },
+  { "cooperative", "headroom", "lend" },
+  { "cooperative", "headroom", "split" },
+};
+
+static pid_t
+spawn_trial (const Arguments *a, size_t index, const char *part,
+             GError **error)
+{
+  g_autofree char *program = g_strdup_printf ("%s/bench/bench", a->bin);
+  g_autofree char *log = g_strdup_printf ("%s.log", part);
+  const char *argv[] = { program,
+                         "--bin",
+                         a->bin,
+                         "--scenario",
+                         a->scenario,
+                         "--deployment",
+                         trials[index].deployment,
+                         "--policy",
+                         trials[index].policy,
+                         "--admission",
+                         trials[index].admission,
+                         "--out",
+                         part,
+                         NULL };
+
+  return si_process_spawn (argv, log, error);
+}
+
+static gboolean
+append_part (const char *part, FILE *out)
+{
+  g_autofree char *text = NULL;
+
+  if (!g_file_get_contents (part, &text, NULL, NULL))
+    return FALSE;
+  fputs (text, out);
+  return TRUE;
+}
+
+/* All trials, WORKERS at a time.  Returns how many failed.  */
+static int
+run_trials (const Arguments *a, FILE *out)
+{
+  pid_t pids[G_N_ELEMENTS (trials)] = { 0 };
+  char *parts[G_N_ELEMENTS (trials)];
+  int failed = 0;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (trials) + WORKERS; i++)
+    {
+      size_t ending = i - WORKERS;
+      int status = 0;
+
+      if (i >= WORKERS && ending < G_N_ELEMENTS (trials))
+        {
+          if (!si_process_wait (pids[ending], TRIAL_MAX_MS, &status)
+              || status != 0)
+            {
+              fprintf (stderr, "bench: trial %s %s+%s failed, see %s.log\n",
+                       trials[ending].deployment, trials[ending].policy,
+                       trials[ending].admission, parts[ending]);
+              failed++;
+            }
+          append_part (parts[ending], out);
+        }
+      if (i < G_N_ELEMENTS (trials))
+        {
+          parts[i] = g_strdup_printf ("%s.part-%zu", a->out, i);
+          pids[i] = spawn_trial (a, i, parts[i], NULL);
+        }
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (trials); i++)
+    g_free (parts[i]);
+  return failed;
+}
+
+static gboolean
+run_one (const BnOptions *options, const char *scenario, GError **error)
+{
+  if (strcmp (scenario, "added") == 0)
+    return bn_run_added (options, error);
+  if (strcmp (scenario, "lookup") == 0)
+    return bn_run_lookup (options, error);
+  if (strcmp (scenario, "slopes") == 0)
+    return bn_run_slopes (options, error);
+  if (strcmp (scenario, "all") == 0 || bn_is_trial_scenario (scenario))
+    return bn_run_trial (options, scenario, error);
+  g_set_error (error, SI_ERROR, SI_ERROR_OPTION, "no scenario is named \"%s\"",
+               scenario);
+  return FALSE;
+}
+
+static gboolean
+parse_arguments (Arguments *a, int argc, char **argv, GError **error)
+{
+  const GOptionEntry entries[] = {
+    { "bin", 0, 0, G_OPTION_ARG_STRING, &a->bin, "Build folder", "DIR" },
+    { "scenario", 0, 0, G_OPTION_ARG_STRING, &a->scenario,
+      "Scenario, or all: every one but slopes", "NAME" },
+    { "deployment", 0, 0, G_OPTION_ARG_STRING, &a->deployment,
+      "One deployment only", "NAME" },
+    { "policy", 0, 0, G_OPTION_ARG_STRING, &a->policy, "One policy only",
+      "NAME" },
+    { "admission", 0, 0, G_OPTION_ARG_STRING, &a->admission,
+      "Admission with --policy", "NAME" },
+    { "out", 0, 0, G_OPTION_ARG_STRING, &a->out, "Results", "FILE" },
+    { "hammer", 0, 0, G_OPTION_ARG_STRING, &a->hammer,
+      "Only counts answers in a closed loop", "IP:PORT" },
+    { "path", 0, 0, G_OPTION_ARG_STRING, &a->path, "Path for --hammer",
+      "PATH" },
+    { "connections", 0, 0, G_OPTION_ARG_INT, &a->connections,
+      "Connections for --hammer", "N" },
+    { "duration-ms", 0, 0, G_OPTION_ARG_INT, &a->duration_ms,
+      "Time for --hammer", "MS" },
+    { NULL },
+  };
+  g_autoptr (GOptionContext) context
+      = g_option_context_new ("- measures comfreywalk on loopback");
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, error))
+    return FALSE;
+  if (a->hammer != NULL || (a->bin != NULL && a->out != NULL))
+    return TRUE;
+  g_set_error (error, SI_ERROR, SI_ERROR_OPTION, "--bin and --out are needed");
+  return FALSE;
+}
+
+static const char *
+or_default (const char *value, const char *otherwise)
+{
+  return value == NULL ? otherwise : value;
+}
+
+/* One trial when a policy is named, else the comparison of all.  */
+static int
+run_bench (Arguments *a, GError **error)
+{
+  BnOptions options = { .bin = a->bin,
+                        .deployment = or_default (a->deployment, "tammemets"),
+                        .policy = or_default (a->policy, "headroom"),
+                        .admission = or_default (a->admission, "lend") };
+  gboolean all;
+  int failed = 0;
+
+  if (a->scenario == NULL)
+    a->scenario = g_strdup ("all");
+  all = strcmp (a->scenario, "all") == 0 && a->policy == NULL;
+  options.out = fopen (a->out, "we");
+  if (options.out == NULL)
+    {
+      g_set_error (error, SI_ERROR, SI_ERROR_FILE, "cannot write %s", a->out);
+      return 1;
+    }
+  if (a->policy == NULL)
+    fputs (HEADER, options.out);
+  if (all)
+    {
+      failed += !run_one (&options, "added", error);
+      if (*error == NULL)
+        failed += !run_one (&options, "lookup", error);
+    }
+  if (*error == NULL)
+    {
+      if (a->policy == NULL && (all || bn_is_trial_scenario (a->scenario)))
+        failed += run_trials (a, options.out);
+      else
+        failed += !run_one (&options, a->scenario, error);
+    }
+  fclose (options.out);
+  return failed;
+}
+
+int
+main (int argc, char **argv)
+{
+  Arguments arguments = { .connections = 16, .duration_ms = 1000 };
+  g_autoptr (GError) error = NULL;
+  int64_t count;
+  int failed;
+
+  signal (SIGPIPE, SIG_IGN);
+  if (!parse_arguments (&arguments, argc, argv, &error))
+    {
+      fprintf (stderr, "bench: %s\n", error->message);
+      return 2;
+    }
+  if (arguments.hammer != NULL)
+    {
+      count = bn_hammer (arguments.hammer, or_default (arguments.path, "/"),
+                         (guint)arguments.connections,
+                         (uint32_t)arguments.duration_ms);
+      printf ("%" G_GINT64_FORMAT "\n", count);
+      return count < 0;
+    }
+  failed = run_bench (&arguments, &error);
+  if (error != NULL)
+    fprintf (stderr, "bench: %s\n", error->message);
+  printf ("bench: results=%s failed=%d\n", arguments.out, failed);
+  return failed > 0;
+}
--- a/standin/fixture.h
+++ b/standin/fixture.h
@@ -3,6 +3,7 @@
    SYNOPSIS
      SiFixtureOptions opts = { .customers_count = 8, .rate_per_s = 40 };
      CfConfig *config = si_fixture_config (harness, &opts);
+     si_apply_config (harness, config, &error);
 
    DESCRIPTION
      Customers are c1, c2 and so on; the key of cN is key-cN, and key-cN-b is
@@ -12,7 +13,7 @@
      no key.  Addresses 10.N.0.0/16 belong to the Nth region.
 
    ERRORS
-     None.  */
+     SI_ERROR_HTTP, SI_ERROR_STATUS   the change was not applied in 20 s  */
 
 #ifndef SI_FIXTURE_H
 #define SI_FIXTURE_H
@@ -33,4 +34,9 @@
 /* Name of the first or second service of the deployment.  */
 const char *si_fixture_service (const SiHarness *harness, uint32_t index);
 
+/* Puts CONFIG in force through the first VM.  Its version, op_id and author
+   are set by this call.  */
+gboolean si_apply_config (SiHarness *harness, CfConfig *config,
+                          GError **error);
+
 #endif
--- a/standin/harness.c
+++ b/standin/harness.c
@@ -139,6 +139,12 @@
   return si_deployment_settings (harness->deployment, vm, &harness->options);
 }
 
+const char *
+si_bin (const SiHarness *harness)
+{
+  return harness->bin;
+}
+
 const char *
 si_folder (const SiHarness *harness)
 {
--- a/standin/harness.h
+++ b/standin/harness.h
@@ -120,6 +120,7 @@
                      uint32_t *delay_us);
 /* Text of the settings file of VM.  Free with g_free.  */
 char *si_settings_text (const SiHarness *harness, const SiVm *vm);
+const char *si_bin (const SiHarness *harness);
 const char *si_folder (const SiHarness *harness);
 /* Addresses of the control interfaces.  */
 const char *si_platform_address (const SiHarness *harness);
--- a/standin/verify.c
+++ b/standin/verify.c
@@ -215,3 +215,21 @@
   json_object_put (records);
   return count;
 }
+
+gboolean
+si_last_arrival (const SiHarness *harness, const char *target, int64_t *at_us,
+                 GError **error)
+{
+  g_autofree char *path
+      = g_strdup_printf ("/control/requests?target=%s", target);
+  struct json_object *records = fetch_json (harness, path, error);
+
+  *at_us = 0;
+  if (records == NULL)
+    return FALSE;
+  for (size_t i = 0; i < json_object_array_length (records); i++)
+    *at_us = MAX (*at_us,
+                  number_of (json_object_array_get_idx (records, i), "at_us"));
+  json_object_put (records);
+  return TRUE;
+}
--- a/standin/verify.h
+++ b/standin/verify.h
@@ -56,4 +56,8 @@
 int64_t si_verify_after (const SiHarness *harness, const char *target,
                          int64_t at_us, GError **error);
 
+/* *AT_US is when the newest request reached TARGET, 0 if none did.  */
+gboolean si_last_arrival (const SiHarness *harness, const char *target,
+                          int64_t *at_us, GError **error);
+
 #endif
