Add the demonstration

A sheet holds digests only, so the example sheet gets keys that the demonstration knows and the date of today. It builds; it was not run yet, since daemon and client are not there.

--- /dev/null
+++ b/demo/demo.c
@@ -0,0 +1,306 @@
+#include "demo/demo.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define READY_MAX_MS 15000
+/* Daemons claim shares and slots in the first seconds after their start.  */
+#define SETTLE_MS 4000
+#define LOAD_MS 12000
+#define OFFENDER_FROM_MS 2000
+#define OFFENDER_TO_MS 10000
+#define OFFENDER_FACTOR 8
+#define DRAIN_AT_MS 4000
+#define KILL_AT_MS 7000
+#define LOAD_MAX_MS 60000
+#define DRAIN_BOUND_US (2 * G_USEC_PER_SEC)
+#define SLOTS_MAX 3
+#define CONNECTIONS_MAX 330
+/* Share of its rate that a customer sends.  */
+#define LOAD_SHARE 0.5
+
+typedef struct
+{
+  char *bin;
+  char *deployment;
+  char *sheet;
+} Arguments;
+
+typedef struct
+{
+  SiHarness *harness;
+  GPtrArray *customers; /* DeCustomer */
+  char *trace;
+  pid_t load;
+  int64_t start_ms;
+  int64_t drain_us;
+  const char *drained;
+} Demo;
+
+static void
+say (const Demo *demo, const char *text, const char *name)
+{
+  double at_s = (double)(g_get_real_time () / 1000 - demo->start_ms) / 1000;
+  printf ("  %7.3f s  %s %s\n", at_s, text, name);
+  fflush (stdout);
+}
+
+static const char *
+service_of (const Demo *demo)
+{
+  const SiTarget *target = g_ptr_array_index (si_targets (demo->harness), 0);
+  return target->service;
+}
+
+static void
+add_load_arguments (const Demo *demo, GPtrArray *argv)
+{
+  const GPtrArray *vms = si_vms (demo->harness);
+  const char *service = service_of (demo);
+
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const SiVm *vm = g_ptr_array_index (vms, i);
+      g_ptr_array_add (argv, g_strdup_printf ("--vm=%s", vm->caller_address));
+    }
+  for (guint i = 0; i < demo->customers->len; i++)
+    {
+      const DeCustomer *customer = g_ptr_array_index (demo->customers, i);
+      gboolean offender = i + 1 == demo->customers->len;
+
+      g_ptr_array_add (
+          argv,
+          g_strdup_printf ("--customer=name=%s,key=%s,rate=%.1f,orders=150,"
+                           "fresh=100,factor=%d,from_ms=%d,to_ms=%d",
+                           customer->customer, customer->key,
+                           customer->rate_per_s * LOAD_SHARE,
+                           offender ? OFFENDER_FACTOR : 1, OFFENDER_FROM_MS,
+                           OFFENDER_TO_MS));
+    }
+  g_ptr_array_add (argv, g_strdup_printf ("--read-path=/%s/view", service));
+  g_ptr_array_add (argv, g_strdup_printf ("--order-path=/%s/orders", service));
+  g_ptr_array_add (argv, g_strdup_printf ("--trace=%s", demo->trace));
+  g_ptr_array_add (argv, g_strdup_printf ("--duration-ms=%d", LOAD_MS));
+}
+
+static gboolean
+start_load (Demo *demo, GError **error)
+{
+  g_autoptr (GPtrArray) argv = g_ptr_array_new_with_free_func (g_free);
+
+  demo->trace = g_build_filename (si_folder (demo->harness), "trace", NULL);
+  g_ptr_array_add (
+      argv, g_strdup_printf ("%s/standin/load-gen", si_bin (demo->harness)));
+  add_load_arguments (demo, argv);
+  g_ptr_array_add (argv, NULL);
+  demo->load = si_spawn (demo->harness, (const char *const *)argv->pdata,
+                         "load.log", error);
+  return demo->load > 0;
+}
+
+static gboolean
+start_fleet (Demo *demo, const Arguments *a, GError **error)
+{
+  g_autofree char *sheet
+      = g_build_filename (si_folder (demo->harness), "sheet.csv", NULL);
+
+  if (!si_start_platform (demo->harness, error)
+      || !si_start_targets (demo->harness, error)
+      || !si_start_daemons (demo->harness, error))
+    return FALSE;
+  say (demo, "7 daemons answer; applying", a->sheet);
+  demo->customers = de_prepare_sheet (a->sheet, sheet, error);
+  if (demo->customers == NULL || !si_apply_sheet (demo->harness, sheet, error)
+      || !si_wait_ready (demo->harness, READY_MAX_MS, error))
+    return FALSE;
+  say (demo, "the sheet is in force on every daemon", "");
+  si_sleep_ms (SETTLE_MS);
+  return TRUE;
+}
+
+static gboolean
+drain_target (Demo *demo, GError **error)
+{
+  const SiTarget *target = g_ptr_array_index (si_targets (demo->harness), 0);
+  g_autofree char *path
+      = g_strdup_printf ("/control/set?target=%s&draining=1", target->name);
+
+  demo->drained = target->name;
+  say (demo, "draining target", target->name);
+  if (!si_control (si_target_control (demo->harness), path, error))
+    return FALSE;
+  demo->drain_us = g_get_monotonic_time ();
+  return TRUE;
+}
+
+static void
+kill_daemon (Demo *demo)
+{
+  const GPtrArray *vms = si_vms (demo->harness);
+  const SiVm *vm = g_ptr_array_index (vms, vms->len - 1);
+
+  say (demo, "killing daemon", vm->name);
+  si_kill_vm (demo->harness, vm->name);
+}
+
+static gboolean
+run_load (Demo *demo, GError **error)
+{
+  const DeCustomer *offender
+      = g_ptr_array_index (demo->customers, demo->customers->len - 1);
+  int status = 0;
+
+  if (!start_load (demo, error))
+    return FALSE;
+  say (demo, "callers start; after 2 s many times its rate comes from",
+       offender->customer);
+  si_sleep_ms (DRAIN_AT_MS);
+  if (!drain_target (demo, error))
+    return FALSE;
+  si_sleep_ms (KILL_AT_MS - DRAIN_AT_MS);
+  kill_daemon (demo);
+  if (!si_wait_exit (demo->harness, demo->load, LOAD_MAX_MS, &status)
+      || status != 0)
+    {
+      g_set_error (error, SI_ERROR, SI_ERROR_STATUS,
+                   "load-gen ended with status %d", status);
+      return FALSE;
+    }
+  say (demo, "all callers have their last answer", "");
+  return TRUE;
+}
+
+/* Prints one check; returns whether it holds.  */
+static gboolean
+check (const char *what, gboolean holds, int64_t value)
+{
+  printf ("  %-4s %s: %" G_GINT64_FORMAT "\n", holds ? "ok" : "FAIL", what,
+          value);
+  return holds;
+}
+
+static gboolean
+report (Demo *demo, const SiVerdict *v, int64_t after_drain)
+{
+  gboolean ok = TRUE;
+
+  puts ("\nchecks:");
+  ok &= check ("requests answered", v->answered_count > 0,
+               (int64_t)v->answered_count);
+  ok &= check ("keys seen by a target", v->key_seen_count == 0,
+               (int64_t)v->key_seen_count);
+  ok &= check ("requests run for another customer", v->foreign_count == 0,
+               (int64_t)v->foreign_count);
+  ok &= check ("answers cut or not the caller's own", v->wrong_count == 0,
+               (int64_t)v->wrong_count);
+  ok &= check ("orders that ran more than once", v->doubled_count == 0,
+               (int64_t)v->doubled_count);
+  ok &= check ("answered orders that never ran", v->lost_count == 0,
+               (int64_t)v->lost_count);
+  ok &= check ("refusals \"not run\" that ran", v->false_not_run_count == 0,
+               (int64_t)v->false_not_run_count);
+  ok &= check ("most slots of a target in use", v->running_max <= SLOTS_MAX,
+               v->running_max);
+  ok &= check ("most connections to a target",
+               v->connections_max <= CONNECTIONS_MAX, v->connections_max);
+  ok &= check ("customers above rate and burst", v->over_rate_count == 0,
+               (int64_t)v->over_rate_count);
+  ok &= check ("requests to the drained target after 2 s", after_drain == 0,
+               after_drain);
+  printf ("  unknown outcomes told to callers: %" G_GUINT64_FORMAT "\n",
+          v->unknown_count);
+  puts ("\nwhat the daemons recorded:");
+  de_print_timeline (demo->harness, demo->start_ms);
+  printf ("\ndemo: requests=%" G_GUINT64_FORMAT " answered=%" G_GUINT64_FORMAT
+          " refused=%" G_GUINT64_FORMAT " lost=%" G_GUINT64_FORMAT
+          " doubled=%" G_GUINT64_FORMAT "\n",
+          v->request_count, v->answered_count, v->refused_count, v->lost_count,
+          v->doubled_count);
+  return ok;
+}
+
+static gboolean
+verify (Demo *demo, gboolean *ok, GError **error)
+{
+  g_autofree SiRate *rates = g_new0 (SiRate, demo->customers->len);
+  SiVerdict verdict;
+  int64_t after_drain;
+
+  for (guint i = 0; i < demo->customers->len; i++)
+    {
+      const DeCustomer *customer = g_ptr_array_index (demo->customers, i);
+      rates[i] = (SiRate){ customer->customer, customer->rate_per_s,
+                           customer->burst };
+    }
+  if (!si_verify (demo->harness, demo->trace, rates, demo->customers->len,
+                  &verdict, error))
+    return FALSE;
+  after_drain = si_verify_after (demo->harness, demo->drained,
+                                 demo->drain_us + DRAIN_BOUND_US, error);
+  if (after_drain < 0)
+    return FALSE;
+  *ok = report (demo, &verdict, after_drain);
+  return TRUE;
+}
+
+static gboolean
+run_demo (const Arguments *a, GError **error)
+{
+  SiOptions options = { .bin = a->bin,
+                        .deployment = a->deployment,
+                        .proxied = TRUE,
+                        .client_links = TRUE };
+  Demo demo = { .start_ms = g_get_real_time () / 1000 };
+  gboolean ok = FALSE;
+
+  demo.harness = si_new (&options, error);
+  if (demo.harness == NULL)
+    return FALSE;
+  printf ("comfreywalk on loopback, deployment %s\n", a->deployment);
+  if (start_fleet (&demo, a, error) && run_load (&demo, error))
+    verify (&demo, &ok, error);
+  if (demo.customers != NULL)
+    g_ptr_array_unref (demo.customers);
+  g_free (demo.trace);
+  si_free (demo.harness);
+  return ok;
+}
+
+int
+main (int argc, char **argv)
+{
+  Arguments a = { 0 };
+  const GOptionEntry entries[] = {
+    { "bin", 0, 0, G_OPTION_ARG_STRING, &a.bin, "Build folder", "DIR" },
+    { "deployment", 0, 0, G_OPTION_ARG_STRING, &a.deployment,
+      "tammemets or cooperative", "NAME" },
+    { "sheet", 0, 0, G_OPTION_ARG_STRING, &a.sheet,
+      "Sheet in place of the example", "FILE" },
+    { NULL },
+  };
+  g_autoptr (GOptionContext) context
+      = g_option_context_new ("- shows comfreywalk at work");
+  g_autoptr (GError) error = NULL;
+  gboolean ok;
+
+  signal (SIGPIPE, SIG_IGN);
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error) || a.bin == NULL)
+    {
+      fprintf (stderr, "demo: %s\n",
+               error == NULL ? "--bin is needed" : error->message);
+      return 2;
+    }
+  if (a.deployment == NULL)
+    a.deployment = g_strdup ("tammemets");
+  if (a.sheet == NULL)
+    a.sheet = g_strdup_printf ("examples/%s.csv", a.deployment);
+  ok = run_demo (&a, &error);
+  if (error != NULL)
+    fprintf (stderr, "demo: %s\n", error->message);
+  g_free (a.bin);
+  g_free (a.deployment);
+  g_free (a.sheet);
+  return ok ? 0 : 1;
+}
