--- a/bench/direct.c
+++ b/bench/direct.c
@@ -12,6 +12,8 @@
 
 #define ROUNDS 5
 #define REQUESTS 400
+#define P50_INDEX (REQUESTS / 2)
+#define P99_INDEX (REQUESTS * 99 / 100)
 #define BUFFER_BYTES 8192
 #define TIMEOUT_S 5
 
@@ -98,8 +100,8 @@
   if (!ok)
     return FALSE;
   qsort (times_us, REQUESTS, sizeof times_us[0], compare_times);
-  *p50_us = (double)times_us[REQUESTS / 2];
-  *p99_us = (double)times_us[REQUESTS * 99 / 100];
+  *p50_us = (double)times_us[P50_INDEX];
+  *p99_us = (double)times_us[P99_INDEX];
   return TRUE;
 }
 
--- a/demo/demo.c
+++ b/demo/demo.c
@@ -41,8 +41,9 @@
 static void
 say (const Demo *demo, const char *text, const char *name)
 {
-  double at_s = (double)(g_get_real_time () / 1000 - demo->start_ms) / 1000;
-  printf ("  %7.3f s  %s %s\n", at_s, text, name);
+  int64_t at_ms = g_get_real_time () / 1000 - demo->start_ms;
+
+  printf ("  %7.3f s  %s %s\n", (double)at_ms / 1000, text, name);
   fflush (stdout);
 }
 
@@ -223,18 +224,19 @@
 static gboolean
 verify (Demo *demo, gboolean *ok, GError **error)
 {
-  g_autofree SiRate *rates = g_new0 (SiRate, demo->customers->len);
+  g_autoptr (GArray) rates = g_array_new (FALSE, FALSE, sizeof (SiRate));
   SiVerdict verdict;
   int64_t after_drain;
 
   for (guint i = 0; i < demo->customers->len; i++)
     {
       const DeCustomer *customer = g_ptr_array_index (demo->customers, i);
-      rates[i] = (SiRate){ customer->customer, customer->rate_per_s,
-                           customer->burst };
+      SiRate rate
+          = { customer->customer, customer->rate_per_s, customer->burst };
+      g_array_append_val (rates, rate);
     }
-  if (!si_verify (demo->harness, demo->trace, rates, demo->customers->len,
-                  &verdict, error))
+  if (!si_verify (demo->harness, demo->trace, (const SiRate *)rates->data,
+                  rates->len, &verdict, error))
     return FALSE;
   after_drain = si_verify_after (demo->harness, demo->drained,
                                  demo->drain_us + DRAIN_BOUND_US, error);
--- a/standin/fixture.c
+++ b/standin/fixture.c
@@ -132,6 +132,8 @@
 {
   uint16_t regions = (uint16_t)config->regions->len;
 
+  g_assert (regions > 0);
+
   for (uint16_t i = 0; i < regions; i++)
     {
       g_autofree char *cidr = g_strdup_printf ("10.%d.0.0/16", i + 1);
