Add front, the HTTP server for callers on libevhtp

libevhtp's parser runs only on one complete request that the strict parser of http has accepted; the callbacks of each bufferevent are wrapped for that, so that libevhtp never meets pipelined or unchecked bytes. Answers are framed by front, since libevhtp adds a Content-Type and does not handle HEAD.

--- /dev/null
+++ b/front/conn.c
@@ -0,0 +1,531 @@
+#include "front/conn.h"
+
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/* How long a refused connection is read before it is closed.  Closing with
+   unread input resets it, and the caller would not see the refusal.  */
+#define LINGER_US 1000000
+/* Framing may take this many bytes for each byte of a chunked body.  */
+#define CHUNK_OVERHEAD_FACTOR 8
+#define READ_MAX_BYTES (64 * 1024)
+#define PEEK_MAX_COUNT 16
+
+static void process (FrConn *conn);
+
+void
+fr_conn_enter (FrConn *conn, FrConnState state)
+{
+  conn->state = state;
+  conn->since_us = fr_now_us ();
+  conn->unwritten_bytes = 0;
+}
+
+static struct evbuffer *
+input_of (const FrConn *conn)
+{
+  return bufferevent_get_input (conn->bev);
+}
+
+static void
+drop_input (struct evbuffer *buffer)
+{
+  evbuffer_drain (buffer, evbuffer_get_length (buffer));
+}
+
+static void
+forget_request (FrConn *conn)
+{
+  ht_head_clear (&conn->head);
+  conn->evhtp_request = NULL;
+  conn->on_cancel = NULL;
+  conn->checked_bytes = 0;
+  memset (&conn->chunked, 0, sizeof conn->chunked);
+}
+
+static void
+unlink_conn (FrConn *conn)
+{
+  FrServer *server = conn->server;
+
+  if (conn->previous != NULL)
+    conn->previous->next = conn->next;
+  else
+    server->connections = conn->next;
+  if (conn->next != NULL)
+    conn->next->previous = conn->previous;
+  server->counters.connection_count--;
+}
+
+static void
+free_conn (FrConn *conn)
+{
+  evbuffer_free (conn->ahead);
+  g_free (conn);
+}
+
+/* libevhtp is about to free its connection.  */
+static evhtp_res
+on_fini (evhtp_connection_t *evhtp, void *data)
+{
+  FrConn *conn = data;
+  FrServer *server = conn->server;
+
+  (void)evhtp;
+  unlink_conn (conn);
+  conn->closed = TRUE;
+  if (conn->state == FR_CONN_RUNNING)
+    {
+      server->counters.running_count--;
+      server->counters.cancelled_count++;
+      if (conn->on_cancel != NULL)
+        conn->on_cancel (&conn->request, conn->cancel_data);
+    }
+  forget_request (conn);
+  if (!conn->in_call)
+    free_conn (conn);
+  return EVHTP_RES_OK;
+}
+
+void
+fr_conn_close (FrConn *conn)
+{
+  evhtp_connection_free (conn->evhtp);
+}
+
+/* Returns FALSE when the connection was freed meanwhile.  */
+static gboolean
+leave_call (FrConn *conn)
+{
+  conn->in_call = FALSE;
+  if (!conn->closed)
+    return TRUE;
+  free_conn (conn);
+  return FALSE;
+}
+
+void
+fr_conn_refuse (FrConn *conn, uint32_t status, const char *error)
+{
+  g_autofree char *body
+      = g_strdup_printf ("{\"error\":\"%s\",\"outcome\":\"not_run\"}", error);
+
+  evbuffer_add_printf (bufferevent_get_output (conn->bev),
+                       "HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
+                       "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+                       status, ht_reason (status), strlen (body), body);
+  drop_input (input_of (conn));
+  drop_input (conn->ahead);
+  forget_request (conn);
+  fr_conn_enter (conn, FR_CONN_LINGER);
+}
+
+static void
+refuse_malformed (FrConn *conn, uint32_t status, const char *error)
+{
+  conn->server->counters.malformed_count++;
+  fr_conn_refuse (conn, status, error);
+}
+
+static void
+refuse_head (FrConn *conn, const GError *error)
+{
+  switch (error->code)
+    {
+    case HT_ERROR_METHOD:
+      refuse_malformed (conn, 405, "method_not_served");
+      break;
+    case HT_ERROR_LIMIT:
+      refuse_malformed (conn, 431, "head_too_large");
+      break;
+    default:
+      refuse_malformed (conn, 400, "malformed");
+    }
+}
+
+/* Bytes of an incomplete head that can never become a valid one.  */
+static gboolean
+has_bare_lf (const char *bytes, gsize length)
+{
+  const char *end = bytes + length;
+
+  for (const char *p = bytes; (p = memchr (p, '\n', (gsize)(end - p))) != NULL;
+       p++)
+    if (p == bytes || p[-1] != '\r')
+      return TRUE;
+  return FALSE;
+}
+
+static gboolean
+check_expect (FrConn *conn)
+{
+  const char *expect = ht_headers_get (conn->head.headers, "Expect");
+
+  if (expect == NULL)
+    return TRUE;
+  if (g_ascii_strcasecmp (expect, "100-continue") != 0)
+    {
+      refuse_malformed (conn, 417, "expectation_failed");
+      return FALSE;
+    }
+  if (conn->head.minor_version == 1 && conn->head.body != HT_BODY_NONE)
+    evbuffer_add_printf (bufferevent_get_output (conn->bev),
+                         "HTTP/1.1 100 Continue\r\n\r\n");
+  return TRUE;
+}
+
+/* Returns whether the state has changed to FR_CONN_BODY.  */
+static gboolean
+read_head (FrConn *conn)
+{
+  struct evbuffer *input = input_of (conn);
+  gsize length = MIN (evbuffer_get_length (input), HT_HEAD_MAX_BYTES);
+  const char *bytes = (char *)evbuffer_pullup (input, (ev_ssize_t)length);
+  g_autoptr (GError) error = NULL;
+
+  conn->head_bytes = ht_head_length (bytes, length, conn->checked_bytes);
+  conn->checked_bytes = length;
+  if (conn->head_bytes == 0)
+    {
+      if (has_bare_lf (bytes, length))
+        refuse_malformed (conn, 400, "malformed");
+      else if (length == HT_HEAD_MAX_BYTES)
+        refuse_malformed (conn, 431, "head_too_large");
+      return FALSE;
+    }
+  if (!ht_parse_request (bytes, conn->head_bytes, &conn->head, &error))
+    {
+      refuse_head (conn, error);
+      return FALSE;
+    }
+  if (conn->head.length_bytes > conn->server->options.body_max_bytes)
+    {
+      refuse_malformed (conn, 413, "body_too_large");
+      return FALSE;
+    }
+  if (!check_expect (conn))
+    return FALSE;
+  conn->checked_bytes = conn->head_bytes;
+  conn->state = FR_CONN_BODY;
+  return TRUE;
+}
+
+/* Checks the chunks that have not been checked yet.  */
+static HtChunkResult
+check_chunks (FrConn *conn)
+{
+  struct evbuffer *input = input_of (conn);
+  HtChunkResult result = HT_CHUNK_MORE;
+
+  while (result == HT_CHUNK_MORE
+         && conn->checked_bytes < evbuffer_get_length (input))
+    {
+      struct evbuffer_iovec pieces[PEEK_MAX_COUNT];
+      struct evbuffer_ptr from;
+      int count;
+
+      evbuffer_ptr_set (input, &from, conn->checked_bytes, EVBUFFER_PTR_SET);
+      count = evbuffer_peek (input, -1, &from, pieces, PEEK_MAX_COUNT);
+      for (int i = 0;
+           i < MIN (count, PEEK_MAX_COUNT) && result == HT_CHUNK_MORE; i++)
+        {
+          gsize used;
+          result = ht_chunk_feed (&conn->chunked, pieces[i].iov_base,
+                                  pieces[i].iov_len, &used, NULL);
+          conn->checked_bytes += used;
+        }
+    }
+  return result;
+}
+
+/* Returns the length of the whole message, or 0 while it is incomplete or when
+   it was refused.  */
+static gsize
+read_chunked (FrConn *conn)
+{
+  uint64_t max_bytes = conn->server->options.body_max_bytes;
+  HtChunkResult result = check_chunks (conn);
+
+  if (result == HT_CHUNK_INVALID)
+    refuse_malformed (conn, 400, "malformed");
+  else if (conn->chunked.total_bytes > max_bytes
+           || conn->checked_bytes
+                  > HT_HEAD_MAX_BYTES + CHUNK_OVERHEAD_FACTOR * max_bytes)
+    refuse_malformed (conn, 413, "body_too_large");
+  else if (result == HT_CHUNK_DONE)
+    return conn->checked_bytes;
+  return 0;
+}
+
+static gsize
+read_body (FrConn *conn)
+{
+  gsize message_bytes = conn->head_bytes + conn->head.length_bytes;
+
+  if (conn->head.body == HT_BODY_CHUNKED)
+    return read_chunked (conn);
+  return evbuffer_get_length (input_of (conn)) >= message_bytes ? message_bytes
+                                                                : 0;
+}
+
+/* Leaves exactly MESSAGE_BYTES in the input.  Its end is frozen for users of
+   a bufferevent, so the message is put back at its start.  */
+static void
+set_ahead (FrConn *conn, gsize message_bytes)
+{
+  struct evbuffer *input = input_of (conn);
+  struct evbuffer *message;
+
+  if (evbuffer_get_length (input) == message_bytes)
+    return;
+  message = evbuffer_new ();
+  evbuffer_remove_buffer (input, message, message_bytes);
+  evbuffer_add_buffer (conn->ahead, input);
+  evbuffer_prepend_buffer (input, message);
+  evbuffer_free (message);
+}
+
+/* Hands one checked request to libevhtp, which calls fr_conn_run.  */
+static void
+hand_to_evhtp (FrConn *conn)
+{
+  FrServer *server = conn->server;
+  FrConn *outer = server->current;
+
+  conn->in_call = TRUE;
+  server->current = conn;
+  conn->evhtp_read (conn->bev, conn->evhtp_data);
+  server->current = outer;
+  if (!leave_call (conn))
+    return;
+  /* libevhtp saw no request in what passed the check.  */
+  if (conn->state == FR_CONN_BODY)
+    fr_conn_close (conn);
+}
+
+static void
+process (FrConn *conn)
+{
+  gsize message_bytes;
+
+  if (evbuffer_get_length (input_of (conn)) == 0)
+    return;
+  if (conn->state == FR_CONN_IDLE)
+    fr_conn_enter (conn, FR_CONN_HEAD);
+  if (conn->state == FR_CONN_HEAD && !read_head (conn))
+    return;
+  message_bytes = read_body (conn);
+  if (message_bytes == 0)
+    return;
+  set_ahead (conn, message_bytes);
+  hand_to_evhtp (conn);
+}
+
+static void
+on_read (struct bufferevent *bev, void *data)
+{
+  FrConn *conn = data;
+
+  switch (conn->state)
+    {
+    case FR_CONN_RUNNING:
+    case FR_CONN_ANSWERED:
+      evbuffer_add_buffer (conn->ahead, input_of (conn));
+      if (evbuffer_get_length (conn->ahead) > FR_AHEAD_MAX_BYTES)
+        bufferevent_disable (bev, EV_READ);
+      break;
+    case FR_CONN_LINGER:
+      drop_input (input_of (conn));
+      break;
+    default:
+      process (conn);
+    }
+}
+
+static void
+start_next (FrConn *conn)
+{
+  forget_request (conn);
+  fr_conn_enter (conn, FR_CONN_IDLE);
+  bufferevent_enable (conn->bev, EV_READ);
+  if (evbuffer_get_length (conn->ahead) == 0)
+    return;
+  evbuffer_prepend_buffer (input_of (conn), conn->ahead);
+  process (conn);
+}
+
+static void
+on_write (struct bufferevent *bev, void *data)
+{
+  FrConn *conn = data;
+
+  if (conn->state == FR_CONN_LINGER)
+    {
+      shutdown (bufferevent_getfd (bev), SHUT_WR);
+      return;
+    }
+  if (conn->state != FR_CONN_ANSWERED)
+    return;
+  conn->in_call = TRUE;
+  conn->evhtp_write (bev, conn->evhtp_data);
+  if (leave_call (conn) && conn->evhtp->request == NULL)
+    start_next (conn);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *data)
+{
+  FrConn *conn = data;
+
+  /* The caller has sent its last request and still reads the answer.  */
+  if ((what & BEV_EVENT_EOF) != 0 && conn->state == FR_CONN_ANSWERED)
+    {
+      evhtp_request_set_keepalive (conn->evhtp_request, 0);
+      bufferevent_disable (bev, EV_READ);
+      return;
+    }
+  fr_conn_close (conn);
+}
+
+static void
+set_peer (FrRequest *request, const struct sockaddr *address)
+{
+  static const uint8_t mapped[12] = { [10] = 0xff, [11] = 0xff };
+  const struct sockaddr_in *v4 = (const struct sockaddr_in *)address;
+  const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)address;
+
+  if (address->sa_family == AF_INET6)
+    {
+      memcpy (request->peer_address, &v6->sin6_addr, 16);
+      request->peer_port = ntohs (v6->sin6_port);
+      return;
+    }
+  memcpy (request->peer_address, mapped, sizeof mapped);
+  memcpy (request->peer_address + sizeof mapped, &v4->sin_addr, 4);
+  request->peer_port = ntohs (v4->sin_port);
+}
+
+void
+fr_conn_accept (FrServer *server, evhtp_connection_t *evhtp)
+{
+  FrConn *conn = g_new0 (FrConn, 1);
+
+  conn->server = server;
+  conn->evhtp = evhtp;
+  conn->bev = evhtp_connection_get_bev (evhtp);
+  conn->ahead = evbuffer_new ();
+  conn->next = server->connections;
+  if (conn->next != NULL)
+    conn->next->previous = conn;
+  server->connections = conn;
+  server->counters.accepted_count++;
+  server->counters.connection_count++;
+  set_peer (&conn->request, evhtp->saddr);
+  fr_conn_enter (conn, FR_CONN_IDLE);
+  evhtp_connection_set_hook (evhtp, evhtp_hook_on_connection_fini,
+                             (evhtp_hook)on_fini, conn);
+  bufferevent_getcb (conn->bev, &conn->evhtp_read, &conn->evhtp_write,
+                     &conn->evhtp_event, &conn->evhtp_data);
+  bufferevent_setcb (conn->bev, on_read, on_write, on_event, conn);
+  bufferevent_set_max_single_read (conn->bev, READ_MAX_BYTES);
+}
+
+/* Splits the target at its question mark.  */
+static void
+set_target (FrRequest *request, char *target)
+{
+  char *mark = strchr (target, '?');
+
+  request->path = target;
+  request->query = NULL;
+  if (mark == NULL)
+    return;
+  *mark = '\0';
+  request->query = mark + 1;
+}
+
+void
+fr_conn_run (FrConn *conn, evhtp_request_t *evhtp_request)
+{
+  FrServer *server = conn->server;
+  FrRequest *request = &conn->request;
+  struct evbuffer *body = evhtp_request->buffer_in;
+  uint64_t length = conn->head.body == HT_BODY_CHUNKED
+                        ? conn->chunked.total_bytes
+                        : conn->head.length_bytes;
+
+  /* Two parsers that disagree mean that the request is ambiguous.  */
+  if (evbuffer_get_length (body) != length)
+    return;
+  request->method = conn->head.method;
+  set_target (request, conn->head.target);
+  request->headers = conn->head.headers;
+  request->body_bytes = (gsize)length;
+  request->body = length > 0 ? evbuffer_pullup (body, -1) : NULL;
+  request->arrived_us = conn->since_us;
+  request->user_data = NULL;
+  conn->evhtp_request = evhtp_request;
+  conn->on_cancel = NULL;
+  server->counters.request_count++;
+  server->counters.running_count++;
+  conn->state = FR_CONN_RUNNING;
+  server->options.on_request (request, server->options.data);
+}
+
+/* Whether the output has not moved since the last progress for LIMIT_US.  */
+static gboolean
+is_write_stuck (FrConn *conn, int64_t now_us, int64_t limit_us)
+{
+  gsize left = evbuffer_get_length (bufferevent_get_output (conn->bev));
+
+  if (left != conn->unwritten_bytes)
+    {
+      conn->unwritten_bytes = left;
+      conn->since_us = now_us;
+    }
+  return now_us - conn->since_us > limit_us;
+}
+
+static void
+time_out (FrConn *conn)
+{
+  conn->server->counters.timeout_count++;
+  fr_conn_close (conn);
+}
+
+void
+fr_conn_sweep (FrConn *conn, int64_t now_us)
+{
+  const FrOptions *options = &conn->server->options;
+  int64_t age_us = now_us - conn->since_us;
+
+  switch (conn->state)
+    {
+    case FR_CONN_IDLE:
+      if (conn->server->stopping
+          && age_us > (int64_t)options->stop_idle_ms * 1000)
+        fr_conn_close (conn);
+      else if (age_us > (int64_t)options->idle_timeout_ms * 1000)
+        time_out (conn);
+      break;
+    case FR_CONN_HEAD:
+    case FR_CONN_BODY:
+      if (age_us <= (int64_t)options->request_timeout_ms * 1000)
+        break;
+      conn->server->counters.timeout_count++;
+      fr_conn_refuse (conn, 408, "request_timeout");
+      break;
+    case FR_CONN_RUNNING:
+      break;
+    case FR_CONN_ANSWERED:
+      if (is_write_stuck (conn, now_us,
+                          (int64_t)options->write_timeout_ms * 1000))
+        time_out (conn);
+      break;
+    case FR_CONN_LINGER:
+      if (is_write_stuck (conn, now_us, LINGER_US))
+        fr_conn_close (conn);
+      break;
+    }
+}
--- /dev/null
+++ b/front/front.c
@@ -0,0 +1,219 @@
+#include "front/front.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <time.h>
+
+#include "front/conn.h"
+
+#define BACKLOG 1024
+#define SWEEP_MS 100
+
+G_DEFINE_QUARK (fr_error, fr_error)
+
+int64_t
+fr_now_us (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_BOOTTIME, &now);
+  return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
+static void
+set_defaults (FrOptions *options)
+{
+  static const FrOptions defaults = {
+    .body_max_bytes = FR_BODY_MAX_BYTES,
+    .connections_max = 4096,
+    .request_timeout_ms = 10000,
+    .idle_timeout_ms = 60000,
+    .write_timeout_ms = 30000,
+    .stop_idle_ms = 1000,
+  };
+
+#define SET_DEFAULT(field)                                                    \
+  if (options->field == 0)                                                    \
+  options->field = defaults.field
+  SET_DEFAULT (body_max_bytes);
+  SET_DEFAULT (connections_max);
+  SET_DEFAULT (request_timeout_ms);
+  SET_DEFAULT (idle_timeout_ms);
+  SET_DEFAULT (write_timeout_ms);
+  SET_DEFAULT (stop_idle_ms);
+#undef SET_DEFAULT
+}
+
+static evhtp_res
+on_accept (evhtp_connection_t *evhtp, void *data)
+{
+  FrServer *server = data;
+
+  if (server->counters.connection_count >= server->options.connections_max)
+    {
+      server->counters.over_limit_count++;
+      return EVHTP_RES_ERROR;
+    }
+  fr_conn_accept (server, evhtp);
+  return EVHTP_RES_OK;
+}
+
+static void
+on_parsed (evhtp_request_t *request, void *data)
+{
+  FrServer *server = data;
+
+  g_assert (server->current != NULL
+            && server->current->evhtp == request->conn);
+  fr_conn_run (server->current, request);
+}
+
+static void
+stop_listening (FrServer *server)
+{
+  if (server->listening)
+    evhtp_unbind_socket (server->evhtp);
+  server->listening = FALSE;
+}
+
+/* The listener is closed one sweep after fr_stop, so that connections which
+   wait in its backlog are still accepted.  */
+static void
+on_sweep (evutil_socket_t fd, short what, void *data)
+{
+  FrServer *server = data;
+  int64_t now_us = fr_now_us ();
+  FrConn *next;
+
+  (void)fd;
+  (void)what;
+  if (server->stopping)
+    stop_listening (server);
+  for (FrConn *conn = server->connections; conn != NULL; conn = next)
+    {
+      next = conn->next;
+      fr_conn_sweep (conn, now_us);
+    }
+  if (server->stopping && server->connections == NULL
+      && server->on_idle != NULL)
+    {
+      void (*on_idle) (void *) = server->on_idle;
+      server->on_idle = NULL;
+      on_idle (server->idle_data);
+    }
+}
+
+/* libevent's parser refuses port 0 but takes an address without a port, for
+   which it sets 0.  */
+static gboolean
+parse_address (const char *text, struct sockaddr_storage *address, int *length)
+{
+  g_autofree char *copy = g_strdup (text);
+
+  if (g_str_has_suffix (copy, ":0"))
+    copy[strlen (copy) - 2] = '\0';
+  else if (strrchr (copy, ':') == NULL)
+    return FALSE;
+  return evutil_parse_sockaddr_port (copy, (struct sockaddr *)address, length)
+         == 0;
+}
+
+static gboolean
+listen_on (FrServer *server, GError **error)
+{
+  struct sockaddr_storage address = { 0 };
+  int length = sizeof address;
+  socklen_t bound_length = sizeof address;
+
+  if (!parse_address (server->options.listen, &address, &length))
+    {
+      g_set_error (error, FR_ERROR, FR_ERROR_ADDRESS,
+                   "%s is not an IP number and port", server->options.listen);
+      return FALSE;
+    }
+  if (evhtp_bind_sockaddr (server->evhtp, (struct sockaddr *)&address,
+                           (size_t)length, BACKLOG)
+      != 0)
+    {
+      g_set_error (error, FR_ERROR, FR_ERROR_LISTEN, "cannot listen on %s: %s",
+                   server->options.listen, g_strerror (errno));
+      return FALSE;
+    }
+  server->listening = TRUE;
+  getsockname (evconnlistener_get_fd (server->evhtp->server),
+               (struct sockaddr *)&address, &bound_length);
+  server->port = ntohs (address.ss_family == AF_INET6
+                            ? ((struct sockaddr_in6 *)&address)->sin6_port
+                            : ((struct sockaddr_in *)&address)->sin_port);
+  return TRUE;
+}
+
+FrServer *
+fr_new (const FrOptions *options, GError **error)
+{
+  FrServer *server = g_new0 (FrServer, 1);
+  struct timeval interval = { 0, SWEEP_MS * 1000 };
+
+  server->options = *options;
+  set_defaults (&server->options);
+  server->scratch = g_string_sized_new (4096);
+  server->evhtp = evhtp_new (options->base, server);
+  /* front answers "Expect: 100-continue" itself, since libevhtp sees a request
+     only when its body is there.  */
+  evhtp_disable_flag (server->evhtp, EVHTP_FLAG_ENABLE_100_CONT);
+  evhtp_enable_flag (server->evhtp, EVHTP_FLAG_ENABLE_NODELAY);
+  evhtp_set_post_accept_cb (server->evhtp, on_accept, server);
+  evhtp_set_gencb (server->evhtp, on_parsed, server);
+  server->sweep = event_new (options->base, -1, EV_PERSIST, on_sweep, server);
+  if (!listen_on (server, error))
+    {
+      fr_free (server);
+      return NULL;
+    }
+  event_add (server->sweep, &interval);
+  return server;
+}
+
+void
+fr_free (FrServer *server)
+{
+  if (server == NULL)
+    return;
+  stop_listening (server);
+  while (server->connections != NULL)
+    fr_conn_close (server->connections);
+  event_free (server->sweep);
+  evhtp_free (server->evhtp);
+  g_string_free (server->scratch, TRUE);
+  g_free (server);
+}
+
+uint16_t
+fr_port (const FrServer *server)
+{
+  return server->port;
+}
+
+const FrCounters *
+fr_counters (const FrServer *server)
+{
+  return &server->counters;
+}
+
+void
+fr_on_cancel (FrRequest *request, FrHandler handler, void *data)
+{
+  FrConn *conn = (FrConn *)request;
+
+  conn->on_cancel = handler;
+  conn->cancel_data = data;
+}
+
+void
+fr_stop (FrServer *server, void (*on_idle) (void *data), void *data)
+{
+  server->stopping = TRUE;
+  server->on_idle = on_idle;
+  server->idle_data = data;
+}
