Hand chunked requests to libevhtp with a Content-Length

libevhtp closed the connection without an answer on valid chunks (leading zeros in a size, or trailers). A test now sends every byte that the strict parser accepts in each place. Teaching the check to refuse such chunks was ruled out, since senders may produce them.

--- a/front/conn.c
+++ b/front/conn.c
@@ -286,6 +286,32 @@
   evbuffer_free (message);
 }
 
+/* Replaces a chunked message by one with a Content-Length, since libevhtp does
+   not parse all valid chunks and trailers.  */
+static void
+flatten_chunks (FrConn *conn)
+{
+  struct evbuffer *input = input_of (conn);
+  gsize length = evbuffer_get_length (input) - conn->head_bytes;
+  g_autoptr (GByteArray) body = g_byte_array_new ();
+  struct evbuffer *message = evbuffer_new ();
+  HtChunked chunked = { 0 };
+  gsize used;
+
+  evbuffer_drain (input, conn->head_bytes);
+  ht_chunk_feed (&chunked, (char *)evbuffer_pullup (input, -1), length, &used,
+                 body);
+  g_assert (used == length);
+  drop_input (input);
+  evbuffer_add_printf (message,
+                       "%s %s HTTP/1.1\r\nHost: a\r\n"
+                       "Content-Length: %u\r\n\r\n",
+                       conn->head.method, conn->head.target, body->len);
+  evbuffer_add (message, body->data, body->len);
+  evbuffer_prepend_buffer (input, message);
+  evbuffer_free (message);
+}
+
 /* Hands one checked request to libevhtp, which calls fr_conn_run.  */
 static void
 hand_to_evhtp (FrConn *conn)
@@ -319,6 +345,8 @@
   if (message_bytes == 0)
     return;
   set_ahead (conn, message_bytes);
+  if (conn->head.body == HT_BODY_CHUNKED)
+    flatten_chunks (conn);
   hand_to_evhtp (conn);
 }
 
--- a/front/front_test.cc
+++ b/front/front_test.cc
@@ -220,6 +220,58 @@
     }
 }
 
+/* Guards against valid requests that libevhtp's parser refuses or reads
+   differently.  */
+TEST (Front, PassesEveryValidByte)
+{
+  std::string names = "!#$%&'*+-.^_`|~09azAZ";
+  std::string target = "/";
+  std::string value = "\t ";
+  for (int c = '!'; c < 0x7f; c++)
+    if (strchr ("#\\\"<>%?", c) == NULL)
+      target += (char)c;
+  for (int c = '!'; c < 0x100; c++)
+    if (c != 0x7f)
+      value += (char)c;
+  const std::string texts[] = {
+    "GET " + target + "?" + target + "%zz%" + host + "\r\n",
+    "GET /?" + host + "\r\n",
+    "GET //a//b?a=b=c&&;=&x" + host + "\r\n",
+    "GET /" + host + names + ":" + value + "\r\n\r\n",
+    "GET /" + host + "Empty:\r\nSpaces:   \r\nA:b\r\n\r\n",
+    "GET /a:1@b" + host + "Connection: Upgrade, x\r\nUpgrade: y\r\n\r\n",
+    "POST /" + host
+        + "Content-Type: application/x-www-form-urlencoded\r\n"
+          "Content-Length: 5\r\n\r\n%zz&=",
+    "POST /" + host
+        + "Content-Type: multipart/form-data; boundary=x\r\n"
+          "Content-Length: 3\r\n\r\n--x",
+    "POST /" + host + "Content-Length: 0\r\n\r\n",
+    "GET /" + host + "Content-Length: 2\r\n\r\nab",
+    "DELETE /" + host
+        + "Transfer-Encoding: CHUNKED\r\n\r\n"
+          "0000005\r\nabcde\r\n000\r\nX: y\r\n\r\n",
+    "GET / HTTP/1.0\r\nHost: [::1]:80\r\nConnection: keep-alive\r\n\r\n",
+    "OPTIONS /" + host + "\r\n",
+    "PATCH /" + host + "\r\n",
+  };
+
+  Server server;
+  for (const std::string &text : texts)
+    {
+      Caller caller (server);
+      caller.send (text + text);
+      server.run_until (
+          [&] { return caller.poll () || caller.answers () == 2; });
+      EXPECT_EQ (2, caller.answers ()) << text;
+      EXPECT_FALSE (caller.closed) << text;
+      EXPECT_EQ ("HTTP/1.1 200", caller.got.substr (0, 12)) << text;
+    }
+  ASSERT_EQ (2 * std::size (texts), server.seen.size ());
+  EXPECT_EQ ("GET " + target + "?" + target + "%zz% []", server.seen[0]);
+  EXPECT_EQ ("DELETE / [abcde]", server.seen[20]);
+}
+
 /* Guards against a second request that overtakes a running one, and an answer
    that goes to the wrong connection (R7).  */
 TEST (Front, LateAnswersGoToTheirOwnConnection)
