--- a/quota/quota.h
+++ b/quota/quota.h
@@ -31,8 +31,12 @@
      comes from.  A grant that arrives twice counts once.  Every grant is
      settled once, when it is spent or has expired; a settlement may be lost.
 
-     Borrowed tokens may be lent on.  Such a grant ends before the grants it
-     is made of, and those are settled only after it.
+     A zone's hub lends on what it has borrowed (qt_set_relay), and asks its
+     zone for what it could not lend.  Such a grant ends before the grant it is
+     made of, which is settled only after it.
+
+     A process starts to refill only QT_GRANT_VALID_US after its first share,
+     since a former process of the same VM may have lent until it died.
 
      Refill follows the daemon's own clock: a clock that is fast by a share p
      admits that share more of the daemon's part.
@@ -59,7 +63,13 @@
 /* Demand that is borrowed in advance.  */
 #define QT_PREFETCH_US (200 * 1000)
 #define QT_PEERS_PER_ROUND 8
-/* Open grants of one lender and one borrower; more requests are refused.  */
+/* Rounds of asks for one quota; the shorter one while requests are refused.
+   A hot quota costs up to 80 exchanges/s.  */
+#define QT_ROUND_US (100 * 1000)
+#define QT_SHORT_ROUND_US (25 * 1000)
+/* An ask that isn't answered for this time is taken for lost.  */
+#define QT_ASK_TIMEOUT_US (150 * 1000)
+/* Open grants lent by one daemon; above it nothing is lent.  */
 #define QT_GRANTS_MAX 8192
 
 typedef struct
@@ -125,6 +135,8 @@
 /* Until when, on the caller's clock, each part may be used.  */
 void qt_set_validity (QtTable *table, int64_t flex_until_us,
                       int64_t base_until_us);
+/* Whether to lend what was borrowed, as a hub does for its zone.  */
+void qt_set_relay (QtTable *table, gboolean relay);
 /* Empties the flex buckets; to be called for a new incarnation.  */
 void qt_empty_flex (QtTable *table, int64_t now_us);
 
