--- a/demo/sheet.c
+++ b/demo/sheet.c
@@ -80,7 +80,7 @@
 
   if (strcmp (kind, "sheet") == 0)
     {
-      g_autoptr (GDateTime) now = g_date_time_new_now_utc ();
+      g_autoptr (GDateTime) now = g_date_time_new_now_local ();
       set_cell (cells, columns->date, g_date_time_format (now, "%Y-%m-%d"));
     }
   else if (strcmp (kind, "customer") == 0)
--- a/standin/harness.c
+++ b/standin/harness.c
@@ -13,6 +13,7 @@
 #define START_MAX_MS 10000
 #define STATUS_TIMEOUT_MS 1000
 #define SHEET_MAX_MS 20000
+#define SHEET_RETRY_MS 250
 
 struct SiHarness
 {
@@ -496,39 +497,45 @@
   return TRUE;
 }
 
-static const SiVm *
-first_running (const SiHarness *harness)
-{
-  for (guint i = 0; i < harness->deployment->vms->len; i++)
-    {
-      const SiVm *vm = g_ptr_array_index (harness->deployment->vms, i);
-      if (!si_process_ended (vm->pid, NULL))
-        return vm;
-    }
-  return NULL;
-}
-
+/* Daemons refuse a change until they hear more than half of the members, so
+   it is tried again while the fleet starts.  */
 gboolean
 si_apply_sheet (SiHarness *harness, const char *sheet, GError **error)
 {
-  const SiVm *vm = first_running (harness);
-  g_autofree char *program = program_path (harness, "client/comfreywalk");
-  g_autofree char *output = NULL;
-  const char *argv[] = { program, "--admin", NULL, "apply", sheet, NULL };
-  int status;
+  const GPtrArray *vms = harness->deployment->vms;
+  g_autoptr (GPtrArray) argv = g_ptr_array_new_with_free_func (g_free);
+  int64_t end_us = g_get_monotonic_time () + (int64_t)SHEET_MAX_MS * 1000;
 
-  if (vm == NULL)
+  g_ptr_array_add (argv, program_path (harness, "client/comfreywalk"));
+  g_ptr_array_add (argv, g_strdup ("apply"));
+  g_ptr_array_add (argv, g_strdup (sheet));
+  g_ptr_array_add (argv, g_strdup ("--wait"));
+  g_ptr_array_add (argv, g_strdup ("--author=harness"));
+  for (guint i = 0; i < vms->len; i++)
     {
-      g_set_error (error, SI_ERROR, SI_ERROR_OPTION, "no daemon is running");
-      return FALSE;
+      const SiVm *vm = g_ptr_array_index (vms, i);
+      if (!si_process_ended (vm->pid, NULL))
+        g_ptr_array_add (argv,
+                         g_strdup_printf ("--daemon=%s", vm->admin_address));
+    }
+  g_ptr_array_add (argv, NULL);
+  for (;;)
+    {
+      g_autofree char *output = NULL;
+      int status = si_run (harness, (const char *const *)argv->pdata,
+                           SHEET_MAX_MS, &output, error);
+
+      if (status <= 0)
+        return status == 0;
+      if (g_get_monotonic_time () >= end_us)
+        {
+          g_set_error (error, SI_ERROR, SI_ERROR_STATUS,
+                       "comfreywalk apply %s ended with %d: %s", sheet, status,
+                       output);
+          return FALSE;
+        }
+      si_sleep_ms (SHEET_RETRY_MS);
     }
-  argv[2] = vm->admin_address;
-  status = si_run (harness, argv, SHEET_MAX_MS, &output, error);
-  if (status > 0)
-    g_set_error (error, SI_ERROR, SI_ERROR_STATUS,
-                 "comfreywalk apply %s ended with %d: %s", sheet, status,
-                 output);
-  return status == 0;
 }
 
 gboolean
--- a/standin/harness.h
+++ b/standin/harness.h
@@ -155,7 +155,8 @@
 gboolean si_wait_exit (SiHarness *harness, pid_t pid, uint32_t wait_ms,
                        int *status);
 
-/* Runs `comfreywalk apply SHEET` at the first running VM.  */
+/* Runs `comfreywalk apply SHEET --wait` for all running VMs, again while they
+   start.  */
 gboolean si_apply_sheet (SiHarness *harness, const char *sheet,
                          GError **error);
 
