--- a/standin/harness.h
+++ b/standin/harness.h
@@ -120,6 +120,7 @@
                      uint32_t *delay_us);
 /* Text of the settings file of VM.  Free with g_free.  */
 char *si_settings_text (const SiHarness *harness, const SiVm *vm);
+const char *si_bin (const SiHarness *harness);
 const char *si_folder (const SiHarness *harness);
 /* Addresses of the control interfaces.  */
 const char *si_platform_address (const SiHarness *harness);
@@ -154,7 +155,8 @@
 gboolean si_wait_exit (SiHarness *harness, pid_t pid, uint32_t wait_ms,
                        int *status);
 
-/* Runs `comfreywalk apply SHEET` at the first running VM.  */
+/* Runs `comfreywalk apply SHEET --wait` for all running VMs, again while they
+   start.  */
 gboolean si_apply_sheet (SiHarness *harness, const char *sheet,
                          GError **error);
 
