--- a/conf/check.c
+++ b/conf/check.c
@@ -18,10 +18,23 @@
 {
   GPtrArray *rows = cf_rows (config, schema);
 
+  if (rows->len > CF_SECTION_ROWS_MAX)
+    {
+      g_set_error (error, CF_ERROR, CF_ERROR_RANGE, "%s: more than %d rows",
+                   schema->section, CF_SECTION_ROWS_MAX);
+      return FALSE;
+    }
   for (guint i = 0; i < rows->len; i++)
     {
-      char *identity = cf_row_identity (schema, g_ptr_array_index (rows, i));
+      const void *row = g_ptr_array_index (rows, i);
+      char *identity;
 
+      if (!cf_row_check (schema, row, error))
+        {
+          g_prefix_error (error, "%s[%u].", schema->section, i);
+          return FALSE;
+        }
+      identity = cf_row_identity (schema, row);
       if (g_hash_table_contains (names, identity))
         {
           fail (error, CF_ERROR_DUPLICATE, schema->noun, identity,
@@ -216,7 +229,7 @@
   GHashTable *services = NULL;
   GHashTable *regions = NULL;
 
-  if (!cf_row_check (&cf_document_schema, config, "document", error))
+  if (!cf_row_check (&cf_document_schema, config, error))
     return FALSE;
   for (uint32_t i = 0; i < cf_section_count; i++)
     {
--- a/conf/internal.h
+++ b/conf/internal.h
@@ -73,9 +73,10 @@
 /* Reads OBJECT into ROW, which cf_row_new has made.  PATH is for messages.  */
 gboolean cf_row_read (const CfSchema *schema, struct json_object *object,
                       void *row, const char *path, GError **error);
-/* The checks of cf_row_read, for a row that a program has made.  */
+/* The checks of cf_row_read, for a row that a program has made.  The message
+   begins with the field.  */
 gboolean cf_row_check (const CfSchema *schema, const void *row,
-                       const char *path, GError **error);
+                       GError **error);
 /* Appends ROW as a JSON object.  */
 void cf_row_write (const CfSchema *schema, const void *row, GString *out);
 void cf_field_write (const CfField *field, const void *row, GString *out);
--- a/conf/row.c
+++ b/conf/row.c
@@ -235,44 +235,43 @@
 }
 
 static gboolean
-check_members (const CfField *field, const GPtrArray *members,
-               const char *path, GError **error)
+check_members (const CfField *field, const GPtrArray *members, GError **error)
 {
   static const CfField name = { .type = CF_FIELD_NAME };
 
-  if (!check_number (field, members->len, path, error))
+  if (!check_number (field, members->len, field->name, error))
     return FALSE;
   for (guint i = 0; i < members->len; i++)
     {
-      g_autofree char *member = g_strdup_printf ("%s[%u]", path, i);
       const void *item = g_ptr_array_index (members, i);
 
       if (field->type == CF_FIELD_ROWS
-              ? !cf_row_check (field->rows, item, member, error)
-              : !check_text (&name, item, member, error))
-        return FALSE;
+              ? cf_row_check (field->rows, item, error)
+              : check_text (&name, item, "name", error))
+        continue;
+      g_prefix_error (error, "%s[%u].", field->name, i);
+      return FALSE;
     }
   return TRUE;
 }
 
 static gboolean
-field_check (const CfField *field, const void *slot, const char *path,
-             GError **error)
+field_check (const CfField *field, const void *slot, GError **error)
 {
   switch (field->type)
     {
     case CF_FIELD_NAME:
     case CF_FIELD_TEXT:
     case CF_FIELD_PREFIX:
-      return check_text (field, *(char *const *)slot, path, error);
+      return check_text (field, *(char *const *)slot, field->name, error);
     case CF_FIELD_U32:
-      return check_number (field, *(const uint32_t *)slot, path, error);
+      return check_number (field, *(const uint32_t *)slot, field->name, error);
     case CF_FIELD_U64:
     case CF_FIELD_I64:
-      return check_number (field, *(const int64_t *)slot, path, error);
+      return check_number (field, *(const int64_t *)slot, field->name, error);
     case CF_FIELD_NAMES:
     case CF_FIELD_ROWS:
-      return check_members (field, *(GPtrArray *const *)slot, path, error);
+      return check_members (field, *(GPtrArray *const *)slot, error);
     case CF_FIELD_BOOL:
     case CF_FIELD_WORD:
     case CF_FIELD_SHA256:
@@ -282,16 +281,13 @@
 }
 
 gboolean
-cf_row_check (const CfSchema *schema, const void *row, const char *path,
-              GError **error)
+cf_row_check (const CfSchema *schema, const void *row, GError **error)
 {
   for (uint32_t i = 0; i < schema->field_count; i++)
     {
       const CfField *field = &schema->fields[i];
-      g_autofree char *member = g_strdup_printf ("%s.%s", path, field->name);
 
-      if (!field_check (field, (const char *)row + field->offset, member,
-                        error))
+      if (!field_check (field, (const char *)row + field->offset, error))
         return FALSE;
     }
   return TRUE;
