admin: copy the body of a change in steps

Trial with a 9.4 MB change of 190,000 blocks and a 1 ms tick on the same loop: copying the body at once gave gaps of up to 10.9 ms. In steps of 512 KB the longest gaps of five runs were 4.8 to 7.6 ms (RelWithDebInfo).

--- a/admin/admin.c
+++ b/admin/admin.c
@@ -33,6 +33,7 @@
   if (call->step != NULL)
     event_free (call->step);
   cf_job_free (call->job);
+  g_free (call->body);
   g_free (call);
 }
 
--- a/admin/config.c
+++ b/admin/config.c
@@ -3,19 +3,19 @@
 #include <event2/buffer.h>
 #include <string.h>
 
+#define COPY_STEP_BYTES ((size_t)512 * 1024)
+
 static const struct timeval at_once = { 0, 0 };
 
-static void
-start_job (AdServer *server, struct evhttp_request *request, CfJob *job,
-           gboolean is_write, event_callback_fn on_step)
+static AdCall *
+start_call (AdServer *server, struct evhttp_request *request,
+            event_callback_fn on_step)
 {
   AdCall *call = ad_call_new (server, request);
 
-  call->job = job;
-  call->is_write = is_write;
-  server->write_count += is_write ? 1 : 0;
   call->step = evtimer_new (server->base, on_step, call);
   evtimer_add (call->step, &at_once);
+  return call;
 }
 
 static void
@@ -67,7 +67,7 @@
     ad_send_result (request, HTTP_SERVUNAVAIL, "unknown",
                     "this daemon has no configuration yet");
   else
-    start_job (server, request, cf_write_begin (config), FALSE, on_write_step);
+    start_call (server, request, on_write_step)->job = cf_write_begin (config);
 }
 
 static void
@@ -98,13 +98,37 @@
                               call->server->data);
 }
 
+/* Copying a large body at once takes as long as some steps of its reading.  */
+static void
+on_copy_step (evutil_socket_t fd, short what, void *data)
+{
+  AdCall *call = data;
+  struct evbuffer *input = evhttp_request_get_input_buffer (call->request);
+  g_autoptr (GBytes) body = NULL;
+  int copied = evbuffer_remove (
+      input, call->body + call->body_filled,
+      MIN (COPY_STEP_BYTES, call->body_bytes - call->body_filled));
+
+  (void)fd;
+  (void)what;
+  call->body_filled += (size_t)MAX (copied, 0);
+  if (copied > 0 && call->body_filled < call->body_bytes)
+    {
+      evtimer_add (call->step, &at_once);
+      return;
+    }
+  body = g_bytes_new_take (g_steal_pointer (&call->body), call->body_filled);
+  call->job = cf_read_change_begin (body);
+  event_free (call->step);
+  call->step = evtimer_new (call->server->base, on_read_step, call);
+  evtimer_add (call->step, &at_once);
+}
+
 void
 ad_post_config (AdServer *server, struct evhttp_request *request)
 {
   struct evbuffer *input = evhttp_request_get_input_buffer (request);
-  size_t length = evbuffer_get_length (input);
-  g_autoptr (GBytes) body = NULL;
-  char *text;
+  AdCall *call;
 
   if (server->write_count >= AD_WRITES_MAX)
     {
@@ -112,8 +136,9 @@
                       "other changes are being read; try again");
       return;
     }
-  text = g_malloc (length + 1);
-  evbuffer_remove (input, text, length);
-  body = g_bytes_new_take (text, length);
-  start_job (server, request, cf_read_change_begin (body), TRUE, on_read_step);
+  call = start_call (server, request, on_copy_step);
+  call->is_write = TRUE;
+  server->write_count++;
+  call->body_bytes = evbuffer_get_length (input);
+  call->body = g_malloc (call->body_bytes + 1);
 }
--- a/admin/internal.h
+++ b/admin/internal.h
@@ -25,6 +25,9 @@
 {
   AdServer *server;
   struct evhttp_request *request;
+  char *body; /* being copied */
+  size_t body_bytes;
+  size_t body_filled;
   CfJob *job;
   struct event *step;
   gboolean is_write;
