conf: write the body of a change; use it in client and standin

standin/apply.c posted the bare document, while POST /v1/config takes {op_id, author, base_version, document}, so every change of the harness would have been refused. cf_change_to_json makes the body in one place. Taking both forms in the server was ruled out: a bare document states no base version.

--- a/client/config.c
+++ b/client/config.c
@@ -185,21 +185,6 @@
   return write->in_doubt ? read_back (write, WRITE_UNKNOWN) : result;
 }
 
-static char *
-change_body (const Write *write, const char *author, const CfConfig *config)
-{
-  g_autofree char *document = cf_to_json (config);
-  struct json_object *name = json_object_new_string (author);
-  char *body = g_strdup_printf (
-      "{\"op_id\":\"%s\",\"author\":%s,\"base_version\":%" PRIu64
-      ",\"document\":%s}",
-      write->op_id, json_object_to_json_string (name), write->base_version,
-      document);
-
-  json_object_put (name);
-  return body;
-}
-
 static void
 explain (Write *write, WriteResult result)
 {
@@ -276,7 +261,7 @@
 }
 
 int
-cl_write (ClContext *context, const CfConfig *config, const CfConfig *read,
+cl_write (ClContext *context, CfConfig *config, const CfConfig *read,
           gboolean lost_quietly)
 {
   g_autofree char *uuid = g_uuid_string_random ();
@@ -288,7 +273,12 @@
   int exit = CL_EXIT_LOST;
 
   write.op_id = g_strdup_printf ("op-%s", uuid);
-  write.body = change_body (&write, author, config);
+  g_free (config->op_id);
+  g_free (config->author);
+  config->op_id = g_strdup (write.op_id);
+  config->author = g_strdup (author);
+  config->version++;
+  write.body = cf_change_to_json (config);
   result = write_through (&write);
   if (result != WRITE_LOST || !lost_quietly)
     exit = report (&write, result);
--- a/client/internal.h
+++ b/client/internal.h
@@ -104,7 +104,7 @@
 /* Writes CONFIG, whose version is that it is based on, and reports.  READ, if
    not NULL, is the configuration of that version, to tell what another change
    did.  LOST_QUIETLY: returns CL_EXIT_LOST without a report.  */
-int cl_write (ClContext *context, const CfConfig *config, const CfConfig *read,
+int cl_write (ClContext *context, CfConfig *config, const CfConfig *read,
               gboolean lost_quietly);
 
 /* in_force.c.  Waits until VERSION is in force and reports each daemon.  */
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -191,6 +191,9 @@
 CfConfig *cf_from_json (const char *text, gsize length, GError **error);
 char *cf_to_json (const CfConfig *config);
 gboolean cf_check (const CfConfig *config, GError **error);
+/* CONFIG as the body of POST /v1/config: its op_id and author, and a base
+   version one below its version.  */
+char *cf_change_to_json (const CfConfig *config);
 
 /* Cuts CONFIG into parts with their content set.  */
 CfManifest *cf_cut (const CfConfig *config);
--- a/conf/conf_test.cc
+++ b/conf/conf_test.cc
@@ -341,6 +341,21 @@
       }
   }
 
+  /* Guards against a change being written in a form that is read otherwise. */
+  TEST (Conf, ChangeSurvivesWritingAndReading)
+  {
+    g_autoptr (CfConfig) config = parse (document);
+    g_autofree char *text = cf_change_to_json (config);
+    g_autoptr (GBytes) bytes = g_bytes_new_static (text, strlen (text));
+    g_autoptr (CfJob) job = cf_read_change_begin (bytes);
+    while (cf_job_step (job, 100, nullptr) == CF_STEP_MORE)
+      continue;
+    g_autoptr (CfConfig) again = cf_job_take_config (job);
+    g_autofree char *first = cf_to_json (config);
+    g_autofree char *second = cf_to_json (again);
+    EXPECT_STREQ (first, second);
+  }
+
   /* Guards against an operator seeing less than what changes.  */
   TEST (Conf, DiffNamesEveryChange)
   {
--- a/conf/write.c
+++ b/conf/write.c
@@ -107,3 +107,20 @@
   cf_job_run (job, NULL);
   return cf_job_take_text (job, NULL);
 }
+
+char *
+cf_change_to_json (const CfConfig *config)
+{
+  g_autofree char *document = cf_to_json (config);
+  GString *out = g_string_new ("{\"op_id\":");
+
+  cf_string_write (config->op_id, out);
+  g_string_append (out, ",\"author\":");
+  cf_string_write (config->author, out);
+  g_string_append_printf (
+      out, ",\"base_version\":%" G_GUINT64_FORMAT ",\"document\":",
+      config->version - 1);
+  g_string_append (out, document);
+  g_string_append (out, "}\n");
+  return g_string_free (out, FALSE);
+}
--- a/standin/apply.c
+++ b/standin/apply.c
@@ -35,7 +35,7 @@
       g_autofree char *body = NULL;
 
       config->version = current_version (vm) + 1;
-      body = cf_to_json (config);
+      body = cf_change_to_json (config);
       if (si_post (vm->admin_address, "/v1/config", body, error))
         return TRUE;
       if (g_get_monotonic_time () >= end_us)
