sheet: refuse a sheet that lacks a key in force

Merging such keys into the sheet silently was ruled out: then a row that was deleted by mistake and one deleted on purpose look the same. The customer's row is reported, and state=withdrawn ends a key.

client: the answer to a change may take 15 s, since a daemon writes the parts and waits for acknowledgements of up to 5 s.

--- a/client/client.c
+++ b/client/client.c
@@ -34,7 +34,7 @@
     "admin address of a daemon; may be given several times", "ADDRESS:PORT" },
   { "json", G_OPTION_ARG_NONE, AT (json), "print JSON", NULL },
   { "timeout-ms", G_OPTION_ARG_INT, AT (timeout_ms),
-    "time to wait for each answer (default 5000)", "MS" },
+    "time to wait for each answer (default 5000; 15000 for a change)", "MS" },
   { NULL },
 };
 
@@ -374,8 +374,7 @@
     .io = *io,
     .base = io->base != NULL ? io->base : event_base_new (),
     .daemons = g_ptr_array_new_with_free_func (daemon_free),
-    .options = { .timeout_ms = CL_TIMEOUT_DEFAULT_MS,
-                 .wait_ms = CL_WAIT_DEFAULT_MS,
+    .options = { .wait_ms = CL_WAIT_DEFAULT_MS,
                  .rate = -1,
                  .burst = -1,
                  .weight = -1,
--- a/client/edit_commands.c
+++ b/client/edit_commands.c
@@ -141,7 +141,7 @@
       && !context->options.json)
     cl_say (context,
             "key %s; put its id into the sheet, or the next sheet "
-            "removes it\n",
+            "is refused\n",
             edit.id);
   return exit;
 }
--- a/client/internal.h
+++ b/client/internal.h
@@ -15,6 +15,8 @@
 #define CL_WAIT_DEFAULT_MS 10000
 #define CL_POLL_MS 100
 #define CL_TIMEOUT_DEFAULT_MS 5000
+/* A daemon writes some hundred parts and waits for the other daemons.  */
+#define CL_WRITE_TIMEOUT_MS 15000
 
 typedef struct
 {
@@ -22,7 +24,7 @@
   gboolean json;
   char *author;
   char *today;
-  int timeout_ms;
+  int timeout_ms; /* 0: the defaults above */
   gboolean wait;
   gint64 wait_ms;
   char *id;
--- a/sheet/internal.h
+++ b/sheet/internal.h
@@ -97,6 +97,9 @@
 
 void sh_read_sheet (ShSheet *sheet, const ShRow *row);
 void sh_read_key (ShSheet *sheet, const ShRow *row);
+/* Every active key in force of a customer that the sheet still has needs a
+   row.  */
+void sh_check_keys (ShSheet *sheet);
 
 /* Capacities, rates, drains and shifts against each other.  */
 void sh_check_plan (ShSheet *sheet);
--- a/sheet/sheet.c
+++ b/sheet/sheet.c
@@ -37,6 +37,7 @@
   [SH_ERROR_REFERENCE] = "reference",
   [SH_ERROR_KEY] = "key",
   [SH_ERROR_KEY_WITHDRAWN] = "key-withdrawn",
+  [SH_ERROR_KEY_MISSING] = "key-missing",
   [SH_ERROR_DRAIN_CAPACITY] = "drain-capacity",
   [SH_ERROR_RATE_CAPACITY] = "rate-capacity",
   [SH_ERROR_SHIFT_CONFLICT] = "shift-conflict",
@@ -144,6 +145,7 @@
                "the file ends here without an end row; it may be cut off");
   sh_read_rows (sheet);
   sh_finish_blocks (sheet);
+  sh_check_keys (sheet);
   sh_check_plan (sheet);
   check_whole (sheet);
 }
--- a/sheet/sheet.h
+++ b/sheet/sheet.h
@@ -49,6 +49,7 @@
   SH_ERROR_REFERENCE,      /* a name refers to no row */
   SH_ERROR_KEY,            /* not a SHA-256 in hex: perhaps a plain key */
   SH_ERROR_KEY_WITHDRAWN,  /* a withdrawn key would work again */
+  SH_ERROR_KEY_MISSING,    /* a key in force has no row */
   SH_ERROR_DRAIN_CAPACITY, /* drains leave too little capacity */
   SH_ERROR_RATE_CAPACITY,  /* the rates are above what the regions carry */
   SH_ERROR_SHIFT_CONFLICT, /* shifts contradict each other */
@@ -68,7 +69,7 @@
 {
   const char *today;       /* "2026-12-04" */
   const char *last_date;   /* of the sheet in force; NULL or "": none */
-  const CfConfig *current; /* its withdrawn keys stay withdrawn; or NULL */
+  const CfConfig *current; /* in force; its keys are compared; or NULL */
 } ShOptions;
 
 /* Returns a configuration of version 0 with sheet_date set, or NULL and in
--- a/sheet/sheet_test.cc
+++ b/sheet/sheet_test.cc
@@ -337,6 +337,25 @@
   EXPECT_NE (find (problems, SH_ERROR_REFERENCE), nullptr);
 }
 
+/* Guards against a key that was issued during the day being cut off by a sheet
+   that does not know it.  */
+TEST (Sheet, KeyInForceNeedsARow)
+{
+  std::string text = example ("tammemets.csv");
+  g_autoptr (GPtrArray) problems = nullptr;
+  g_autoptr (CfConfig) current = parse (text, &problems);
+  ASSERT_NE (current, nullptr);
+  auto *customer = (CfCustomer *)g_ptr_array_index (current->customers, 0);
+  CfKey *key = cf_add_key (customer, "night-key");
+  ASSERT_EQ (parse (text, &problems, "2026-12-04", nullptr, current), nullptr);
+  ASSERT_NE (find (problems, SH_ERROR_KEY_MISSING), nullptr);
+  EXPECT_EQ (find (problems, SH_ERROR_KEY_MISSING)->row, 26u);
+  key->withdrawn = TRUE;
+  g_autoptr (CfConfig) next
+      = parse (text, &problems, "2026-12-04", nullptr, current);
+  EXPECT_NE (next, nullptr);
+}
+
 /* Guards against shifts that no cap can satisfy together.  */
 TEST (Sheet, ContradictingShiftsAreRefused)
 {
--- a/sheet/special.c
+++ b/sheet/special.c
@@ -171,6 +171,46 @@
                key->id);
 }
 
+static gboolean
+has_digest (const CfCustomer *customer, const CfKey *key)
+{
+  for (guint i = 0; i < customer->keys->len; i++)
+    if (memcmp (((const CfKey *)g_ptr_array_index (customer->keys, i))->sha256,
+                key->sha256, CF_SHA256_BYTES)
+        == 0)
+      return TRUE;
+  return FALSE;
+}
+
+void
+sh_check_keys (ShSheet *sheet)
+{
+  const CfConfig *current = sheet->options->current;
+
+  for (guint i = 0; current != NULL && i < sheet->config->customers->len; i++)
+    {
+      const CfCustomer *customer
+          = g_ptr_array_index (sheet->config->customers, i);
+      const CfCustomer *old = cf_find_customer (current, customer->name);
+
+      for (guint j = 0; old != NULL && j < old->keys->len; j++)
+        {
+          const CfKey *key = g_ptr_array_index (old->keys, j);
+
+          if (key->withdrawn || has_digest (customer, key)
+              || find_key (customer, key->id) != NULL)
+            continue;
+          sh_report (
+              sheet, SH_ERROR_KEY_MISSING,
+              GPOINTER_TO_UINT (g_hash_table_lookup (sheet->row_of, customer)),
+              SH_COLUMN_NAME,
+              "key \"%s\" of this customer is in force and has no row; "
+              "add one, with the state withdrawn to end the key",
+              key->id);
+        }
+    }
+}
+
 static uint16_t
 region_number (ShSheet *sheet, const char *name)
 {
