--- a/client/client_test.cc
+++ b/client/client_test.cc
@@ -109,6 +109,7 @@
   Fleet fleet;
   std::vector<Daemon> daemons = std::vector<Daemon> (2);
   std::string out, err;
+  bool short_timeout = true;
 
   void
   SetUp () override
@@ -147,7 +148,7 @@
   int
   run (std::vector<std::string> words, const std::string &input = "\n")
   {
-    std::vector<std::string> all = { "comfreywalk", "--timeout-ms", "300" };
+    std::vector<std::string> all = { "comfreywalk" };
     std::vector<char *> argv;
     char *text[2] = {};
     size_t length[2];
@@ -160,6 +161,8 @@
                                              ? 1
                                              : ad_port (daemon.server)));
       }
+    if (short_timeout)
+      all.insert (all.end (), { "--timeout-ms", "300" });
     all.insert (all.end (), words.begin (), words.end ());
     for (std::string &word : all)
       argv.push_back (word.data ());
@@ -228,6 +231,22 @@
   EXPECT_EQ (fleet.config->version, 1u);
 }
 
+/* Guards against a default timeout that gives up at once, or never.  */
+TEST_F (Client, DefaultTimeoutsAreBounded)
+{
+  short_timeout = false;
+  EXPECT_EQ (apply (), CL_EXIT_DONE) << err;
+  daemons[0].answers_writes = false;
+  daemons[1].operation = AD_OPERATION_APPLIED;
+  gint64 start_us = g_get_monotonic_time ();
+  EXPECT_EQ (run ({ "customer", "set", "aalto-home", "--rate", "5" }),
+             CL_EXIT_DONE)
+      << err;
+  gint64 took_ms = (g_get_monotonic_time () - start_us) / 1000;
+  EXPECT_GE (took_ms, 10000);
+  EXPECT_LT (took_ms, 20000);
+}
+
 /* Guards against yesterday's sheet and usage errors being taken for success
    by the script that applies the sheet each morning.  */
 TEST_F (Client, FaultsHaveTheirExitCodes)
--- a/client/http.c
+++ b/client/http.c
@@ -42,9 +42,12 @@
   struct evhttp_connection *connection = evhttp_connection_base_new (
       context->base, NULL, daemon->address.ip, daemon->address.port);
   struct evhttp_request *request = evhttp_request_new (on_answer, &exchange);
-  const struct timeval timeout = { context->options.timeout_ms / 1000,
-                                   context->options.timeout_ms % 1000 * 1000 };
+  int timeout_ms = context->options.timeout_ms;
+  struct timeval timeout;
 
+  if (timeout_ms <= 0)
+    timeout_ms = body != NULL ? CL_WRITE_TIMEOUT_MS : CL_TIMEOUT_DEFAULT_MS;
+  timeout = (struct timeval){ timeout_ms / 1000, timeout_ms % 1000 * 1000 };
   *answer = (ClAnswer){ 0 };
   evhttp_connection_set_timeout_tv (connection, &timeout);
   evhttp_connection_set_max_body_size (connection, CL_BODY_MAX_BYTES);
