--- a/sheet/sheet_test.cc
+++ b/sheet/sheet_test.cc
@@ -399,3 +399,39 @@
   EXPECT_NE (find (problems, SH_ERROR_DRAIN_CAPACITY), nullptr)
       << listing (problems);
 }
+
+/* Guards against a sheet that is accepted here and refused by the daemons,
+   which read its JSON form, and against input that crashes the client.  */
+TEST (Sheet, MutatedSheetsAreRefusedOrReadByDaemons)
+{
+  const uint32_t seed = 20261204;
+  std::string good = example ("tammemets.csv");
+  GRand *random = g_rand_new_with_seed (seed);
+  int accepted = 0;
+
+  for (int i = 0; i < 4000; i++)
+    {
+      std::string text = good;
+      for (int edits = g_rand_int_range (random, 1, 4); edits > 0; edits--)
+        {
+          size_t at = g_rand_int_range (random, 0, (int)text.size ());
+          size_t span = g_rand_int_range (random, 0, 4);
+          text.replace (at, span, 1, (char)g_rand_int_range (random, 0, 256));
+        }
+      g_autoptr (GPtrArray) problems = nullptr;
+      g_autoptr (CfConfig) config = parse (text, &problems);
+      if (config == nullptr)
+        {
+          ASSERT_GT (problems->len, 0u) << "seed " << seed << ", input " << i;
+          continue;
+        }
+      g_autofree char *json = cf_to_json (config);
+      g_autoptr (GError) error = nullptr;
+      g_autoptr (CfConfig) again = cf_from_json (json, strlen (json), &error);
+      ASSERT_NE (again, nullptr)
+          << error->message << ", seed " << seed << ", input " << i;
+      accepted++;
+    }
+  g_rand_free (random);
+  EXPECT_GT (accepted, 10) << "seed " << seed;
+}
