Add assign: the document of quota weights and target slots

Need: who holds which weight and slot has to be one document that is changed by CAS only, so that nothing is given out twice. A member changes its own entry; fenced entries lose their flex part at once and their base part after 1 h 10 s; slots of a fenced or former process rest for 12 s. Proof: 150 seeded schedules of 2 to 7 members with CAS races, lost answers, deaths, returns and leaving; as_check holds for every document and nothing stays with the dead.

--- a/assign/assign.h
+++ b/assign/assign.h
@@ -24,6 +24,14 @@
      than another write of the same member also tells it for the earlier one:
      the versions are counted.
 
+     A member aims at 1/N of the weights, N being the members that aren't
+     fenced.  It changes its weight when the difference is more than an eighth.
+     What remains free within that tolerance goes to the member with the least,
+     and what a joining member lacks is given by those that have the most, so
+     that a change of one member costs few writes in a large fleet.  An entry
+     of a fenced member is reduced by one live member after the other, by
+     rendezvous hash, a second apart, until it is done.
+
      A member may use the parts of its entry only while the entry has the
      incarnation of its own lease.  After a new incarnation, the base part
      keeps the validity it had until the entry is written anew.
@@ -49,7 +57,10 @@
 #define AS_BASE_WAIT_MS (3600 * 1000 + 10 * 1000)
 /* Longest deadline of a request and the largest difference of wall clocks.  */
 #define AS_WITHHOLD_MS (10 * 1000 + 2 * 1000)
+/* A member that is no longer preferred gives slots up after this time; one
+   that is preferred claims free ones earlier.  */
 #define AS_PREFERRED_MS 5000
+#define AS_CLAIM_MS 1000
 /* A weight is changed when it differs from its aim by more than an eighth.  */
 #define AS_WEIGHT_TOLERANCE 8
 #define AS_RETRY_MAX_MS 1000
@@ -184,9 +195,10 @@
 /* Weights that the member should use at once: the lower of its entry and what
    it is going to write.  */
 AsAim as_aim (const AsDoc *doc, const AsView *view);
-/* Slots of TARGET that the member should free: held, but not preferred.  */
-gboolean as_wants_slot (const AsView *view, const AsTarget *target,
-                        int64_t wall_ms);
+/* FALSE when the member should stop using its slots of TARGET and give them
+   back once the requests on them have finished.  */
+gboolean as_keeps_slots (const AsView *view, const AsTarget *target,
+                         int64_t wall_ms);
 
 /* The document to write next, or NULL when nothing is to be changed.  */
 AsDoc *as_next (const AsDoc *doc, const AsView *view, int64_t wall_ms);
