--- a/backend/backend.h
+++ b/backend/backend.h
@@ -108,15 +108,17 @@
 
 BkPool *bk_pool_new (const BkOptions *options);
 
-/* Cancels all calls; their callbacks are not called.  */
+/* Cancels all calls; their callbacks are not called.  Not to be used in a
+   callback of the pool.  */
 void bk_pool_free (BkPool *pool);
 
 /* Copies REQUEST.  The callback is called once, from the loop, never from
    within this function.  The call is freed after it.  */
 BkCall *bk_request (BkPool *pool, const BkRequest *request);
 
-/* Closes the connection of CALL; its callback is not called.  Returns whether
-   a byte of the request may have reached the target.  */
+/* Closes the connection of CALL; not to be used in or after its callback,
+   which is not called.  Returns whether a byte of the request may have reached
+   the target.  */
 BkSent bk_cancel (BkCall *call);
 
 /* Closes the idle connections to ADDRESS, for a target that leaves.  */
--- /dev/null
+++ b/backend/backend_test.cc
@@ -0,0 +1,418 @@
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "backend/backend.h"
+#include <event2/event.h>
+}
+
+namespace
+{
+
+/* A target that does only what the test says.  */
+struct Target
+{
+  int listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  std::string address;
+
+  Target ()
+  {
+    struct sockaddr_in any = {};
+    socklen_t length = sizeof any;
+    any.sin_family = AF_INET;
+    any.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    bind (listener, (struct sockaddr *)&any, sizeof any);
+    listen (listener, 16);
+    getsockname (listener, (struct sockaddr *)&any, &length);
+    address = "127.0.0.1:" + std::to_string (ntohs (any.sin_port));
+  }
+  ~Target () { close (listener); }
+};
+
+struct Outcome
+{
+  bool done = false;
+  BkResult result = {};
+  std::string body;
+};
+
+struct Fixture
+{
+  struct event_base *base = event_base_new ();
+  BkPool *pool;
+  Target target;
+  std::vector<int> fds; /* accepted */
+
+  Fixture (BkOptions options = {})
+  {
+    options.base = base;
+    pool = bk_pool_new (&options);
+  }
+  ~Fixture ()
+  {
+    bk_pool_free (pool);
+    for (int fd : fds)
+      if (fd >= 0)
+        close (fd);
+    event_base_free (base);
+  }
+
+  BkCall *
+  start (Outcome *outcome, const char *method = "POST", int timeout_ms = 5000,
+         const std::string &body = "body")
+  {
+    BkRequest request = {};
+    request.address = target.address.c_str ();
+    request.method = method;
+    request.target = "/orders?a=1";
+    request.body = body.data ();
+    request.body_bytes = body.size ();
+    request.deadline_us = bk_now_us () + timeout_ms * 1000;
+    request.on_done = [] (const BkResult *result, void *data) {
+      Outcome *outcome = (Outcome *)data;
+      outcome->done = true;
+      outcome->result = *result;
+      if (result->complete)
+        outcome->body.assign ((const char *)result->body, result->body_bytes);
+    };
+    request.data = outcome;
+    return bk_request (pool, &request);
+  }
+  bool
+  run_until (std::function<bool ()> done, int limit_ms = 5000)
+  {
+    int64_t end_us = g_get_monotonic_time () + limit_ms * 1000;
+    while (!done () && g_get_monotonic_time () < end_us)
+      {
+        struct timeval pause = { 0, 1000 };
+        event_base_loopexit (base, &pause);
+        event_base_loop (base, EVLOOP_ONCE);
+      }
+    return done ();
+  }
+  int
+  accept_one ()
+  {
+    int fd = -1;
+    run_until ([&] {
+      return fd >= 0
+             || (fd = accept4 (target.listener, NULL, NULL, SOCK_NONBLOCK))
+                    >= 0;
+    });
+    fds.push_back (fd);
+    return fd;
+  }
+  std::string
+  receive (int fd)
+  {
+    std::string got;
+    run_until ([&] {
+      char bytes[65536];
+      ssize_t length = recv (fd, bytes, sizeof bytes, 0);
+      if (length > 0)
+        got.append (bytes, (size_t)length);
+      return got.size () >= 4 && got.substr (got.size () - 4) == "body";
+    });
+    return got;
+  }
+  bool
+  is_closed (int fd, int limit_ms = 5000)
+  {
+    return run_until (
+        [&] {
+          char byte;
+          ssize_t length = recv (fd, &byte, 1, MSG_PEEK);
+          return length == 0 || (length < 0 && errno != EAGAIN);
+        },
+        limit_ms);
+  }
+  void
+  close_fd (int fd)
+  {
+    close (fd);
+    for (int &known : fds)
+      known = known == fd ? -1 : known;
+  }
+};
+
+void
+say (int fd, const std::string &text)
+{
+  EXPECT_EQ ((ssize_t)text.size (),
+             send (fd, text.data (), text.size (), MSG_NOSIGNAL));
+}
+
+const std::string ok = "HTTP/1.1 200 OK\r\n";
+
+/* Guards against an answer that is cut, of wrong length or ambiguous and is
+   taken as whole, and against reuse of a connection whose state is doubtful
+   (R7).  */
+TEST (Backend, JudgesAnswers)
+{
+  struct
+  {
+    std::string answer;
+    bool closes;
+    BkFailure failure;
+    bool reused;
+    const char *body;
+  } cases[] = {
+    { ok + "Content-Length: 2\r\n\r\nab", false, BK_FAILURE_NONE, true, "ab" },
+    { ok + "Content-Length: 2\r\n\r\nab", true, BK_FAILURE_NONE, false, "ab" },
+    { ok + "Content-Length: 2\r\nConnection: close\r\n\r\nab", false,
+      BK_FAILURE_NONE, false, "ab" },
+    { ok + "Content-Length: 3\r\n\r\nab", true, BK_FAILURE_CLOSED, false, "" },
+    { ok + "Content-Length: 1\r\n\r\nab", false, BK_FAILURE_MALFORMED, false,
+      "" },
+    { ok + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", false,
+      BK_FAILURE_MALFORMED, false, "" },
+    { ok + "Content-Length: 9999999999\r\n\r\n", false, BK_FAILURE_TOO_LARGE,
+      false, "" },
+    { ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", false,
+      BK_FAILURE_NONE, true, "ab" },
+    { ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", true,
+      BK_FAILURE_CLOSED, false, "" },
+    { ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nabc", false,
+      BK_FAILURE_MALFORMED, false, "" },
+    { ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nx", false,
+      BK_FAILURE_MALFORMED, false, "" },
+    { ok + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
+      false, BK_FAILURE_MALFORMED, false, "" },
+    { ok + "Connection: close\r\n\r\nab", true, BK_FAILURE_NONE, false, "ab" },
+    { "HTTP/1.0 200 OK\r\n\r\nab", true, BK_FAILURE_NONE, false, "ab" },
+    { ok + "\r\nab", true, BK_FAILURE_MALFORMED, false, "" },
+    { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nA: b\r\n\r\n" + ok
+          + "Content-Length: 1\r\n\r\na",
+      false, BK_FAILURE_NONE, true, "a" },
+    { "HTTP/1.1 101 Switch\r\n\r\n", false, BK_FAILURE_MALFORMED, false, "" },
+    { "HTTP/1.1 204 None\r\n\r\n", false, BK_FAILURE_NONE, true, "" },
+    { "HTTP/1.1 304 Same\r\nContent-Length: 7\r\n\r\n", false, BK_FAILURE_NONE,
+      true, "" },
+    { "HTTP/1.1 204 None\r\nContent-Length: 1\r\n\r\na", false,
+      BK_FAILURE_MALFORMED, false, "" },
+    { ok, true, BK_FAILURE_CLOSED, false, "" },
+    { "", true, BK_FAILURE_CLOSED, false, "" },
+    { "SSH-2.0\r\n\r\n", false, BK_FAILURE_MALFORMED, false, "" },
+    { std::string (17000, 'a'), false, BK_FAILURE_MALFORMED, false, "" },
+  };
+
+  for (auto &c : cases)
+    for (size_t piece : { c.answer.size () + 1, (size_t)1 })
+      {
+        Fixture f;
+        Outcome outcome;
+        f.start (&outcome);
+        int fd = f.accept_one ();
+        std::string request = f.receive (fd);
+        EXPECT_EQ ("POST /orders?a=1 HTTP/1.1\r\nHost: " + f.target.address
+                       + "\r\nContent-Length: 4\r\n\r\nbody",
+                   request);
+        for (size_t at = 0; at < c.answer.size () && piece < 16000;
+             at += piece)
+          {
+            if (send (fd, c.answer.data () + at,
+                      MIN (piece, c.answer.size () - at), MSG_NOSIGNAL)
+                < 0)
+              break;
+            event_base_loop (f.base, EVLOOP_NONBLOCK);
+          }
+        if (piece >= 16000)
+          say (fd, c.answer);
+        if (c.closes)
+          shutdown (fd, SHUT_WR);
+        ASSERT_TRUE (f.run_until ([&] { return outcome.done; })) << c.answer;
+        /* An extra byte that comes after a whole answer cannot spoil that
+           answer; its connection must still be closed.  */
+        bool is_late = piece == 1 && outcome.result.complete;
+        EXPECT_TRUE (is_late || c.failure == outcome.result.failure)
+            << c.answer;
+        EXPECT_TRUE (is_late || c.body == outcome.body) << c.answer;
+        EXPECT_EQ (outcome.result.complete,
+                   outcome.result.failure == BK_FAILURE_NONE);
+        EXPECT_EQ (BK_SENT_MAYBE, outcome.result.sent);
+        EXPECT_EQ (!c.reused, f.is_closed (fd, c.reused ? 20 : 5000))
+            << c.answer;
+        EXPECT_EQ (c.reused ? 1u : 0u,
+                   bk_connection_count (f.pool, f.target.address.c_str ()));
+      }
+}
+
+/* Guards against a not_run that is false, and against "maybe sent" for
+   requests that never left.  */
+TEST (Backend, KnowsWhatWasSent)
+{
+  Fixture f;
+  Outcome refused, late, blocked[3], waiting, invalid;
+
+  f.start (&late, "POST", -1);
+  EXPECT_TRUE (f.run_until ([&] { return late.done; }));
+  EXPECT_EQ (BK_FAILURE_TIMEOUT, late.result.failure);
+  EXPECT_EQ (BK_SENT_NONE, late.result.sent);
+
+  f.start (&invalid, "PO ST");
+  EXPECT_FALSE (invalid.done);
+  EXPECT_TRUE (f.run_until ([&] { return invalid.done; }));
+  EXPECT_EQ (BK_FAILURE_REQUEST, invalid.result.failure);
+
+  for (Outcome &outcome : blocked)
+    f.start (&outcome, "POST", 300);
+  f.start (&waiting, "POST", 100);
+  for (int i = 0; i < 3; i++)
+    EXPECT_NE ("", f.receive (f.accept_one ()));
+  EXPECT_TRUE (f.run_until ([&] { return waiting.done; }));
+  EXPECT_EQ (BK_FAILURE_TIMEOUT, waiting.result.failure);
+  EXPECT_EQ (BK_SENT_NONE, waiting.result.sent);
+  EXPECT_EQ (3u, bk_connection_count (f.pool, f.target.address.c_str ()));
+  EXPECT_TRUE (f.run_until ([&] { return blocked[2].done; }));
+  EXPECT_EQ (BK_FAILURE_TIMEOUT, blocked[2].result.failure);
+  EXPECT_EQ (BK_SENT_MAYBE, blocked[2].result.sent);
+  EXPECT_EQ (0u, bk_connection_count (f.pool, f.target.address.c_str ()));
+
+  close (f.target.listener);
+  f.target.listener = -1;
+  f.start (&refused);
+  EXPECT_TRUE (f.run_until ([&] { return refused.done; }));
+  EXPECT_EQ (BK_FAILURE_CONNECT, refused.result.failure);
+  EXPECT_EQ (BK_SENT_NONE, refused.result.sent);
+}
+
+/* Guards against a request that is cut while it is sent and then reported as
+   not sent.  */
+TEST (Backend, CutInTheRequestIsUnknown)
+{
+  Fixture f;
+  Outcome outcome;
+  const std::string large (12000000, 'x');
+
+  f.start (&outcome, "POST", 5000, large);
+  int fd = f.accept_one ();
+  char bytes[1000];
+  EXPECT_TRUE (f.run_until ([&] { return recv (fd, bytes, 1000, 0) > 0; }));
+  f.close_fd (fd);
+  EXPECT_TRUE (f.run_until ([&] { return outcome.done; }));
+  EXPECT_EQ (BK_FAILURE_CLOSED, outcome.result.failure);
+  EXPECT_EQ (BK_SENT_MAYBE, outcome.result.sent);
+}
+
+/* Guards against the answer of one request that is given to another (R7).  */
+TEST (Backend, LateAnswerIsNotTakenForTheNext)
+{
+  Fixture f;
+  Outcome first, second;
+
+  f.start (&first, "POST", 50);
+  int fd = f.accept_one ();
+  f.receive (fd);
+  ASSERT_TRUE (f.run_until ([&] { return first.done; }));
+  EXPECT_EQ (BK_FAILURE_TIMEOUT, first.result.failure);
+  f.start (&second);
+  send (fd, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold", 41,
+        MSG_NOSIGNAL);
+  int next = f.accept_one ();
+  f.receive (next);
+  say (next, ok + "Content-Length: 3\r\n\r\nnew");
+  ASSERT_TRUE (f.run_until ([&] { return second.done; }));
+  EXPECT_EQ ("new", second.body);
+  EXPECT_TRUE (f.is_closed (fd));
+}
+
+/* Guards against a request that is sent twice, or lost, because an idle
+   connection was closed or holds unread bytes.  */
+TEST (Backend, ReusesOnlyQuietConnections)
+{
+  for (const char *event : { "quiet", "unread", "closed" })
+    {
+      Fixture f;
+      Outcome first, second;
+      f.start (&first);
+      int fd = f.accept_one ();
+      f.receive (fd);
+      say (fd, ok + "Content-Length: 0\r\n\r\n");
+      ASSERT_TRUE (f.run_until ([&] { return first.done; }));
+      if (*event == 'u')
+        say (fd, ok + "Content-Length: 3\r\n\r\nold");
+      if (*event == 'c')
+        f.close_fd (fd);
+      f.start (&second);
+      if (*event != 'q')
+        fd = f.accept_one ();
+      EXPECT_EQ (std::string::npos, f.receive (fd).find ("bodyPOST"));
+      say (fd, ok + "Content-Length: 3\r\n\r\nnew");
+      ASSERT_TRUE (f.run_until ([&] { return second.done; }));
+      EXPECT_EQ ("new", second.body) << event;
+      EXPECT_EQ (*event == 'q', (bool)second.result.reused);
+    }
+}
+
+/* Guards against a reused connection that is closed in place of an answer and
+   is reported as not sent, which would let an order run twice (R9).  */
+TEST (Backend, CloseOfAReusedConnectionIsUnknown)
+{
+  Fixture f;
+  Outcome first, second;
+
+  f.start (&first);
+  int fd = f.accept_one ();
+  f.receive (fd);
+  say (fd, ok + "Content-Length: 0\r\n\r\n");
+  ASSERT_TRUE (f.run_until ([&] { return first.done; }));
+  f.start (&second);
+  f.receive (fd);
+  f.close_fd (fd);
+  ASSERT_TRUE (f.run_until ([&] { return second.done; }));
+  EXPECT_TRUE (second.result.reused);
+  EXPECT_EQ (BK_FAILURE_CLOSED, second.result.failure);
+  EXPECT_EQ (BK_SENT_MAYBE, second.result.sent);
+}
+
+/* Guards against a target that goes on working for a caller that has gone, a
+   waiting call that is never started, and idle connections that stay.  */
+TEST (Backend, CancelsAndClosesIdle)
+{
+  BkOptions options = {};
+  options.connections_max = 1;
+  options.idle_ms = 100;
+  Fixture f (options);
+  Outcome first, second, third;
+
+  BkCall *call = f.start (&first);
+  f.start (&second);
+  BkCall *unsent = f.start (&third);
+  int fd = f.accept_one ();
+  f.receive (fd);
+  EXPECT_EQ (BK_SENT_NONE, bk_cancel (unsent));
+  EXPECT_EQ (BK_SENT_MAYBE, bk_cancel (call));
+  EXPECT_TRUE (f.is_closed (fd));
+  fd = f.accept_one ();
+  f.receive (fd);
+  say (fd, ok + "Content-Length: 0\r\n\r\n");
+  EXPECT_TRUE (f.run_until ([&] { return second.done; }));
+  EXPECT_FALSE (f.is_closed (fd, 40));
+  EXPECT_TRUE (f.is_closed (fd));
+  EXPECT_FALSE (first.done || third.done);
+}
+
+/* Guards against waiting for the body that an answer to HEAD announces.  */
+TEST (Backend, HeadHasNoBody)
+{
+  Fixture f;
+  Outcome outcome;
+
+  f.start (&outcome, "HEAD");
+  int fd = f.accept_one ();
+  f.receive (fd);
+  say (fd, ok + "Content-Length: 1000\r\n\r\n");
+  ASSERT_TRUE (f.run_until ([&] { return outcome.done; }));
+  EXPECT_TRUE (outcome.result.complete);
+  EXPECT_EQ (0u, outcome.result.body_bytes);
+}
+
+}
--- a/front/front.h
+++ b/front/front.h
@@ -29,6 +29,7 @@
      closes.  Time limits cover a request that arrives slowly, an idle
      connection and an answer that is not read.
 
+     The process must ignore SIGPIPE, as with every libevent bufferevent.
      Times are of CLOCK_BOOTTIME in microseconds.
 
    ERRORS
@@ -114,7 +115,8 @@
 /* Sends the answer and ends the request.  HEADERS may be NULL; without a
    Content-Type the body is announced as application/json.  Content-Length,
    Connection and other headers of framing in HEADERS are ignored, as are
-   headers that cannot be sent.  */
+   headers that cannot be sent; only in an answer to HEAD without a body the
+   Content-Length of HEADERS is passed on.  */
 void fr_reply (FrRequest *request, uint32_t status, const HtHeaders *headers,
                const void *body, gsize body_bytes);
 
--- a/front/front_test.cc
+++ b/front/front_test.cc
@@ -424,4 +424,24 @@
              caller.got);
 }
 
+/* Guards against an answer to HEAD that announces an empty body, or has one.
+ */
+TEST (Front, HeadKeepsTheLength)
+{
+  Server server;
+  Caller caller (server);
+  server.handler = [&] (FrRequest *request) {
+    g_autoptr (HtHeaders) headers = ht_headers_new ();
+    ht_headers_add (headers, "Content-Length", "99");
+    fr_reply (request, 200, headers, NULL, 0);
+  };
+
+  caller.send ("HEAD /" + host + "\r\n");
+  ASSERT_TRUE (server.run_until ([&] {
+    caller.poll ();
+    return caller.answers () == 1;
+  }));
+  EXPECT_EQ ("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n", caller.got);
+}
+
 }
--- a/front/reply.c
+++ b/front/reply.c
@@ -50,6 +50,22 @@
   g_string_append_len (out, digits + at, (gssize)(sizeof digits - at));
 }
 
+/* The length that the answer to a GET would have had, if a target gave it
+   for HEAD.  */
+static gboolean
+head_length (const FrConn *conn, const HtHeaders *headers, gsize *length)
+{
+  const char *text
+      = headers != NULL ? ht_headers_get (headers, "Content-Length") : NULL;
+  guint64 number;
+
+  if (text == NULL || strcmp (conn->request.method, "HEAD") != 0
+      || !g_ascii_string_to_unsigned (text, 10, 0, G_MAXINT64, &number, NULL))
+    return FALSE;
+  *length = (gsize)number;
+  return TRUE;
+}
+
 static void
 append_head (GString *out, const FrConn *conn, uint32_t status,
              const HtHeaders *headers, gsize body_bytes, gboolean keep)
@@ -65,6 +81,7 @@
     g_string_append (out, "Content-Type: application/json\r\n");
   if (!ht_is_bodiless (status))
     {
+      head_length (conn, headers, &body_bytes);
       g_string_append (out, "Content-Length: ");
       append_number (out, body_bytes);
       g_string_append (out, "\r\n");
