--- a/order/record.c
+++ b/order/record.c
@@ -216,7 +216,7 @@
 OrRecord *
 or_record_parse (const char *json, gsize length, GError **error)
 {
-  g_autoptr (OrRecord) record = g_new0 (OrRecord, 1);
+  OrRecord *record = g_new0 (OrRecord, 1);
   struct json_tokener *tokener = json_tokener_new ();
   struct json_object *object
       = json_tokener_parse_ex (tokener, json, (int)MIN (length, G_MAXINT));
@@ -224,7 +224,10 @@
 
   json_object_put (object);
   json_tokener_free (tokener);
-  return valid ? g_steal_pointer (&record) : NULL;
+  if (valid)
+    return record;
+  or_record_free (record);
+  return NULL;
 }
 
 void
