Look only for presented keys elsewhere in a request

Values of a query parameter named key and of other schemes were looked for in paths and headers too, so that ?key=id stripped ?sort=id and could refuse a path. They are still removed where they stand.

--- a/key/key.h
+++ b/key/key.h
@@ -22,9 +22,10 @@
      Authorization, Proxy-Authorization and X-Api-Key under any spelling of
      case and with underscores for dashes; the query parameters key and
      api_key, also percent-encoded, repeated, or separated by semicolons;
-     and any other header or parameter whose value contains one of the keys
-     that were found there, plain, percent-encoded or in base64.  X-Customer
-     is removed too, since only the daemon may set it.
+     and any other header or parameter that contains a key presented by
+     Bearer or X-Api-Key, plain, percent-encoded or in base64; keys shorter
+     than 8 bytes only as whole words.  X-Customer is removed too, since only
+     the daemon may set it.
 
    ERRORS
      KY_ERROR_MISSING    no key was presented
--- a/key/strip.c
+++ b/key/strip.c
@@ -87,36 +87,19 @@
   g_ptr_array_add (secrets, g_strndup (text, length));
 }
 
-/* User name and password of "Basic" credentials are secrets of their own.  */
-static void
-add_basic_secrets (GPtrArray *secrets, const char *encoded)
-{
-  gsize length = 0;
-  g_autofree char *text = (char *)g_base64_decode (encoded, &length);
-  const char *colon = memchr (text, ':', length);
-
-  if (colon == NULL)
-    return;
-  add_secret (secrets, text, (gsize)(colon - text));
-  add_secret (secrets, colon + 1, length - (gsize)(colon + 1 - text));
-}
-
+/* Only what the protocol presents as a key is looked for elsewhere.  A query
+   parameter named key, or the user name of another scheme, is as likely an
+   ordinary word that stands in paths and cookies too.  */
 static void
 add_header_secrets (GPtrArray *secrets, const HtHeader *header)
 {
-  gsize scheme_bytes = strcspn (header->value, " ");
-  const char *rest = header->value + scheme_bytes;
   g_auto (GStrv) words = g_strsplit_set (header->value, " ,;", -1);
+  gboolean is_key = is_header (header->name, "x-api-key");
 
-  rest += strspn (rest, " ");
-  if (*rest == '\0')
-    add_secret (secrets, header->value, scheme_bytes);
-  if (g_ascii_strncasecmp (header->value, "Basic ", 6) == 0)
-    add_basic_secrets (secrets, rest);
-  /* The first of several words is the name of a scheme, but not in a list of
-     keys.  */
-  for (guint i = is_header (header->name, "x-api-key") ? 0 : 1;
-       words[0] != NULL && words[i] != NULL; i++)
+  if (!is_key
+      && (words[0] == NULL || g_ascii_strcasecmp (words[0], "Bearer") != 0))
+    return;
+  for (guint i = is_key ? 0 : 1; words[0] != NULL && words[i] != NULL; i++)
     add_secret (secrets, words[i], strlen (words[i]));
 }
 
@@ -143,18 +126,6 @@
   return is_credential_name (name);
 }
 
-static void
-add_parameter_secrets (GPtrArray *secrets, const char *parameter)
-{
-  const char *equals = strchr (parameter, '=');
-  g_autofree char *value = NULL;
-
-  if (equals == NULL || !is_credential_parameter (parameter))
-    return;
-  value = decode (equals + 1, FALSE);
-  add_secret (secrets, value, strlen (value));
-}
-
 static gboolean
 contains_secret (const char *text, gsize length, const char *secret)
 {
@@ -239,13 +210,6 @@
     }
 }
 
-static void
-collect_parameter (const char *parameter, char separator, void *secrets)
-{
-  (void)separator;
-  add_parameter_secrets (secrets, parameter);
-}
-
 typedef struct
 {
   const GPtrArray *secrets;
@@ -294,8 +258,6 @@
   for (uint32_t i = 0; i < headers->count; i++)
     if (is_credential_header (headers->items[i].name))
       add_header_secrets (secrets, &headers->items[i]);
-  if (*query != NULL)
-    for_each_parameter (*query, collect_parameter, secrets);
   if (reveals (path, secrets))
     {
       g_set_error_literal (error, KY_ERROR, KY_ERROR_PATH,
