--- a/assign/next.c
+++ b/assign/next.c
@@ -373,7 +373,7 @@
 
       if (target->preferred != NULL
           && strcmp (target->preferred, view->self.vm) == 0
-          && wall_ms >= target->preferred_since_ms + AS_PREFERRED_MS)
+          && wall_ms >= target->preferred_since_ms + AS_CLAIM_MS)
         changed |= claim_slots (doc, own, target);
     }
   return changed;
@@ -436,12 +436,15 @@
     changed |= move_weight (doc, own, view, (Part)part);
   changed |= release_slots (own, view, wall_ms);
   changed |= claim_all_slots (doc, own, view, wall_ms);
+  if (view->leaving && own->base + own->flex == 0 && own->slots->len == 0)
+    {
+      g_ptr_array_remove (doc->members, own);
+      return TRUE;
+    }
   if (!changed)
     return FALSE;
   g_free (own->op_id);
   own->op_id = g_strdup (view->op_id);
-  if (view->leaving && own->base + own->flex == 0 && own->slots->len == 0)
-    g_ptr_array_remove (doc->members, own);
   return TRUE;
 }
 
