Close a connection whose write fails together with its end of input

Under random traffic 14 to 20 of 20 connections stayed open: the caller's close and the failed write arrive as one event, which was taken for a half-close.

--- a/front/conn.c
+++ b/front/conn.c
@@ -406,8 +406,10 @@
 {
   FrConn *conn = data;
 
-  /* The caller has sent its last request and still reads the answer.  */
-  if ((what & BEV_EVENT_EOF) != 0 && conn->state == FR_CONN_ANSWERED)
+  /* The caller has sent its last request and may still read the answer.  A
+     failed write can be reported together with the end of its input.  */
+  if (what == (BEV_EVENT_EOF | BEV_EVENT_READING)
+      && conn->state == FR_CONN_ANSWERED)
     {
       evhtp_request_set_keepalive (conn->evhtp_request, 0);
       bufferevent_disable (bev, EV_READ);
--- a/front/front_test.cc
+++ b/front/front_test.cc
@@ -335,6 +335,30 @@
   EXPECT_GT (caller.got.size (), body.size ());
 }
 
+/* Guards against connections that stay open when the end of input and a
+   failed write are reported together.  */
+TEST (Front, ForgetsCallersThatCloseWhileAnswered)
+{
+  Server server;
+  const std::string body (100000, 'x');
+  server.handler = [&] (FrRequest *request) {
+    fr_reply (request, 200, NULL, body.data (), body.size ());
+  };
+
+  for (int i = 0; i < 300; i++)
+    {
+      Caller caller (server);
+      for (int k = 0; k < i % 30; k++)
+        caller.send ("GET /" + host + "\r\n");
+      for (int k = 0; k < i % 7; k++)
+        event_base_loop (server.base, EVLOOP_NONBLOCK);
+      if (i % 2 == 0)
+        caller.poll ();
+    }
+  EXPECT_TRUE (server.run_until (
+      [&] { return fr_counters (server.front)->connection_count == 0; }));
+}
+
 /* Guards against callers that hold connections by sending or reading slowly,
    and against more connections than the limit.  */
 TEST (Front, LimitsTimeAndConnections)
