--- a/bench/load.c
+++ b/bench/load.c
@@ -6,7 +6,10 @@
 #define RATE_SMALL_PER_S 40
 #define RATE_LARGE_PER_S 160
 #define LOAD_PERMILLE 800
-#define TIMEOUT_MS 10000
+/* A caller that waits longer than its deadline, so that it is told the
+   outcome; four attempts must fit the time of a scenario.  */
+#define DEADLINE_MS 2000
+#define TIMEOUT_MS 3000
 #define LOAD_MAX_MS 120000
 
 static char *
@@ -69,6 +72,7 @@
   g_ptr_array_add (argv,
                    g_strdup_printf ("--duration-ms=%u", options->duration_ms));
   g_ptr_array_add (argv, g_strdup_printf ("--timeout-ms=%d", TIMEOUT_MS));
+  g_ptr_array_add (argv, g_strdup_printf ("--deadline-ms=%d", DEADLINE_MS));
   g_ptr_array_add (argv, g_strdup ("--out"));
   g_ptr_array_add (argv, summary_path (harness, options->seed));
   g_ptr_array_add (argv, NULL);
--- a/standin/load.c
+++ b/standin/load.c
@@ -305,6 +305,11 @@
       g_snprintf (number, sizeof number, "%u", options->answer_bytes);
       evhttp_add_header (headers, "X-Answer-Bytes", number);
     }
+  if (options->deadline_ms > 0)
+    {
+      g_snprintf (number, sizeof number, "%u", options->deadline_ms);
+      evhttp_add_header (headers, "X-Deadline-Ms", number);
+    }
   if (options->work_ms > 0)
     {
       g_snprintf (number, sizeof number, "%u", options->work_ms);
--- a/standin/load.h
+++ b/standin/load.h
@@ -94,6 +94,7 @@
   uint32_t seed;
   uint32_t duration_ms;
   uint32_t timeout_ms;
+  uint32_t deadline_ms;  /* X-Deadline-Ms; 0: not sent */
   uint32_t answer_bytes; /* 0: the target's default */
   uint32_t work_ms;      /* 0: the target's default */
 } SiLoadOptions;
--- a/standin/load_main.c
+++ b/standin/load_main.c
@@ -85,6 +85,7 @@
   int seed;
   int duration_ms;
   int timeout_ms;
+  int deadline_ms;
   int answer_bytes;
   int work_ms;
 } Arguments;
@@ -110,6 +111,8 @@
       "Time of arrivals", "MS" },
     { "timeout-ms", 0, 0, G_OPTION_ARG_INT, &a->timeout_ms,
       "Time without a byte until an attempt is given up", "MS" },
+    { "deadline-ms", 0, 0, G_OPTION_ARG_INT, &a->deadline_ms,
+      "Deadline sent with each request", "MS" },
     { "answer-bytes", 0, 0, G_OPTION_ARG_INT, &a->answer_bytes,
       "Size of answers", "N" },
     { "work-ms", 0, 0, G_OPTION_ARG_INT, &a->work_ms, "Service time", "MS" },
@@ -141,6 +144,7 @@
   options->seed = (uint32_t)a->seed;
   options->duration_ms = (uint32_t)a->duration_ms;
   options->timeout_ms = (uint32_t)a->timeout_ms;
+  options->deadline_ms = (uint32_t)a->deadline_ms;
   options->answer_bytes = (uint32_t)a->answer_bytes;
   options->work_ms = (uint32_t)a->work_ms;
 }
