--- a/bench/main.c
+++ b/bench/main.c
@@ -7,7 +7,7 @@
 
 /* Trials that run side by side.  Each is mostly idle: the targets' service
    time is a delay, and the load is a few hundred requests a second.  */
-#define WORKERS 3
+#define WORKERS 4
 #define TRIAL_MAX_MS (300 * 1000)
 #define HEADER                                                                \
   "scenario\tdeployment\tpolicy\tmeasure\tunit\tmedian\tlow\thigh\n"
