steer: choice of region and target, look-up order, policies

Daemons choose on reports that are up to 2 s old while a slot changes hands in tens of ms. Now a report counts less the older it is compared with the target's latency, the mean takes its place, and a refusal by a holder counts as a fresh report.

--- a/steer/steer.h
+++ b/steer/steer.h
@@ -22,6 +22,8 @@
                      sheds.  Spill-over to another region leaves
                      SR_HEADROOM_PERMILLE of its slots free.  A target that
                      reports to be idle but sheds is passed over.
+                     A report of free slots counts less the older it is,
+   compared with the target's latency; the mean of all reports takes its place.
      nearest         the zone with the lowest delay
      random          any
      least-reported  the lowest load that targets report
@@ -55,8 +57,8 @@
 #define SR_VM_FULL_PERMILLE 900
 
 /* A target that sheds more than this share is chosen only when there is no
-   other, and by one request in SR_SHED_RETRY_ONE_IN to see whether it has
-   recovered.  */
+   other even to wait for, and by one request in SR_SHED_RETRY_ONE_IN to see
+   whether it has recovered.  */
 #define SR_SHED_PERMILLE 200
 #define SR_SHED_RETRY_ONE_IN 50
 
@@ -81,7 +83,8 @@
   uint32_t delay_us; /* one way, from the daemon's own zone */
 } SrZone;
 
-/* Another daemon that holds slots of the target.  */
+/* Another daemon that holds slots of the target.  A refusal by it is a report
+   of 0 free slots with age 0.  */
 typedef struct
 {
   const char *vm;
