--- a/steer/lookup.c
+++ b/steer/lookup.c
@@ -14,34 +14,26 @@
 
 typedef struct
 {
-  Group group;
-  uint32_t delay_us; /* GROUP_ELSEWHERE only */
-  uint32_t region;
-  gboolean full;
+  uint64_t place; /* group, delay, region and whether the VM is full */
   double draw;
   uint32_t index;
 } Rank;
 
-#define COMPARE(a, b) (((a) > (b)) - ((a) < (b)))
+#define PLACE_GROUP_SHIFT 62
+#define PLACE_DELAY_SHIFT 24
+#define PLACE_REGION_SHIFT 1
 
 static int
 compare_ranks (const void *a, const void *b)
 {
   const Rank *left = a;
   const Rank *right = b;
-  const int orders[] = {
-    COMPARE (left->group, right->group),
-    COMPARE (left->delay_us, right->delay_us),
-    COMPARE (left->region, right->region),
-    COMPARE (left->full, right->full),
-    COMPARE (left->draw, right->draw),
-    COMPARE (left->index, right->index),
-  };
 
-  for (size_t i = 0; i < G_N_ELEMENTS (orders); i++)
-    if (orders[i] != 0)
-      return orders[i];
-  return 0;
+  if (left->place != right->place)
+    return left->place < right->place ? -1 : 1;
+  if (left->draw != right->draw)
+    return left->draw < right->draw ? -1 : 1;
+  return left->index < right->index ? -1 : 1;
 }
 
 /* The smaller, the earlier.  Ordered by such draws, each VM comes first with a
@@ -54,26 +46,32 @@
   return -log (even) / weight;
 }
 
-static Rank
-rank_vm (const SrView *view, const SrVm *vm, uint32_t index, uint32_t region,
-         uint64_t *random)
+static uint64_t
+place_of (const SrView *view, const SrVm *vm, uint32_t region)
 {
+  uint64_t full = vm->load_permille > SR_VM_FULL_PERMILLE;
   uint32_t at;
-  Rank rank = { .index = index };
 
   g_assert (vm->zone < view->zone_count);
   at = view->zones[vm->zone].region;
   if (at != region)
-    {
-      rank.group = GROUP_ELSEWHERE;
-      rank.delay_us = view->regions[at].delay_us;
-      rank.region = at;
-    }
-  else
-    rank.group = vm->zone == view->own_zone ? GROUP_OWN_ZONE : GROUP_REGION;
-  rank.full = vm->load_permille > SR_VM_FULL_PERMILLE;
-  rank.draw = weighted_draw (random, 1001 - MIN (vm->load_permille, 1000));
-  return rank;
+    return (uint64_t)GROUP_ELSEWHERE << PLACE_GROUP_SHIFT
+           | (uint64_t)view->regions[at].delay_us << PLACE_DELAY_SHIFT
+           | (uint64_t)at << PLACE_REGION_SHIFT | full;
+  if (vm->zone == view->own_zone)
+    return (uint64_t)GROUP_OWN_ZONE << PLACE_GROUP_SHIFT | full;
+  return (uint64_t)GROUP_REGION << PLACE_GROUP_SHIFT | full;
+}
+
+static Rank
+rank_vm (const SrView *view, const SrVm *vm, uint32_t index, uint32_t region,
+         uint64_t *random)
+{
+  uint32_t spare_permille = 1001 - MIN (vm->load_permille, 1000);
+
+  return (Rank){ .place = place_of (view, vm, region),
+                 .draw = weighted_draw (random, spare_permille),
+                 .index = index };
 }
 
 uint32_t
