--- a/conf/check.c
+++ b/conf/check.c
@@ -18,10 +18,23 @@
 {
   GPtrArray *rows = cf_rows (config, schema);
 
+  if (rows->len > CF_SECTION_ROWS_MAX)
+    {
+      g_set_error (error, CF_ERROR, CF_ERROR_RANGE, "%s: more than %d rows",
+                   schema->section, CF_SECTION_ROWS_MAX);
+      return FALSE;
+    }
   for (guint i = 0; i < rows->len; i++)
     {
-      char *identity = cf_row_identity (schema, g_ptr_array_index (rows, i));
+      const void *row = g_ptr_array_index (rows, i);
+      char *identity;
 
+      if (!cf_row_check (schema, row, error))
+        {
+          g_prefix_error (error, "%s[%u].", schema->section, i);
+          return FALSE;
+        }
+      identity = cf_row_identity (schema, row);
       if (g_hash_table_contains (names, identity))
         {
           fail (error, CF_ERROR_DUPLICATE, schema->noun, identity,
@@ -72,13 +85,6 @@
     {
       const CfCustomer *customer = g_ptr_array_index (config->customers, i);
 
-      if (customer->rate_per_s == 0 || customer->burst == 0
-          || customer->weight == 0)
-        return fail (error, CF_ERROR_RANGE, "customer", customer->name,
-                     "rate, burst and weight must be above zero", NULL);
-      if (customer->keys->len > CF_KEYS_MAX)
-        return fail (error, CF_ERROR_RANGE, "customer", customer->name,
-                     "has more than 64 keys", NULL);
       if (!check_keys (customer, digests, error))
         return FALSE;
     }
@@ -223,6 +229,8 @@
   GHashTable *services = NULL;
   GHashTable *regions = NULL;
 
+  if (!cf_row_check (&cf_document_schema, config, error))
+    return FALSE;
   for (uint32_t i = 0; i < cf_section_count; i++)
     {
       GHashTable *set = name_set ();
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -47,6 +47,8 @@
 #define CF_ZONES_MAX 64
 #define CF_PREFIX_MAX_BYTES 1024
 #define CF_ROWS_MAX 1000000
+/* Of a section other than blocks.  These are checked in a single step.  */
+#define CF_SECTION_ROWS_MAX 5000
 
 #define CF_ERROR (cf_error_quark ())
 
@@ -189,6 +191,9 @@
 CfConfig *cf_from_json (const char *text, gsize length, GError **error);
 char *cf_to_json (const CfConfig *config);
 gboolean cf_check (const CfConfig *config, GError **error);
+/* CONFIG as the body of POST /v1/config: its op_id and author, and a base
+   version one below its version.  */
+char *cf_change_to_json (const CfConfig *config);
 
 /* Cuts CONFIG into parts with their content set.  */
 CfManifest *cf_cut (const CfConfig *config);
@@ -247,6 +252,8 @@
 gboolean cf_parse_sha256 (const char *hex, uint8_t *sha256);
 /* 1 to 63 bytes of [a-z0-9-].  */
 gboolean cf_is_name (const char *text);
+/* A path of at most CF_PREFIX_MAX_BYTES, without query.  */
+gboolean cf_is_prefix (const char *text);
 
 /* Rows with their strings empty and their arrays made, for programs that
    build a configuration.  Each belongs to the array it is added to.  */
@@ -261,6 +268,9 @@
                        const char *object);
 CfShift *cf_add_shift (CfConfig *config, const char *name, const char *service,
                        const char *from, const char *to);
+/* FALSE if there is none.  */
+gboolean cf_remove_drain (CfConfig *config, const char *name);
+gboolean cf_remove_shift (CfConfig *config, const char *name);
 /* Orders blocks after they were appended in any order.  */
 void cf_sort_blocks (CfConfig *config);
 
--- a/conf/conf_test.cc
+++ b/conf/conf_test.cc
@@ -159,8 +159,27 @@
       }
   }
 
+  /* Guards against a configuration that a program has built being written in a
+   form that no daemon reads.  */
+  TEST (Conf, CheckCoversWhatProgramsBuild)
+  {
+    g_autoptr (CfConfig) config = parse (document);
+    EXPECT_TRUE (cf_check (config, nullptr));
+    auto *customer = (CfCustomer *)g_ptr_array_index (config->customers, 0);
+    customer->burst = 0;
+    EXPECT_FALSE (cf_check (config, nullptr));
+    customer->burst = 1;
+    auto *route = (CfRoute *)g_ptr_array_index (config->routes, 0);
+    route->prefix[1] = '\x7f';
+    EXPECT_FALSE (cf_check (config, nullptr));
+    route->prefix[1] = 'b';
+    EXPECT_TRUE (cf_check (config, nullptr));
+    cf_add_service (config, "Boards");
+    EXPECT_FALSE (cf_check (config, nullptr));
+  }
+
   /* Guards against a plain key, written where its digest belongs, showing up
-     in a log or an answer.  */
+       in a log or an answer.  */
   TEST (Conf, PlainKeyStaysOutOfMessages)
   {
     std::string text = document;
@@ -322,6 +341,21 @@
       }
   }
 
+  /* Guards against a change being written in a form that is read otherwise. */
+  TEST (Conf, ChangeSurvivesWritingAndReading)
+  {
+    g_autoptr (CfConfig) config = parse (document);
+    g_autofree char *text = cf_change_to_json (config);
+    g_autoptr (GBytes) bytes = g_bytes_new_static (text, strlen (text));
+    g_autoptr (CfJob) job = cf_read_change_begin (bytes);
+    while (cf_job_step (job, 100, nullptr) == CF_STEP_MORE)
+      continue;
+    g_autoptr (CfConfig) again = cf_job_take_config (job);
+    g_autofree char *first = cf_to_json (config);
+    g_autofree char *second = cf_to_json (again);
+    EXPECT_STREQ (first, second);
+  }
+
   /* Guards against an operator seeing less than what changes.  */
   TEST (Conf, DiffNamesEveryChange)
   {
--- a/sheet/sheet_test.cc
+++ b/sheet/sheet_test.cc
@@ -147,6 +147,8 @@
     { "zone,nordic-1", "zoen,nordic-1", SH_ERROR_KIND, 9, "kind" },
     { "zone,nordic-1", "zone,Nordic-1", SH_ERROR_NAME, 9, "name" },
     { "zone,nordic-1", "zone,", SH_ERROR_MISSING, 9, "name" },
+    { "route,/boards/public/", "route,/boards/\x7fpublic/", SH_ERROR_NAME, 21,
+      "name" },
     { ",,keyed,yes", ",,closed,yes", SH_ERROR_WORD, 20, "access" },
     { "service,boards,,,", "service,boards,,,baltic", SH_ERROR_UNEXPECTED, 3,
       "region" },
@@ -335,6 +337,25 @@
   EXPECT_NE (find (problems, SH_ERROR_REFERENCE), nullptr);
 }
 
+/* Guards against a key that was issued during the day being cut off by a sheet
+   that does not know it.  */
+TEST (Sheet, KeyInForceNeedsARow)
+{
+  std::string text = example ("tammemets.csv");
+  g_autoptr (GPtrArray) problems = nullptr;
+  g_autoptr (CfConfig) current = parse (text, &problems);
+  ASSERT_NE (current, nullptr);
+  auto *customer = (CfCustomer *)g_ptr_array_index (current->customers, 0);
+  CfKey *key = cf_add_key (customer, "night-key");
+  ASSERT_EQ (parse (text, &problems, "2026-12-04", nullptr, current), nullptr);
+  ASSERT_NE (find (problems, SH_ERROR_KEY_MISSING), nullptr);
+  EXPECT_EQ (find (problems, SH_ERROR_KEY_MISSING)->row, 26u);
+  key->withdrawn = TRUE;
+  g_autoptr (CfConfig) next
+      = parse (text, &problems, "2026-12-04", nullptr, current);
+  EXPECT_NE (next, nullptr);
+}
+
 /* Guards against shifts that no cap can satisfy together.  */
 TEST (Sheet, ContradictingShiftsAreRefused)
 {
@@ -378,3 +399,39 @@
   EXPECT_NE (find (problems, SH_ERROR_DRAIN_CAPACITY), nullptr)
       << listing (problems);
 }
+
+/* Guards against a sheet that is accepted here and refused by the daemons,
+   which read its JSON form, and against input that crashes the client.  */
+TEST (Sheet, MutatedSheetsAreRefusedOrReadByDaemons)
+{
+  const uint32_t seed = 20261204;
+  std::string good = example ("tammemets.csv");
+  GRand *random = g_rand_new_with_seed (seed);
+  int accepted = 0;
+
+  for (int i = 0; i < 4000; i++)
+    {
+      std::string text = good;
+      for (int edits = g_rand_int_range (random, 1, 4); edits > 0; edits--)
+        {
+          size_t at = g_rand_int_range (random, 0, (int)text.size ());
+          size_t span = g_rand_int_range (random, 0, 4);
+          text.replace (at, span, 1, (char)g_rand_int_range (random, 0, 256));
+        }
+      g_autoptr (GPtrArray) problems = nullptr;
+      g_autoptr (CfConfig) config = parse (text, &problems);
+      if (config == nullptr)
+        {
+          ASSERT_GT (problems->len, 0u) << "seed " << seed << ", input " << i;
+          continue;
+        }
+      g_autofree char *json = cf_to_json (config);
+      g_autoptr (GError) error = nullptr;
+      g_autoptr (CfConfig) again = cf_from_json (json, strlen (json), &error);
+      ASSERT_NE (again, nullptr)
+          << error->message << ", seed " << seed << ", input " << i;
+      accepted++;
+    }
+  g_rand_free (random);
+  EXPECT_GT (accepted, 10) << "seed " << seed;
+}
