--- a/steer/steer.h
+++ b/steer/steer.h
@@ -101,7 +101,7 @@
   uint32_t slot_count;     /* over the fleet */
   uint32_t limit_count;    /* AIMD limit as far as known; 0: none known */
   uint32_t own_free_count; /* that sl_acquire would give */
-  uint32_t in_use_count;   /* own requests, and those that holders reported */
+  uint32_t in_use_count;   /* where there is no lender to tell free slots */
   const SrLender *lenders;
   uint32_t lender_count;
   uint32_t warm_permille;
