client: look after a change that was read back; admin lends the document

A daemon answers "applied" only after more than half of the members have acknowledged.

The daemon takes its own reference of the document in AdClass.write, as for other lent arguments; the header said so in no clear word before.

An added row is one line of a diff and not one for each field.

--- a/admin/admin.h
+++ b/admin/admin.h
@@ -142,10 +142,9 @@
   const EvRing *(*events) (void *data);
   /* New reference to the configuration in force, or NULL.  */
   CfConfig *(*config) (void *data);
-  /* Gives CONFIG, a reference, to the daemon.  It is checked; its version is
-     BASE_VERSION + 1, and op_id and author are set.  The daemon sets
-     written_ms while no one else holds it, and answers with ad_write_done, at
-     once or later.  */
+  /* CONFIG is checked; its version is BASE_VERSION + 1, and op_id and author
+     are set.  The daemon sets written_ms, takes a reference of its own if it
+     keeps CONFIG, and answers with ad_write_done, at once or later.  */
   void (*write) (AdCall *call, CfConfig *config, uint64_t base_version,
                  void *data);
   /* Answered with ad_operation_done.  BASE_VERSION is 0 if not given.  */
--- a/admin/admin_test.cc
+++ b/admin/admin_test.cc
@@ -63,7 +63,7 @@
 {
   auto *daemon = (Daemon *)data;
   cf_unref (daemon->written);
-  daemon->written = change;
+  daemon->written = cf_ref (change);
   daemon->base_version = base_version;
   if (daemon->answer_later)
     daemon->open_call = call;
--- a/admin/config.c
+++ b/admin/config.c
@@ -76,7 +76,7 @@
   AdCall *call = data;
   g_autoptr (GError) error = NULL;
   CfStep step = cf_job_step (call->job, CF_STEP_ROWS, &error);
-  CfConfig *config;
+  g_autoptr (CfConfig) config = NULL;
 
   (void)fd;
   (void)what;
--- a/client/client_test.cc
+++ b/client/client_test.cc
@@ -90,13 +90,15 @@
     }
   if (daemon->answers_writes)
     ad_write_done (call, &answer);
-  cf_unref (change);
 }
 
 void
 operation (AdCall *call, const char *, uint64_t, void *data)
 {
-  ad_operation_done (call, ((Daemon *)data)->operation, 5);
+  auto *daemon = (Daemon *)data;
+  CfConfig *now = daemon->fleet->config;
+  ad_operation_done (call, daemon->operation,
+                     now == nullptr ? 0 : now->version);
 }
 
 const AdClass daemon_class
@@ -347,6 +349,19 @@
     }
 }
 
+/* Guards against a change that was written, but that the daemons have not got,
+   being reported like one that they have acknowledged.  */
+TEST_F (Client, ReadBackChangeIsLookedAfter)
+{
+  daemons[0].says = AD_WRITE_UNKNOWN;
+  daemons[1].operation = AD_OPERATION_APPLIED;
+  daemons[1].in_force = false;
+  EXPECT_EQ (
+      run ({ "apply", sheet, "--today", "2026-12-04", "--wait-ms", "200" }),
+      CL_EXIT_PARTIAL);
+  EXPECT_NE (out.find ("vm2: not in force"), std::string::npos) << out;
+}
+
 /* Guards against the client giving up with the first daemon of its list.  */
 TEST_F (Client, NextDaemonIsTried)
 {
--- a/client/config.c
+++ b/client/config.c
@@ -35,6 +35,9 @@
   /* A daemon may have got the change although it did not say what became of
      it; from then on only a definite answer ends the doubt.  */
   gboolean in_doubt;
+  /* A daemon answered after more than half of the members had acknowledged
+     the version.  A change that was read back may lack that.  */
+  gboolean acknowledged;
   uint64_t version; /* applied, or the one that was first */
   char *author;     /* of the change that was first */
   char *reason;
@@ -148,6 +151,7 @@
   if (raw.status == 200 && strcmp (said, "applied") == 0)
     {
       write->version = (uint64_t)cl_number (answer, "version");
+      write->acknowledged = TRUE;
       result = WRITE_APPLIED;
     }
   else if (raw.status == 409 && strcmp (said, "lost") == 0)
@@ -236,7 +240,8 @@
                             json_object_new_string (write->reason));
   if (!context->options.json)
     explain (write, result);
-  if (result == WRITE_APPLIED && context->options.wait)
+  if (result == WRITE_APPLIED
+      && (context->options.wait || !write->acknowledged))
     exit = cl_wait_in_force (context, write->version, root);
   if (context->options.json)
     cl_print_json (context, root);
--- a/conf/diff.c
+++ b/conf/diff.c
@@ -80,6 +80,34 @@
     }
 }
 
+/* One line with the fields that differ from an empty row, then the keys.  */
+static void
+diff_added (GPtrArray *lines, const CfSchema *schema, const char *name,
+            const void *now)
+{
+  g_autofree char *owner = g_strdup_printf ("%s %s", schema->noun, name);
+  g_autoptr (GPtrArray) none = g_ptr_array_new ();
+  GString *line = g_string_new (owner);
+  void *empty = cf_row_new (schema);
+
+  g_string_append (line, ": added");
+  for (uint32_t i = schema->identity_count; i < schema->field_count; i++)
+    {
+      const CfField *field = &schema->fields[i];
+      g_autofree char *old_text = field_text (field, empty);
+      g_autofree char *now_text = field_text (field, now);
+
+      if (field->type != CF_FIELD_ROWS && strcmp (old_text, now_text) != 0)
+        g_string_append_printf (line, ", %s %s", field->name, now_text);
+    }
+  g_ptr_array_add (lines, g_string_free (line, FALSE));
+  for (uint32_t i = 0; i < schema->field_count; i++)
+    if (schema->fields[i].type == CF_FIELD_ROWS)
+      diff_keys (lines, owner, none,
+                 G_STRUCT_MEMBER (GPtrArray *, now, schema->fields[i].offset));
+  cf_row_free (schema, empty);
+}
+
 static GHashTable *
 index_rows (const CfSchema *schema, const GPtrArray *rows)
 {
@@ -121,12 +149,7 @@
 
       if (g_hash_table_contains (old_rows, name))
         continue;
-      g_autofree char *owner = g_strdup_printf ("%s %s", schema->noun, name);
-      void *empty = cf_row_new (schema);
-
-      g_ptr_array_add (lines, g_strdup_printf ("%s: added", owner));
-      diff_row (lines, schema, owner, empty, now);
-      cf_row_free (schema, empty);
+      diff_added (lines, schema, name, now);
     }
 }
 
