--- a/conf/diff.c
+++ b/conf/diff.c
@@ -5,8 +5,16 @@
 static char *
 field_text (const CfField *field, const void *row)
 {
-  GString *out = g_string_new (NULL);
+  GString *out;
 
+  if (field->type == CF_FIELD_TIME)
+    {
+      g_autoptr (GDateTime) time = g_date_time_new_from_unix_utc (
+          G_STRUCT_MEMBER (int64_t, row, field->offset) / 1000);
+
+      return g_date_time_format (time, "%Y-%m-%dT%H:%M:%SZ");
+    }
+  out = g_string_new (NULL);
   cf_field_write (field, row, out);
   return g_string_free (out, FALSE);
 }
--- a/conf/internal.h
+++ b/conf/internal.h
@@ -25,6 +25,7 @@
   CF_FIELD_U32,
   CF_FIELD_U64,
   CF_FIELD_I64,
+  CF_FIELD_TIME,   /* int64_t, ms since 1970 */
   CF_FIELD_BOOL,   /* gboolean */
   CF_FIELD_WORD,   /* enum, index into words */
   CF_FIELD_SHA256, /* uint8_t[32] */
--- a/conf/row.c
+++ b/conf/row.c
@@ -180,6 +180,7 @@
     case CF_FIELD_U32:
     case CF_FIELD_U64:
     case CF_FIELD_I64:
+    case CF_FIELD_TIME:
       return read_number (field, value, slot, path, error);
     case CF_FIELD_BOOL:
       if (!json_object_is_type (value, json_type_boolean))
@@ -268,6 +269,7 @@
       return check_number (field, *(const uint32_t *)slot, field->name, error);
     case CF_FIELD_U64:
     case CF_FIELD_I64:
+    case CF_FIELD_TIME:
       return check_number (field, *(const int64_t *)slot, field->name, error);
     case CF_FIELD_NAMES:
     case CF_FIELD_ROWS:
@@ -343,6 +345,7 @@
       break;
     case CF_FIELD_U64:
     case CF_FIELD_I64:
+    case CF_FIELD_TIME:
       g_string_append_printf (out, "%" PRId64, *(const int64_t *)slot);
       break;
     case CF_FIELD_BOOL:
--- a/conf/schema.c
+++ b/conf/schema.c
@@ -110,9 +110,9 @@
   { "name", CF_FIELD_NAME, offsetof (CfDrain, name) },
   { "kind", CF_FIELD_WORD, offsetof (CfDrain, kind), .words = drain_words },
   { "object", CF_FIELD_NAME, offsetof (CfDrain, object) },
-  { "start_ms", CF_FIELD_I64, offsetof (CfDrain, start_ms),
+  { "start_ms", CF_FIELD_TIME, offsetof (CfDrain, start_ms),
     .max = CF_TIME_MAX_MS },
-  { "end_ms", CF_FIELD_I64, offsetof (CfDrain, end_ms),
+  { "end_ms", CF_FIELD_TIME, offsetof (CfDrain, end_ms),
     .max = CF_TIME_MAX_MS },
 };
 
@@ -130,9 +130,9 @@
   { "service", CF_FIELD_NAME, offsetof (CfShift, service) },
   { "from", CF_FIELD_NAME, offsetof (CfShift, from) },
   { "to", CF_FIELD_NAME, offsetof (CfShift, to) },
-  { "start_ms", CF_FIELD_I64, offsetof (CfShift, start_ms),
+  { "start_ms", CF_FIELD_TIME, offsetof (CfShift, start_ms),
     .max = CF_TIME_MAX_MS },
-  { "end_ms", CF_FIELD_I64, offsetof (CfShift, end_ms),
+  { "end_ms", CF_FIELD_TIME, offsetof (CfShift, end_ms),
     .max = CF_TIME_MAX_MS },
   { "ramp_ms", CF_FIELD_I64, offsetof (CfShift, ramp_ms), .optional = 1,
     .max = CF_TIME_MAX_MS },
@@ -155,7 +155,7 @@
   { "version", CF_FIELD_U64, offsetof (CfConfig, version), .max = INT64_MAX },
   { "op_id", CF_FIELD_TEXT, offsetof (CfConfig, op_id) },
   { "author", CF_FIELD_TEXT, offsetof (CfConfig, author) },
-  { "written_ms", CF_FIELD_I64, offsetof (CfConfig, written_ms),
+  { "written_ms", CF_FIELD_TIME, offsetof (CfConfig, written_ms),
     .max = CF_TIME_MAX_MS },
   { "sheet_date", CF_FIELD_TEXT, offsetof (CfConfig, sheet_date) },
 };
