--- a/backend/backend_test.cc
+++ b/backend/backend_test.cc
@@ -5,6 +5,8 @@
 #include <unistd.h>
 
 #include <functional>
+#include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -415,4 +417,121 @@
   EXPECT_EQ (0u, outcome.result.body_bytes);
 }
 
+/* A target that answers each request with its own body, or misbehaves.  */
+struct Chaos
+{
+  Fixture f;
+  std::mt19937 random;
+  std::map<int, std::string> input;               /* of each connection */
+  std::vector<std::pair<int, std::string> > late; /* answers not yet sent */
+  std::map<std::string, int> seen;                /* requests by body */
+
+  Chaos (unsigned seed) : random (seed) {}
+  int
+  pick (int to)
+  {
+    return (int)(random () % (unsigned)to);
+  }
+
+  void
+  respond (int fd, const std::string &id)
+  {
+    std::string answer = ok + "Content-Length: 4\r\n\r\n" + id;
+    switch (pick (8))
+      {
+      case 0:
+        answer = answer.substr (0, (size_t)pick ((int)answer.size ()));
+        break;
+      case 1:
+        answer += answer;
+        break;
+      case 2:
+        late.push_back ({ fd, answer });
+        return;
+      case 3:
+        late.push_back ({ fd, "" });
+        break;
+      }
+    send (fd, answer.data (), answer.size (), MSG_NOSIGNAL);
+  }
+  void
+  step ()
+  {
+    char bytes[4096];
+    ssize_t length;
+    int fd = accept4 (f.target.listener, NULL, NULL, SOCK_NONBLOCK);
+    if (fd >= 0)
+      f.fds.push_back (fd);
+    for (int known : f.fds)
+      while (known >= 0 && (length = recv (known, bytes, 4096, 0)) > 0)
+        input[known].append (bytes, (size_t)length);
+    for (auto &[from, text] : input)
+      {
+        size_t end = text.find ("\r\n\r\n");
+        if (end == text.npos || text.size () < end + 8)
+          continue;
+        EXPECT_EQ (end + 8, text.size ()) << "pipelined";
+        std::string id = text.substr (end + 4);
+        text.clear ();
+        seen[id]++;
+        respond (from, id);
+      }
+    if (!late.empty () && pick (3) == 0)
+      {
+        auto [to, text] = late[0];
+        late.erase (late.begin ());
+        if (text.empty ())
+          shutdown (to, SHUT_RDWR);
+        else
+          send (to, text.data (), text.size (), MSG_NOSIGNAL);
+      }
+  }
+};
+
+/* Guards against crossed answers, requests that are sent twice, and calls that
+   never end (R7, R9).  */
+TEST (Backend, RandomTargetNeverCrossesAnswers)
+{
+  for (unsigned seed = 1; seed <= 20; seed++)
+    {
+      Chaos chaos (seed);
+      std::vector<Outcome> outcomes (150);
+      std::vector<BkCall *> calls (150);
+      for (int i = 0; i < 150; i++)
+        {
+          calls[i] = chaos.f.start (&outcomes[i], "POST", 1 + chaos.pick (30),
+                                    std::to_string (1000 + i));
+          if (i > 3 && chaos.pick (10) == 0 && !outcomes[i - 1].done)
+            {
+              bk_cancel (calls[i - 1]);
+              outcomes[i - 1].done = true;
+            }
+          for (int k = chaos.pick (5); k > 0; k--)
+            {
+              chaos.step ();
+              event_base_loop (chaos.f.base, EVLOOP_NONBLOCK);
+            }
+        }
+      ASSERT_TRUE (chaos.f.run_until ([&] {
+        chaos.step ();
+        for (Outcome &outcome : outcomes)
+          if (!outcome.done)
+            return false;
+        return true;
+      })) << "seed "
+          << seed;
+      for (int i = 0; i < 150; i++)
+        {
+          std::string id = std::to_string (1000 + i);
+          const BkResult &result = outcomes[i].result;
+          EXPECT_LE (chaos.seen[id], 1) << "seed " << seed;
+          EXPECT_TRUE (!result.complete || outcomes[i].body == id)
+              << "seed " << seed;
+          EXPECT_TRUE (result.failure == BK_FAILURE_NONE
+                       || result.sent == BK_SENT_MAYBE || chaos.seen[id] == 0)
+              << "seed " << seed;
+        }
+    }
+}
+
 }
