--- a/client/internal.h
+++ b/client/internal.h
@@ -15,6 +15,8 @@
 #define CL_WAIT_DEFAULT_MS 10000
 #define CL_POLL_MS 100
 #define CL_TIMEOUT_DEFAULT_MS 5000
+/* A daemon writes some hundred parts and waits for the other daemons.  */
+#define CL_WRITE_TIMEOUT_MS 15000
 
 typedef struct
 {
@@ -22,7 +24,7 @@
   gboolean json;
   char *author;
   char *today;
-  int timeout_ms;
+  int timeout_ms; /* 0: the defaults above */
   gboolean wait;
   gint64 wait_ms;
   char *id;
@@ -104,7 +106,7 @@
 /* Writes CONFIG, whose version is that it is based on, and reports.  READ, if
    not NULL, is the configuration of that version, to tell what another change
    did.  LOST_QUIETLY: returns CL_EXIT_LOST without a report.  */
-int cl_write (ClContext *context, const CfConfig *config, const CfConfig *read,
+int cl_write (ClContext *context, CfConfig *config, const CfConfig *read,
               gboolean lost_quietly);
 
 /* in_force.c.  Waits until VERSION is in force and reports each daemon.  */
