--- a/key/key_test.cc
+++ b/key/key_test.cc
@@ -194,6 +194,7 @@
   EXPECT_EQ ("a=1", strip_query ("a=1&other=%2573" + s.substr (1)));
   EXPECT_EQ ("sort=id-of-board",
              strip_query ("key=id-of-board&sort=id-of-board"));
+  EXPECT_EQ ("a=1", strip_query ("a=1&b=czNjcmV0LUtleS4wMTIzNDU2Nzg5"));
   EXPECT_EQ ("monkey=1&keys=2", strip_query ("monkey=1&keys=2"));
 }
 
--- a/key/strip.c
+++ b/key/strip.c
@@ -154,25 +154,47 @@
   return FALSE;
 }
 
-/* Looks into each run of base64, of either alphabet.  */
+static gsize
+shortest (const GPtrArray *secrets)
+{
+  gsize bytes = G_MAXSIZE;
+
+  for (guint i = 0; i < secrets->len; i++)
+    bytes = MIN (bytes, strlen (g_ptr_array_index (secrets, i)));
+  return bytes;
+}
+
+/* Whether a run of base64, of either alphabet, holds a secret.  */
+static gboolean
+run_reveals (const char *run, gsize length, const GPtrArray *secrets)
+{
+  g_autofree char *copy = g_strndup (run, length);
+  g_autofree char *padded = g_strconcat (copy, "==", NULL);
+  g_autofree guchar *plain = NULL;
+  gsize plain_bytes = 0;
+
+  g_strdelimit (padded, "-", '+');
+  g_strdelimit (padded, "_", '/');
+  plain = g_base64_decode (padded, &plain_bytes);
+  return contains_any ((const char *)plain, plain_bytes, secrets);
+}
+
+/* Decodes only runs that are long enough for a secret, since this is done for
+   every header of every request with a key.  */
 static gboolean
 contains_encoded (const char *text, const GPtrArray *secrets)
 {
-  g_autofree char *copy = g_strdup (text);
-  g_auto (GStrv) runs = NULL;
+  gsize least = shortest (secrets) / 3 * 4;
 
-  g_strdelimit (copy, "-", '+');
-  g_strdelimit (copy, "_", '/');
-  runs = g_strsplit_set (copy, " \t,;:.=&\"'", -1);
-  for (guint i = 0; runs[i] != NULL; i++)
+  for (;;)
     {
-      g_autofree char *padded = g_strconcat (runs[i], "==", NULL);
-      gsize length = 0;
-      g_autofree guchar *plain = g_base64_decode (padded, &length);
-      if (length > 0 && contains_any ((const char *)plain, length, secrets))
+      gsize length = strcspn (text, " \t,;:.=&\"'");
+      if (length >= least && run_reveals (text, length, secrets))
         return TRUE;
+      text += length;
+      if (*text++ == '\0')
+        return FALSE;
     }
-  return FALSE;
 }
 
 static gboolean
@@ -182,8 +204,11 @@
 
   if (secrets->len == 0)
     return FALSE;
-  if (contains_any (text, strlen (text), secrets))
+  if (contains_any (text, strlen (text), secrets)
+      || contains_encoded (text, secrets))
     return TRUE;
+  if (strchr (text, '%') == NULL)
+    return FALSE;
   decoded = decode (text, FALSE);
   return contains_any (decoded, strlen (decoded), secrets)
          || contains_encoded (decoded, secrets);
