--- a/assign/assign.c
+++ b/assign/assign.c
@@ -120,8 +120,9 @@
       for (guint k = 0; k < from->slots->len; k++)
         {
           const AsSlot *slot = g_ptr_array_index (from->slots, k);
-          g_ptr_array_add (member->slots,
-                           as_slot_new (slot->target, slot->base, slot->flex));
+          g_ptr_array_add (member->slots, as_slot_new (slot->target,
+                                                       slot->base,
+                                                       slot->flex));
         }
       g_ptr_array_add (copy->members, member);
     }
@@ -207,8 +208,8 @@
 static gboolean
 fail_duplicate (const char *what, const char *name, GError **error)
 {
-  g_set_error (error, AS_ERROR, AS_ERROR_DUPLICATE, "%s %s stands twice", what,
-               name);
+  g_set_error (error, AS_ERROR, AS_ERROR_DUPLICATE, "%s %s stands twice",
+               what, name);
   return FALSE;
 }
 
--- a/assign/next.c
+++ b/assign/next.c
@@ -98,15 +98,14 @@
 
   if (fenced == NULL || is_self (view, member))
     return FALSE;
-  whole
-      = fenced->released || wall_ms >= fenced->fenced_at_ms + AS_BASE_WAIT_MS;
+  whole = fenced->released || wall_ms >= fenced->fenced_at_ms + AS_BASE_WAIT_MS;
   if (!whole && !holds_flex (member))
     return FALSE;
   from_ms = fenced->fenced_at_ms;
   if (!fenced->released && whole)
     from_ms += AS_BASE_WAIT_MS;
-  if (wall_ms
-      < from_ms + (int64_t)reduce_rank (view, member->vm) * REDUCE_RANK_MS)
+  if (wall_ms < from_ms + (int64_t)reduce_rank (view, member->vm)
+                              * REDUCE_RANK_MS)
     return FALSE;
   doc->free_flex += member->flex;
   member->flex = 0;
@@ -227,7 +226,8 @@
 static gboolean
 move_weight (AsDoc *doc, AsMember *own, const AsView *view, Part part)
 {
-  uint32_t in_use = part == PART_BASE ? view->base_in_use : view->flex_in_use;
+  uint32_t in_use
+      = part == PART_BASE ? view->base_in_use : view->flex_in_use;
   uint32_t *weight = weight_of (own, part);
   uint32_t aim = aim_at (doc, view, part, *weight);
 
