steer: test that daemons with the same report make no herd

Of 10,000 choices on one report, 2 s old or new, no target gets more than the share that the better of two random targets has; least-reported sends all to one.

--- a/steer/steer_test.cc
+++ b/steer/steer_test.cc
@@ -251,6 +251,30 @@
   EXPECT_EQ (1u, choose ("headroom", 1).target);
 }
 
+/* Guards against a herd: of many daemons with the same report, 2 s old or new,
+   no more choose one target than when each takes the better of two.  */
+TEST_F (SteerTest, SameReportMakesNoHerd)
+{
+  SrLender lenders[4]
+      = { { "vm9", 3 }, { "vm9", 2 }, { "vm9", 1 }, { "vm9" } };
+  for (uint32_t age_ms : { 0, 2000 })
+    {
+      for (uint32_t i = 0; i < 16; i++)
+        {
+          lenders[i % 4].age_ms = age_ms;
+          targets[i].zone = 0;
+          targets[i].lenders = &lenders[i == 7 ? 0 : 1 + i % 3];
+          targets[i].reported_running = i != 7;
+        }
+      std::map<uint32_t, int> counts;
+      for (uint64_t random = 0; random < 10000; random++)
+        counts[choose ("headroom", random * 7919).target]++;
+      for (auto [target, count] : counts)
+        EXPECT_LE (count, 10000 * 2 / 11 + 200) << target << " at " << age_ms;
+      EXPECT_EQ (7u, choose ("least-reported", 1).target);
+    }
+}
+
 /* Guards against daemons that stay with the few targets that were free in the
    last report: an old one no longer decides, a fresh one does.  */
 TEST_F (SteerTest, OldReportCountsLess)
