assign: give what is left free up to the tolerance only

Cause: the member with the least was lifted one above the upper tolerance, so the next call lowered it again and every period wrote a document. Change: lift it to the tolerance at most. The schedule test still passes.

--- a/assign/next.c
+++ b/assign/next.c
@@ -215,12 +215,9 @@
   if (shortage (ranks, low, free) > 0)
     return lower_for_others (ranks, view, low, shortage (ranks, low, free),
                              weight);
-  /* What nobody lacks goes to the one with the least.  With N rounded down,
-     high has to leave room for the rest.  */
-  if (free > 0 && shortage (ranks, low, UINT32_MAX) == 0
-      && is_self (view, g_array_index (ranks, Rank, 0).member)
-      && g_array_index (ranks, Rank, 0).weight >= low)
-    return weight + MIN (free, high + 1 - weight);
+  /* What nobody lacks goes to the one with the least.  */
+  if (free > 0 && is_self (view, g_array_index (ranks, Rank, 0).member))
+    return weight + MIN (free, high - weight);
   return weight;
 }
 
