--- /dev/null
+++ b/daemon/config.c
@@ -0,0 +1,668 @@
+#include "daemon/daemon.h"
+
+#define CURRENT_KEY "cw/config/current"
+#define PART_PREFIX "cw/config/part/"
+/* A watch that ends this often also confirms the version; word older than
+   MB_FRESH_US does not count.  */
+#define WATCH_WAIT_MS 500
+#define WATCH_RETRY_US (500 * CK_US_PER_MS)
+#define FETCH_RETRY_US (200 * CK_US_PER_MS)
+#define FETCHES_MAX 8
+#define PARTS_PER_REQUEST 32
+#define PEER_TIMEOUT_MS 1000
+/* About 1 ms of work at a time.  */
+#define JOIN_ROWS CF_STEP_ROWS
+#define PREFIX_UNITS 20000
+#define LINKS_MAX 64
+
+typedef enum
+{
+  FETCHING,
+  JOINING,
+  BUILDING,
+} Phase;
+
+/* The take-over of one version.  */
+struct DmConfigTask
+{
+  DmDaemon *daemon;
+  CfManifest *manifest;
+  char *source; /* peer that has the parts, or NULL */
+  Phase phase;
+  uint32_t fetch_count; /* under way */
+  uint32_t next_part;
+  int64_t fetch_due_us;
+  CfJob *join;
+  CfConfig *config;
+  PxBuild *build;
+  int64_t started_us;
+};
+
+typedef struct
+{
+  DmDaemon *daemon;
+  uint64_t version;
+  int64_t sent_us;
+} Fetch;
+
+static void
+task_free (DmConfigTask *task)
+{
+  if (task == NULL)
+    return;
+  cf_job_free (task->join);
+  if (task->build != NULL)
+    px_build_free (task->build);
+  cf_unref (task->config);
+  cf_manifest_free (task->manifest);
+  g_free (task->source);
+  g_free (task);
+}
+
+void
+dm_config_free (DmDaemon *daemon)
+{
+  task_free (daemon->config_task);
+  cf_manifest_free (daemon->manifest);
+  cf_unref (daemon->config);
+}
+
+static uint64_t
+in_force_version (const DmDaemon *daemon)
+{
+  return daemon->config == NULL ? 0 : daemon->config->version;
+}
+
+static void
+tell_versions (DmDaemon *daemon)
+{
+  mb_set_config (daemon->members, daemon->config_known,
+                 in_force_version (daemon), ck_boot_us ());
+}
+
+/* Putting a version in force.  */
+
+static void
+send_notice (DmDaemon *daemon, const char *vm)
+{
+  g_autofree char *text = cf_manifest_to_json (daemon->manifest);
+  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+  Peer__ConfigNotice body = PEER__CONFIG_NOTICE__INIT;
+
+  body.version = daemon->manifest->version;
+  body.manifest.data = (uint8_t *)text;
+  body.manifest.len = strlen (text);
+  envelope.body_case = PEER__ENVELOPE__BODY_CONFIG_NOTICE;
+  envelope.config_notice = &body;
+  pr_send (daemon->net, vm, &envelope);
+}
+
+static void
+push_to_links (DmDaemon *daemon)
+{
+  const char *vms[LINKS_MAX];
+  uint32_t count = mb_links (daemon->members, ck_boot_us (), vms, LINKS_MAX);
+
+  for (uint32_t i = 0; i < count; i++)
+    send_notice (daemon, vms[i]);
+}
+
+static void
+reset_shifts (DmDaemon *daemon)
+{
+  g_array_set_size (daemon->shift_shares, 0);
+  g_array_set_size (daemon->shift_shares, daemon->config->shifts->len);
+  pl_prune (daemon->plan, daemon->config);
+  daemon->shifts_due_us = 0;
+}
+
+static void
+remember_operation (DmDaemon *daemon)
+{
+  DmOperation row = { .version = daemon->manifest->version };
+
+  g_strlcpy (row.op_id, daemon->manifest->op_id, sizeof row.op_id);
+  if (daemon->operations->len >= DM_OPERATIONS_MAX)
+    g_array_remove_index (daemon->operations, 0);
+  g_array_append_val (daemon->operations, row);
+}
+
+static void
+put_in_force (DmDaemon *daemon, DmConfigTask *task)
+{
+  CfConfig *former = daemon->config;
+  int64_t now_us = ck_boot_us ();
+
+  /* Versions never go back.  */
+  g_assert (task->config->version > in_force_version (daemon));
+  daemon->config = g_steal_pointer (&task->config);
+  cf_manifest_free (daemon->manifest);
+  daemon->manifest = g_steal_pointer (&task->manifest);
+  ky_table_free (daemon->keys);
+  daemon->keys = ky_table_new (daemon->config);
+  px_table_free (daemon->prefixes);
+  daemon->prefixes = px_build_finish (g_steal_pointer (&task->build));
+  if (!dm_quotas_define (daemon, daemon->config, former, now_us))
+    dm_note (daemon, EV_CONFIG_REFUSED, "two quotas share an id");
+  reset_shifts (daemon);
+  dm_fleet_configure (daemon);
+  dm_lookup_forget (daemon);
+  cf_unref (former);
+  remember_operation (daemon);
+  tell_versions (daemon);
+  push_to_links (daemon);
+  mt_set (daemon->counters.config_version, (int64_t)daemon->config->version);
+  mt_set (daemon->counters.config_apply_ms,
+          (now_us - task->started_us) / CK_US_PER_MS);
+  dm_record (daemon, EV_CONFIG_IN_FORCE,
+             &(EvFields){ .config_version = daemon->config->version });
+}
+
+static void
+drop_task (DmDaemon *daemon, const char *why)
+{
+  DmConfigTask *task = daemon->config_task;
+  g_autofree char *detail = g_strdup (why);
+
+  if (detail != NULL)
+    dm_record (daemon, EV_CONFIG_REFUSED,
+               &(EvFields){ .config_version = task->manifest->version,
+                            .detail = detail });
+  daemon->config_task = NULL;
+  task_free (task);
+}
+
+static void
+step_join (DmDaemon *daemon, DmConfigTask *task)
+{
+  g_autoptr (GError) error = NULL;
+  CfStep step = cf_job_step (task->join, JOIN_ROWS, &error);
+
+  if (step == CF_STEP_MORE)
+    return;
+  if (step == CF_STEP_FAILED)
+    {
+      drop_task (daemon, error->message);
+      return;
+    }
+  task->config = cf_job_take_config (task->join);
+  g_clear_pointer (&task->join, cf_job_free);
+  task->build = px_build_new ((const CfBlock *)task->config->blocks->data,
+                              task->config->blocks->len);
+  task->phase = BUILDING;
+}
+
+static void
+step_build (DmDaemon *daemon, DmConfigTask *task)
+{
+  g_autoptr (GError) error = NULL;
+  PxStep step = px_build_step (task->build, PREFIX_UNITS, &error);
+
+  if (step == PX_STEP_MORE)
+    return;
+  if (step == PX_STEP_FAILED)
+    {
+      drop_task (daemon, error->message);
+      return;
+    }
+  put_in_force (daemon, task);
+  drop_task (daemon, NULL);
+}
+
+/* Fetching.  */
+
+static gboolean
+fetch_belongs (const Fetch *fetch)
+{
+  const DmConfigTask *task = fetch->daemon->config_task;
+
+  return task != NULL && task->manifest->version == fetch->version;
+}
+
+static gboolean
+is_missing (const CfPart *part)
+{
+  return part->content == NULL;
+}
+
+static void
+fill (DmConfigTask *task, const void *data, gsize length)
+{
+  g_autoptr (GBytes) content = g_bytes_new (data, length);
+  cf_manifest_fill (task->manifest, content);
+}
+
+static void
+on_part (const StResult *result, void *data)
+{
+  g_autofree Fetch *fetch = data;
+  DmConfigTask *task = fetch->daemon->config_task;
+
+  dm_store_answered (fetch->daemon, result->outcome);
+  if (!fetch_belongs (fetch))
+    return;
+  task->fetch_count--;
+  if (result->outcome == ST_OUTCOME_OK)
+    fill (task, result->value, result->length_bytes);
+}
+
+static void
+on_peer_parts (const char *vm, const Peer__Envelope *envelope, int64_t sent_us,
+               void *data)
+{
+  g_autofree Fetch *fetch = data;
+  DmConfigTask *task = fetch->daemon->config_task;
+  const Peer__PartReply *reply;
+
+  (void)vm;
+  (void)sent_us;
+  if (!fetch_belongs (fetch))
+    return;
+  task->fetch_count--;
+  if (envelope == NULL
+      || envelope->body_case != PEER__ENVELOPE__BODY_PART_REPLY)
+    {
+      /* The store is tried next.  */
+      g_clear_pointer (&task->source, g_free);
+      return;
+    }
+  reply = envelope->part_reply;
+  for (size_t i = 0; i < reply->n_parts; i++)
+    fill (task, reply->parts[i]->content.data, reply->parts[i]->content.len);
+}
+
+static Fetch *
+fetch_new (DmConfigTask *task)
+{
+  Fetch *fetch = g_new0 (Fetch, 1);
+
+  fetch->daemon = task->daemon;
+  fetch->version = task->manifest->version;
+  task->fetch_count++;
+  return fetch;
+}
+
+static void
+ask_peer (DmConfigTask *task, char **names, size_t count)
+{
+  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+  Peer__PartRequest body = PEER__PART_REQUEST__INIT;
+
+  body.n_sha256 = count;
+  body.sha256 = names;
+  envelope.body_case = PEER__ENVELOPE__BODY_PART_REQUEST;
+  envelope.part_request = &body;
+  pr_request (task->daemon->net, task->source, &envelope, PEER_TIMEOUT_MS,
+              on_peer_parts, fetch_new (task));
+}
+
+static void
+fetch_from_peer (DmConfigTask *task)
+{
+  char *names[PARTS_PER_REQUEST];
+  size_t count = 0;
+
+  for (guint i = 0; i < task->manifest->parts->len; i++)
+    {
+      CfPart *part = g_ptr_array_index (task->manifest->parts, i);
+
+      if (is_missing (part) && count < PARTS_PER_REQUEST)
+        names[count++] = part->sha256;
+    }
+  ask_peer (task, names, count);
+}
+
+static void
+fetch_from_store (DmConfigTask *task)
+{
+  guint count = task->manifest->parts->len;
+
+  for (guint i = 0; i < count && task->fetch_count < FETCHES_MAX; i++)
+    {
+      CfPart *part = g_ptr_array_index (task->manifest->parts,
+                                        (task->next_part + i) % count);
+      g_autofree char *key = g_strconcat (PART_PREFIX, part->sha256, NULL);
+
+      if (!is_missing (part))
+        continue;
+      task->next_part = (task->next_part + i + 1) % count;
+      st_get (task->daemon->store, key, on_part, fetch_new (task));
+    }
+}
+
+static uint32_t
+missing_count (const CfManifest *manifest)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < manifest->parts->len; i++)
+    count += is_missing (g_ptr_array_index (manifest->parts, i)) ? 1 : 0;
+  return count;
+}
+
+static void
+step_fetch (DmDaemon *daemon, DmConfigTask *task, int64_t now_us)
+{
+  (void)daemon;
+  if (missing_count (task->manifest) == 0)
+    {
+      task->join = cf_join_begin (task->manifest);
+      task->phase = JOINING;
+      return;
+    }
+  if (task->fetch_count > 0 || now_us < task->fetch_due_us)
+    return;
+  if (task->fetch_due_us != 0 && task->source == NULL && !daemon->store_up)
+    task->source = g_strdup (mb_config_source (daemon->members));
+  task->fetch_due_us = now_us + DM_TICK_MS * CK_US_PER_MS;
+  if (task->source != NULL)
+    fetch_from_peer (task);
+  else
+    fetch_from_store (task);
+}
+
+void
+dm_config_offer (DmDaemon *daemon, CfManifest *manifest, const char *source)
+{
+  DmConfigTask *task = daemon->config_task;
+
+  if (manifest->version <= in_force_version (daemon)
+      || (task != NULL && manifest->version <= task->manifest->version))
+    {
+      cf_manifest_free (manifest);
+      return;
+    }
+  if (task != NULL)
+    drop_task (daemon, NULL);
+  task = g_new0 (DmConfigTask, 1);
+  task->daemon = daemon;
+  task->manifest = manifest;
+  task->source = g_strdup (source);
+  task->started_us = ck_boot_us ();
+  if (daemon->manifest != NULL)
+    cf_manifest_adopt (manifest, daemon->manifest);
+  daemon->config_task = task;
+  daemon->config_known = MAX (daemon->config_known, manifest->version);
+  tell_versions (daemon);
+}
+
+/* Word from the store.  */
+
+static void
+offer_text (DmDaemon *daemon, const char *text, gsize length,
+            const char *source)
+{
+  g_autoptr (GError) error = NULL;
+  CfManifest *manifest = cf_manifest_from_json (text, length, &error);
+
+  if (manifest == NULL)
+    dm_note (daemon, EV_CONFIG_REFUSED, "manifest: %s", error->message);
+  else
+    dm_config_offer (daemon, manifest, source);
+}
+
+static void
+on_current (const StResult *result, void *data)
+{
+  g_autofree Fetch *fetch = data;
+  DmDaemon *daemon = fetch->daemon;
+
+  daemon->config_watching = FALSE;
+  dm_store_answered (daemon, result->outcome);
+  if (result->outcome != ST_OUTCOME_OK && result->outcome != ST_OUTCOME_ABSENT)
+    {
+      daemon->config_watch_due_us = ck_boot_us () + WATCH_RETRY_US;
+      return;
+    }
+  if (result->outcome == ST_OUTCOME_OK)
+    {
+      g_autoptr (CfManifest) seen
+          = cf_manifest_from_json (result->value, result->length_bytes, NULL);
+
+      daemon->config_watch_index = result->index;
+      if (seen != NULL)
+        {
+          /* A stale read must not confirm an older version.  */
+          mb_store_confirmed (daemon->members, seen->version, fetch->sent_us);
+          if (seen->version >= daemon->config_known)
+            daemon->config_confirmed_us = fetch->sent_us;
+        }
+      offer_text (daemon, result->value, result->length_bytes, NULL);
+    }
+  else
+    daemon->config_watch_due_us = ck_boot_us () + WATCH_RETRY_US;
+}
+
+static void
+watch_store (DmDaemon *daemon, int64_t now_us)
+{
+  Fetch *fetch;
+
+  if (daemon->config_watching || now_us < daemon->config_watch_due_us)
+    return;
+  /* The others hear of changes from their hub, and ask the store only while
+     nobody has confirmed their version.  */
+  if (daemon->config != NULL && !mb_watches_store (daemon->members, now_us)
+      && mb_fresh (daemon->members, now_us))
+    return;
+  fetch = g_new0 (Fetch, 1);
+  fetch->daemon = daemon;
+  fetch->sent_us = now_us;
+  daemon->config_watching = TRUE;
+  st_watch (daemon->store, CURRENT_KEY, daemon->config_watch_index,
+            WATCH_WAIT_MS, on_current, fetch);
+}
+
+/* Word from peers.  */
+
+void
+dm_config_notice (DmDaemon *daemon, const char *from_vm,
+                  const Peer__ConfigNotice *notice)
+{
+  if (notice->version <= in_force_version (daemon))
+    return;
+  offer_text (daemon, (const char *)notice->manifest.data,
+              notice->manifest.len, from_vm);
+}
+
+static void
+on_manifest (const char *vm, const Peer__Envelope *envelope, int64_t sent_us,
+             void *data)
+{
+  DmDaemon *daemon = data;
+
+  (void)sent_us;
+  daemon->manifest_asked = FALSE;
+  if (envelope != NULL
+      && envelope->body_case == PEER__ENVELOPE__BODY_CONFIG_NOTICE)
+    dm_config_notice (daemon, vm, envelope->config_notice);
+}
+
+/* Asks a peer that has told of a higher version for its manifest.  */
+static void
+follow_peers (DmDaemon *daemon, int64_t now_us)
+{
+  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+  Peer__PartRequest body = PEER__PART_REQUEST__INIT;
+  const char *source;
+
+  if (daemon->manifest_asked || daemon->config_task != NULL
+      || now_us < daemon->manifest_due_us
+      || mb_config_heard (daemon->members) <= in_force_version (daemon))
+    return;
+  source = mb_config_source (daemon->members);
+  if (source == NULL)
+    return;
+  daemon->manifest_due_us = now_us + FETCH_RETRY_US;
+  daemon->manifest_asked = TRUE;
+  envelope.body_case = PEER__ENVELOPE__BODY_PART_REQUEST;
+  envelope.part_request = &body;
+  pr_request (daemon->net, source, &envelope, PEER_TIMEOUT_MS, on_manifest,
+              daemon);
+}
+
+static const CfPart *
+find_part (const CfManifest *manifest, const char *sha256)
+{
+  for (guint i = 0; manifest != NULL && i < manifest->parts->len; i++)
+    {
+      const CfPart *part = g_ptr_array_index (manifest->parts, i);
+      if (part->content != NULL && strcmp (part->sha256, sha256) == 0)
+        return part;
+    }
+  return NULL;
+}
+
+static void
+reply_manifest (DmDaemon *daemon, PrConnection *connection, uint64_t id)
+{
+  g_autofree char *text = NULL;
+  Peer__Envelope reply = PEER__ENVELOPE__INIT;
+  Peer__ConfigNotice body = PEER__CONFIG_NOTICE__INIT;
+
+  if (daemon->manifest != NULL)
+    {
+      text = cf_manifest_to_json (daemon->manifest);
+      body.version = daemon->manifest->version;
+      body.manifest.data = (uint8_t *)text;
+      body.manifest.len = strlen (text);
+    }
+  reply.body_case = PEER__ENVELOPE__BODY_CONFIG_NOTICE;
+  reply.config_notice = &body;
+  pr_reply (connection, id, &reply);
+}
+
+static void
+add_part (Peer__Part *part, char *name, const void *data, gsize length)
+{
+  peer__part__init (part);
+  part->sha256 = name;
+  part->content.data = (uint8_t *)data;
+  part->content.len = length;
+}
+
+/* An empty request asks for the manifest; the name "assign" for the
+   assignment.  */
+void
+dm_config_part_request (DmDaemon *daemon, PrConnection *connection,
+                        const Peer__Envelope *envelope)
+{
+  const Peer__PartRequest *request = envelope->part_request;
+  Peer__Envelope reply = PEER__ENVELOPE__INIT;
+  Peer__PartReply body = PEER__PART_REPLY__INIT;
+  Peer__Part parts[PARTS_PER_REQUEST];
+  Peer__Part *pointers[PARTS_PER_REQUEST];
+  g_autofree char *assign = NULL;
+
+  if (request->n_sha256 == 0)
+    {
+      reply_manifest (daemon, connection, envelope->id);
+      return;
+    }
+  for (size_t i = 0; i < MIN (request->n_sha256, PARTS_PER_REQUEST); i++)
+    {
+      char *name = request->sha256[i];
+      const CfPart *part = find_part (daemon->manifest, name);
+
+      if (part != NULL)
+        add_part (&parts[body.n_parts], name,
+                  g_bytes_get_data (part->content, NULL),
+                  g_bytes_get_size (part->content));
+      else if (strcmp (name, "assign") == 0 && daemon->assign != NULL
+               && assign == NULL)
+        {
+          assign = as_format (daemon->assign);
+          add_part (&parts[body.n_parts], name, assign, strlen (assign));
+        }
+      else
+        continue;
+      pointers[body.n_parts] = &parts[body.n_parts];
+      body.n_parts++;
+    }
+  body.parts = pointers;
+  reply.body_case = PEER__ENVELOPE__BODY_PART_REPLY;
+  reply.part_reply = &body;
+  pr_reply (connection, envelope->id, &reply);
+}
+
+/* Shifts.  */
+
+static void
+note_shift (DmDaemon *daemon, const CfShift *shift, const PlShare *share)
+{
+  static const EvNumber numbers[] = {
+    [PL_PHASE_OFF] = EV_PLAN_SHIFT_ENDED,
+    [PL_PHASE_RISING] = EV_PLAN_SHIFT_STEP,
+    [PL_PHASE_FULL] = EV_PLAN_SHIFT_STEP,
+    [PL_PHASE_SLOWED] = EV_PLAN_SHIFT_STEP,
+    [PL_PHASE_HELD] = EV_PLAN_SHIFT_PAUSED,
+    [PL_PHASE_FALLING] = EV_PLAN_SHIFT_PAUSED,
+  };
+
+  if (share->phase_changed)
+    dm_note (daemon, numbers[share->phase], "%s %s at %u permille",
+             shift->name, pl_phase_name (share->phase), share->permille);
+}
+
+static void
+step_shift (DmDaemon *daemon, guint index, int64_t now_us)
+{
+  const CfShift *shift = g_ptr_array_index (daemon->config->shifts, index);
+  DmService *service = dm_service (daemon, shift->service);
+  PlMeasure measure = { 0, 0 };
+  SrHeadroom headroom = { 0 };
+  PlShare share;
+  DmView view;
+
+  if (service == NULL)
+    return;
+  dm_view_fill (daemon, service, &view, now_us);
+  for (uint32_t i = 0; i < view.view.region_count; i++)
+    if (strcmp (view.view.regions[i].name, shift->to) == 0)
+      headroom = sr_headroom (&view.view, i);
+  dm_view_clear (&view);
+  measure.headroom_permille = headroom.headroom_permille;
+  measure.warm_permille = headroom.warm_permille;
+  share = pl_shift_step (daemon->plan, shift, &measure, ck_wall_ms ());
+  g_array_index (daemon->shift_shares, PlShare, index) = share;
+  note_shift (daemon, shift, &share);
+}
+
+static void
+step_shifts (DmDaemon *daemon, int64_t now_us)
+{
+  if (daemon->config == NULL || now_us < daemon->shifts_due_us)
+    return;
+  daemon->shifts_due_us = now_us + CK_US_PER_S;
+  for (guint i = 0; i < daemon->config->shifts->len; i++)
+    step_shift (daemon, i, now_us);
+}
+
+static void
+note_freshness (DmDaemon *daemon, int64_t now_us)
+{
+  gboolean fresh = daemon->config != NULL && dm_fresh (daemon, now_us);
+
+  if (daemon->config == NULL || fresh == daemon->config_was_fresh)
+    return;
+  daemon->config_was_fresh = fresh;
+  dm_record (daemon, fresh ? EV_CONFIG_FRESH : EV_CONFIG_STALE,
+             &(EvFields){ .config_version = daemon->config->version });
+}
+
+void
+dm_config_tick (DmDaemon *daemon, int64_t now_us)
+{
+  DmConfigTask *task = daemon->config_task;
+
+  watch_store (daemon, now_us);
+  follow_peers (daemon, now_us);
+  if (task != NULL && task->phase == FETCHING)
+    step_fetch (daemon, task, now_us);
+  else if (task != NULL && task->phase == JOINING)
+    step_join (daemon, task);
+  else if (task != NULL)
+    step_build (daemon, task);
+  step_shifts (daemon, now_us);
+  note_freshness (daemon, now_us);
+}
--- /dev/null
+++ b/daemon/daemon.c
@@ -0,0 +1,396 @@
+#include "daemon/daemon.h"
+
+#include <signal.h>
+#include <stdarg.h>
+#include <string.h>
+
+#define PROBE_CONNECTIONS_MAX 1
+/* The answers of others list a VM until they have heard that it leaves.  */
+#define LEAVING_HEARD_US CK_US_PER_S
+#define RELEASE_WAIT_US (5 * CK_US_PER_S)
+#define STORE_FAILURES_MAX 2
+
+G_DEFINE_QUARK (dm_error, dm_error)
+
+void
+dm_record (DmDaemon *daemon, EvNumber number, const EvFields *fields)
+{
+  ev_record (daemon->ring, (uint64_t)ck_wall_ms (), number, fields);
+}
+
+void
+dm_note (DmDaemon *daemon, EvNumber number, const char *format, ...)
+{
+  g_autofree char *detail = NULL;
+  va_list arguments;
+
+  va_start (arguments, format);
+  detail = g_strdup_vprintf (format, arguments);
+  va_end (arguments);
+  dm_record (daemon, number, &(EvFields){ .detail = detail });
+}
+
+/* splitmix64 */
+uint64_t
+dm_random (DmDaemon *daemon)
+{
+  uint64_t z = daemon->random += 0x9e3779b97f4a7c15U;
+
+  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9U;
+  z = (z ^ (z >> 27)) * 0x94d049bb133111ebU;
+  return z ^ (z >> 31);
+}
+
+gboolean
+dm_fresh (DmDaemon *daemon, int64_t now_us)
+{
+  return mb_fresh (daemon->members, now_us)
+         && (daemon->incarnation == 0 || ls_active (daemon->lease, now_us));
+}
+
+gboolean
+dm_ready (const DmDaemon *daemon)
+{
+  return daemon->config != NULL;
+}
+
+void
+dm_store_answered (DmDaemon *daemon, StOutcome outcome)
+{
+  gboolean up = outcome != ST_OUTCOME_DOWN && outcome != ST_OUTCOME_UNKNOWN;
+
+  daemon->store_failure_count = up ? 0 : daemon->store_failure_count + 1;
+  if (up == daemon->store_up
+      || (!up && daemon->store_failure_count < STORE_FAILURES_MAX))
+    return;
+  daemon->store_up = up;
+  dm_record (daemon, up ? EV_STORE_UP : EV_STORE_DOWN, NULL);
+}
+
+/* Graceful stop: leave the look-up answers, serve while answers that list this
+   VM may be cached, finish what is open, give the shares back.  */
+
+static void
+on_front_idle (void *data)
+{
+  DmDaemon *daemon = data;
+
+  daemon->front_idle = TRUE;
+  daemon->front_idle_us = ck_boot_us ();
+  dm_note (daemon, EV_DAEMON_DRAINING, "no request is left");
+}
+
+void
+dm_start_drain (DmDaemon *daemon)
+{
+  if (daemon->draining)
+    return;
+  daemon->draining = TRUE;
+  daemon->drain_started_us = ck_boot_us ();
+  daemon->report_due_us = 0;
+  dm_lookup_forget (daemon);
+  dm_note (daemon, EV_DAEMON_DRAINING, "serving until cached answers expire");
+}
+
+static void
+step_drain (DmDaemon *daemon, int64_t now_us)
+{
+  int64_t elapsed_us = now_us - daemon->drain_started_us;
+
+  if (!daemon->draining || daemon->stopped)
+    return;
+  if (!daemon->front_stopped
+      && elapsed_us >= LEAVING_HEARD_US + SR_LOOKUP_TTL_MS * CK_US_PER_MS)
+    {
+      daemon->front_stopped = TRUE;
+      fr_stop (daemon->front, on_front_idle, daemon);
+    }
+  if (daemon->front_idle && dm_shares_released (daemon)
+      && !daemon->release_asked)
+    {
+      daemon->release_asked = TRUE;
+      ls_release (daemon->lease, now_us);
+    }
+  if (daemon->front_idle
+      && (ls_released (daemon->lease)
+          || now_us - daemon->front_idle_us > RELEASE_WAIT_US))
+    daemon->stopped = TRUE;
+  if (elapsed_us > (int64_t)daemon->settings->drain_max_ms * CK_US_PER_MS)
+    daemon->stopped = TRUE;
+  if (daemon->stopped)
+    event_base_loopbreak (daemon->base);
+}
+
+static void
+on_signal (evutil_socket_t number, short what, void *data)
+{
+  (void)number;
+  (void)what;
+  dm_start_drain (data);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *data)
+{
+  DmDaemon *daemon = data;
+  int64_t now_us = ck_boot_us ();
+  int64_t cpu_us = ck_cpu_us ();
+
+  (void)fd;
+  (void)what;
+  dm_lease_tick (daemon, now_us);
+  dm_exchange_tick (daemon, now_us);
+  dm_config_tick (daemon, now_us);
+  dm_write_tick (daemon, now_us);
+  dm_shares_tick (daemon, now_us);
+  dm_lending_tick (daemon, now_us);
+  dm_fleet_tick (daemon, now_us);
+  mt_add (daemon->counters.control_cpu, ck_cpu_us () - cpu_us);
+  dm_request_tick (daemon, now_us);
+  dm_dispatch_tick (daemon, now_us);
+  step_drain (daemon, now_us);
+}
+
+/* Construction.  */
+
+static void
+make_decisions (DmDaemon *daemon)
+{
+  const SeSettings *settings = daemon->settings;
+  int64_t now_us = ck_boot_us ();
+  MbOptions members = { .vm = settings->vm,
+                        .zone = settings->zone,
+                        .region = settings->region,
+                        .http_address = daemon->http_address,
+                        .peer_address = daemon->peer_address,
+                        .incarnation = daemon->process_incarnation };
+  LsOptions lease = { .vm = settings->vm,
+                      .incarnation = daemon->process_incarnation,
+                      .peer_address = daemon->peer_address };
+  QtOptions quotas = { .vm = settings->vm,
+                       .incarnation = daemon->process_incarnation,
+                       .split = settings->admission == SE_ADMISSION_SPLIT };
+
+  daemon->members = mb_new (&members, now_us);
+  daemon->lease = ls_new (&lease, now_us);
+  daemon->quotas = qt_new (&quotas);
+  daemon->slots
+      = sl_new (&(SlOptions){ .incarnation = daemon->process_incarnation });
+  daemon->plan = pl_new ();
+  daemon->tracker = as_tracker_new ();
+  daemon->policy = sr_policy_find (se_policy_name (settings->policy));
+  g_assert (daemon->policy != NULL);
+}
+
+static void
+fenced_free (void *data)
+{
+  AsFenced *fenced = data;
+
+  g_free ((char *)fenced->vm);
+  g_free (fenced);
+}
+
+static void
+make_tables (DmDaemon *daemon)
+{
+  daemon->fenced
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, fenced_free);
+  daemon->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, dm_service_free);
+  daemon->targets
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, dm_target_free);
+  daemon->requests = g_hash_table_new (NULL, NULL);
+  daemon->assign_targets = g_array_new (FALSE, FALSE, sizeof (AsTarget));
+  daemon->shift_shares = g_array_new (FALSE, TRUE, sizeof (PlShare));
+  daemon->operations = g_array_new (FALSE, FALSE, sizeof (DmOperation));
+  daemon->entry_vms = g_ptr_array_new_with_free_func (dm_entry_vm_free);
+  g_queue_init (&daemon->admission_waiting);
+}
+
+static gboolean
+listen_for_peers (DmDaemon *daemon, GError **error)
+{
+  PrOptions options = { .base = daemon->base,
+                        .vm = daemon->settings->vm,
+                        .incarnation = daemon->process_incarnation,
+                        .listen_address = daemon->settings->peer_listen.ip,
+                        .listen_port = daemon->settings->peer_listen.port,
+                        .ring = daemon->ring,
+                        .metrics = daemon->metrics,
+                        .on_message = dm_on_message,
+                        .data = daemon };
+
+  daemon->net = pr_net_new (&options, error);
+  return daemon->net != NULL;
+}
+
+static gboolean
+listen_for_callers (DmDaemon *daemon, GError **error)
+{
+  FrOptions options = { .base = daemon->base,
+                        .listen = daemon->http_address,
+                        .on_request = dm_on_request,
+                        .data = daemon };
+
+  daemon->front = fr_new (&options, error);
+  return daemon->front != NULL;
+}
+
+static gboolean
+listen_for_operators (DmDaemon *daemon, GError **error)
+{
+  AdOptions options = { .base = daemon->base,
+                        .address = daemon->settings->admin_listen.ip,
+                        .port = daemon->settings->admin_listen.port,
+                        .vm = daemon->settings->vm,
+                        .calls = &dm_admin_class,
+                        .data = daemon };
+
+  daemon->admin = ad_new (&options, error);
+  return daemon->admin != NULL;
+}
+
+static void
+make_clients (DmDaemon *daemon)
+{
+  daemon->store
+      = st_consul_new (&(StOptions){ .base = daemon->base,
+                                     .address = daemon->settings->store.ip,
+                                     .port = daemon->settings->store.port });
+  daemon->store_up = TRUE;
+  daemon->backend = bk_pool_new (&(BkOptions){ .base = daemon->base });
+  daemon->probes = bk_pool_new (&(BkOptions){
+      .base = daemon->base, .connections_max = PROBE_CONNECTIONS_MAX });
+}
+
+static void
+start_events (DmDaemon *daemon)
+{
+  struct timeval tick = { 0, DM_TICK_MS * CK_US_PER_MS };
+
+  daemon->tick = event_new (daemon->base, -1, EV_PERSIST, on_tick, daemon);
+  event_add (daemon->tick, &tick);
+  daemon->sigterm = evsignal_new (daemon->base, SIGTERM, on_signal, daemon);
+  event_add (daemon->sigterm, NULL);
+  daemon->sigint = evsignal_new (daemon->base, SIGINT, on_signal, daemon);
+  event_add (daemon->sigint, NULL);
+}
+
+DmDaemon *
+dm_new (SeSettings *settings, GError **error)
+{
+  DmDaemon *daemon = g_new0 (DmDaemon, 1);
+
+  daemon->settings = settings;
+  daemon->process_incarnation = (uint64_t)ck_wall_ms ();
+  daemon->random = daemon->process_incarnation ^ (uint64_t)ck_boot_us ();
+  daemon->base = event_base_new ();
+  daemon->peer_address = se_format_address (&settings->peer_listen);
+  daemon->http_address = se_format_address (&settings->http_listen);
+  daemon->ring = ev_ring_new (&(EvOptions){ .vm = settings->vm,
+                                            .capacity_count = DM_EVENTS_COUNT,
+                                            .log = dm_log_event });
+  daemon->metrics = mt_table_new ();
+  dm_counters_make (daemon);
+  make_tables (daemon);
+  make_decisions (daemon);
+  make_clients (daemon);
+  if (!listen_for_peers (daemon, error) || !listen_for_callers (daemon, error)
+      || !listen_for_operators (daemon, error))
+    {
+      dm_free (daemon);
+      return NULL;
+    }
+  start_events (daemon);
+  dm_note (daemon, EV_DAEMON_STARTED, "callers %s, peers %s",
+           daemon->http_address, daemon->peer_address);
+  return daemon;
+}
+
+void
+dm_run (DmDaemon *daemon)
+{
+  event_base_dispatch (daemon->base);
+  dm_note (daemon, EV_DAEMON_STOPPED, "%s",
+           daemon->front_idle ? "all requests finished" : "drain time over");
+}
+
+static void
+free_requests (DmDaemon *daemon)
+{
+  g_autoptr (GList) all = g_hash_table_get_keys (daemon->requests);
+
+  for (GList *at = all; at != NULL; at = at->next)
+    {
+      DmRequest *request = at->data;
+
+      request->front = NULL;
+      request->hold_count = 0;
+      or_free (request->order);
+      request->order = NULL;
+      dm_request_free (request);
+    }
+}
+
+static void
+free_decisions (DmDaemon *daemon)
+{
+  mb_free (daemon->members);
+  ls_free (daemon->lease);
+  qt_free (daemon->quotas);
+  sl_free (daemon->slots);
+  pl_free (daemon->plan);
+  as_tracker_free (daemon->tracker);
+  as_free (daemon->assign);
+  ky_table_free (daemon->keys);
+  px_table_free (daemon->prefixes);
+}
+
+static void
+free_tables (DmDaemon *daemon)
+{
+  g_hash_table_unref (daemon->services);
+  g_hash_table_unref (daemon->targets);
+  g_hash_table_unref (daemon->requests);
+  g_hash_table_unref (daemon->fenced);
+  if (daemon->lookup_cache != NULL)
+    g_hash_table_unref (daemon->lookup_cache);
+  g_ptr_array_unref (daemon->entry_vms);
+  g_array_unref (daemon->assign_targets);
+  g_array_unref (daemon->shift_shares);
+  g_array_unref (daemon->operations);
+  g_queue_clear (&daemon->admission_waiting);
+}
+
+/* Sockets go first, since their callbacks use the rest.  */
+void
+dm_free (DmDaemon *daemon)
+{
+  if (daemon->admin != NULL)
+    ad_free (daemon->admin);
+  if (daemon->front != NULL)
+    fr_free (daemon->front);
+  bk_pool_free (daemon->backend);
+  pr_net_free (daemon->net);
+  st_free (daemon->store);
+  dm_write_free (daemon);
+  dm_config_free (daemon);
+  free_requests (daemon);
+  free_tables (daemon);
+  bk_pool_free (daemon->probes);
+  free_decisions (daemon);
+  if (daemon->tick != NULL)
+    {
+      event_free (daemon->tick);
+      event_free (daemon->sigterm);
+      event_free (daemon->sigint);
+    }
+  event_base_free (daemon->base);
+  ev_ring_free (daemon->ring);
+  mt_table_free (daemon->metrics);
+  g_free (daemon->peer_address);
+  g_free (daemon->http_address);
+  se_free (daemon->settings);
+  g_free (daemon);
+}
--- /dev/null
+++ b/daemon/dispatch.c
@@ -0,0 +1,701 @@
+#include "daemon/daemon.h"
+
+#define SLOT_TIMEOUT_MS 300
+/* Retries over requests, in thousandths; up to RETRY_BANK are saved up.  */
+#define RETRY_PERMILLE 100
+#define RETRY_BANK (10 * 1000)
+/* A holder that refused a slot is asked again after this time.  */
+#define REFUSED_PAUSE_US (50 * CK_US_PER_MS)
+#define ASKS_MAX 16
+/* Weight of the newest value in moving averages: 1/8.  */
+#define AVERAGE_SHIFT 3
+
+static void
+return_slots (DmDaemon *daemon, int64_t now_us)
+{
+  SlReturn row;
+
+  while (sl_next_return (daemon->slots, now_us, &row))
+    {
+      Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+      Peer__SlotReturn body = PEER__SLOT_RETURN__INIT;
+
+      body.grant_id = row.grant_id;
+      body.shed = row.outcome == SL_OUTCOME_SHED;
+      body.failed = row.outcome == SL_OUTCOME_FAILED;
+      body.not_sent = row.outcome == SL_OUTCOME_NOT_SENT;
+      envelope.body_case = PEER__ENVELOPE__BODY_SLOT_RETURN;
+      envelope.slot_return = &body;
+      pr_send (daemon->net, row.vm, &envelope);
+    }
+}
+
+static void
+release (DmRequest *request, SlOutcome outcome)
+{
+  DmDaemon *daemon = request->daemon;
+  int64_t now_us = ck_boot_us ();
+
+  if (request->ticket == 0)
+    return;
+  sl_release (daemon->slots, request->ticket, outcome, now_us);
+  request->ticket = 0;
+  return_slots (daemon, now_us);
+}
+
+static SlOutcome
+slot_outcome (const BkResult *result)
+{
+  if (result->complete)
+    {
+      if (result->status == 503)
+        return SL_OUTCOME_SHED;
+      return result->status >= 500 ? SL_OUTCOME_FAILED : SL_OUTCOME_GOOD;
+    }
+  /* Until its deadline the target may work on, whatever it gets to see of the
+     closed connection.  */
+  return result->sent == BK_SENT_NONE ? SL_OUTCOME_NOT_SENT : SL_OUTCOME_LOST;
+}
+
+static uint32_t
+average (uint32_t old, uint32_t value)
+{
+  if (old == 0)
+    return value;
+  return (uint32_t)(old + (((int64_t)value - old) >> AVERAGE_SHIFT));
+}
+
+static void
+learn (DmRequest *request, const BkResult *result)
+{
+  DmTarget *target = request->target;
+  DmService *service = dm_service (request->daemon, request->service);
+  gboolean shed = result->complete && result->status == 503;
+
+  if (result->complete)
+    {
+      dm_target_answered (request->daemon, target);
+      target->shed_permille
+          = average (MAX (target->shed_permille, 1), shed ? 1000 : 0);
+    }
+  else if (result->failure == BK_FAILURE_CONNECT)
+    dm_target_failed (request->daemon, target);
+  if (shed)
+    dm_record (
+        request->daemon, EV_TARGET_SHED,
+        &(EvFields){ .target = target->name, .request_id = request->id });
+  if (!result->complete || shed)
+    return;
+  target->latency_us = average (target->latency_us,
+                                (uint32_t)(ck_boot_us () - request->sent_us));
+  service->answer_bytes = average (service->answer_bytes,
+                                   (uint32_t)MAX (result->body_bytes, 256));
+}
+
+static gboolean
+take_retry (DmDaemon *daemon)
+{
+  if (daemon->retry_tokens < 1000)
+    return FALSE;
+  daemon->retry_tokens -= 1000;
+  mt_add (daemon->counters.retries, 1);
+  return TRUE;
+}
+
+/* A request that surely was not handed over may go to another target; one that
+   may have run only if it is idempotent and the budget allows it.  */
+static gboolean
+may_retry (DmRequest *request, const BkResult *result)
+{
+  gboolean shed = result->complete && result->status == 503;
+
+  if (request->front == NULL || request->try_count >= DM_TRIES_MAX
+      || ck_boot_us () >= request->deadline_us || (result->complete && !shed))
+    return FALSE;
+  if (result->sent == BK_SENT_NONE)
+    return TRUE;
+  return request->idempotent && take_retry (request->daemon);
+}
+
+static uint32_t
+failure_status (const BkResult *result)
+{
+  if (result->failure == BK_FAILURE_TIMEOUT)
+    return 504;
+  return result->sent == BK_SENT_NONE && result->failure == BK_FAILURE_CONNECT
+             ? 503
+             : 502;
+}
+
+static void
+finish (DmRequest *request, const BkResult *result)
+{
+  DmDaemon *daemon = request->daemon;
+  uint32_t status
+      = result->complete ? result->status : failure_status (result);
+
+  if (request->order != NULL)
+    {
+      OrSent sent = { .kind = result->complete      ? OR_SENT_ANSWERED
+                              : request->maybe_sent ? OR_SENT_UNKNOWN
+                                                    : OR_SENT_NOT,
+                      .status = status,
+                      .headers = result->headers,
+                      .body = result->body,
+                      .body_bytes = result->body_bytes };
+      dm_order_sent (request, &sent);
+      return;
+    }
+  if (!result->complete)
+    {
+      dm_request_refuse (request, status, bk_failure_name (result->failure),
+                         request->maybe_sent ? "unknown" : "not_run", 0);
+      return;
+    }
+  mt_add (daemon->counters.answered, 1);
+  dm_record (daemon, EV_REQUEST_ANSWERED,
+             &(EvFields){ .customer = request->customer,
+                          .target = request->target_name,
+                          .request_id = request->id });
+  dm_request_answer (request, status, result->headers, result->body,
+                     result->body_bytes);
+}
+
+static void
+observe_added (const DmRequest *request, int64_t answered_us)
+{
+  int64_t target_us = answered_us - request->sent_us;
+
+  mt_observe (request->daemon->counters.added,
+              MAX (0, ck_boot_us () - request->arrived_us - target_us));
+}
+
+static void
+on_answer (const BkResult *result, void *data)
+{
+  DmRequest *request = data;
+  DmDaemon *daemon = request->daemon;
+  DmService *service = dm_service (daemon, request->service);
+  int64_t answered_us = ck_boot_us ();
+
+  request->call = NULL;
+  request->target->in_use_count--;
+  if (result->sent == BK_SENT_MAYBE)
+    request->maybe_sent = TRUE;
+  learn (request, result);
+  release (request, slot_outcome (result));
+  dm_request_hold (request);
+  if (may_retry (request, result))
+    {
+      dm_record (daemon, EV_REQUEST_RETRIED,
+                 &(EvFields){ .target = request->target_name,
+                              .request_id = request->id });
+      dm_dispatch (request);
+    }
+  else
+    {
+      finish (request, result);
+      if (result->complete)
+        observe_added (request, answered_us);
+    }
+  dm_request_unhold (request);
+  dm_dispatch_pump (daemon, service);
+}
+
+static uint32_t
+target_index (const DmService *service, const DmTarget *target)
+{
+  guint index = SR_NONE;
+
+  g_ptr_array_find (service->targets, target, &index);
+  return index;
+}
+
+static HtHeaders *
+target_headers (DmRequest *request, int64_t deadline_us, int64_t now_us)
+{
+  HtHeaders *headers = ht_headers_copy (request->front->headers);
+  g_autofree char *left_ms = g_strdup_printf (
+      "%" G_GINT64_FORMAT, MAX (1, (deadline_us - now_us) / CK_US_PER_MS));
+
+  ht_remove_hop_by_hop (headers);
+  ht_headers_remove (headers, "Content-Length");
+  ht_headers_remove (headers, "Expect");
+  ht_headers_set (headers, "X-Customer", request->customer);
+  ht_headers_set (headers, "X-Request-Id", request->id);
+  ht_headers_set (headers, "X-Deadline-Ms", left_ms);
+  return headers;
+}
+
+static void
+send_request (DmRequest *request, int64_t now_us)
+{
+  DmDaemon *daemon = request->daemon;
+  /* The slot may be given to another request after this time.  */
+  int64_t deadline_us = MIN (request->deadline_us,
+                             sl_deadline_us (daemon->slots, request->ticket));
+  g_autoptr (HtHeaders) headers
+      = target_headers (request, deadline_us, now_us);
+  BkRequest call = { .address = request->target->address,
+                     .method = request->front->method,
+                     .target = request->target_path,
+                     .headers = headers,
+                     .body = request->front->body,
+                     .body_bytes = request->front->body_bytes,
+                     .deadline_us = deadline_us,
+                     .on_done = on_answer,
+                     .data = request };
+
+  request->tried[request->try_count++ % DM_TRIES_MAX]
+      = target_index (dm_service (daemon, request->service), request->target);
+  request->step = DM_STEP_SENT;
+  request->sent_us = now_us;
+  request->target->in_use_count++;
+  daemon->retry_tokens
+      = MIN (RETRY_BANK, daemon->retry_tokens + RETRY_PERMILLE);
+  dm_record (daemon, EV_REQUEST_SENT,
+             &(EvFields){ .customer = request->customer,
+                          .target = request->target_name,
+                          .request_id = request->id });
+  request->call = bk_request (daemon->backend, &call);
+}
+
+static void
+refuse_waiting (DmRequest *request, const char *error)
+{
+  OrSent sent = { .kind = request->maybe_sent ? OR_SENT_UNKNOWN : OR_SENT_NOT,
+                  .status = 502 };
+
+  if (request->order != NULL)
+    dm_order_sent (request, &sent);
+  else if (request->maybe_sent)
+    dm_request_refuse (request, 504, error, "unknown", 0);
+  else
+    dm_request_refuse (request, 503, error, "not_run", 1000);
+}
+
+/* The key, the ticket or the caller may be gone since the request was
+   queued.  */
+static void
+start_under_ticket (DmRequest *request, DmTarget *target, SlTicket ticket)
+{
+  DmDaemon *daemon = request->daemon;
+  int64_t now_us = ck_boot_us ();
+
+  dm_request_hold (request);
+  request->ticket = ticket;
+  request->target = target;
+  g_free (request->target_name);
+  request->target_name = g_strdup (target->name);
+  if (!sl_valid (daemon->slots, ticket, now_us))
+    {
+      release (request, SL_OUTCOME_NOT_SENT);
+      refuse_waiting (request, "no_capacity");
+    }
+  else if (request->front == NULL || !dm_request_recheck (request, now_us))
+    release (request, SL_OUTCOME_NOT_SENT);
+  else
+    send_request (request, now_us);
+  dm_request_unhold (request);
+}
+
+/* Takes the request whose turn it is; expired ones are refused on the way.  */
+static DmRequest *
+next_request (DmService *service)
+{
+  FqItem item;
+
+  while (fq_pop (service->queue, ck_boot_us (), &item))
+    {
+      DmRequest *request = item.request;
+
+      if (!item.expired)
+        {
+          mt_observe (service->daemon->counters.queue_wait, item.waited_us);
+          return request;
+        }
+      refuse_waiting (request, "no_capacity");
+      dm_request_free (request);
+    }
+  return NULL;
+}
+
+static void
+refuse_expired (DmService *service)
+{
+  FqItem item;
+
+  while (fq_pop_expired (service->queue, ck_boot_us (), &item))
+    {
+      refuse_waiting (item.request, "no_capacity");
+      dm_request_free (item.request);
+    }
+}
+
+/* Borrowing.  A slot is asked for on behalf of the service, and serves the
+   request whose turn it is when the grant arrives.  */
+
+typedef struct
+{
+  DmDaemon *daemon;
+  char *service;
+  char *target;
+} Ask;
+
+static void
+ask_free (Ask *ask)
+{
+  g_free (ask->service);
+  g_free (ask->target);
+  g_free (ask);
+}
+
+static gboolean
+take_grant (const Ask *ask, const char *vm, const Peer__SlotReply *reply,
+            int64_t sent_us, SlTicket *ticket)
+{
+  SlGrant grant = { .id = reply->grant_id,
+                    .valid_us = (int64_t)reply->valid_ms * CK_US_PER_MS };
+
+  return sl_borrowed (ask->daemon->slots, ask->target, vm, &grant, sent_us,
+                      ck_boot_us (), ticket);
+}
+
+static void
+use_grant (DmDaemon *daemon, DmService *service, DmTarget *target,
+           SlTicket ticket)
+{
+  DmRequest *request = next_request (service);
+
+  mt_add (daemon->counters.borrowed_slots, 1);
+  if (request != NULL)
+    {
+      start_under_ticket (request, target, ticket);
+      return;
+    }
+  sl_release (daemon->slots, ticket, SL_OUTCOME_NOT_SENT, ck_boot_us ());
+  return_slots (daemon, ck_boot_us ());
+}
+
+static void
+on_slot_reply (const char *vm, const Peer__Envelope *envelope, int64_t sent_us,
+               void *data)
+{
+  Ask *ask = data;
+  DmDaemon *daemon = ask->daemon;
+  DmService *service = dm_service (daemon, ask->service);
+  DmTarget *target = g_hash_table_lookup (daemon->targets, ask->target);
+  SlTicket ticket;
+
+  service->ask_count--;
+  if (envelope != NULL
+      && envelope->body_case == PEER__ENVELOPE__BODY_SLOT_REPLY
+      && envelope->slot_reply->granted
+      && take_grant (ask, vm, envelope->slot_reply, sent_us, &ticket))
+    use_grant (daemon, service, target, ticket);
+  else
+    target->refused_until_us = ck_boot_us () + REFUSED_PAUSE_US;
+  dm_dispatch_pump (daemon, service);
+  ask_free (ask);
+}
+
+static void
+ask_for_slot (DmService *service, DmTarget *target, const char *lender)
+{
+  DmDaemon *daemon = service->daemon;
+  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+  Peer__SlotRequest body = PEER__SLOT_REQUEST__INIT;
+  Ask *ask = g_new (Ask, 1);
+
+  *ask = (Ask){ daemon, g_strdup (service->name), g_strdup (target->name) };
+  body.target = target->name;
+  body.region = daemon->settings->region;
+  body.valid_ms = DM_DEADLINE_MAX_MS;
+  envelope.body_case = PEER__ENVELOPE__BODY_SLOT_REQUEST;
+  envelope.slot_request = &body;
+  service->ask_count++;
+  target->holder_asked_count++;
+  target->holder_asked_us = ck_boot_us ();
+  pr_request (daemon->net, lender, &envelope, SLOT_TIMEOUT_MS, on_slot_reply,
+              ask);
+}
+
+/* A grant whose reply came after the ask had timed out.  */
+void
+dm_late_slot_reply (DmDaemon *daemon, const char *vm,
+                    const Peer__SlotReply *reply)
+{
+  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+  Peer__SlotReturn body = PEER__SLOT_RETURN__INIT;
+
+  if (!reply->granted)
+    return;
+  body.grant_id = reply->grant_id;
+  body.not_sent = 1;
+  envelope.body_case = PEER__ENVELOPE__BODY_SLOT_RETURN;
+  envelope.slot_return = &body;
+  pr_send (daemon->net, vm, &envelope);
+}
+
+/* Choice.  */
+
+/* A request that crosses regions needs room on the link for its answer.  */
+static gboolean
+take_link (DmDaemon *daemon, const DmTarget *target, int64_t bytes)
+{
+  const char *own = daemon->settings->region;
+  const CfRegion *region;
+
+  if (target->region < 0)
+    return FALSE;
+  region = g_ptr_array_index (daemon->config->regions, (guint)target->region);
+  if (strcmp (region->name, own) == 0
+      || cf_find_link (daemon->config, region->name, own) == NULL)
+    return TRUE;
+  return qt_take (daemon->quotas, dm_quota_id ("link", region->name, own),
+                  bytes, ck_boot_us ());
+}
+
+static gboolean
+take_shift (DmDaemon *daemon, const DmView *view, uint32_t shift)
+{
+  guint index = g_array_index (view->shift_index, guint, shift);
+  const CfShift *row = g_ptr_array_index (daemon->config->shifts, index);
+
+  return qt_take (daemon->quotas, dm_quota_id ("shift", row->name, NULL),
+                  QT_TOKEN, ck_boot_us ());
+}
+
+/* Chooses for SERVICE; takes what a shift or a link costs.  */
+static void
+choose (DmService *service, const DmView *view, SrRequest *request,
+        SrChoice *choice)
+{
+  DmDaemon *daemon = service->daemon;
+
+  request->random = dm_random (daemon);
+  request->bytes = service->answer_bytes;
+  request->probe = TRUE;
+  daemon->policy->choose (&view->view, request, choice);
+  if (choice->shift != SR_NONE && !take_shift (daemon, view, choice->shift))
+    {
+      request->no_shift = TRUE;
+      daemon->policy->choose (&view->view, request, choice);
+    }
+  if (choice->verdict != SR_VERDICT_OWN
+      && choice->verdict != SR_VERDICT_BORROW)
+    return;
+  if (!take_link (daemon, g_ptr_array_index (service->targets, choice->target),
+                  service->answer_bytes))
+    choice->verdict = SR_VERDICT_WAIT;
+}
+
+/* Serves or asks for one waiting request.  FALSE when nothing more can be done
+   now.  */
+static gboolean
+pump_once (DmService *service)
+{
+  DmDaemon *daemon = service->daemon;
+  SrRequest ask = { 0 };
+  DmTarget *target = NULL;
+  DmRequest *request;
+  SrChoice choice;
+  SlTicket ticket;
+  DmView view;
+
+  dm_view_fill (daemon, service, &view, ck_boot_us ());
+  choose (service, &view, &ask, &choice);
+  if (choice.target != SR_NONE)
+    target = g_ptr_array_index (service->targets, choice.target);
+  dm_view_clear (&view);
+  if (choice.verdict == SR_VERDICT_WAIT)
+    return FALSE;
+  g_assert (choice.verdict == SR_VERDICT_REFUSE || target != NULL);
+  if (choice.verdict == SR_VERDICT_BORROW)
+    {
+      if (service->ask_count >= MIN (ASKS_MAX, fq_count (service->queue)))
+        return FALSE;
+      ask_for_slot (service, target, choice.lender_vm);
+      return TRUE;
+    }
+  request = next_request (service);
+  if (request == NULL)
+    return FALSE;
+  if (choice.verdict == SR_VERDICT_REFUSE)
+    {
+      refuse_waiting (request, "no_target");
+      dm_request_free (request);
+      return TRUE;
+    }
+  if (!sl_acquire (daemon->slots, target->name, request->deadline_us,
+                   ck_boot_us (), &ticket))
+    {
+      refuse_waiting (request, "no_capacity");
+      dm_request_free (request);
+      return TRUE;
+    }
+  start_under_ticket (request, target, ticket);
+  return TRUE;
+}
+
+void
+dm_dispatch_pump (DmDaemon *daemon, DmService *service)
+{
+  (void)daemon;
+  /* Sending may end a request at once and pump again.  */
+  if (service->pumping)
+    return;
+  service->pumping = TRUE;
+  refuse_expired (service);
+  while (fq_count (service->queue) > 0 && pump_once (service))
+    ;
+  service->pumping = FALSE;
+}
+
+/* A retry goes to a target that was not tried, if one of the daemon's own
+   slots is free there.  */
+static gboolean
+retry_elsewhere (DmRequest *request)
+{
+  DmDaemon *daemon = request->daemon;
+  DmService *service = dm_service (daemon, request->service);
+  SrRequest ask = { .tried = request->tried,
+                    .tried_count = MIN (request->try_count, DM_TRIES_MAX) };
+  DmTarget *target;
+  SrChoice choice;
+  SlTicket ticket;
+  DmView view;
+
+  dm_view_fill (daemon, service, &view, ck_boot_us ());
+  choose (service, &view, &ask, &choice);
+  dm_view_clear (&view);
+  if (choice.verdict != SR_VERDICT_OWN)
+    return FALSE;
+  target = g_ptr_array_index (service->targets, choice.target);
+  if (!sl_acquire (daemon->slots, target->name, request->deadline_us,
+                   ck_boot_us (), &ticket))
+    return FALSE;
+  start_under_ticket (request, target, ticket);
+  return TRUE;
+}
+
+void
+dm_dispatch (DmRequest *request)
+{
+  DmDaemon *daemon = request->daemon;
+  DmService *service = dm_service (daemon, request->service);
+  int64_t now_us = ck_boot_us ();
+
+  dm_request_hold (request);
+  if (request->try_count == 0 || !retry_elsewhere (request))
+    {
+      request->step = DM_STEP_QUEUED;
+      if (fq_push (service->queue, request->customer, request,
+                   request->deadline_us, now_us, NULL))
+        dm_dispatch_pump (daemon, service);
+      else
+        refuse_waiting (request, "no_capacity");
+    }
+  dm_request_unhold (request);
+}
+
+void
+dm_dispatch_tick (DmDaemon *daemon, int64_t now_us)
+{
+  GHashTableIter iter;
+  void *value;
+
+  sl_expire (daemon->slots, now_us);
+  return_slots (daemon, now_us);
+  g_hash_table_iter_init (&iter, daemon->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (fq_count (((DmService *)value)->queue) > 0)
+      dm_dispatch_pump (daemon, value);
+}
+
+static gboolean
+may_lend (DmDaemon *daemon, const DmTarget *target, const char *region,
+          int64_t now_us)
+{
+  DmView view;
+  uint32_t borrower_region = SR_NONE;
+  gboolean allowed = FALSE;
+  GHashTableIter iter;
+  void *value;
+
+  if (!dm_target_usable (target) || target->region < 0)
+    return FALSE;
+  g_hash_table_iter_init (&iter, daemon->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      DmService *service = value;
+
+      if (!g_ptr_array_find (service->targets, target, NULL))
+        continue;
+      dm_view_fill (daemon, service, &view, now_us);
+      for (uint32_t i = 0; i < view.view.region_count; i++)
+        if (strcmp (view.view.regions[i].name, region) == 0)
+          borrower_region = i;
+      allowed = borrower_region != SR_NONE
+                && sr_may_lend (&view.view, (uint32_t)target->region,
+                                borrower_region);
+      dm_view_clear (&view);
+    }
+  return allowed;
+}
+
+void
+dm_slot_request (DmDaemon *daemon, PrConnection *connection,
+                 const Peer__Envelope *envelope)
+{
+  const Peer__SlotRequest *request = envelope->slot_request;
+  DmTarget *target = g_hash_table_lookup (daemon->targets, request->target);
+  Peer__Envelope reply = PEER__ENVELOPE__INIT;
+  Peer__SlotReply body = PEER__SLOT_REPLY__INIT;
+  int64_t now_us = ck_boot_us ();
+  SlGrant grant;
+
+  if (target != NULL && may_lend (daemon, target, request->region, now_us)
+      && sl_lend (daemon->slots, request->target, envelope->from_vm,
+                  (int64_t)request->valid_ms * CK_US_PER_MS, now_us, &grant))
+    {
+      body.granted = 1;
+      body.grant_id = grant.id;
+      body.valid_ms = (uint32_t)(grant.valid_us / CK_US_PER_MS);
+    }
+  reply.body_case = PEER__ENVELOPE__BODY_SLOT_REPLY;
+  reply.slot_reply = &body;
+  pr_reply (connection, envelope->id, &reply);
+}
+
+void
+dm_slot_return (DmDaemon *daemon, const Peer__SlotReturn *message)
+{
+  SlOutcome outcome = message->shed       ? SL_OUTCOME_SHED
+                      : message->failed   ? SL_OUTCOME_FAILED
+                      : message->not_sent ? SL_OUTCOME_NOT_SENT
+                                          : SL_OUTCOME_GOOD;
+
+  sl_returned (daemon->slots, message->grant_id, outcome, ck_boot_us ());
+}
+
+void
+dm_dispatch_cancel (DmRequest *request)
+{
+  DmService *service = dm_service (request->daemon, request->service);
+
+  if (service != NULL)
+    fq_remove (service->queue, request);
+  g_queue_remove (&request->daemon->admission_waiting, request);
+  if (request->call == NULL)
+    return;
+  if (bk_cancel (request->call) == BK_SENT_MAYBE)
+    {
+      request->maybe_sent = TRUE;
+      release (request, SL_OUTCOME_LOST);
+    }
+  else
+    release (request, SL_OUTCOME_NOT_SENT);
+  request->call = NULL;
+  request->target->in_use_count--;
+}
--- /dev/null
+++ b/daemon/fleet.c
@@ -0,0 +1,499 @@
+#include "daemon/daemon.h"
+
+#define LIST_WAIT_MS 10000
+#define LIST_RETRY_US CK_US_PER_S
+#define PROBE_PERIOD_US (500 * CK_US_PER_MS)
+#define PROBE_TIMEOUT_US (800 * CK_US_PER_MS)
+#define FAILURES_MAX 2
+#define DRAINS_PERIOD_US (200 * CK_US_PER_MS)
+
+#include <json-c/json.h>
+
+typedef struct
+{
+  DmDaemon *daemon;
+  char *service;
+} ListCall;
+
+void
+dm_target_free (void *data)
+{
+  DmTarget *target = data;
+
+  if (target == NULL)
+    return;
+  if (target->probe != NULL)
+    bk_cancel (target->probe);
+  g_free (target->name);
+  g_free (target->zone);
+  g_free (target->address);
+  g_ptr_array_unref (target->holders);
+  g_free (target);
+}
+
+void
+dm_service_free (void *data)
+{
+  DmService *service = data;
+
+  g_ptr_array_unref (service->targets);
+  fq_free (service->queue);
+  g_free (service->name);
+  g_free (service);
+}
+
+DmService *
+dm_service (DmDaemon *daemon, const char *name)
+{
+  return g_hash_table_lookup (daemon->services, name);
+}
+
+gboolean
+dm_target_usable (const DmTarget *target)
+{
+  return target->listed && target->healthy && !target->draining
+         && !target->leaving;
+}
+
+void
+dm_target_failed (DmDaemon *daemon, DmTarget *target)
+{
+  target->failure_count++;
+  if (!target->healthy || target->failure_count < FAILURES_MAX)
+    return;
+  target->healthy = FALSE;
+  dm_record (daemon, EV_TARGET_UNHEALTHY,
+             &(EvFields){ .target = target->name });
+}
+
+void
+dm_target_answered (DmDaemon *daemon, DmTarget *target)
+{
+  target->failure_count = 0;
+  if (target->healthy)
+    return;
+  target->healthy = TRUE;
+  sl_set_warm (daemon->slots, target->name, 0, ck_boot_us ());
+  dm_record (daemon, EV_TARGET_HEALTHY, &(EvFields){ .target = target->name });
+}
+
+/* Probes.  Only a holder probes a target; the health endpoint and the load
+   endpoint take turns.  */
+
+static DmTarget *
+target_of_probe (void *data)
+{
+  DmTarget *target = data;
+
+  target->probe = NULL;
+  return target;
+}
+
+static uint32_t
+int_field (struct json_object *root, const char *name, uint32_t otherwise)
+{
+  struct json_object *value;
+
+  if (!json_object_object_get_ex (root, name, &value)
+      || !json_object_is_type (value, json_type_int))
+    return otherwise;
+  return (uint32_t)CLAMP (json_object_get_int64 (value), 0, 1000000);
+}
+
+static void
+read_load (DmTarget *target, const BkResult *result)
+{
+  struct json_tokener *tokener = json_tokener_new ();
+  struct json_object *root = json_tokener_parse_ex (
+      tokener, (const char *)result->body, (int)result->body_bytes);
+  struct json_object *value;
+
+  if (json_object_is_type (root, json_type_object))
+    {
+      target->reported_running = int_field (root, "running", 0);
+      target->warm_permille = int_field (root, "warm_permille", 1000);
+      target->reported_us = ck_boot_us ();
+      if (json_object_object_get_ex (root, "draining", &value))
+        target->reports_draining = json_object_get_boolean (value);
+    }
+  json_object_put (root);
+  json_tokener_free (tokener);
+}
+
+static void
+on_health (const BkResult *result, void *data)
+{
+  DmTarget *target = target_of_probe (data);
+
+  if (result->complete && result->status == 200)
+    dm_target_answered (target->daemon, target);
+  else
+    dm_target_failed (target->daemon, target);
+}
+
+static void
+on_load (const BkResult *result, void *data)
+{
+  DmTarget *target = target_of_probe (data);
+
+  if (!result->complete)
+    {
+      dm_target_failed (target->daemon, target);
+      return;
+    }
+  if (result->status != 200)
+    return;
+  read_load (target, result);
+  sl_set_warm (target->daemon->slots, target->name, target->warm_permille,
+               ck_boot_us ());
+}
+
+static void
+probe (DmDaemon *daemon, DmTarget *target, int64_t now_us)
+{
+  BkRequest request = { .address = target->address,
+                        .method = "GET",
+                        .target = target->probe_load ? "/loadz" : "/healthz",
+                        .deadline_us = now_us + PROBE_TIMEOUT_US,
+                        .on_done = target->probe_load ? on_load : on_health,
+                        .data = target };
+
+  target->probe_load = !target->probe_load;
+  target->probe_due_us = now_us + PROBE_PERIOD_US;
+  target->probe = bk_request (daemon->probes, &request);
+}
+
+/* A target that nobody here holds is judged by its holder's report.  */
+static void
+follow_report (DmDaemon *daemon, DmTarget *target, int64_t now_us)
+{
+  MbTarget state;
+  int64_t age_us;
+
+  if (!mb_target (daemon->members, target->name, now_us, &state, &age_us))
+    return;
+  target->healthy = state.healthy;
+  target->reports_draining = state.draining;
+  target->warm_permille = state.warm_permille;
+}
+
+static void
+probe_targets (DmDaemon *daemon, int64_t now_us)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, daemon->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      DmTarget *target = value;
+
+      if (sl_state (daemon->slots, target->name, now_us).held_count == 0)
+        follow_report (daemon, target, now_us);
+      else if (target->probe == NULL && now_us >= target->probe_due_us)
+        probe (daemon, target, now_us);
+    }
+}
+
+static void
+update_drains (DmDaemon *daemon, int64_t now_us)
+{
+  GHashTableIter iter;
+  void *value;
+
+  if (now_us < daemon->drains_due_us || daemon->config == NULL)
+    return;
+  daemon->drains_due_us = now_us + DRAINS_PERIOD_US;
+  g_hash_table_iter_init (&iter, daemon->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      DmTarget *target = value;
+      gboolean was = target->draining;
+
+      target->draining = target->reports_draining
+                         || pl_target_drains (daemon->config, target->name,
+                                              target->zone, ck_wall_ms ());
+      if (target->draining && !was)
+        dm_record (daemon, EV_TARGET_LEAVING,
+                   &(EvFields){ .target = target->name });
+    }
+}
+
+/* The platform's lists.  */
+
+static char *
+address_of (DmDaemon *daemon, const StVm *vm)
+{
+  const SeAddress *other
+      = se_find_connect (daemon->settings->target_connect, vm->id);
+  SeAddress own = { vm->address, vm->port };
+
+  return se_format_address (other != NULL ? other : &own);
+}
+
+static DmTarget *
+target_new (DmDaemon *daemon, DmService *service, const StVm *vm)
+{
+  DmTarget *target = g_new0 (DmTarget, 1);
+
+  target->daemon = daemon;
+  target->name = g_strdup (vm->id);
+  target->healthy = TRUE;
+  target->warm_permille = 1000;
+  target->holders = g_ptr_array_new_with_free_func (g_free);
+  g_ptr_array_add (service->targets, target);
+  g_hash_table_insert (daemon->targets, target->name, target);
+  return target;
+}
+
+static void
+update_target (DmDaemon *daemon, DmService *service, const StVm *vm)
+{
+  DmTarget *target = g_hash_table_lookup (daemon->targets, vm->id);
+  gboolean was_leaving;
+
+  if (target == NULL)
+    target = target_new (daemon, service, vm);
+  g_free (target->zone);
+  g_free (target->address);
+  target->zone = g_strdup (vm->zone);
+  target->address = address_of (daemon, vm);
+  target->region = cf_region_of_zone (daemon->config, vm->zone);
+  target->listed = TRUE;
+  was_leaving = target->leaving;
+  target->leaving = vm->leaving;
+  if (target->leaving && !was_leaving)
+    dm_record (daemon, EV_TARGET_LEAVING,
+               &(EvFields){ .target = target->name });
+}
+
+static void
+on_targets (const GPtrArray *vms, uint64_t index, void *data)
+{
+  ListCall *call = data;
+  DmDaemon *daemon = call->daemon;
+  DmService *service = dm_service (daemon, call->service);
+
+  dm_store_answered (daemon, vms == NULL ? ST_OUTCOME_DOWN : ST_OUTCOME_OK);
+  if (service != NULL)
+    {
+      service->list_armed = FALSE;
+      service->list_due_us = vms == NULL ? ck_boot_us () + LIST_RETRY_US : 0;
+    }
+  if (service != NULL && vms != NULL)
+    {
+      service->list_index = index;
+      for (guint i = 0; i < service->targets->len; i++)
+        ((DmTarget *)g_ptr_array_index (service->targets, i))->listed = FALSE;
+      for (guint i = 0; i < vms->len; i++)
+        update_target (daemon, service, g_ptr_array_index (vms, i));
+      dm_fleet_holders (daemon);
+    }
+  g_free (call->service);
+  g_free (call);
+}
+
+static void
+watch_targets (DmDaemon *daemon, DmService *service, int64_t now_us)
+{
+  ListCall *call;
+
+  if (service->list_armed || now_us < service->list_due_us)
+    return;
+  call = g_new (ListCall, 1);
+  call->daemon = daemon;
+  call->service = g_strdup (service->name);
+  service->list_armed = TRUE;
+  st_list (daemon->store, service->name, service->list_index, LIST_WAIT_MS,
+           on_targets, call);
+}
+
+void
+dm_entry_vm_free (void *data)
+{
+  StVm *vm = data;
+
+  g_free (vm->id);
+  g_free (vm->zone);
+  g_free (vm->address);
+  g_free (vm);
+}
+
+static StVm *
+vm_copy (const StVm *vm)
+{
+  StVm *copy = g_new (StVm, 1);
+
+  *copy = *vm;
+  copy->id = g_strdup (vm->id);
+  copy->zone = g_strdup (vm->zone);
+  copy->address = g_strdup (vm->address);
+  return copy;
+}
+
+static void
+tell_listed (DmDaemon *daemon)
+{
+  g_autoptr (GArray) rows = g_array_new (FALSE, FALSE, sizeof (MbListed));
+
+  for (guint i = 0; i < daemon->entry_vms->len; i++)
+    {
+      const StVm *vm = g_ptr_array_index (daemon->entry_vms, i);
+      int region = daemon->config == NULL
+                       ? -1
+                       : cf_region_of_zone (daemon->config, vm->zone);
+      MbListed row = { .vm = vm->id,
+                       .zone = vm->zone,
+                       .region = "",
+                       .http_address = "",
+                       .leaving = vm->leaving };
+
+      if (region >= 0)
+        row.region = ((CfRegion *)g_ptr_array_index (daemon->config->regions,
+                                                     (guint)region))
+                         ->name;
+      g_array_append_val (rows, row);
+    }
+  mb_set_listed (daemon->members, (const MbListed *)rows->data, rows->len,
+                 ck_boot_us ());
+}
+
+static void
+learn_entry_address (DmDaemon *daemon, const StVm *vm)
+{
+  const SeAddress *other
+      = se_find_connect (daemon->settings->peer_connect, vm->id);
+
+  if (strcmp (vm->id, daemon->settings->vm) == 0
+      || pr_has_address (daemon->net, vm->id))
+    return;
+  if (other != NULL)
+    pr_set_address (daemon->net, vm->id, other->ip, other->port);
+  else
+    pr_set_address (daemon->net, vm->id, vm->address, vm->port);
+}
+
+static void
+on_entry_vms (const GPtrArray *vms, uint64_t index, void *data)
+{
+  DmDaemon *daemon = data;
+
+  daemon->entry_armed = FALSE;
+  dm_store_answered (daemon, vms == NULL ? ST_OUTCOME_DOWN : ST_OUTCOME_OK);
+  if (vms == NULL)
+    {
+      daemon->entry_due_us = ck_boot_us () + LIST_RETRY_US;
+      return;
+    }
+  daemon->entry_index = index;
+  g_ptr_array_set_size (daemon->entry_vms, 0);
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const StVm *vm = g_ptr_array_index (vms, i);
+
+      g_ptr_array_add (daemon->entry_vms, vm_copy (vm));
+      learn_entry_address (daemon, vm);
+    }
+  tell_listed (daemon);
+}
+
+static void
+watch_entry_vms (DmDaemon *daemon, int64_t now_us)
+{
+  if (daemon->entry_armed || now_us < daemon->entry_due_us)
+    return;
+  daemon->entry_armed = TRUE;
+  st_list (daemon->store, "entry", daemon->entry_index, LIST_WAIT_MS,
+           on_entry_vms, daemon);
+}
+
+static void
+add_holders (DmDaemon *daemon, const AsMember *member)
+{
+  if (strcmp (member->vm, daemon->settings->vm) == 0)
+    return;
+  for (guint i = 0; i < member->slots->len; i++)
+    {
+      const AsSlot *slot = g_ptr_array_index (member->slots, i);
+      DmTarget *target = g_hash_table_lookup (daemon->targets, slot->target);
+
+      if (target != NULL)
+        g_ptr_array_add (target->holders, g_strdup (member->vm));
+    }
+}
+
+void
+dm_fleet_holders (DmDaemon *daemon)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, daemon->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_ptr_array_set_size (((DmTarget *)value)->holders, 0);
+  if (daemon->assign == NULL)
+    return;
+  for (guint i = 0; i < daemon->assign->members->len; i++)
+    add_holders (daemon, g_ptr_array_index (daemon->assign->members, i));
+}
+
+static void
+add_service (DmDaemon *daemon, const char *name)
+{
+  DmService *service;
+
+  if (dm_service (daemon, name) != NULL)
+    return;
+  service = g_new0 (DmService, 1);
+  service->daemon = daemon;
+  service->name = g_strdup (name);
+  service->targets = g_ptr_array_new ();
+  service->queue = fq_new (&(FqOptions){ 0 });
+  service->answer_bytes = 1024;
+  g_hash_table_insert (daemon->services, service->name, service);
+}
+
+/* Services that a configuration no longer has keep their entry, since requests
+   may still run; no route leads to them.  */
+void
+dm_fleet_configure (DmDaemon *daemon)
+{
+  GHashTableIter iter;
+  void *value;
+
+  for (guint i = 0; i < daemon->config->services->len; i++)
+    {
+      const CfService *row = g_ptr_array_index (daemon->config->services, i);
+      add_service (daemon, row->name);
+    }
+  g_hash_table_iter_init (&iter, daemon->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      DmTarget *target = value;
+      target->region = cf_region_of_zone (daemon->config, target->zone);
+    }
+  g_hash_table_iter_init (&iter, daemon->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    for (guint i = 0; i < daemon->config->customers->len; i++)
+      {
+        const CfCustomer *row
+            = g_ptr_array_index (daemon->config->customers, i);
+        fq_set_weight (((DmService *)value)->queue, row->name, row->weight);
+      }
+  tell_listed (daemon);
+  daemon->drains_due_us = 0;
+}
+
+void
+dm_fleet_tick (DmDaemon *daemon, int64_t now_us)
+{
+  GHashTableIter iter;
+  void *value;
+
+  watch_entry_vms (daemon, now_us);
+  g_hash_table_iter_init (&iter, daemon->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    watch_targets (daemon, value, now_us);
+  probe_targets (daemon, now_us);
+  update_drains (daemon, now_us);
+}
--- /dev/null
+++ b/daemon/leases.c
@@ -0,0 +1,270 @@
+#include "daemon/daemon.h"
+
+/* Two answers may be lost within the 3 s of a promise.  */
+#define PROMISE_TIMEOUT_MS 700
+/* Sorting some hundred members takes longer than the rest of a tick.  */
+#define CANDIDATES_PERIOD_US (200 * CK_US_PER_MS)
+
+typedef struct
+{
+  DmDaemon *daemon;
+  LsAction action;
+} Call;
+
+static Call *
+call_new (DmDaemon *daemon, const LsAction *action)
+{
+  Call *call = g_new (Call, 1);
+
+  call->daemon = daemon;
+  call->action = *action;
+  return call;
+}
+
+static char *
+record_key (const char *vm)
+{
+  return g_strconcat ("cw/lease/", vm, NULL);
+}
+
+static void
+remember_fenced (DmDaemon *daemon, const LsRecord *record)
+{
+  AsFenced *fenced;
+
+  if (record->state == LS_STATE_ACTIVE)
+    {
+      g_hash_table_remove (daemon->fenced, record->vm);
+      return;
+    }
+  fenced = g_new0 (AsFenced, 1);
+  fenced->vm = g_strdup (record->vm);
+  fenced->incarnation = record->incarnation;
+  fenced->fenced_at_ms = record->fenced_at_ms;
+  fenced->released = record->state == LS_STATE_RELEASED;
+  g_hash_table_replace (daemon->fenced, (char *)fenced->vm, fenced);
+}
+
+static void
+on_promise (const char *vm, const Peer__Envelope *envelope, int64_t sent_us,
+            void *data)
+{
+  Call *call = data;
+  DmDaemon *daemon = call->daemon;
+  int64_t now_us = ck_boot_us ();
+
+  (void)sent_us;
+  if (envelope != NULL
+      && envelope->body_case == PEER__ENVELOPE__BODY_PROMISE_REPLY)
+    {
+      if (envelope->promise_reply->granted)
+        ls_promised (daemon->lease, vm, call->action.sent_us, now_us);
+      else
+        ls_refused (daemon->lease, vm, call->action.sent_us, now_us);
+    }
+  g_free (call);
+}
+
+static void
+ask (DmDaemon *daemon, const LsAction *action)
+{
+  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+  Peer__PromiseRequest body = PEER__PROMISE_REQUEST__INIT;
+
+  body.holder_vm = (char *)action->record.vm;
+  body.holder_incarnation = action->record.incarnation;
+  body.holder_sequence = action->record.seq;
+  body.named_incarnation = action->record.successor_incarnation;
+  envelope.body_case = PEER__ENVELOPE__BODY_PROMISE_REQUEST;
+  envelope.promise_request = &body;
+  pr_request (daemon->net, action->vm, &envelope, PROMISE_TIMEOUT_MS,
+              on_promise, call_new (daemon, action));
+}
+
+static void
+on_record (const StResult *result, void *data)
+{
+  g_autofree Call *call = data;
+  DmDaemon *daemon = call->daemon;
+  int64_t now_us = ck_boot_us ();
+  LsRecord record;
+
+  dm_store_answered (daemon, result->outcome);
+  if (result->outcome == ST_OUTCOME_ABSENT)
+    {
+      ls_record_absent (daemon->lease, call->action.vm, now_us);
+      return;
+    }
+  if (result->outcome != ST_OUTCOME_OK
+      || !ls_record_parse (result->value, result->length_bytes, &record, NULL))
+    {
+      ls_read_failed (daemon->lease, call->action.vm, now_us);
+      return;
+    }
+  remember_fenced (daemon, &record);
+  ls_record_seen (daemon->lease, &record, result->index, now_us);
+}
+
+static const LsCasOutcome cas_outcomes[] = {
+  [ST_OUTCOME_OK] = LS_CAS_WON,          [ST_OUTCOME_ABSENT] = LS_CAS_LOST,
+  [ST_OUTCOME_LOST] = LS_CAS_LOST,       [ST_OUTCOME_DOWN] = LS_CAS_NOT_SENT,
+  [ST_OUTCOME_UNKNOWN] = LS_CAS_UNKNOWN,
+};
+
+static void
+note_fence (DmDaemon *daemon, const LsAction *action)
+{
+  remember_fenced (daemon, &action->record);
+  dm_note (daemon, EV_LEASE_FENCED_OTHER, "%s incarnation %" G_GUINT64_FORMAT,
+           action->record.vm, action->record.incarnation);
+}
+
+static void
+on_cas (const StResult *result, void *data)
+{
+  g_autofree Call *call = data;
+  DmDaemon *daemon = call->daemon;
+  LsCasOutcome outcome = cas_outcomes[result->outcome];
+
+  dm_store_answered (daemon, result->outcome);
+  /* A write that took effect but whose index could not be read is treated as
+     one with a lost answer: the record is read back.  */
+  if (outcome == LS_CAS_WON && result->index == 0)
+    outcome = LS_CAS_UNKNOWN;
+  if (outcome == LS_CAS_UNKNOWN)
+    dm_note (daemon, EV_STORE_OUTCOME_UNKNOWN, "lease of %s",
+             call->action.record.vm);
+  if (outcome == LS_CAS_WON && call->action.kind == LS_ACTION_FENCE)
+    note_fence (daemon, &call->action);
+  ls_cas_done (daemon->lease, &call->action, outcome, result->index,
+               ck_boot_us ());
+}
+
+static void
+write_record (DmDaemon *daemon, LsAction *action)
+{
+  g_autofree char *key = record_key (action->record.vm);
+  g_autofree char *text = NULL;
+
+  if (action->kind == LS_ACTION_FENCE)
+    action->record.fenced_at_ms = ck_wall_ms ();
+  text = ls_record_format (&action->record);
+  st_cas (daemon->store, key, action->expected_index, text, strlen (text),
+          on_cas, call_new (daemon, action));
+}
+
+static void
+start_action (DmDaemon *daemon, LsAction *action)
+{
+  g_autofree char *key = NULL;
+
+  switch (action->kind)
+    {
+    case LS_ACTION_ASK:
+      ask (daemon, action);
+      break;
+    case LS_ACTION_READ:
+      key = record_key (action->vm);
+      st_get (daemon->store, key, on_record, call_new (daemon, action));
+      break;
+    case LS_ACTION_WRITE:
+    case LS_ACTION_FENCE:
+      write_record (daemon, action);
+      break;
+    case LS_ACTION_NONE:
+      break;
+    }
+}
+
+static void
+set_candidates (DmDaemon *daemon, int64_t now_us)
+{
+  const MbMember *members[DM_VMS_MAX];
+  uint32_t ranks[DM_VMS_MAX];
+  LsPeer peers[DM_VMS_MAX];
+  LsSuspect suspects[DM_VMS_MAX];
+  uint32_t count;
+  uint32_t used = 0;
+
+  count = mb_successors (daemon->members, now_us, members, DM_VMS_MAX);
+  for (uint32_t i = 0; i < count; i++)
+    peers[i] = (LsPeer){ members[i]->vm, members[i]->incarnation };
+  ls_set_peers (daemon->lease, peers, count, now_us);
+
+  count = mb_suspects (daemon->members, now_us, members, ranks, DM_VMS_MAX);
+  for (uint32_t i = 0; i < count; i++)
+    if (!g_hash_table_contains (daemon->fenced, members[i]->vm))
+      suspects[used++] = (LsSuspect){ members[i]->vm, ranks[i] };
+  ls_set_suspects (daemon->lease, suspects, used, now_us);
+}
+
+/* The flex part of a former incarnation is lost, so its buckets start empty
+   before the new one may be used, and its slots rest while requests of before
+   may run on them.  */
+static void
+follow_incarnation (DmDaemon *daemon, int64_t now_us)
+{
+  uint64_t incarnation = ls_incarnation (daemon->lease);
+
+  if (incarnation == 0 || incarnation == daemon->incarnation)
+    return;
+  if (daemon->incarnation != 0)
+    {
+      qt_empty_flex (daemon->quotas, now_us);
+      daemon->slots_rest_until_us
+          = now_us + SL_REQUEST_MAX_US + SL_DEADLINE_MARGIN_US;
+      dm_note (daemon, EV_LEASE_FENCED,
+               "incarnation is now %" G_GUINT64_FORMAT, incarnation);
+    }
+  daemon->incarnation = incarnation;
+  pr_set_incarnation (daemon->net, incarnation);
+  dm_shares_apply (daemon, now_us);
+}
+
+static void
+note_state (DmDaemon *daemon, int64_t now_us)
+{
+  gboolean active = ls_active (daemon->lease, now_us);
+
+  if (active == daemon->lease_was_active)
+    return;
+  daemon->lease_was_active = active;
+  dm_note (daemon, active ? EV_LEASE_ACTIVE : EV_LEASE_LAPSED, "successor %s",
+           ls_record (daemon->lease)->successor);
+}
+
+void
+dm_lease_tick (DmDaemon *daemon, int64_t now_us)
+{
+  LsAction action;
+
+  if (now_us >= daemon->candidates_due_us)
+    {
+      daemon->candidates_due_us = now_us + CANDIDATES_PERIOD_US;
+      set_candidates (daemon, now_us);
+    }
+  while (ls_poll (daemon->lease, now_us, &action))
+    start_action (daemon, &action);
+  follow_incarnation (daemon, now_us);
+  note_state (daemon, now_us);
+  qt_set_validity (daemon->quotas, ls_active_until_us (daemon->lease),
+                   ls_base_until_us (daemon->lease));
+  sl_set_validity (daemon->slots, ls_active_until_us (daemon->lease),
+                   ls_base_until_us (daemon->lease));
+}
+
+void
+dm_promise_request (DmDaemon *daemon, PrConnection *connection,
+                    const Peer__Envelope *envelope)
+{
+  const Peer__PromiseRequest *request = envelope->promise_request;
+  Peer__Envelope reply = PEER__ENVELOPE__INIT;
+  Peer__PromiseReply body = PEER__PROMISE_REPLY__INIT;
+
+  body.granted = ls_answer_promise (
+      daemon->lease, request->holder_vm, request->holder_incarnation,
+      request->holder_sequence, request->named_incarnation, ck_boot_us ());
+  reply.body_case = PEER__ENVELOPE__BODY_PROMISE_REPLY;
+  reply.promise_reply = &body;
+  pr_reply (connection, envelope->id, &reply);
+}
--- /dev/null
+++ b/daemon/orders.c
@@ -0,0 +1,140 @@
+#include "daemon/daemon.h"
+
+static const OrStoreOutcome store_outcomes[] = {
+  [ST_OUTCOME_OK] = OR_STORE_OK,
+  [ST_OUTCOME_ABSENT] = OR_STORE_ABSENT,
+  [ST_OUTCOME_LOST] = OR_STORE_LOST,
+  [ST_OUTCOME_DOWN] = OR_STORE_DOWN,
+  [ST_OUTCOME_UNKNOWN] = OR_STORE_UNKNOWN,
+};
+
+void
+dm_order_start (DmRequest *request, const char *idempotency_key)
+{
+  FrRequest *front = request->front;
+  g_autofree char *op_id = g_uuid_string_random ();
+  OrOptions options = { .customer = request->customer,
+                        .idempotency_key = idempotency_key,
+                        .method = front->method,
+                        .target = request->target_path,
+                        .body = front->body,
+                        .body_bytes = front->body_bytes,
+                        .op_id = op_id,
+                        .vm = request->daemon->settings->vm,
+                        .deadline_us = request->deadline_us };
+
+  if (!or_is_key (idempotency_key))
+    {
+      dm_request_refuse (request, 400, "idempotency_key_malformed", "not_run",
+                         0);
+      dm_request_free (request);
+      return;
+    }
+  request->step = DM_STEP_ORDER;
+  request->order = or_new (&options, ck_boot_us (), ck_wall_ms ());
+  dm_order_run (request);
+}
+
+static void
+on_store (const StResult *result, void *data)
+{
+  DmRequest *request = data;
+
+  dm_store_answered (request->daemon, result->outcome);
+  or_store_done (request->order, store_outcomes[result->outcome],
+                 result->index, result->value, result->length_bytes,
+                 ck_boot_us ());
+  dm_order_run (request);
+  dm_request_unhold (request);
+}
+
+static void
+record_order (DmRequest *request, EvNumber number, const char *detail)
+{
+  dm_record (request->daemon, number,
+             &(EvFields){ .customer = request->customer,
+                          .request_id = request->id,
+                          .detail = detail });
+}
+
+/* An order is sent only to a target that was chosen before SEND_BY_US.  */
+static void
+send_order (DmRequest *request, int64_t send_by_us)
+{
+  record_order (request, EV_ORDER_STARTED, NULL);
+  if (request->front == NULL || ck_boot_us () >= send_by_us
+      || !dm_request_fresh (request, ck_boot_us ()))
+    {
+      dm_order_sent (request, &(OrSent){ .kind = OR_SENT_NOT });
+      return;
+    }
+  request->send_by_us = send_by_us;
+  dm_dispatch (request);
+}
+
+static void
+replay (DmRequest *request, const OrAction *action)
+{
+  g_autoptr (HtHeaders) headers = action->headers == NULL
+                                      ? ht_headers_new ()
+                                      : ht_headers_copy (action->headers);
+
+  ht_headers_set (headers, "X-Replayed", "1");
+  record_order (request, EV_ORDER_REPLAYED, NULL);
+  mt_add (request->daemon->counters.answered, 1);
+  dm_request_answer (request, action->status, headers, action->body,
+                     action->body_bytes);
+}
+
+static void
+carry_out (DmRequest *request, const OrAction *action)
+{
+  switch (action->kind)
+    {
+    case OR_ACTION_READ:
+      dm_request_hold (request);
+      st_get (request->daemon->store, action->key, on_store, request);
+      break;
+    case OR_ACTION_CAS:
+      dm_request_hold (request);
+      st_cas (request->daemon->store, action->key, action->expected,
+              action->value, action->value_bytes, on_store, request);
+      break;
+    case OR_ACTION_SEND:
+      send_order (request, action->send_by_us);
+      break;
+    case OR_ACTION_ANSWER:
+      mt_add (request->daemon->counters.answered, 1);
+      record_order (request, EV_ORDER_DONE, NULL);
+      dm_request_answer (request, action->status, action->headers,
+                         action->body, action->body_bytes);
+      break;
+    case OR_ACTION_REPLAY:
+      replay (request, action);
+      break;
+    case OR_ACTION_REFUSE:
+      if (strcmp (action->outcome, "unknown") == 0)
+        record_order (request, EV_ORDER_UNKNOWN, action->error);
+      dm_request_refuse (request, action->status, action->error,
+                         action->outcome, 1000);
+      break;
+    }
+}
+
+void
+dm_order_run (DmRequest *request)
+{
+  OrAction action;
+
+  dm_request_hold (request);
+  while (or_poll (request->order, ck_boot_us (), ck_wall_ms (), &action))
+    carry_out (request, &action);
+  dm_request_unhold (request);
+}
+
+void
+dm_order_sent (DmRequest *request, const OrSent *sent)
+{
+  or_sent (request->order, sent, ck_boot_us ());
+  dm_order_run (request);
+}
--- /dev/null
+++ b/daemon/request.c
@@ -0,0 +1,432 @@
+#include "daemon/daemon.h"
+
+/* Tokens that are lent arrive within a round trip between regions; a request
+   waits for a few of them before it is refused for its rate.  */
+#define ADMISSION_WAIT_US (150 * CK_US_PER_MS)
+#define ADMISSION_WAITING_MAX 1024
+#define RETRY_AFTER_MAX_MS 60000
+#define OPEN_CUSTOMER "open"
+
+static gboolean
+is_safe_method (const char *method)
+{
+  return strcmp (method, "GET") == 0 || strcmp (method, "HEAD") == 0;
+}
+
+static DmRequest *
+request_new (DmDaemon *daemon, FrRequest *front)
+{
+  DmRequest *request = g_new0 (DmRequest, 1);
+
+  request->daemon = daemon;
+  request->front = front;
+  request->arrived_us = front->arrived_us;
+  g_snprintf (request->id, sizeof request->id,
+              "%.12s-%" G_GINT64_MODIFIER "x-%" G_GINT64_MODIFIER "x",
+              daemon->settings->vm, daemon->process_incarnation & 0xffffff,
+              ++daemon->next_request);
+  front->user_data = request;
+  g_hash_table_add (daemon->requests, request);
+  return request;
+}
+
+static gboolean
+in_use (const DmRequest *request)
+{
+  return request->front != NULL || request->hold_count > 0
+         || (request->order != NULL && !or_finished (request->order));
+}
+
+void
+dm_request_free (DmRequest *request)
+{
+  DmDaemon *daemon = request->daemon;
+
+  if (in_use (request))
+    return;
+  g_hash_table_remove (daemon->requests, request);
+  g_queue_remove (&daemon->admission_waiting, request);
+  or_free (request->order);
+  g_free (request->customer);
+  g_free (request->service);
+  g_free (request->query);
+  g_free (request->target_path);
+  g_free (request->target_name);
+  g_free (request);
+}
+
+void
+dm_request_hold (DmRequest *request)
+{
+  request->hold_count++;
+}
+
+void
+dm_request_unhold (DmRequest *request)
+{
+  request->hold_count--;
+  dm_request_free (request);
+}
+
+static void
+record_request (DmRequest *request, EvNumber number, const char *detail)
+{
+  dm_record (request->daemon, number,
+             &(EvFields){ .customer = request->customer,
+                          .target = request->target_name,
+                          .request_id = request->id,
+                          .detail = detail });
+}
+
+void
+dm_request_answer (DmRequest *request, uint32_t status,
+                   const HtHeaders *headers, const void *body,
+                   gsize body_bytes)
+{
+  DmDaemon *daemon = request->daemon;
+  FrRequest *front = request->front;
+  g_autoptr (HtHeaders) all = NULL;
+
+  if (front == NULL)
+    return;
+  all = headers == NULL ? ht_headers_new () : ht_headers_copy (headers);
+  ht_headers_set (all, "X-Request-Id", request->id);
+  request->front = NULL;
+  mt_observe (daemon->counters.latency, ck_boot_us () - request->arrived_us);
+  fr_reply (front, status, all, body, body_bytes);
+}
+
+static const struct
+{
+  const char *error;
+  size_t counter; /* offset into DmMetrics */
+} refusal_counters[] = {
+  { "rate_exceeded", offsetof (DmMetrics, refused_rate) },
+  { "config_stale", offsetof (DmMetrics, refused_stale) },
+  { "no_capacity", offsetof (DmMetrics, refused_capacity) },
+  { "no_target", offsetof (DmMetrics, refused_capacity) },
+};
+
+static void
+count_refusal (DmDaemon *daemon, const char *error)
+{
+  mt_add (daemon->counters.refused, 1);
+  for (size_t i = 0; i < G_N_ELEMENTS (refusal_counters); i++)
+    if (strcmp (refusal_counters[i].error, error) == 0)
+      mt_add (*(MtCounter **)((char *)&daemon->counters
+                              + refusal_counters[i].counter),
+              1);
+}
+
+void
+dm_request_refuse (DmRequest *request, uint32_t status, const char *error,
+                   const char *outcome, uint32_t retry_after_ms)
+{
+  g_autofree char *body = g_strdup_printf (
+      "{\"error\":\"%s\",\"outcome\":\"%s\",\"retry_after_ms\":%u}", error,
+      outcome, retry_after_ms);
+  gboolean unknown = strcmp (outcome, "unknown") == 0;
+
+  /* An earlier attempt may have run, whatever made the last one fail.  */
+  g_assert (!request->maybe_sent || strcmp (outcome, "not_run") != 0);
+  if (unknown)
+    mt_add (request->daemon->counters.unknown, 1);
+  else
+    count_refusal (request->daemon, error);
+  record_request (request, unknown ? EV_REQUEST_UNKNOWN : EV_REQUEST_REFUSED,
+                  error);
+  dm_request_answer (request, status, NULL, body, strlen (body));
+}
+
+static gboolean
+key_in_force (const DmRequest *request)
+{
+  KyMatch match;
+
+  return ky_lookup (request->daemon->keys, request->key_sha256, &match, NULL)
+         && strcmp (match.customer->name, request->customer) == 0;
+}
+
+gboolean
+dm_request_fresh (const DmRequest *request, int64_t now_us)
+{
+  return !request->keyed
+         || (dm_fresh (request->daemon, now_us) && key_in_force (request));
+}
+
+gboolean
+dm_request_recheck (DmRequest *request, int64_t now_us)
+{
+  const char *outcome = request->maybe_sent ? "unknown" : "not_run";
+
+  if (dm_request_fresh (request, now_us))
+    return TRUE;
+  if (request->order != NULL)
+    dm_order_sent (
+        request,
+        &(OrSent){ .kind = request->maybe_sent ? OR_SENT_UNKNOWN : OR_SENT_NOT,
+                   .status = 502 });
+  else if (!dm_fresh (request->daemon, now_us))
+    dm_request_refuse (request, 503, "config_stale", outcome, 1000);
+  else
+    dm_request_refuse (request, 401, "key_withdrawn", outcome, 0);
+  return FALSE;
+}
+
+static void
+on_cancel (FrRequest *front, void *data)
+{
+  DmRequest *request = data;
+
+  (void)front;
+  request->front = NULL;
+  dm_request_hold (request);
+  mt_add (request->daemon->counters.cancelled, 1);
+  record_request (request, EV_REQUEST_CANCELLED, NULL);
+  if (request->order == NULL)
+    dm_dispatch_cancel (request);
+  else if (or_cancel (request->order, ck_boot_us ()) && request->call == NULL
+           && !request->maybe_sent)
+    {
+      /* An order that a target may have got goes on to its end.  */
+      dm_dispatch_cancel (request);
+      dm_order_sent (request, &(OrSent){ .kind = OR_SENT_NOT });
+    }
+  else
+    dm_order_run (request);
+  dm_request_unhold (request);
+}
+
+/* How long until the customer's rate has refilled one token.  */
+static uint32_t
+retry_after_ms (const DmRequest *request)
+{
+  const CfCustomer *customer
+      = cf_find_customer (request->daemon->config, request->customer);
+
+  if (customer == NULL || customer->rate_per_s == 0)
+    return RETRY_AFTER_MAX_MS;
+  return MAX (1, 1000 / customer->rate_per_s);
+}
+
+static void
+start_work (DmRequest *request)
+{
+  const char *key
+      = ht_headers_get (request->front->headers, "Idempotency-Key");
+
+  record_request (request, EV_REQUEST_ADMITTED, NULL);
+  if (!request->idempotent && key != NULL)
+    dm_order_start (request, key);
+  else
+    dm_dispatch (request);
+}
+
+static void
+wait_for_tokens (DmRequest *request, int64_t now_us)
+{
+  DmDaemon *daemon = request->daemon;
+
+  if (daemon->admission_waiting.length >= ADMISSION_WAITING_MAX
+      || daemon->settings->admission == SE_ADMISSION_SPLIT)
+    {
+      dm_request_refuse (request, 429, "rate_exceeded", "not_run",
+                         retry_after_ms (request));
+      dm_request_free (request);
+      return;
+    }
+  request->step = DM_STEP_ADMISSION;
+  request->admission_until_us
+      = MIN (request->deadline_us, now_us + ADMISSION_WAIT_US);
+  g_queue_push_tail (&daemon->admission_waiting, request);
+}
+
+static void
+admit (DmRequest *request, int64_t now_us)
+{
+  uint32_t quota = dm_quota_id ("customer", request->customer, NULL);
+
+  if (!request->keyed
+      || qt_take (request->daemon->quotas, quota, QT_TOKEN, now_us))
+    start_work (request);
+  else
+    wait_for_tokens (request, now_us);
+}
+
+/* Serves waiting requests in their order, one customer's shortage leaving the
+   others alone.  */
+static void
+readmit (DmDaemon *daemon, int64_t now_us)
+{
+  g_autoptr (GHashTable) short_of = g_hash_table_new (NULL, NULL);
+  GList *next;
+
+  for (GList *at = daemon->admission_waiting.head; at != NULL; at = next)
+    {
+      DmRequest *request = at->data;
+      uint32_t quota = dm_quota_id ("customer", request->customer, NULL);
+
+      next = at->next;
+      if (!g_hash_table_contains (short_of, GUINT_TO_POINTER (quota))
+          && qt_retake (daemon->quotas, quota, QT_TOKEN, now_us))
+        {
+          g_queue_delete_link (&daemon->admission_waiting, at);
+          if (dm_request_recheck (request, now_us))
+            start_work (request);
+          else
+            dm_request_free (request);
+          continue;
+        }
+      g_hash_table_add (short_of, GUINT_TO_POINTER (quota));
+      if (now_us < request->admission_until_us)
+        continue;
+      g_queue_delete_link (&daemon->admission_waiting, at);
+      dm_request_refuse (request, 429, "rate_exceeded", "not_run",
+                         retry_after_ms (request));
+      dm_request_free (request);
+    }
+}
+
+void
+dm_request_tick (DmDaemon *daemon, int64_t now_us)
+{
+  g_autoptr (GPtrArray) orders = g_ptr_array_new ();
+  GHashTableIter iter;
+  void *value;
+
+  if (daemon->admission_waiting.length > 0)
+    readmit (daemon, now_us);
+  g_hash_table_iter_init (&iter, daemon->requests);
+  while (g_hash_table_iter_next (&iter, &value, NULL))
+    if (((DmRequest *)value)->order != NULL
+        && or_wake_us (((DmRequest *)value)->order) <= now_us)
+      g_ptr_array_add (orders, value);
+  for (guint i = 0; i < orders->len; i++)
+    dm_order_run (g_ptr_array_index (orders, i));
+}
+
+static int64_t
+deadline_of (const FrRequest *front)
+{
+  const char *text = ht_headers_get (front->headers, "X-Deadline-Ms");
+  uint64_t left_ms = DM_DEADLINE_DEFAULT_MS;
+
+  if (text != NULL
+      && !g_ascii_string_to_unsigned (text, 10, 1, DM_DEADLINE_MAX_MS,
+                                      &left_ms, NULL))
+    left_ms = DM_DEADLINE_MAX_MS;
+  return ck_boot_us () + (int64_t)left_ms * CK_US_PER_MS;
+}
+
+static const struct
+{
+  int code;
+  const char *error;
+} key_errors[] = {
+  { KY_ERROR_MISSING, "key_missing" },
+  { KY_ERROR_CONFLICT, "key_conflict" },
+  { KY_ERROR_MALFORMED, "key_malformed" },
+  { KY_ERROR_UNKNOWN, "key_unknown" },
+  { KY_ERROR_WITHDRAWN, "key_withdrawn" },
+  { KY_ERROR_PATH, "key_in_path" },
+};
+
+static void
+refuse_key (DmRequest *request, const GError *error)
+{
+  const char *name = "key_unknown";
+
+  for (size_t i = 0; i < G_N_ELEMENTS (key_errors); i++)
+    if (key_errors[i].code == error->code)
+      name = key_errors[i].error;
+  dm_request_refuse (request, error->code == KY_ERROR_PATH ? 400 : 401, name,
+                     "not_run", 0);
+}
+
+/* Finds the customer of a keyed route.  */
+static gboolean
+identify (DmRequest *request, int64_t now_us)
+{
+  DmDaemon *daemon = request->daemon;
+  g_autoptr (GError) error = NULL;
+  KyMatch match;
+
+  if (!dm_fresh (daemon, now_us))
+    {
+      dm_request_refuse (request, 503, "config_stale", "not_run", 1000);
+      return FALSE;
+    }
+  if (!ky_find (request->front->headers, request->key_sha256, &error)
+      || !ky_lookup (daemon->keys, request->key_sha256, &match, &error))
+    {
+      refuse_key (request, error);
+      return FALSE;
+    }
+  g_free (request->customer);
+  request->customer = g_strdup (match.customer->name);
+  return TRUE;
+}
+
+/* After this no key is left in what may be forwarded.  */
+static gboolean
+strip_keys (DmRequest *request)
+{
+  FrRequest *front = request->front;
+  g_autoptr (GError) error = NULL;
+
+  request->query = g_strdup (front->query);
+  if (!ky_strip (front->headers, front->path, &request->query, &error))
+    {
+      refuse_key (request, error);
+      return FALSE;
+    }
+  request->target_path
+      = request->query == NULL || *request->query == '\0'
+            ? g_strdup (front->path)
+            : g_strconcat (front->path, "?", request->query, NULL);
+  return TRUE;
+}
+
+static gboolean
+prepare (DmRequest *request, const CfRoute *route, int64_t now_us)
+{
+  request->service = g_strdup (route->service);
+  request->customer = g_strdup (OPEN_CUSTOMER);
+  request->keyed = !route->open;
+  request->idempotent
+      = route->idempotent || is_safe_method (request->front->method);
+  request->deadline_us = deadline_of (request->front);
+  if (request->keyed && !identify (request, now_us))
+    return FALSE;
+  return strip_keys (request);
+}
+
+void
+dm_on_request (FrRequest *front, void *data)
+{
+  DmDaemon *daemon = data;
+  int64_t now_us = ck_boot_us ();
+  const CfRoute *route = NULL;
+  DmRequest *request;
+
+  if (strcmp (front->path, "/v1/lookup") == 0)
+    {
+      dm_lookup (daemon, front);
+      return;
+    }
+  mt_add (daemon->counters.requests, 1);
+  request = request_new (daemon, front);
+  if (dm_ready (daemon))
+    route = cf_find_route (daemon->config, front->path);
+  if (!dm_ready (daemon))
+    dm_request_refuse (request, 503, "not_ready", "not_run", 1000);
+  else if (route == NULL || dm_service (daemon, route->service) == NULL)
+    dm_request_refuse (request, 404, "no_route", "not_run", 0);
+  else if (prepare (request, route, now_us))
+    {
+      fr_on_cancel (front, on_cancel, request);
+      admit (request, now_us);
+      return;
+    }
+  dm_request_free (request);
+}
--- /dev/null
+++ b/proof/run.cc
@@ -0,0 +1,274 @@
+#include "proof/run.h"
+
+#include <json-c/json.h>
+#include <time.h>
+#include <unistd.h>
+
+/* ERROR is read after EXPRESSION, which sets it.  */
+#define CHECK(expression)                                                     \
+  do                                                                          \
+    if (!(expression))                                                        \
+      {                                                                       \
+        ADD_FAILURE () << (error == NULL ? "no message" : error->message);    \
+        g_clear_error (&error);                                               \
+        return;                                                               \
+      }                                                                       \
+  while (0)
+
+namespace
+{
+
+int64_t
+field (json_object *row, const char *name)
+{
+  json_object *value = NULL;
+  return json_object_object_get_ex (row, name, &value)
+             ? json_object_get_int64 (value)
+             : 0;
+}
+
+Outcome
+read_outcome (json_object *row)
+{
+  Outcome outcome;
+  outcome.requests = field (row, "requests");
+  outcome.answered = field (row, "answered");
+  outcome.refused = field (row, "refused");
+  outcome.rate_refused = field (row, "rate_refused");
+  outcome.unknown = field (row, "unknown");
+  outcome.p99_us = field (row, "p99_us");
+  return outcome;
+}
+
+void
+sleep_us (int64_t us)
+{
+  if (us > 0)
+    usleep ((useconds_t)us);
+}
+
+}
+
+int64_t
+now_us ()
+{
+  timespec at;
+  clock_gettime (CLOCK_MONOTONIC, &at);
+  return (int64_t)at.tv_sec * 1000000 + at.tv_nsec / 1000;
+}
+
+Trial::Trial (const TrialOptions &options) : options_ (options)
+{
+  GError *error = NULL;
+  SiOptions si = {};
+  SiFixtureOptions fixture = {};
+
+  si.bin = CW_BIN;
+  si.deployment = options_.deployment.c_str ();
+  si.policy = options_.policy.c_str ();
+  si.admission = options_.admission.c_str ();
+  si.proxied = options_.proxied;
+  si.work_ms = options_.work_ms;
+  si.log = "info";
+  harness_ = si_new (&si, &error);
+  CHECK (harness_ != NULL);
+  CHECK (si_start_platform (harness_, &error));
+  CHECK (si_start_targets (harness_, &error));
+  CHECK (si_start_daemons (harness_, &error));
+  fixture.rate_per_s = options_.rate_per_s;
+  fixture.burst = options_.burst;
+  config_ = si_fixture_config (harness_, &fixture);
+  CHECK (si_apply_config (harness_, config_, &error));
+  CHECK (si_wait_ready (harness_, 20000, &error));
+}
+
+Trial::~Trial ()
+{
+  cf_unref (config_);
+  si_free (harness_);
+}
+
+std::string
+Trial::admin (const std::string &vm)
+{
+  return si_find_vm (harness_, vm.c_str ())->admin_address;
+}
+
+std::vector<Caller>
+Trial::callers (double share, const std::string &more)
+{
+  std::vector<Caller> rows;
+
+  for (guint i = 0; i < config_->customers->len; i++)
+    {
+      auto *row = (CfCustomer *)g_ptr_array_index (config_->customers, i);
+      rows.push_back ({ row->name, (int)(row->rate_per_s * share), more });
+    }
+  return rows;
+}
+
+void
+Trial::load (const std::vector<Caller> &callers, int duration_ms)
+{
+  GError *error = NULL;
+  std::string service = si_fixture_service (harness_, 0);
+  std::vector<std::string> words
+      = { std::string (CW_BIN) + "/standin/load-gen",
+          "--duration-ms",
+          std::to_string (duration_ms),
+          "--read-path",
+          "/" + service + "/view/a",
+          "--order-path",
+          "/" + service + "/orders",
+          "--seed",
+          "7" };
+  std::vector<const char *> argv;
+
+  trace_ = std::string (si_folder (harness_)) + "/trace";
+  out_ = std::string (si_folder (harness_)) + "/summary";
+  words.insert (words.end (), { "--trace", trace_, "--out", out_ });
+  for (guint i = 0; i < si_vms (harness_)->len; i++)
+    words.insert (words.end (),
+                  { "--vm", ((SiVm *)g_ptr_array_index (si_vms (harness_), i))
+                                ->caller_address });
+  for (const Caller &row : callers)
+    words.insert (
+        words.end (),
+        { "--customer", "name=" + row.name + ",key=key-" + row.name
+                            + ",rate=" + std::to_string (row.rate_per_s)
+                            + (row.more.empty () ? "" : ",") + row.more });
+  for (const std::string &word : words)
+    argv.push_back (word.c_str ());
+  argv.push_back (NULL);
+  load_pid_ = si_spawn (harness_, argv.data (), "load-gen.log", &error);
+  load_at_us_ = now_us ();
+  CHECK (load_pid_ > 0);
+}
+
+void
+Trial::after_ms (int ms)
+{
+  sleep_us (load_at_us_ + (int64_t)ms * 1000 - now_us ());
+}
+
+void
+Trial::finish ()
+{
+  int status = -1;
+  json_object *rows = NULL;
+
+  ASSERT_TRUE (si_wait_exit (harness_, load_pid_, 150000, &status));
+  ASSERT_EQ (0, status);
+  json_object *root = json_object_from_file (out_.c_str ());
+  ASSERT_NE (nullptr, root);
+  total_ = read_outcome (root);
+  ASSERT_TRUE (json_object_object_get_ex (root, "customers", &rows));
+  for (size_t i = 0; i < json_object_array_length (rows); i++)
+    {
+      json_object *row = json_object_array_get_idx (rows, i);
+      json_object *name = NULL;
+      json_object_object_get_ex (row, "name", &name);
+      by_name_[json_object_get_string (name)] = read_outcome (row);
+    }
+  printf ("%s\n",
+          json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN));
+  json_object_put (root);
+}
+
+SiVerdict
+Trial::verdict ()
+{
+  GError *error = NULL;
+  SiVerdict verdict = {};
+  std::vector<SiRate> rates;
+
+  for (guint i = 0; i < config_->customers->len; i++)
+    {
+      auto *row = (CfCustomer *)g_ptr_array_index (config_->customers, i);
+      rates.push_back ({ row->name, row->rate_per_s, row->burst });
+    }
+  EXPECT_TRUE (si_verify (harness_, trace_.c_str (), rates.data (),
+                          rates.size (), &verdict, &error));
+  return verdict;
+}
+
+void
+Trial::expect_invariants ()
+{
+  SiVerdict v = verdict ();
+
+  EXPECT_GT (v.answered_count, 0u);
+  EXPECT_EQ (0u, v.wrong_count) << "R7: cut or foreign answers";
+  EXPECT_EQ (0u, v.foreign_count) << "R3: ran for another customer";
+  EXPECT_EQ (0u, v.key_seen_count) << "R4: keys seen by targets";
+  EXPECT_EQ (0u, v.over_rate_count) << "R6: customers above rate and burst";
+  EXPECT_EQ (0u, v.false_not_run_count) << "R8: refused as not run, but ran";
+  EXPECT_EQ (0u, v.doubled_count) << "R9: orders that ran more than once";
+  EXPECT_EQ (0u, v.lost_count) << "answered orders that never ran";
+  EXPECT_LE (v.running_max, 3u) << "R2: slots of a target";
+  EXPECT_LE (v.connections_max, 330u) << "connections of a target";
+}
+
+int64_t
+Trial::wait_for (const std::string &what, int wait_ms,
+                 const std::function<bool ()> &condition)
+{
+  int64_t start_us = now_us ();
+  int64_t end_us = start_us + (int64_t)wait_ms * 1000;
+
+  while (!condition ())
+    {
+      if (now_us () > end_us)
+        {
+          ADD_FAILURE () << "not within " << wait_ms << " ms: " << what;
+          break;
+        }
+      sleep_us (20000);
+    }
+  return (now_us () - start_us) / 1000;
+}
+
+std::string
+Trial::page (const std::string &vm, const std::string &path)
+{
+  SiAnswer answer = {};
+  std::string body;
+
+  if (si_http ("GET", admin (vm).c_str (), path.c_str (), NULL, NULL, 2000,
+               &answer, NULL)
+      && answer.status == 200)
+    body.assign (answer.body, answer.length_bytes);
+  si_answer_clear (&answer);
+  return body;
+}
+
+int
+Trial::status_of (const std::string &vm, const std::string &path,
+                  const std::string &key)
+{
+  SiAnswer answer = {};
+  std::string header = "X-Api-Key: " + key;
+  const char *headers[] = { header.c_str (), NULL };
+  int status = 0;
+
+  if (si_http ("GET", si_find_vm (harness_, vm.c_str ())->http_address,
+               path.c_str (), headers, NULL, 5000, &answer, NULL))
+    status = answer.status;
+  si_answer_clear (&answer);
+  return status;
+}
+
+void
+Trial::control (const char *address, const std::string &path)
+{
+  GError *error = NULL;
+  CHECK (si_control (address, path.c_str (), &error));
+}
+
+void
+Trial::apply (const std::function<void (CfConfig *)> &change)
+{
+  GError *error = NULL;
+  change (config_);
+  CHECK (si_apply_config (harness_, config_, &error));
+}
