Add members: hubs, digests, freshness of the configuration

Cost has to stay under 11 KB/s for each member of a fleet of 570 in 18 zones, hubs included. Digests with an entry for each member cost a hub more than that many times over. A digest now has one histogram of ages for all behind its sender, and entries only for what changed since the receiver's last acknowledgement; changes of load, surplus and free slots are rationed.

Two faults that the tests found: an acknowledgement of a digest whose targets were dropped, because its age was unknown, kept them from being sent again; and the members of a zone whose region's hub failed chose one that did not know of the failure, so a member now takes the role when it is asked.

--- a/member/member.h
+++ b/member/member.h
@@ -59,13 +59,14 @@
 #define MB_INTERVAL_STEP_US (60 * 1000) /* times the members of the zone */
 #define MB_INTERVAL_MIN_US (250 * 1000)
 /* Ages of three relays and two reports have to stay under MB_FRESH_US.  */
-#define MB_INTERVAL_MAX_US (600 * 1000)
-#define MB_HUB_INTERVAL_US (250 * 1000)
+#define MB_INTERVAL_MAX_US (700 * 1000)
+#define MB_HUB_INTERVAL_US (350 * 1000)
 #define MB_DRIFT_PERMILLE 20
 /* A member that was expected to send and didn't for so long isn't live.  */
 #define MB_SILENT_US ((int64_t)2000 * 1000)
-/* Bytes of entries a second that a member sends in all its digests.  */
-#define MB_ENTRY_BYTES_PER_S 2500
+/* Bytes of entries a second that a member sends in all its digests.  News, as
+   of a silent VM or a draining target, don't wait for it but count.  */
+#define MB_ENTRY_BYTES_PER_S 1500
 #define MB_QUOTAS_PER_REPORT 4
 #define MB_LENDERS_PER_QUOTA 8
 
@@ -208,7 +209,8 @@
    the pointers are valid until the next call with a message.  */
 uint32_t mb_live (const MbTable *table, int64_t now_us,
                   const MbMember **members, uint32_t max);
-/* Candidates for the lease's successor, best first; see ls_ring.  */
+/* Candidates for the lease's successor, best first; see ls_ring.  A member
+   with incarnation 0 hasn't been heard of; mb_hello tells its incarnation.  */
 uint32_t mb_successors (const MbTable *table, int64_t now_us,
                         const MbMember **members, uint32_t max);
 /* Assigned or listed members that aren't live, with the place of this member
--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -1530,7 +1530,7 @@
   (ProtobufCMessageInit) peer__target_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__echo__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer__echo__field_descriptors[6] =
 {
   {
     "sent_ms",
@@ -1580,9 +1580,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "acked_report",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Echo, acked_report),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "acked_backlog",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Echo, acked_backlog),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__echo__field_indices_by_name[] = {
+  5,   /* field[5] = acked_backlog */
   3,   /* field[3] = acked_change */
+  4,   /* field[4] = acked_report */
   1,   /* field[1] = echo_ms */
   2,   /* field[2] = held_ms */
   0,   /* field[0] = sent_ms */
@@ -1590,7 +1616,7 @@
 static const ProtobufCIntRange peer__echo__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__echo__descriptor =
 {
@@ -1600,14 +1626,14 @@
   "Peer__Echo",
   "peer",
   sizeof(Peer__Echo),
-  4,
+  6,
   peer__echo__field_descriptors,
   peer__echo__field_indices_by_name,
   1,  peer__echo__number_ranges,
   (ProtobufCMessageInit) peer__echo__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__report__field_descriptors[16] =
+static const ProtobufCFieldDescriptor peer__report__field_descriptors[20] =
 {
   {
     "vm",
@@ -1801,10 +1827,59 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wants_answer",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Report, wants_answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "silent",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Report, silent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "change",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Report, change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table_hash",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Report, table_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__report__field_indices_by_name[] = {
   9,   /* field[9] = age_ms */
   14,   /* field[14] = assign_version */
+  18,   /* field[18] = change */
   6,   /* field[6] = config_version */
   15,   /* field[15] = echo */
   4,   /* field[4] = http_address */
@@ -1815,15 +1890,18 @@
   12,   /* field[12] = quotas */
   3,   /* field[3] = region */
   11,   /* field[11] = sequence */
+  17,   /* field[17] = silent */
   10,   /* field[10] = store_age_ms */
+  19,   /* field[19] = table_hash */
   13,   /* field[13] = targets */
   0,   /* field[0] = vm */
+  16,   /* field[16] = wants_answer */
   2,   /* field[2] = zone */
 };
 static const ProtobufCIntRange peer__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor peer__report__descriptor =
 {
@@ -1833,7 +1911,7 @@
   "Peer__Report",
   "peer",
   sizeof(Peer__Report),
-  16,
+  20,
   peer__report__field_descriptors,
   peer__report__field_indices_by_name,
   1,  peer__report__number_ranges,
@@ -2047,7 +2125,7 @@
   (ProtobufCMessageInit) peer__zone_summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__digest__field_descriptors[7] =
+static const ProtobufCFieldDescriptor peer__digest__field_descriptors[8] =
 {
   {
     "members",
@@ -2133,10 +2211,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "backlog",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Digest, backlog),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__digest__field_indices_by_name[] = {
   6,   /* field[6] = answer */
   3,   /* field[3] = assign_version */
+  7,   /* field[7] = backlog */
   5,   /* field[5] = change */
   2,   /* field[2] = config_version */
   4,   /* field[4] = echo */
@@ -2146,7 +2237,7 @@
 static const ProtobufCIntRange peer__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor peer__digest__descriptor =
 {
@@ -2156,7 +2247,7 @@
   "Peer__Digest",
   "peer",
   sizeof(Peer__Digest),
-  7,
+  8,
   peer__digest__field_descriptors,
   peer__digest__field_indices_by_name,
   1,  peer__digest__number_ranges,
--- a/wire/peer.pb-c.h
+++ b/wire/peer.pb-c.h
@@ -131,10 +131,18 @@
    * Entries up to this change of the receiver have arrived.
    */
   uint64_t acked_change;
+  /*
+   * The same for the targets in reports.
+   */
+  uint64_t acked_report;
+  /*
+   * The same for the older entries that a new peer gets bit by bit.
+   */
+  uint64_t acked_backlog;
 };
 #define PEER__ECHO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__echo__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -167,10 +175,23 @@
    * Set in a message to a hub, not in the entries of a digest.
    */
   Peer__Echo *echo;
+  protobuf_c_boolean wants_answer;
+  /*
+   * Set in the entries of a digest: the member isn't heard any more.
+   */
+  protobuf_c_boolean silent;
+  /*
+   * The targets bring the receiver up to this change of the sender.
+   */
+  uint64_t change;
+  /*
+   * Over all members that the sender knows; equal tables need no backlog.
+   */
+  uint64_t table_hash;
 };
 #define PEER__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL, 0, 0, 0, 0 }
 
 
 struct  Peer__ZoneSummary
@@ -224,10 +245,11 @@
    */
   uint64_t change;
   protobuf_c_boolean answer;
+  uint64_t backlog;
 };
 #define PEER__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__digest__descriptor) \
-    , 0,NULL, 0,NULL, 0, 0, NULL, 0, 0 }
+    , 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0 }
 
 
 struct  Peer__PromiseRequest
