--- /dev/null
+++ b/admin/config.c
@@ -0,0 +1,144 @@
+#include "admin/internal.h"
+
+#include <event2/buffer.h>
+#include <string.h>
+
+#define COPY_STEP_BYTES ((size_t)512 * 1024)
+
+static const struct timeval at_once = { 0, 0 };
+
+static AdCall *
+start_call (AdServer *server, struct evhttp_request *request,
+            event_callback_fn on_step)
+{
+  AdCall *call = ad_call_new (server, request);
+
+  call->step = evtimer_new (server->base, on_step, call);
+  evtimer_add (call->step, &at_once);
+  return call;
+}
+
+static void
+finish_call (AdCall *call)
+{
+  g_hash_table_remove (call->server->calls, call);
+  ad_call_free (call);
+}
+
+static void
+free_text (const void *text, size_t length, void *data)
+{
+  (void)length;
+  (void)data;
+  g_free ((void *)text);
+}
+
+static void
+on_write_step (evutil_socket_t fd, short what, void *data)
+{
+  AdCall *call = data;
+  struct evbuffer *body;
+  gsize length;
+  char *text;
+
+  (void)fd;
+  (void)what;
+  if (cf_job_step (call->job, CF_STEP_ROWS, NULL) == CF_STEP_MORE)
+    {
+      evtimer_add (call->step, &at_once);
+      return;
+    }
+  text = cf_job_take_text (call->job, &length);
+  body = evbuffer_new ();
+  evbuffer_add_reference (body, text, length, free_text, NULL);
+  evhttp_add_header (evhttp_request_get_output_headers (call->request),
+                     "Content-Type", "application/json");
+  evhttp_send_reply (call->request, HTTP_OK, NULL, body);
+  evbuffer_free (body);
+  finish_call (call);
+}
+
+void
+ad_get_config (AdServer *server, struct evhttp_request *request)
+{
+  g_autoptr (CfConfig) config = server->class->config (server->data);
+
+  if (config == NULL)
+    ad_send_result (request, HTTP_SERVUNAVAIL, "unknown",
+                    "this daemon has no configuration yet");
+  else
+    start_call (server, request, on_write_step)->job = cf_write_begin (config);
+}
+
+static void
+on_read_step (evutil_socket_t fd, short what, void *data)
+{
+  AdCall *call = data;
+  g_autoptr (GError) error = NULL;
+  CfStep step = cf_job_step (call->job, CF_STEP_ROWS, &error);
+  g_autoptr (CfConfig) config = NULL;
+
+  (void)fd;
+  (void)what;
+  if (step == CF_STEP_MORE)
+    {
+      evtimer_add (call->step, &at_once);
+      return;
+    }
+  if (step == CF_STEP_FAILED)
+    {
+      ad_send_result (call->request, HTTP_BADREQUEST, "refused",
+                      error->message);
+      finish_call (call);
+      return;
+    }
+  config = cf_job_take_config (call->job);
+  g_clear_pointer (&call->job, cf_job_free);
+  call->server->class->write (call, config, config->version - 1,
+                              call->server->data);
+}
+
+/* Copying a large body at once takes as long as some steps of its reading.  */
+static void
+on_copy_step (evutil_socket_t fd, short what, void *data)
+{
+  AdCall *call = data;
+  struct evbuffer *input = evhttp_request_get_input_buffer (call->request);
+  g_autoptr (GBytes) body = NULL;
+  int copied = evbuffer_remove (
+      input, call->body + call->body_filled,
+      MIN (COPY_STEP_BYTES, call->body_bytes - call->body_filled));
+
+  (void)fd;
+  (void)what;
+  call->body_filled += (size_t)MAX (copied, 0);
+  if (copied > 0 && call->body_filled < call->body_bytes)
+    {
+      evtimer_add (call->step, &at_once);
+      return;
+    }
+  body = g_bytes_new_take (g_steal_pointer (&call->body), call->body_filled);
+  call->job = cf_read_change_begin (body);
+  event_free (call->step);
+  call->step = evtimer_new (call->server->base, on_read_step, call);
+  evtimer_add (call->step, &at_once);
+}
+
+void
+ad_post_config (AdServer *server, struct evhttp_request *request)
+{
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  AdCall *call;
+
+  if (server->write_count >= AD_WRITES_MAX)
+    {
+      ad_send_result (request, HTTP_SERVUNAVAIL, "refused",
+                      "other changes are being read; try again");
+      return;
+    }
+  call = start_call (server, request, on_copy_step);
+  call->is_write = TRUE;
+  server->write_count++;
+  call->body_bytes = evbuffer_get_length (input);
+  call->body = g_malloc (call->body_bytes + 1);
+}
