member, quota: clear the linter's findings

Asserts where the analyser can't see that a chosen peer exists, frees without the cleanup attribute that it doesn't follow, and compares quotas by field. The header of member tells the order of news and the rest.

--- a/member/member.c
+++ b/member/member.c
@@ -422,8 +422,10 @@
   for (guint i = 0; i < hubs->len; i++)
     {
       const Entry *other = g_ptr_array_index (hubs, i);
-      const Link *link = mb_link (table, other->member.vm);
+      const Link *link;
 
+      g_assert (other != NULL);
+      link = mb_link (table, other->member.vm);
       /* The one with the lower name asks, the other answers, unless it doesn't
          know yet that this member is a hub.  */
       if (strcmp (table->self->member.vm, other->member.vm) < 0
--- a/member/member.h
+++ b/member/member.h
@@ -22,8 +22,13 @@
      ages for everything behind its sender in place of one entry for each
      member, and only those entries that changed since the last one that the
      receiver acknowledged, up to a budget of bytes shared by the sender's
-     links.  So a member's cost depends on the size of its zone and the number
-     of regions, not on the size of the fleet.
+     links; news, as of a silent VM or a draining target, go first and don't
+     wait for it.  Changes of load, surplus and free slots are passed on at
+     most every 60 ms times the members, and in a fleet of more than 64 only
+     within the zone.  A new peer is sent the rest of the table bit by bit,
+     unless its hash shows that it has it from others.  So a member's cost
+   depends on the size of its zone and the number of regions, not on the size
+   of the fleet.
 
      Roles are soft state.  Any member answers any other; a role only tells
      whom a member addresses first.
@@ -213,7 +218,7 @@
    with incarnation 0 hasn't been heard of; mb_hello tells its incarnation.  */
 uint32_t mb_successors (const MbTable *table, int64_t now_us,
                         const MbMember **members, uint32_t max);
-/* Assigned or listed members that aren't live, with the place of this member
+/* Assigned members that aren't live, with the place of this member
    among the live ones in each one's order of successors.  */
 uint32_t mb_suspects (const MbTable *table, int64_t now_us,
                       const MbMember **members, uint32_t *ranks, uint32_t max);
--- a/member/query.c
+++ b/member/query.c
@@ -73,7 +73,7 @@
 static uint32_t *
 ring_from (const GPtrArray *members, const MbMember *self)
 {
-  g_autofree LsRingVm *vms = g_new0 (LsRingVm, members->len + 1);
+  LsRingVm *vms = g_new0 (LsRingVm, members->len + 1);
   uint32_t *order = g_new0 (uint32_t, members->len + 1);
 
   for (guint i = 0; i < members->len; i++)
@@ -83,6 +83,7 @@
     }
   vms[members->len] = (LsRingVm){ .vm = self->vm, .zone = self->zone };
   ls_ring (vms, members->len + 1, members->len, order);
+  g_free (vms);
   return order;
 }
 
--- a/member/receive.c
+++ b/member/receive.c
@@ -41,6 +41,13 @@
   return changed;
 }
 
+static gboolean
+same_quota (const MbQuota *a, const MbQuota *b)
+{
+  return a->quota_id == b->quota_id && a->surplus_utok == b->surplus_utok
+         && a->demand_utok_per_s == b->demand_utok_per_s;
+}
+
 static gboolean
 set_quotas (Entry *entry, const Peer__Report *report)
 {
@@ -54,7 +61,7 @@
                         .surplus_utok = from->surplus_utok,
                         .demand_utok_per_s = from->demand_utok_per_s };
 
-      changed |= memcmp (&quota, &entry->quotas[i], sizeof quota) != 0;
+      changed |= !same_quota (&quota, &entry->quotas[i]);
       entry->quotas[i] = quota;
     }
   entry->quota_count = count;
--- a/quota/borrow.c
+++ b/quota/borrow.c
@@ -258,7 +258,7 @@
 plan_quota (QtTable *table, QtQuota *quota, const QtSurplus *peers,
             uint32_t peer_count, QtAsk *asks, uint32_t ask_max, int64_t now_us)
 {
-  Choice chosen[QT_PEERS_PER_ROUND];
+  Choice chosen[QT_PEERS_PER_ROUND] = { 0 };
   int64_t interval_us
       = quota->short_utok > 0 ? QT_SHORT_ROUND_US : QT_ROUND_US;
   int64_t missing;
@@ -280,6 +280,7 @@
       /* A report that lags shows too little; an equal part may be there.  */
       int64_t want = MAX (missing / count, ASK_MIN_UTOK);
 
+      g_assert (chosen[i].peer != NULL);
       asks[i] = (QtAsk){ .vm = chosen[i].peer->vm,
                          .quota_id = quota->quota_id,
                          .want_utok = want };
@@ -327,8 +328,7 @@
 uint32_t
 qt_report (QtTable *table, QtReport *reports, uint32_t max, int64_t now_us)
 {
-  g_autofree QtReport *all
-      = g_new0 (QtReport, g_hash_table_size (table->quotas));
+  QtReport *all = g_new0 (QtReport, g_hash_table_size (table->quotas));
   GHashTableIter iter;
   void *value;
   uint32_t count = 0;
@@ -356,5 +356,6 @@
   count = MIN (count, max);
   if (count > 0)
     memcpy (reports, all, count * sizeof *reports);
+  g_free (all);
   return count;
 }
