harness: end started processes also when ended by a signal

An exit handler does not run at SIGTERM, so a test that ran into its time limit could leave its daemons behind and disturb later runs.

--- a/standin/process.c
+++ b/standin/process.c
@@ -8,8 +8,10 @@
 #include <string.h>
 #include <sys/wait.h>
 #include <time.h>
+#include <unistd.h>
 
 #define POLL_MS 2
+#define PIDS_MAX 1024
 
 extern char **environ;
 
@@ -32,6 +34,40 @@
   running = NULL;
 }
 
+/* The same processes for the signal handler, which may not walk a table; 0 is
+   a free place.  */
+static volatile pid_t running_pids[PIDS_MAX];
+
+static void
+on_stop (int signal)
+{
+  for (int i = 0; i < PIDS_MAX; i++)
+    if (running_pids[i] > 0)
+      kill (running_pids[i], SIGKILL);
+  _exit (128 + signal);
+}
+
+/* A program that ends by a signal runs no exit handler and would leave its
+   processes behind.  */
+static void
+catch_stops (void)
+{
+  signal (SIGTERM, on_stop);
+  signal (SIGINT, on_stop);
+  signal (SIGHUP, on_stop);
+}
+
+static void
+replace_pid (pid_t old, pid_t new)
+{
+  for (int i = 0; i < PIDS_MAX; i++)
+    if (running_pids[i] == old)
+      {
+        running_pids[i] = new;
+        return;
+      }
+}
+
 static void
 remember (pid_t pid)
 {
@@ -39,8 +75,17 @@
     {
       running = g_hash_table_new (g_direct_hash, g_direct_equal);
       atexit (kill_running);
+      catch_stops ();
     }
   g_hash_table_add (running, GINT_TO_POINTER (pid));
+  replace_pid (0, pid);
+}
+
+static gboolean
+forget (pid_t pid)
+{
+  replace_pid (pid, 0);
+  return g_hash_table_remove (running, GINT_TO_POINTER (pid));
 }
 
 void
@@ -87,7 +132,7 @@
     return TRUE;
   if (waitpid (pid, &own_status, WNOHANG) != pid)
     return FALSE;
-  g_hash_table_remove (running, GINT_TO_POINTER (pid));
+  forget (pid);
   if (status != NULL)
     *status = own_status;
   return TRUE;
@@ -111,10 +156,11 @@
 si_process_kill (pid_t pid)
 {
   if (pid <= 0 || running == NULL
-      || !g_hash_table_remove (running, GINT_TO_POINTER (pid)))
+      || !g_hash_table_contains (running, GINT_TO_POINTER (pid)))
     return;
   kill (pid, SIGKILL);
   waitpid (pid, NULL, 0);
+  forget (pid);
 }
 
 gboolean
