Free what calls under way hold at a stop; hand lists of targets to peers

Cause: LeakSanitizer ended each daemon of the rolling restart with status 1, since contexts of store and peer calls were not freed at the stop; and a daemon that started during a store outage knew no target. Change: contexts belong to the daemon; a peer answers for the platform's list of a service as long as none was read. Change.StartsFromPeersWhileTheStoreIsDown failed before and passes.

--- a/daemon/config.c
+++ b/daemon/config.c
@@ -235,9 +235,11 @@
 static void
 on_part (const StResult *result, void *data)
 {
-  g_autofree Fetch *fetch = data;
+  Fetch *context = data;
+  Fetch fetch[1] = { *context };
   DmConfigTask *task = fetch->daemon->config_task;
 
+  dm_context_free (fetch->daemon, context);
   dm_store_answered (fetch->daemon, result->outcome);
   if (!fetch_belongs (fetch))
     return;
@@ -250,12 +252,14 @@
 on_peer_parts (const char *vm, const Peer__Envelope *envelope, int64_t sent_us,
                void *data)
 {
-  g_autofree Fetch *fetch = data;
+  Fetch *context = data;
+  Fetch fetch[1] = { *context };
   DmConfigTask *task = fetch->daemon->config_task;
   const Peer__PartReply *reply;
 
   (void)vm;
   (void)sent_us;
+  dm_context_free (fetch->daemon, context);
   if (!fetch_belongs (fetch))
     return;
   task->fetch_count--;
@@ -274,7 +278,7 @@
 static Fetch *
 fetch_new (DmConfigTask *task)
 {
-  Fetch *fetch = g_new0 (Fetch, 1);
+  Fetch *fetch = dm_context_new (task->daemon, sizeof *fetch);
 
   fetch->daemon = task->daemon;
   fetch->version = task->manifest->version;
@@ -404,9 +408,11 @@
 static void
 on_current (const StResult *result, void *data)
 {
-  g_autofree Fetch *fetch = data;
+  Fetch *context = data;
+  Fetch fetch[1] = { *context };
   DmDaemon *daemon = fetch->daemon;
 
+  dm_context_free (daemon, context);
   daemon->config_watching = FALSE;
   dm_store_answered (daemon, result->outcome);
   if (result->outcome != ST_OUTCOME_OK && result->outcome != ST_OUTCOME_ABSENT)
@@ -445,7 +451,7 @@
   if (daemon->config != NULL && !mb_watches_store (daemon->members, now_us)
       && mb_fresh (daemon->members, now_us))
     return;
-  fetch = g_new0 (Fetch, 1);
+  fetch = dm_context_new (daemon, sizeof *fetch);
   fetch->daemon = daemon;
   fetch->sent_us = now_us;
   daemon->config_watching = TRUE;
@@ -542,7 +548,7 @@
 }
 
 /* An empty request asks for the manifest; the name "assign" for the
-   assignment.  */
+   assignment, "list/SERVICE" for the platform's list of a service.  */
 void
 dm_config_part_request (DmDaemon *daemon, PrConnection *connection,
                         const Peer__Envelope *envelope)
@@ -553,6 +559,7 @@
   Peer__Part parts[PARTS_PER_REQUEST];
   Peer__Part *pointers[PARTS_PER_REQUEST];
   g_autofree char *assign = NULL;
+  g_autofree char *list = NULL;
 
   if (request->n_sha256 == 0)
     {
@@ -574,6 +581,13 @@
           assign = as_format (daemon->assign);
           add_part (&parts[body.n_parts], name, assign, strlen (assign));
         }
+      else if (g_str_has_prefix (name, "list/") && list == NULL)
+        {
+          list = dm_fleet_list_format (daemon, name + strlen ("list/"));
+          if (list == NULL)
+            continue;
+          add_part (&parts[body.n_parts], name, list, strlen (list));
+        }
       else
         continue;
       pointers[body.n_parts] = &parts[body.n_parts];
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -41,6 +41,21 @@
   return z ^ (z >> 31);
 }
 
+void *
+dm_context_new (DmDaemon *daemon, gsize size_bytes)
+{
+  void *context = g_malloc0 (size_bytes);
+
+  g_hash_table_add (daemon->contexts, context);
+  return context;
+}
+
+void
+dm_context_free (DmDaemon *daemon, void *context)
+{
+  g_hash_table_remove (daemon->contexts, context);
+}
+
 gboolean
 dm_fresh (DmDaemon *daemon, int64_t now_us)
 {
@@ -201,6 +216,7 @@
   daemon->targets
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, dm_target_free);
   daemon->requests = g_hash_table_new (NULL, NULL);
+  daemon->contexts = g_hash_table_new_full (NULL, NULL, g_free, NULL);
   daemon->assign_targets = g_array_new (FALSE, FALSE, sizeof (AsTarget));
   daemon->shift_shares = g_array_new (FALSE, TRUE, sizeof (PlShare));
   daemon->operations = g_array_new (FALSE, FALSE, sizeof (DmOperation));
@@ -343,6 +359,7 @@
   pl_free (daemon->plan);
   as_tracker_free (daemon->tracker);
   as_free (daemon->assign);
+  as_free (daemon->assign_pending);
   ky_table_free (daemon->keys);
   px_table_free (daemon->prefixes);
 }
@@ -353,6 +370,7 @@
   g_hash_table_unref (daemon->services);
   g_hash_table_unref (daemon->targets);
   g_hash_table_unref (daemon->requests);
+  g_hash_table_unref (daemon->contexts);
   g_hash_table_unref (daemon->fenced);
   if (daemon->lookup_cache != NULL)
     g_hash_table_unref (daemon->lookup_cache);
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -79,8 +79,9 @@
   DmDaemon *daemon;
   char *name;
   char *zone;
-  char *address; /* as connected to, "127.0.0.1:9201" */
-  int region;    /* index into the configuration's regions, or -1 */
+  char *address;        /* as connected to, "127.0.0.1:9201" */
+  char *listed_address; /* as the platform lists it */
+  int region;           /* index into the configuration's regions, or -1 */
   gboolean listed;
   gboolean leaving;  /* by the platform's list */
   gboolean draining; /* by its own report or a planned drain */
@@ -113,6 +114,8 @@
   uint32_t answer_bytes; /* moving average */
   uint64_t list_index;
   gboolean list_armed;
+  gboolean listed; /* a list was read */
+  int64_t told_due_us;
   int64_t list_due_us;
 } DmService;
 
@@ -189,6 +192,7 @@
   gboolean assign_reading;
   int64_t assign_read_us;
   gboolean assign_writing;
+  AsDoc *assign_pending; /* being written */
   int64_t assign_due_us;
   uint32_t assign_attempt;
   AsAim share;
@@ -225,6 +229,7 @@
   int64_t drains_due_us;
 
   GHashTable *requests;     /* set of DmRequest */
+  GHashTable *contexts;     /* of calls to the store and to peers */
   GQueue admission_waiting; /* DmRequest that wait for tokens */
   uint64_t next_request;
   int64_t retry_tokens; /* thousandths of a retry */
@@ -253,6 +258,9 @@
 void dm_note (DmDaemon *daemon, EvNumber number, const char *format, ...)
     G_GNUC_PRINTF (3, 4);
 uint64_t dm_random (DmDaemon *daemon);
+/* Memory of a call that is under way; freed at the latest with the daemon. */
+void *dm_context_new (DmDaemon *daemon, gsize size_bytes);
+void dm_context_free (DmDaemon *daemon, void *context);
 /* Whether a keyed request may be served: lease and configuration.  */
 gboolean dm_fresh (DmDaemon *daemon, int64_t now_us);
 gboolean dm_ready (const DmDaemon *daemon);
@@ -319,6 +327,8 @@
 
 void dm_fleet_tick (DmDaemon *daemon, int64_t now_us);
 void dm_fleet_configure (DmDaemon *daemon);
+/* The list of a service for a peer; NULL when none was read.  */
+char *dm_fleet_list_format (DmDaemon *daemon, const char *service_name);
 DmService *dm_service (DmDaemon *daemon, const char *name);
 void dm_service_free (void *service);
 void dm_target_free (void *target);
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -338,18 +338,10 @@
 typedef struct
 {
   DmDaemon *daemon;
-  char *service;
-  char *target;
+  DmService *service;
+  DmTarget *target;
 } Ask;
 
-static void
-ask_free (Ask *ask)
-{
-  g_free (ask->service);
-  g_free (ask->target);
-  g_free (ask);
-}
-
 static gboolean
 take_grant (const Ask *ask, const char *vm, const Peer__SlotReply *reply,
             int64_t sent_us, SlTicket *ticket)
@@ -357,8 +349,8 @@
   SlGrant grant = { .id = reply->grant_id,
                     .valid_us = (int64_t)reply->valid_ms * CK_US_PER_MS };
 
-  return sl_borrowed (ask->daemon->slots, ask->target, vm, &grant, sent_us,
-                      ck_boot_us (), ticket);
+  return sl_borrowed (ask->daemon->slots, ask->target->name, vm, &grant,
+                      sent_us, ck_boot_us (), ticket);
 }
 
 static void
@@ -383,8 +375,8 @@
 {
   Ask *ask = data;
   DmDaemon *daemon = ask->daemon;
-  DmService *service = dm_service (daemon, ask->service);
-  DmTarget *target = g_hash_table_lookup (daemon->targets, ask->target);
+  DmService *service = ask->service;
+  DmTarget *target = ask->target;
   SlTicket ticket;
 
   service->ask_count--;
@@ -396,7 +388,7 @@
   else
     target->refused_until_us = ck_boot_us () + REFUSED_PAUSE_US;
   dm_dispatch_pump (daemon, service);
-  ask_free (ask);
+  dm_context_free (daemon, ask);
 }
 
 static void
@@ -405,9 +397,9 @@
   DmDaemon *daemon = service->daemon;
   Peer__Envelope envelope = PEER__ENVELOPE__INIT;
   Peer__SlotRequest body = PEER__SLOT_REQUEST__INIT;
-  Ask *ask = g_new (Ask, 1);
+  Ask *ask = dm_context_new (daemon, sizeof *ask);
 
-  *ask = (Ask){ daemon, g_strdup (service->name), g_strdup (target->name) };
+  *ask = (Ask){ daemon, service, target };
   body.target = target->name;
   body.region = daemon->settings->region;
   body.valid_ms = DM_DEADLINE_MAX_MS;
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -2,6 +2,7 @@
 
 #define LIST_WAIT_MS 10000
 #define LIST_RETRY_US CK_US_PER_S
+#define TOLD_PERIOD_US (250 * CK_US_PER_MS)
 #define PROBE_PERIOD_US (500 * CK_US_PER_MS)
 #define PROBE_TIMEOUT_US (800 * CK_US_PER_MS)
 #define FAILURES_MAX 2
@@ -12,7 +13,7 @@
 typedef struct
 {
   DmDaemon *daemon;
-  char *service;
+  DmService *service;
 } ListCall;
 
 void
@@ -27,6 +28,7 @@
   g_free (target->name);
   g_free (target->zone);
   g_free (target->address);
+  g_free (target->listed_address);
   g_ptr_array_unref (target->holders);
   g_free (target);
 }
@@ -258,6 +260,9 @@
   g_free (target->address);
   target->zone = g_strdup (vm->zone);
   target->address = address_of (daemon, vm);
+  g_free (target->listed_address);
+  target->listed_address
+      = se_format_address (&(SeAddress){ vm->address, vm->port });
   target->region = cf_region_of_zone (daemon->config, vm->zone);
   target->listed = TRUE;
   was_leaving = target->leaving;
@@ -267,30 +272,161 @@
                &(EvFields){ .target = target->name });
 }
 
+static void
+take_list (DmDaemon *daemon, DmService *service, const GPtrArray *vms)
+{
+  for (guint i = 0; i < service->targets->len; i++)
+    ((DmTarget *)g_ptr_array_index (service->targets, i))->listed = FALSE;
+  for (guint i = 0; i < vms->len; i++)
+    update_target (daemon, service, g_ptr_array_index (vms, i));
+  service->listed = TRUE;
+  dm_fleet_holders (daemon);
+}
+
 static void
 on_targets (const GPtrArray *vms, uint64_t index, void *data)
 {
   ListCall *call = data;
   DmDaemon *daemon = call->daemon;
-  DmService *service = dm_service (daemon, call->service);
+  DmService *service = call->service;
 
+  dm_context_free (daemon, call);
   dm_store_answered (daemon, vms == NULL ? ST_OUTCOME_DOWN : ST_OUTCOME_OK);
-  if (service != NULL)
-    {
-      service->list_armed = FALSE;
-      service->list_due_us = vms == NULL ? ck_boot_us () + LIST_RETRY_US : 0;
-    }
-  if (service != NULL && vms != NULL)
+  service->list_armed = FALSE;
+  service->list_due_us = vms == NULL ? ck_boot_us () + LIST_RETRY_US : 0;
+  if (vms == NULL)
+    return;
+  service->list_index = index;
+  take_list (daemon, service, vms);
+}
+
+/* The list as told by a peer, for a daemon that starts without the platform.
+ */
+
+char *
+dm_fleet_list_format (DmDaemon *daemon, const char *service_name)
+{
+  DmService *service = dm_service (daemon, service_name);
+  struct json_object *rows;
+  char *text;
+
+  if (service == NULL || !service->listed)
+    return NULL;
+  rows = json_object_new_array ();
+  for (guint i = 0; i < service->targets->len; i++)
     {
-      service->list_index = index;
-      for (guint i = 0; i < service->targets->len; i++)
-        ((DmTarget *)g_ptr_array_index (service->targets, i))->listed = FALSE;
-      for (guint i = 0; i < vms->len; i++)
-        update_target (daemon, service, g_ptr_array_index (vms, i));
-      dm_fleet_holders (daemon);
+      const DmTarget *target = g_ptr_array_index (service->targets, i);
+      struct json_object *row = json_object_new_object ();
+
+      if (target->listed)
+        json_object_array_add (rows, row);
+      json_object_object_add (row, "name",
+                              json_object_new_string (target->name));
+      json_object_object_add (row, "zone",
+                              json_object_new_string (target->zone));
+      json_object_object_add (row, "address",
+                              json_object_new_string (target->listed_address));
+      json_object_object_add (row, "leaving",
+                              json_object_new_boolean (target->leaving));
+      if (!target->listed)
+        json_object_put (row);
     }
-  g_free (call->service);
-  g_free (call);
+  text = g_strdup (
+      json_object_to_json_string_ext (rows, JSON_C_TO_STRING_PLAIN));
+  json_object_put (rows);
+  return text;
+}
+
+static const char *
+text_field (struct json_object *row, const char *name)
+{
+  struct json_object *value;
+
+  if (!json_object_object_get_ex (row, name, &value)
+      || !json_object_is_type (value, json_type_string))
+    return NULL;
+  return json_object_get_string (value);
+}
+
+static void
+add_told (struct json_object *row, GPtrArray *vms)
+{
+  const char *name = text_field (row, "name");
+  const char *zone = text_field (row, "zone");
+  const char *address = text_field (row, "address");
+  struct json_object *leaving;
+  SeAddress parsed = { NULL, 0 };
+  StVm *vm;
+
+  if (name == NULL || zone == NULL || address == NULL || !cf_is_name (name)
+      || !se_parse_address (address, &parsed))
+    return;
+  vm = g_new0 (StVm, 1);
+  vm->id = g_strdup (name);
+  vm->zone = g_strdup (zone);
+  vm->address = parsed.ip;
+  vm->port = parsed.port;
+  if (json_object_object_get_ex (row, "leaving", &leaving))
+    vm->leaving = json_object_get_boolean (leaving);
+  g_ptr_array_add (vms, vm);
+}
+
+static void
+on_told (const char *vm, const Peer__Envelope *envelope, int64_t sent_us,
+         void *data)
+{
+  ListCall *call = data;
+  DmDaemon *daemon = call->daemon;
+  DmService *service = call->service;
+  g_autoptr (GPtrArray) vms
+      = g_ptr_array_new_with_free_func (dm_entry_vm_free);
+  struct json_tokener *tokener;
+  struct json_object *rows;
+
+  (void)vm;
+  (void)sent_us;
+  dm_context_free (daemon, call);
+  if (envelope == NULL || service->listed
+      || envelope->body_case != PEER__ENVELOPE__BODY_PART_REPLY
+      || envelope->part_reply->n_parts != 1)
+    return;
+  tokener = json_tokener_new ();
+  rows = json_tokener_parse_ex (
+      tokener, (const char *)envelope->part_reply->parts[0]->content.data,
+      (int)envelope->part_reply->parts[0]->content.len);
+  if (json_object_is_type (rows, json_type_array))
+    for (size_t i = 0; i < json_object_array_length (rows); i++)
+      add_told (json_object_array_get_idx (rows, i), vms);
+  json_object_put (rows);
+  json_tokener_free (tokener);
+  if (vms->len > 0)
+    take_list (daemon, service, vms);
+}
+
+static void
+ask_peer_for_list (DmDaemon *daemon, DmService *service, int64_t now_us)
+{
+  const MbMember *members[DM_VMS_MAX];
+  uint32_t count = mb_live (daemon->members, now_us, members, DM_VMS_MAX);
+  g_autofree char *name = g_strconcat ("list/", service->name, NULL);
+  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+  Peer__PartRequest body = PEER__PART_REQUEST__INIT;
+  ListCall *call;
+  const char *vm;
+
+  if (count < 2 || now_us < service->told_due_us)
+    return;
+  service->told_due_us = now_us + TOLD_PERIOD_US;
+  vm = members[dm_random (daemon) % count]->vm;
+  if (strcmp (vm, daemon->settings->vm) == 0)
+    return;
+  call = dm_context_new (daemon, sizeof *call);
+  *call = (ListCall){ daemon, service };
+  body.n_sha256 = 1;
+  body.sha256 = &name;
+  envelope.body_case = PEER__ENVELOPE__BODY_PART_REQUEST;
+  envelope.part_request = &body;
+  pr_request (daemon->net, vm, &envelope, 1000, on_told, call);
 }
 
 static void
@@ -298,11 +434,12 @@
 {
   ListCall *call;
 
+  if (!service->listed && !daemon->store_up)
+    ask_peer_for_list (daemon, service, now_us);
   if (service->list_armed || now_us < service->list_due_us)
     return;
-  call = g_new (ListCall, 1);
-  call->daemon = daemon;
-  call->service = g_strdup (service->name);
+  call = dm_context_new (daemon, sizeof *call);
+  *call = (ListCall){ daemon, service };
   service->list_armed = TRUE;
   st_list (daemon->store, service->name, service->list_index, LIST_WAIT_MS,
            on_targets, call);
--- a/daemon/leases.c
+++ b/daemon/leases.c
@@ -14,7 +14,7 @@
 static Call *
 call_new (DmDaemon *daemon, const LsAction *action)
 {
-  Call *call = g_new (Call, 1);
+  Call *call = dm_context_new (daemon, sizeof *call);
 
   call->daemon = daemon;
   call->action = *action;
@@ -62,7 +62,7 @@
       else
         ls_refused (daemon->lease, vm, call->action.sent_us, now_us);
     }
-  g_free (call);
+  dm_context_free (daemon, call);
 }
 
 static void
@@ -84,21 +84,24 @@
 static void
 on_record (const StResult *result, void *data)
 {
-  g_autofree Call *call = data;
+  Call *call = data;
   DmDaemon *daemon = call->daemon;
+  char vm[LS_NAME_BYTES];
   int64_t now_us = ck_boot_us ();
   LsRecord record;
 
+  g_strlcpy (vm, call->action.vm, sizeof vm);
+  dm_context_free (daemon, call);
   dm_store_answered (daemon, result->outcome);
   if (result->outcome == ST_OUTCOME_ABSENT)
     {
-      ls_record_absent (daemon->lease, call->action.vm, now_us);
+      ls_record_absent (daemon->lease, vm, now_us);
       return;
     }
   if (result->outcome != ST_OUTCOME_OK
       || !ls_record_parse (result->value, result->length_bytes, &record, NULL))
     {
-      ls_read_failed (daemon->lease, call->action.vm, now_us);
+      ls_read_failed (daemon->lease, vm, now_us);
       return;
     }
   remember_fenced (daemon, &record);
@@ -122,7 +125,7 @@
 static void
 on_cas (const StResult *result, void *data)
 {
-  g_autofree Call *call = data;
+  Call *call = data;
   DmDaemon *daemon = call->daemon;
   LsCasOutcome outcome = cas_outcomes[result->outcome];
 
@@ -138,6 +141,7 @@
     note_fence (daemon, &call->action);
   ls_cas_done (daemon->lease, &call->action, outcome, result->index,
                ck_boot_us ());
+  dm_context_free (daemon, call);
 }
 
 static void
--- a/daemon/lending.c
+++ b/daemon/lending.c
@@ -123,12 +123,13 @@
 on_lent (const char *vm, const Peer__Envelope *envelope, int64_t sent_us,
          void *data)
 {
-  g_autofree Round *round = data;
+  Round *round = data;
   DmDaemon *daemon = round->daemon;
 
   for (uint32_t i = 0; i < round->count; i++)
     qt_asked_done (daemon->quotas, round->asks[i].quota_id, vm,
                    round->asks[i].want_utok, ck_boot_us ());
+  dm_context_free (daemon, round);
   if (envelope == NULL
       || envelope->body_case != PEER__ENVELOPE__BODY_LEND_REPLY)
     return;
@@ -144,7 +145,8 @@
   Peer__LendRequest body = PEER__LEND_REQUEST__INIT;
   Peer__LendItem items[ASKS_MAX];
   Peer__LendItem *wants[ASKS_MAX];
-  Round *round = g_malloc (sizeof *round + count * sizeof round->asks[0]);
+  Round *round
+      = dm_context_new (daemon, sizeof *round + count * sizeof round->asks[0]);
 
   round->daemon = daemon;
   round->count = 0;
--- a/daemon/shares.c
+++ b/daemon/shares.c
@@ -302,6 +302,7 @@
   DmDaemon *daemon = write->daemon;
 
   daemon->assign_writing = FALSE;
+  daemon->assign_pending = NULL;
   dm_store_answered (daemon, result->outcome);
   if (result->outcome == ST_OUTCOME_OK && result->index != 0)
     {
@@ -326,16 +327,17 @@
       read_document (daemon, ck_boot_us ());
     }
   as_free (write->doc);
-  g_free (write);
+  dm_context_free (daemon, write);
 }
 
 static void
 write_document (DmDaemon *daemon, AsDoc *doc)
 {
   g_autofree char *text = as_format (doc);
-  Write *write = g_new (Write, 1);
+  Write *write = dm_context_new (daemon, sizeof *write);
 
   *write = (Write){ daemon, doc };
+  daemon->assign_pending = doc;
   daemon->assign_writing = TRUE;
   st_cas (daemon->store, ASSIGN_KEY, daemon->assign_index, text, strlen (text),
           on_write, write);
--- a/daemon/write.c
+++ b/daemon/write.c
@@ -361,7 +361,7 @@
 {
   DmDaemon *daemon;
   AdCall *call;
-  char *op_id;
+  char op_id[64];
   uint64_t base_version;
 } Query;
 
@@ -389,8 +389,7 @@
     result = strcmp (row->op_id, query->op_id) == 0 ? AD_OPERATION_APPLIED
                                                     : AD_OPERATION_NOT_APPLIED;
   ad_operation_done (query->call, result, row == NULL ? 0 : row->version);
-  g_free (query->op_id);
-  g_free (query);
+  dm_context_free (query->daemon, query);
 }
 
 static void
@@ -422,12 +421,12 @@
                      void *data)
 {
   DmDaemon *daemon = data;
-  Query *query = g_new0 (Query, 1);
+  Query *query = dm_context_new (daemon, sizeof *query);
   const DmOperation *row = find_operation (daemon, op_id, base_version);
 
   query->daemon = daemon;
   query->call = call;
-  query->op_id = g_strdup (op_id);
+  g_strlcpy (query->op_id, op_id, sizeof query->op_id);
   query->base_version = base_version;
   if (row != NULL)
     answer_query (query, row);
