Use an own free slot while a holder is awaited that may be cut off

Cause: in a zone that is cut off, a request of an open route kept asking holders in other zones, 300 ms each, until it expired, although own slots were free. Change: while an ask is open, own free slots are used; a silent holder rests for 2 s.

--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -6,6 +6,8 @@
 #define RETRY_BANK (10 * 1000)
 /* A holder that refused a slot is asked again after this time.  */
 #define REFUSED_PAUSE_US (50 * CK_US_PER_MS)
+/* One that did not answer may be cut off.  */
+#define SILENT_PAUSE_US (2 * CK_US_PER_S)
 #define ASKS_MAX 16
 /* Weight of the newest value in moving averages: 1/8.  */
 #define AVERAGE_SHIFT 3
@@ -386,7 +388,9 @@
       && take_grant (ask, vm, envelope->slot_reply, sent_us, &ticket))
     use_grant (daemon, service, target, ticket);
   else
-    target->refused_until_us = ck_boot_us () + REFUSED_PAUSE_US;
+    target->refused_until_us
+        = ck_boot_us ()
+          + (envelope == NULL ? SILENT_PAUSE_US : REFUSED_PAUSE_US);
   dm_dispatch_pump (daemon, service);
   dm_context_free (daemon, ask);
 }
@@ -482,6 +486,24 @@
     choice->verdict = SR_VERDICT_WAIT;
 }
 
+/* While an answer to an ask is awaited, any free slot of the daemon's own is
+   better than waiting for a holder that may be cut off.  */
+static gboolean
+prefer_own (const DmView *view, SrChoice *choice)
+{
+  for (uint32_t i = 0; i < view->view.target_count; i++)
+    {
+      const SrTarget *target = &view->view.targets[i];
+
+      if (target->own_free_count == 0 || !target->healthy || target->draining)
+        continue;
+      choice->verdict = SR_VERDICT_OWN;
+      choice->target = i;
+      return TRUE;
+    }
+  return FALSE;
+}
+
 /* Serves or asks for one waiting request.  FALSE when nothing more can be done
    now.  */
 static gboolean
@@ -497,6 +519,10 @@
 
   dm_view_fill (daemon, service, &view, ck_boot_us ());
   choose (service, &view, &ask, &choice);
+  if (choice.verdict == SR_VERDICT_BORROW
+      && service->ask_count >= MIN (ASKS_MAX, fq_count (service->queue))
+      && !prefer_own (&view, &choice))
+    choice.verdict = SR_VERDICT_WAIT;
   if (choice.target != SR_NONE)
     target = g_ptr_array_index (service->targets, choice.target);
   dm_view_clear (&view);
@@ -505,8 +531,6 @@
   g_assert (choice.verdict == SR_VERDICT_REFUSE || target != NULL);
   if (choice.verdict == SR_VERDICT_BORROW)
     {
-      if (service->ask_count >= MIN (ASKS_MAX, fq_count (service->queue)))
-        return FALSE;
       ask_for_slot (service, target, choice.lender_vm);
       return TRUE;
     }
