quota: gather a burst that is smaller than the number of daemons

Cause: with burst 3 and 7 daemons each daemon's buckets hold 3/7 of a token. If all daemons have demand, each keeps its part for its own need or lends it in parts, and prefetch spreads them further, so whole tokens are rare.

Change: such a quota has a gatherer, the live member with the highest rendezvous hash, set once a second by the daemon. It borrows up to the whole burst while there is demand and lends whole tokens; a grant may now be made of several borrowed grants. The others keep nothing back, ask the gatherer only, and only after a refusal. Daemons that disagree on the gatherer cost refusals only, since admission still rests on grants; the schedule test now changes the gatherer at random at single daemons.

Ruled out: several grants in one reply, since one grant made of several sources needs no change of the messages. Prefetch by the others is left out by design, since 7 daemons would hold tokens for later out of 3; it was not measured apart. Links keep plain lending: their unit is the byte.

--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -213,6 +213,7 @@
   int64_t shifts_due_us;
   GArray *shift_shares; /* PlShare, one for each shift of the configuration */
   QtTable *quotas;
+  int64_t gatherers_due_us;
   SlTable *slots;
   const SrPolicy *policy;
 
--- a/daemon/lending.c
+++ b/daemon/lending.c
@@ -8,6 +8,8 @@
 #define SURPLUS_MAX (WANTED_MAX * MB_LENDERS_PER_QUOTA)
 #define ASKS_MAX 64
 #define SETTLES_PER_TICK 256
+/* Members change rarely; a wrong gatherer costs refusals only.  */
+#define GATHERERS_INTERVAL_US G_USEC_PER_SEC
 #define LINK_BURST_PER_S 4 /* burst of a link: a quarter of a second */
 
 typedef struct
@@ -47,6 +49,13 @@
                to->now_us);
 }
 
+/* A cap bounds each second, so its burst is small.  */
+static int64_t
+shift_burst (const CfShift *shift)
+{
+  return MAX (QT_TOKEN, (int64_t)shift->cap_per_s * QT_TOKEN / 10);
+}
+
 static void
 define_all (Define *to, const CfConfig *config)
 {
@@ -60,10 +69,8 @@
   for (guint i = 0; i < config->shifts->len; i++)
     {
       const CfShift *row = g_ptr_array_index (config->shifts, i);
-      /* A cap bounds each second, so its burst is small.  */
       define (to, dm_quota_id ("shift", row->name, NULL),
-              (int64_t)row->cap_per_s * QT_TOKEN,
-              MAX (QT_TOKEN, (int64_t)row->cap_per_s * QT_TOKEN / 10));
+              (int64_t)row->cap_per_s * QT_TOKEN, shift_burst (row));
     }
   for (guint i = 0; i < config->links->len; i++)
     {
@@ -101,6 +108,7 @@
 
   define_all (&to, config);
   remove_ended (daemon, former, ids);
+  daemon->gatherers_due_us = 0;
   return to.distinct;
 }
 
@@ -206,14 +214,67 @@
 {
   const char *vms[MB_LENDERS_PER_QUOTA];
   int64_t surplus_utok[MB_LENDERS_PER_QUOTA];
-  uint32_t count = mb_lenders (daemon->members, quota_id, now_us, vms,
-                               surplus_utok, MB_LENDERS_PER_QUOTA);
+  uint32_t count;
+
+  if (qt_is_gatherer (daemon->quotas, quota_id))
+    return any_lenders (daemon, quota_id, rows, now_us);
+  count = mb_lenders (daemon->members, quota_id, now_us, vms, surplus_utok,
+                      MB_LENDERS_PER_QUOTA);
 
   for (uint32_t i = 0; i < count; i++)
     rows[i] = (QtSurplus){ vms[i], quota_id, surplus_utok[i] };
   return count > 0 ? count : any_lenders (daemon, quota_id, rows, now_us);
 }
 
+/* The live member with the highest rendezvous hash gathers a quota whose burst
+   is below one token a member.  */
+static void
+set_gatherer (DmDaemon *daemon, uint32_t quota_id, int64_t burst_utok,
+              const MbMember *const *members, uint32_t count)
+{
+  const char *best = NULL;
+  uint64_t best_hash = 0;
+
+  if (burst_utok < (int64_t)count * QT_TOKEN)
+    for (uint32_t i = 0; i < count; i++)
+      {
+        const char *vm = members[i]->vm;
+        uint64_t hash = XXH64 (vm, strlen (vm), quota_id);
+
+        if (best == NULL || hash > best_hash)
+          {
+            best = vm;
+            best_hash = hash;
+          }
+      }
+  qt_set_gatherer (daemon->quotas, quota_id, best);
+}
+
+static void
+set_gatherers (DmDaemon *daemon, int64_t now_us)
+{
+  const CfConfig *config = daemon->config;
+  const MbMember *members[DM_VMS_MAX];
+  uint32_t count;
+
+  if (config == NULL || now_us < daemon->gatherers_due_us)
+    return;
+  daemon->gatherers_due_us = now_us + GATHERERS_INTERVAL_US;
+  count = mb_live (daemon->members, now_us, members, DM_VMS_MAX);
+  for (guint i = 0; i < config->customers->len; i++)
+    {
+      const CfCustomer *row = g_ptr_array_index (config->customers, i);
+      set_gatherer (daemon, dm_quota_id ("customer", row->name, NULL),
+                    (int64_t)row->burst * QT_TOKEN, members, count);
+    }
+  for (guint i = 0; i < config->shifts->len; i++)
+    {
+      const CfShift *row = g_ptr_array_index (config->shifts, i);
+      set_gatherer (daemon, dm_quota_id ("shift", row->name, NULL),
+                    shift_burst (row), members, count);
+    }
+}
+
 static void
 borrow (DmDaemon *daemon, int64_t now_us)
 {
@@ -287,6 +348,7 @@
 {
   if (daemon->settings->admission == SE_ADMISSION_SPLIT)
     return;
+  set_gatherers (daemon, now_us);
   borrow (daemon, now_us);
   settle (daemon, now_us);
 }
--- a/quota/borrow.c
+++ b/quota/borrow.c
@@ -240,6 +240,25 @@
   return count;
 }
 
+/* The gatherer's gap to the whole burst; for the others the whole tokens that
+   refused requests lack.  In advance they ask for none, since tokens that are
+   held for later are missing elsewhere.  */
+static int64_t
+missing_gathered (QtTable *table, QtQuota *quota, int64_t now_us)
+{
+  int64_t under_way = drop_late_asks (quota, now_us);
+  int64_t missing;
+
+  if (qt_gathers (table, quota))
+    return quota->demand_utok + quota->relay_utok < ASK_MIN_UTOK
+               ? 0
+               : quota->burst_utok - qt_sum (table, quota, now_us);
+  missing = quota->short_utok - qt_borrowed_left (quota, now_us) - under_way;
+  if (missing <= 0)
+    return 0;
+  return (missing + QT_TOKEN - 1) / QT_TOKEN * QT_TOKEN;
+}
+
 static int64_t
 missing_utok (QtTable *table, QtQuota *quota, int64_t now_us)
 {
@@ -254,36 +273,54 @@
          - drop_late_asks (quota, now_us);
 }
 
+static int64_t
+round_interval_us (const QtTable *table, const QtQuota *quota)
+{
+  if (quota->short_utok > 0)
+    return QT_SHORT_ROUND_US;
+  if (qt_gathers (table, quota) && quota->relay_utok > 0.25 * QT_TOKEN)
+    return QT_SHORT_ROUND_US;
+  return QT_ROUND_US;
+}
+
 static uint32_t
 plan_quota (QtTable *table, QtQuota *quota, const QtSurplus *peers,
             uint32_t peer_count, QtAsk *asks, uint32_t ask_max, int64_t now_us)
 {
   Choice chosen[QT_PEERS_PER_ROUND] = { 0 };
-  int64_t interval_us
-      = quota->short_utok > 0 ? QT_SHORT_ROUND_US : QT_ROUND_US;
+  QtSurplus gatherer = { quota->gatherer, quota->quota_id, QT_TOKEN };
+  gboolean gathered = quota->gatherer[0] != '\0';
   int64_t missing;
   uint32_t count;
 
-  if (now_us - quota->round_us < interval_us)
+  if (now_us - quota->round_us < round_interval_us (table, quota))
     return 0;
   qt_update (table, quota, now_us);
   qt_decay (quota, now_us);
-  missing = missing_utok (table, quota, now_us);
+  missing = gathered ? missing_gathered (table, quota, now_us)
+                     : missing_utok (table, quota, now_us);
   if (missing < ASK_MIN_UTOK)
     return 0;
-  count = choose_peers (table, quota, peers, peer_count, chosen);
-  count = enough_peers (chosen, count, missing);
+  if (gathered && !qt_gathers (table, quota))
+    count = choose_peers (table, quota, &gatherer, 1, chosen);
+  else
+    count = choose_peers (table, quota, peers, peer_count, chosen);
+  /* The gatherer asks all, since reports lag behind small parts.  */
+  if (!gathered)
+    count = enough_peers (chosen, count, missing);
   count = MIN (MIN (count, ask_max), ASKS_KEPT - quota->ask_count);
   for (uint32_t i = 0; i < count; i++)
     {
       QtOpenAsk *open = &quota->asks[quota->ask_count++];
       /* A report that lags shows too little; an equal part may be there.  */
-      int64_t want = MAX (missing / count, ASK_MIN_UTOK);
+      int64_t want = gathered ? missing : MAX (missing / count, ASK_MIN_UTOK);
 
       g_assert (chosen[i].peer != NULL);
       asks[i] = (QtAsk){ .vm = chosen[i].peer->vm,
                          .quota_id = quota->quota_id,
                          .want_utok = want };
+      if (chosen[i].peer == &gatherer)
+        asks[i].vm = quota->gatherer;
       *open = (QtOpenAsk){ .sent_us = now_us, .want_utok = want };
       g_strlcpy (open->vm, asks[i].vm, sizeof open->vm);
     }
@@ -345,10 +382,13 @@
       own = qt_usable (table, quota, PART_BASE, now_us)
             + qt_usable (table, quota, PART_FLEX, now_us);
       report->quota_id = quota->quota_id;
-      report->surplus_utok = table->split ? 0 : MAX (own - qt_need (quota), 0);
+      report->surplus_utok
+          = table->split ? 0 : MAX (own - qt_reserved (table, quota), 0);
       report->demand_utok_per_s
           = (int64_t)((quota->demand_utok
-                       + (table->relay ? quota->relay_utok : 0))
+                       + (table->relay || qt_gathers (table, quota)
+                              ? quota->relay_utok
+                              : 0))
                       * G_USEC_PER_SEC / DEMAND_TAU_US);
     }
   if (count > 1)
--- a/quota/internal.h
+++ b/quota/internal.h
@@ -50,14 +50,19 @@
   gboolean settled;
 } QtBorrowed;
 
-/* A grant at its lender; made of both buckets or of a borrowed grant.  */
+typedef struct
+{
+  QtBorrowed *borrowed;
+  int64_t amount_utok;
+} QtSource;
+
+/* A grant at its lender; made of both buckets and of borrowed grants.  */
 typedef struct
 {
   QtQuota *quota;
   uint64_t grant_id;
   int64_t part_utok[PARTS];
-  QtBorrowed *source;
-  int64_t source_utok;
+  GArray *sources; /* QtSource */
   int64_t until_us;
 } QtLent;
 
@@ -83,9 +88,10 @@
   int64_t round_us;          /* of the last asks */
   QtOpenAsk asks[ASKS_KEPT]; /* lately sent */
   uint32_t ask_count;
-  GPtrArray *borrowed; /* QtBorrowed, the first to end first */
-  GPtrArray *lent;     /* QtLent */
-  int64_t lent_end_us; /* no lent grant ends before */
+  char gatherer[QT_NAME_BYTES]; /* empty without */
+  GPtrArray *borrowed;          /* QtBorrowed, the first to end first */
+  GPtrArray *lent;              /* QtLent */
+  int64_t lent_end_us;          /* no lent grant ends before */
 };
 
 struct QtTable
@@ -112,8 +118,13 @@
 /* What the daemon's own requests need next.  */
 int64_t qt_need (const QtQuota *quota);
 void qt_decay (QtQuota *quota, int64_t now_us);
+/* Whether this daemon is the gatherer of QUOTA.  */
+gboolean qt_gathers (const QtTable *table, const QtQuota *quota);
+/* What the daemon doesn't lend.  */
+int64_t qt_reserved (const QtTable *table, const QtQuota *quota);
 
 /* lend.c */
+void qt_lent_free (void *data);
 void qt_lent_expire (QtTable *table, QtQuota *quota, int64_t now_us);
 
 /* borrow.c */
--- a/quota/lend.c
+++ b/quota/lend.c
@@ -15,18 +15,32 @@
          / (1000 + QT_DRIFT_PERMILLE);
 }
 
+void
+qt_lent_free (void *data)
+{
+  QtLent *lent = data;
+
+  g_array_unref (lent->sources);
+  g_free (lent);
+}
+
 /* Frees what LENT reserved and gives UNSPENT back.  */
 static void
 end_lent (QtTable *table, QtLent *lent, int64_t unspent_utok, int64_t now_us)
 {
   QtQuota *quota = lent->quota;
 
-  if (lent->source != NULL)
+  for (guint i = 0; i < lent->sources->len; i++)
     {
-      lent->source->lent_count--;
-      if (now_us < lent->source->until_us && !lent->source->settled)
-        lent->source->left_utok += unspent_utok;
-      qt_settle_if_done (table, lent->source, now_us);
+      const QtSource *source = &g_array_index (lent->sources, QtSource, i);
+      QtBorrowed *borrowed = source->borrowed;
+      int64_t back = MIN (unspent_utok, source->amount_utok);
+
+      borrowed->lent_count--;
+      if (now_us < borrowed->until_us && !borrowed->settled)
+        borrowed->left_utok += back;
+      unspent_utok -= back;
+      qt_settle_if_done (table, borrowed, now_us);
     }
   for (int part = 0; part < PARTS; part++)
     {
@@ -67,6 +81,16 @@
   quota->lent_end_us = next_us;
 }
 
+static int64_t
+lent_amount (const QtLent *lent)
+{
+  int64_t amount = lent->part_utok[PART_BASE] + lent->part_utok[PART_FLEX];
+
+  for (guint i = 0; i < lent->sources->len; i++)
+    amount += g_array_index (lent->sources, QtSource, i).amount_utok;
+  return amount;
+}
+
 /* Moves tokens of the own buckets into LENT; the base part is kept for the
    daemon's own use last.  */
 static void
@@ -75,7 +99,7 @@
   QtQuota *quota = lent->quota;
   int64_t spare = qt_usable (table, quota, PART_BASE, now_us)
                   + qt_usable (table, quota, PART_FLEX, now_us)
-                  - qt_need (quota);
+                  - qt_reserved (table, quota);
   int64_t valid_us = QT_GRANT_VALID_US;
 
   want_utok = MIN (want_utok, spare);
@@ -95,6 +119,22 @@
   lent->until_us = now_us + valid_us;
 }
 
+static int64_t
+lend_source (QtLent *lent, QtBorrowed *borrowed, int64_t want_utok,
+             int64_t now_us)
+{
+  int64_t left_us = valid_before (borrowed->until_us, now_us);
+  QtSource source = { borrowed, MIN (want_utok, borrowed->left_utok) };
+
+  if (left_us < GRANT_VALID_MIN_US || source.amount_utok <= 0)
+    return 0;
+  g_array_append_val (lent->sources, source);
+  lent->until_us = MIN (lent->until_us, now_us + left_us);
+  borrowed->left_utok -= source.amount_utok;
+  borrowed->lent_count++;
+  return source.amount_utok;
+}
+
 /* Lends on the borrowed grant that ends last.  */
 static void
 lend_borrowed (QtLent *lent, int64_t want_utok, int64_t now_us)
@@ -102,31 +142,53 @@
   QtQuota *quota = lent->quota;
   int64_t spare = qt_borrowed_left (quota, now_us) - qt_need (quota);
 
-  if (quota->borrowed->len == 0)
-    return;
   for (guint i = quota->borrowed->len; i > 0; i--)
+    if (lend_source (lent, g_ptr_array_index (quota->borrowed, i - 1),
+                     MIN (want_utok, spare), now_us)
+        > 0)
+      return;
+}
+
+/* Lends whole tokens out of the own buckets and the grants that end first, so
+   that few grants stay spent in part and hold their lender's room.  */
+static void
+lend_gathered (QtTable *table, QtLent *lent, int64_t want_utok, int64_t now_us)
+{
+  QtQuota *quota = lent->quota;
+  int64_t amount = qt_sum (table, quota, now_us) - quota->short_utok;
+
+  for (guint i = 0; i < quota->borrowed->len; i++)
     {
-      QtBorrowed *source = g_ptr_array_index (quota->borrowed, i - 1);
-      int64_t left_us = valid_before (source->until_us, now_us);
+      const QtBorrowed *borrowed = g_ptr_array_index (quota->borrowed, i);
 
-      if (left_us < GRANT_VALID_MIN_US || source->left_utok <= 0)
-        continue;
-      lent->source_utok = MIN (MIN (want_utok, spare), source->left_utok);
-      if (lent->source_utok <= 0)
-        return;
-      lent->source = source;
-      lent->until_us = now_us + MIN (left_us, QT_GRANT_VALID_US);
-      source->left_utok -= lent->source_utok;
-      source->lent_count++;
-      return;
+      if (now_us < borrowed->until_us
+          && valid_before (borrowed->until_us, now_us) < GRANT_VALID_MIN_US)
+        amount -= borrowed->left_utok;
     }
+  amount = MIN (amount, want_utok);
+  amount -= amount % QT_TOKEN;
+  if (amount <= 0)
+    return;
+  lend_own (table, lent, amount, now_us);
+  amount -= lent_amount (lent);
+  for (guint i = 0; i < quota->borrowed->len && amount > 0; i++)
+    amount -= lend_source (lent, g_ptr_array_index (quota->borrowed, i),
+                           amount, now_us);
 }
 
-static int64_t
-lent_amount (const QtLent *lent)
+static void
+fill_lent (QtTable *table, QtLent *lent, int64_t want_utok, int64_t now_us)
 {
-  return lent->part_utok[PART_BASE] + lent->part_utok[PART_FLEX]
-         + lent->source_utok;
+  const QtQuota *quota = lent->quota;
+
+  if (qt_gathers (table, quota))
+    {
+      lend_gathered (table, lent, want_utok, now_us);
+      return;
+    }
+  lend_own (table, lent, want_utok, now_us);
+  if (lent_amount (lent) == 0 && table->relay && quota->gatherer[0] == '\0')
+    lend_borrowed (lent, want_utok, now_us);
 }
 
 QtGrant
@@ -149,15 +211,15 @@
   want_utok = MIN (want_utok, quota->burst_utok);
   lent = g_new0 (QtLent, 1);
   lent->quota = quota;
-  lend_own (table, lent, want_utok, now_us);
-  if (lent_amount (lent) == 0 && table->relay)
-    lend_borrowed (lent, want_utok, now_us);
+  lent->sources = g_array_new (FALSE, FALSE, sizeof (QtSource));
+  lent->until_us = now_us + QT_GRANT_VALID_US;
+  fill_lent (table, lent, want_utok, now_us);
   grant.amount_utok = lent_amount (lent);
-  if (table->relay)
+  if (table->relay || qt_gathers (table, quota))
     quota->relay_utok += (double)(want_utok - grant.amount_utok);
   if (grant.amount_utok == 0)
     {
-      g_free (lent);
+      qt_lent_free (lent);
       return grant;
     }
   valid_us = lent->until_us - now_us;
--- a/quota/quota.c
+++ b/quota/quota.c
@@ -29,8 +29,8 @@
   table->split = options->split;
   table->quotas
       = g_hash_table_new_full (g_direct_hash, NULL, NULL, quota_free);
-  table->lent
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  table->lent = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                       qt_lent_free);
   table->settles = g_array_new (FALSE, TRUE, sizeof (QtSettle));
   return table;
 }
@@ -220,6 +220,23 @@
   table->relay = relay;
 }
 
+void
+qt_set_gatherer (QtTable *table, uint32_t quota_id, const char *vm)
+{
+  QtQuota *quota = qt_find (table, quota_id);
+
+  if (quota != NULL)
+    g_strlcpy (quota->gatherer, vm == NULL ? "" : vm, sizeof quota->gatherer);
+}
+
+gboolean
+qt_is_gatherer (QtTable *table, uint32_t quota_id)
+{
+  const QtQuota *quota = qt_find (table, quota_id);
+
+  return quota != NULL && qt_gathers (table, quota);
+}
+
 void
 qt_empty_flex (QtTable *table, int64_t now_us)
 {
@@ -276,6 +293,21 @@
   return MAX ((int64_t)MIN (soon, (double)QT_AMOUNT_MAX), quota->short_utok);
 }
 
+gboolean
+qt_gathers (const QtTable *table, const QtQuota *quota)
+{
+  return strcmp (quota->gatherer, table->vm) == 0;
+}
+
+int64_t
+qt_reserved (const QtTable *table, const QtQuota *quota)
+{
+  if (quota->gatherer[0] == '\0')
+    return qt_need (quota);
+  /* Parts of a token that stay elsewhere admit nothing.  */
+  return qt_gathers (table, quota) ? quota->short_utok : 0;
+}
+
 static void
 spend_own (const QtTable *table, QtQuota *quota, QtPart part, int64_t *amount,
            int64_t now_us)
--- a/quota/quota.h
+++ b/quota/quota.h
@@ -35,6 +35,13 @@
      zone for what it could not lend.  Such a grant ends before the grant it is
      made of, which is settled only after it.
 
+     A quota whose burst is below one token a daemon has a gatherer
+     (qt_set_gatherer), since no daemon could admit with its own part while
+     the others keep theirs.  The gatherer borrows up to the whole burst while
+     there is demand and lends whole tokens; the others lend all they own and
+     ask the gatherer only.  Daemons may disagree on who it is: that costs
+     refusals, never admits more.
+
      A process starts to refill only QT_GRANT_VALID_US after its first share,
      since a former process of the same VM may have lent until it died.  For
      the same reason no share is settled before.
@@ -107,7 +114,7 @@
 
 typedef struct
 {
-  const char *vm; /* pointer of the QtSurplus that it was chosen by */
+  const char *vm; /* of the QtSurplus that it was chosen by, or the gatherer */
   uint32_t quota_id;
   int64_t want_utok;
 } QtAsk;
@@ -139,6 +146,9 @@
                       int64_t base_until_us);
 /* Whether to lend what was borrowed, as a hub does for its zone.  */
 void qt_set_relay (QtTable *table, gboolean relay);
+/* The daemon that gathers the tokens of a quota; NULL for none.  */
+void qt_set_gatherer (QtTable *table, uint32_t quota_id, const char *vm);
+gboolean qt_is_gatherer (QtTable *table, uint32_t quota_id);
 /* Empties the flex buckets; to be called for a new incarnation.  */
 void qt_empty_flex (QtTable *table, int64_t now_us);
 
--- a/quota/quota_test.cc
+++ b/quota/quota_test.cc
@@ -104,6 +104,11 @@
   {
     return (int64_t)((double)now * nodes[i].rate);
   }
+  const char *
+  Vm (uint32_t i) const
+  {
+    return nodes[i % nodes.size ()].vm.c_str ();
+  }
   int
   count () const
   {
@@ -323,6 +328,8 @@
   {
     qt_define (nodes[i].table, id, rates_[id], (int64_t)reference.burst_utok,
                Local (i));
+    if (reference.burst_utok < (double)count () * QT_TOKEN)
+      qt_set_gatherer (nodes[i].table, id, Vm (id));
   }
 
   /* As a promise that was asked for up to a second ago.  */
@@ -470,7 +477,7 @@
 {
   int i = fleet.Below (fleet.count ()), j = fleet.Below (fleet.count ());
 
-  switch (fleet.Below (8))
+  switch (fleet.Below (9))
     {
     case 0:
       if (fleet.nodes[i].paused_until <= fleet.now)
@@ -492,6 +499,11 @@
     case 6:
       qt_set_relay (fleet.nodes[i].table, fleet.Chance (500));
       break;
+    case 7:
+      /* Daemons see different members live.  */
+      qt_set_gatherer (fleet.nodes[i].table, 1 + fleet.Below (2),
+                       fleet.Chance (200) ? nullptr : fleet.Vm (j));
+      break;
     default:
       fleet.loss_permille = fleet.Below (3) * 150;
       fleet.duplicate_permille = fleet.Below (3) * 150;
@@ -606,6 +618,24 @@
   EXPECT_EQ (fleet.admitted, 3u);
 }
 
+/* Guards against parts of a token that stay at daemons which all have demand,
+   so that none of them gets a whole one.  */
+TEST (Quota, BurstOfThreeWithDemandAtAllOfSeven)
+{
+  Fleet fleet (15, 7);
+
+  fleet.wait_us = 200 * kMs;
+  fleet.AddQuota (1, 20 * QT_TOKEN, 3 * QT_TOKEN);
+  for (int i = 0; i < 7; i++)
+    Offer (fleet, i, 1, 20 * 0.3 / 7, 60 * kSecond);
+  fleet.Run (61 * kSecond);
+  printf ("%d of %d answered, %.0f messages/s over the fleet\n",
+          (int)fleet.admitted, (int)fleet.offered,
+          (double)fleet.messages / 60);
+  EXPECT_EQ (fleet.fault, "");
+  EXPECT_GE (fleet.admitted * 2, fleet.offered);
+}
+
 /* Guards against refusals at the daemons that remain after a loss.  */
 TEST (Quota, OneOfSevenLost)
 {
