quota: let tokens of a gathered burst return sooner

Cause: a whole token that the gatherer lent for a request which then gave up stayed at that daemon for 1 s, a third of a burst of 3.

Change: such grants are valid for 200 ms at the borrower. The gatherer keeps them for their full time, so that unspent tokens still come back; the room it reserves only ends later.

--- a/quota/borrow.c
+++ b/quota/borrow.c
@@ -250,7 +250,7 @@
   int64_t missing;
 
   if (qt_gathers (table, quota))
-    return quota->demand_utok + quota->relay_utok < ASK_MIN_UTOK
+    return (int64_t)(quota->demand_utok + quota->relay_utok) < ASK_MIN_UTOK
                ? 0
                : quota->burst_utok - qt_sum (table, quota, now_us);
   missing = quota->short_utok - qt_borrowed_left (quota, now_us) - under_way;
--- a/quota/lend.c
+++ b/quota/lend.c
@@ -4,6 +4,11 @@
 
 #include <string.h>
 
+/* A token of a small burst that isn't used soon is missing elsewhere.  The
+   lender still keeps the grant for its full time, so that what is unspent can
+   come back.  */
+#define GATHERED_VALID_US (200 * 1000)
+
 /* How long a grant may be valid that has to end before UNTIL_US.  */
 static int64_t
 valid_before (int64_t until_us, int64_t now_us)
@@ -223,7 +228,10 @@
       return grant;
     }
   valid_us = lent->until_us - now_us;
-  grant.valid_ms = (uint32_t)(valid_us / 1000);
+  grant.valid_ms = (uint32_t)((qt_gathers (table, quota)
+                                   ? MIN (valid_us, GATHERED_VALID_US)
+                                   : valid_us)
+                              / 1000);
   grant.grant_id = lent->grant_id = table->next_grant_id++;
   lent->until_us = now_us + valid_us * (1000 + QT_DRIFT_PERMILLE) / 1000;
   quota->lent_end_us = MIN (quota->lent_end_us, lent->until_us);
