load-gen: close the last connections before the exit

Cause: the loop was left before the connection of the last failed request was freed, and LeakSanitizer ended load-gen with status 1, which failed the rolling restart.

--- a/standin/load.c
+++ b/standin/load.c
@@ -12,6 +12,7 @@
 #define ATTEMPTS_MAX 4
 /* An order whose first attempt still runs is answered 409 until it is done. */
 #define REPEAT_AFTER_MS 250
+#define LAST_CLOSE_US 10000
 #define ORDER_BODY "{\"items\":[1,2,3]}"
 /* Kept for the time after the last arrival in which answers may come.  */
 #define GRACE_MS 500
@@ -147,8 +148,10 @@
   event_free (request->timer);
   g_free (request);
   load->open_count--;
+  /* Connections that are due to be closed are closed before the exit.  */
   if (load->open_count == 0 && load->next_index == load->plan->len)
-    event_base_loopbreak (load->base);
+    event_base_loopexit (load->base,
+                         &(struct timeval){ .tv_usec = LAST_CLOSE_US });
 }
 
 static void
