order: say not_run only once an earlier request with the key is excluded

Cause: with the store down, or before its answer, a repeat was refused with not_run although an earlier request with the same Idempotency-Key had been handed over; a caller that believes it places the order anew, and it runs twice. Ruled out: telling repeats from first requests; the daemon cannot. Change: until the daemon's own creation of the record has won, a refusal says unknown. The model now also fails on a not_run for an order that any earlier request handed over.

--- a/order/model_test.cc
+++ b/order/model_test.cc
@@ -233,6 +233,10 @@
         x->outcome = action.outcome;
         if (x->outcome == "not_run" && x->handed)
           fail ("not_run after it was handed over");
+        /* A key that is reused for another request says so of that one.  */
+        if (x->outcome == "not_run" && x->end != "key_reused"
+            && handed_count > 0)
+          fail ("not_run for an order that an earlier request handed over");
         return;
       }
     x->end = action.kind == OR_ACTION_ANSWER ? "answer" : "replay";
--- a/order/order.c
+++ b/order/order.c
@@ -38,6 +38,7 @@
   END_NO_CAPACITY,
   END_STORE_DOWN,
   END_DEADLINE,
+  END_NOT_READ,
   END_KEY_REUSED,
   END_ANSWER_NOT_KEPT,
   END_RUNNING,
@@ -56,7 +57,10 @@
   const char *outcome;
 } ends[] = {
   [END_NO_CAPACITY] = { OR_ACTION_REFUSE, 503, "no_capacity", "not_run" },
-  [END_STORE_DOWN] = { OR_ACTION_REFUSE, 503, "store_down", "not_run" },
+  /* Until the daemon's own creation of the record has won, an earlier request
+     with the same key may have run.  */
+  [END_STORE_DOWN] = { OR_ACTION_REFUSE, 503, "store_down", "unknown" },
+  [END_NOT_READ] = { OR_ACTION_REFUSE, 503, "deadline", "unknown" },
   [END_DEADLINE] = { OR_ACTION_REFUSE, 503, "deadline", "not_run" },
   [END_KEY_REUSED] = { OR_ACTION_REFUSE, 409, "key_reused", "not_run" },
   [END_ANSWER_NOT_KEPT] = { OR_ACTION_REFUSE, 409, "answer_not_kept", "done" },
@@ -585,7 +589,9 @@
 {
   if (order->phase == PHASE_FOLLOW || is_writing (order))
     return END_RUNNING;
-  return order->phase == PHASE_RESOLVE ? END_STORE_DOWN : END_DEADLINE;
+  if (order->phase == PHASE_RESOLVE)
+    return END_STORE_DOWN;
+  return order->phase == PHASE_SEND ? END_DEADLINE : END_NOT_READ;
 }
 
 /* Ends what can no longer succeed.  */
