--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -14,7 +14,8 @@
        lending.c   tokens between daemons
        fleet.c     the platform's lists of entry VMs and targets; probes
        request.c   one caller's request from arrival to answer
-       dispatch.c  choice of a target, slots, sending, retries
+       dispatch.c  choice of a target, sending, retries
+       slots.c     slots lent to and borrowed from other daemons
        orders.c    orders with an Idempotency-Key
        lookup.c    answers which entry VMs to use
        status.c    what operators see
@@ -407,6 +408,17 @@
 /* Serves queued requests of SERVICE while slots are free.  */
 void dm_dispatch_pump (DmDaemon *daemon, DmService *service);
 void dm_dispatch_tick (DmDaemon *daemon, int64_t now_us);
+/* The waiting request whose turn it is, or NULL.  */
+DmRequest *dm_dispatch_next (DmService *service);
+/* Sends REQUEST to TARGET under TICKET, or gives the ticket back.  */
+void dm_dispatch_start (DmRequest *request, DmTarget *target, SlTicket ticket);
+
+/* slots.c */
+
+/* Returns ended grants to their lenders.  */
+void dm_slots_return (DmDaemon *daemon, int64_t now_us);
+/* Asks LENDER for a slot of TARGET on behalf of SERVICE.  */
+void dm_slot_ask (DmService *service, DmTarget *target, const char *lender);
 void dm_slot_request (DmDaemon *daemon, PrConnection *connection,
                       const Peer__Envelope *envelope);
 void dm_slot_return (DmDaemon *daemon, const Peer__SlotReturn *message);
--- /dev/null
+++ b/daemon/slots.c
@@ -0,0 +1,192 @@
+#include "daemon/daemon.h"
+
+#define SLOT_TIMEOUT_MS 300
+/* A holder that refused a slot is asked again after this time.  */
+#define REFUSED_PAUSE_US (50 * CK_US_PER_MS)
+/* One that did not answer may be cut off.  */
+#define SILENT_PAUSE_US (2 * CK_US_PER_S)
+
+void
+dm_slots_return (DmDaemon *daemon, int64_t now_us)
+{
+  SlReturn row;
+
+  while (sl_next_return (daemon->slots, now_us, &row))
+    {
+      Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+      Peer__SlotReturn body = PEER__SLOT_RETURN__INIT;
+
+      body.grant_id = row.grant_id;
+      body.shed = row.outcome == SL_OUTCOME_SHED;
+      body.failed = row.outcome == SL_OUTCOME_FAILED;
+      body.not_sent = row.outcome == SL_OUTCOME_NOT_SENT;
+      envelope.body_case = PEER__ENVELOPE__BODY_SLOT_RETURN;
+      envelope.slot_return = &body;
+      pr_send (daemon->net, row.vm, &envelope);
+    }
+}
+
+/* Borrowing.  A slot is asked for on behalf of the service, and serves the
+   request whose turn it is when the grant arrives.  */
+
+typedef struct
+{
+  DmDaemon *daemon;
+  DmService *service;
+  DmTarget *target;
+} Ask;
+
+static gboolean
+take_grant (const Ask *ask, const char *vm, const Peer__SlotReply *reply,
+            int64_t sent_us, SlTicket *ticket)
+{
+  SlGrant grant = { .id = reply->grant_id,
+                    .valid_us = (int64_t)reply->valid_ms * CK_US_PER_MS };
+
+  return sl_borrowed (ask->daemon->slots, ask->target->name, vm, &grant,
+                      sent_us, ck_boot_us (), ticket);
+}
+
+static void
+use_grant (DmDaemon *daemon, DmService *service, DmTarget *target,
+           SlTicket ticket)
+{
+  DmRequest *request = dm_dispatch_next (service);
+
+  mt_add (daemon->counters.borrowed_slots, 1);
+  if (request != NULL)
+    {
+      dm_dispatch_start (request, target, ticket);
+      return;
+    }
+  sl_release (daemon->slots, ticket, SL_OUTCOME_NOT_SENT, ck_boot_us ());
+  dm_slots_return (daemon, ck_boot_us ());
+}
+
+static void
+on_slot_reply (const char *vm, const Peer__Envelope *envelope, int64_t sent_us,
+               void *data)
+{
+  Ask *ask = data;
+  DmDaemon *daemon = ask->daemon;
+  DmService *service = ask->service;
+  DmTarget *target = ask->target;
+  SlTicket ticket;
+
+  service->ask_count--;
+  if (envelope != NULL
+      && envelope->body_case == PEER__ENVELOPE__BODY_SLOT_REPLY
+      && envelope->slot_reply->granted
+      && take_grant (ask, vm, envelope->slot_reply, sent_us, &ticket))
+    use_grant (daemon, service, target, ticket);
+  else
+    target->refused_until_us
+        = ck_boot_us ()
+          + (envelope == NULL ? SILENT_PAUSE_US : REFUSED_PAUSE_US);
+  dm_dispatch_pump (daemon, service);
+  dm_context_free (daemon, ask);
+}
+
+void
+dm_slot_ask (DmService *service, DmTarget *target, const char *lender)
+{
+  DmDaemon *daemon = service->daemon;
+  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+  Peer__SlotRequest body = PEER__SLOT_REQUEST__INIT;
+  Ask *ask = dm_context_new (daemon, sizeof *ask);
+
+  *ask = (Ask){ daemon, service, target };
+  body.target = target->name;
+  body.region = daemon->settings->region;
+  body.valid_ms = DM_DEADLINE_MAX_MS;
+  envelope.body_case = PEER__ENVELOPE__BODY_SLOT_REQUEST;
+  envelope.slot_request = &body;
+  service->ask_count++;
+  target->holder_asked_count++;
+  target->holder_asked_us = ck_boot_us ();
+  pr_request (daemon->net, lender, &envelope, SLOT_TIMEOUT_MS, on_slot_reply,
+              ask);
+}
+
+/* A grant whose reply came after the ask had timed out.  */
+void
+dm_late_slot_reply (DmDaemon *daemon, const char *vm,
+                    const Peer__SlotReply *reply)
+{
+  Peer__Envelope envelope = PEER__ENVELOPE__INIT;
+  Peer__SlotReturn body = PEER__SLOT_RETURN__INIT;
+
+  if (!reply->granted)
+    return;
+  body.grant_id = reply->grant_id;
+  body.not_sent = 1;
+  envelope.body_case = PEER__ENVELOPE__BODY_SLOT_RETURN;
+  envelope.slot_return = &body;
+  pr_send (daemon->net, vm, &envelope);
+}
+
+static gboolean
+may_lend (DmDaemon *daemon, const DmTarget *target, const char *region,
+          int64_t now_us)
+{
+  DmView view;
+  uint32_t borrower_region = SR_NONE;
+  gboolean allowed = FALSE;
+  GHashTableIter iter;
+  void *value;
+
+  if (!dm_target_usable (target) || target->region < 0)
+    return FALSE;
+  g_hash_table_iter_init (&iter, daemon->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      DmService *service = value;
+
+      if (!g_ptr_array_find (service->targets, target, NULL))
+        continue;
+      dm_view_fill (daemon, service, &view, now_us);
+      for (uint32_t i = 0; i < view.view.region_count; i++)
+        if (strcmp (view.view.regions[i].name, region) == 0)
+          borrower_region = i;
+      allowed = borrower_region != SR_NONE
+                && sr_may_lend (&view.view, (uint32_t)target->region,
+                                borrower_region);
+      dm_view_clear (&view);
+    }
+  return allowed;
+}
+
+void
+dm_slot_request (DmDaemon *daemon, PrConnection *connection,
+                 const Peer__Envelope *envelope)
+{
+  const Peer__SlotRequest *request = envelope->slot_request;
+  DmTarget *target = g_hash_table_lookup (daemon->targets, request->target);
+  Peer__Envelope reply = PEER__ENVELOPE__INIT;
+  Peer__SlotReply body = PEER__SLOT_REPLY__INIT;
+  int64_t now_us = ck_boot_us ();
+  SlGrant grant;
+
+  if (target != NULL && may_lend (daemon, target, request->region, now_us)
+      && sl_lend (daemon->slots, request->target, envelope->from_vm,
+                  (int64_t)request->valid_ms * CK_US_PER_MS, now_us, &grant))
+    {
+      body.granted = 1;
+      body.grant_id = grant.id;
+      body.valid_ms = (uint32_t)(grant.valid_us / CK_US_PER_MS);
+    }
+  reply.body_case = PEER__ENVELOPE__BODY_SLOT_REPLY;
+  reply.slot_reply = &body;
+  pr_reply (connection, envelope->id, &reply);
+}
+
+void
+dm_slot_return (DmDaemon *daemon, const Peer__SlotReturn *message)
+{
+  SlOutcome outcome = message->shed       ? SL_OUTCOME_SHED
+                      : message->failed   ? SL_OUTCOME_FAILED
+                      : message->not_sent ? SL_OUTCOME_NOT_SENT
+                                          : SL_OUTCOME_GOOD;
+
+  sl_returned (daemon->slots, message->grant_id, outcome, ck_boot_us ());
+}
