--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -179,7 +179,6 @@
   MbTable *members;
   int64_t report_due_us;
   int64_t contact_due_us;
-  int64_t learn_due_us;
   LsLease *lease;
   gboolean lease_was_active;
   int64_t candidates_due_us;
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -2,7 +2,6 @@
 
 #define REPORT_PERIOD_US (200 * CK_US_PER_MS)
 #define CONTACT_PERIOD_US CK_US_PER_S
-#define LEARN_PERIOD_US CK_US_PER_S
 #define LINKS_MAX 64
 
 void
@@ -116,9 +115,6 @@
                now_us);
   tell_targets (daemon, now_us);
   tell_quotas (daemon, now_us);
-  if (now_us < daemon->learn_due_us)
-    return;
-  daemon->learn_due_us = now_us + LEARN_PERIOD_US;
   learn_members (daemon, now_us);
 }
 
--- a/daemon/leases.c
+++ b/daemon/leases.c
@@ -3,7 +3,7 @@
 /* Two answers may be lost within the 3 s of a promise.  */
 #define PROMISE_TIMEOUT_MS 700
 /* Sorting some hundred members takes longer than the rest of a tick.  */
-#define CANDIDATES_PERIOD_US (500 * CK_US_PER_MS)
+#define CANDIDATES_PERIOD_US (200 * CK_US_PER_MS)
 
 typedef struct
 {
--- a/daemon/shares.c
+++ b/daemon/shares.c
@@ -1,8 +1,7 @@
 #include "daemon/daemon.h"
 
 #define ASSIGN_KEY "cw/assign"
-/* The work grows with members times targets.  */
-#define PERIOD_US (500 * CK_US_PER_MS)
+#define PERIOD_US (250 * CK_US_PER_MS)
 /* Without word of a change the document is still read this often, in case all
    who knew of the change have gone.  */
 #define REREAD_US (10 * CK_US_PER_S)
