--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -160,6 +160,7 @@
   dm_shares_tick (daemon, now_us);
   dm_lending_tick (daemon, now_us);
   dm_fleet_tick (daemon, now_us);
+  dm_orders_tick (daemon, now_us);
   mt_add (daemon->counters.control_cpu, ck_cpu_us () - cpu_us);
   dm_request_tick (daemon, now_us);
   dm_dispatch_tick (daemon, now_us);
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -229,6 +229,7 @@
   int64_t entry_due_us;
   GPtrArray *entry_vms; /* StVm copies */
   int64_t drains_due_us;
+  int64_t expire_due_us;
 
   GHashTable *requests;     /* set of DmRequest */
   GHashTable *contexts;     /* of calls to the store and to peers */
@@ -449,6 +450,8 @@
 
 void dm_order_start (DmRequest *request, const char *idempotency_key);
 void dm_order_run (DmRequest *request);
+/* Deletes the records of orders that have expired, once an hour.  */
+void dm_orders_tick (DmDaemon *daemon, int64_t now_us);
 /* Tells the order how its send ended; the order decides the answer.  */
 void dm_order_sent (DmRequest *request, const OrSent *sent);
 
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -1,5 +1,7 @@
 #include "daemon/daemon.h"
 
+#define EXPIRE_PERIOD_US (3600 * (int64_t)CK_US_PER_S)
+
 static const OrStoreOutcome store_outcomes[] = {
   [ST_OUTCOME_OK] = OR_STORE_OK,
   [ST_OUTCOME_ABSENT] = OR_STORE_ABSENT,
@@ -8,6 +10,41 @@
   [ST_OUTCOME_UNKNOWN] = OR_STORE_UNKNOWN,
 };
 
+static void
+on_expired (const StResult *result, void *data)
+{
+  dm_store_answered (data, result->outcome);
+}
+
+/* The hubs of the first zone delete; that two do it does no harm.  */
+static gboolean
+deletes_expired (DmDaemon *daemon, int64_t now_us)
+{
+  const CfRegion *region;
+
+  if (daemon->config == NULL || daemon->config->regions->len == 0)
+    return FALSE;
+  region = g_ptr_array_index (daemon->config->regions, 0);
+  return region->zones->len > 0
+         && strcmp (g_ptr_array_index (region->zones, 0),
+                    daemon->settings->zone)
+                == 0
+         && mb_is_zone_hub (daemon->members, now_us);
+}
+
+void
+dm_orders_tick (DmDaemon *daemon, int64_t now_us)
+{
+  g_autofree char *prefix = NULL;
+
+  if (now_us < daemon->expire_due_us || !deletes_expired (daemon, now_us))
+    return;
+  daemon->expire_due_us = now_us + EXPIRE_PERIOD_US;
+  prefix = or_expired_prefix (ck_wall_ms ());
+  if (prefix != NULL)
+    st_remove_prefix (daemon->store, prefix, on_expired, daemon);
+}
+
 void
 dm_order_start (DmRequest *request, const char *idempotency_key)
 {
--- a/proof/run.cc
+++ b/proof/run.cc
@@ -94,6 +94,19 @@
   return si_find_vm (harness_, vm.c_str ())->admin_address;
 }
 
+std::string
+Trial::store_address ()
+{
+  const char *path = si_find_vm (harness_, "vm1")->settings_path;
+  json_object *root = json_object_from_file (path);
+  json_object *value = NULL;
+
+  json_object_object_get_ex (root, "store", &value);
+  std::string address = value == NULL ? "" : json_object_get_string (value);
+  json_object_put (root);
+  return address;
+}
+
 std::vector<Caller>
 Trial::callers (double share, const std::string &more)
 {
--- a/proof/run.h
+++ b/proof/run.h
@@ -77,6 +77,8 @@
     return config_;
   }
   std::string admin (const std::string &vm);
+  /* Where daemons reach the store.  */
+  std::string store_address ();
   /* Customers that use a quarter of their rate in reads and orders.  */
   std::vector<Caller> callers (double share, const std::string &more = "");
 
--- a/proof/store_test.cc
+++ b/proof/store_test.cc
@@ -61,6 +61,39 @@
   run.expect_invariants ();
 }
 
+/* Guards against records of orders being kept in the store for ever.  */
+TEST (Store, ExpiredOrdersAreDeleted)
+{
+  Trial run ({});
+  int64_t day = g_get_real_time () / 86400000000;
+  std::string old_key = "cw/order/" + std::to_string (day - 2) + "/a";
+  std::string new_key = "cw/order/" + std::to_string (day - 1) + "/a";
+  SiAnswer answer = {};
+
+  for (const std::string &key : { old_key, new_key })
+    {
+      ASSERT_TRUE (si_http ("PUT", run.store_address ().c_str (),
+                            ("/v1/kv/" + key).c_str (), NULL, "{}", 2000,
+                            &answer, NULL));
+      EXPECT_EQ (200, answer.status);
+      si_answer_clear (&answer);
+    }
+  /* A new process looks at once.  */
+  GError *error = NULL;
+  si_kill_vm (run.harness (), "vm1");
+  ASSERT_TRUE (si_start_vm (run.harness (), "vm1", &error)) << error->message;
+  auto status_of = [&] (const std::string &key) {
+    si_http ("GET", run.store_address ().c_str (), ("/v1/kv/" + key).c_str (),
+             NULL, NULL, 2000, &answer, NULL);
+    int status = answer.status;
+    si_answer_clear (&answer);
+    return status;
+  };
+  run.wait_for ("record of two days ago deleted", 10000,
+                [&] { return status_of (old_key) == 404; });
+  EXPECT_EQ (200, status_of (new_key));
+}
+
 /* Guards against an order with an Idempotency-Key running without a record
    while the store is down.  */
 TEST (Store, OrdersDuringAnOutageRunAtMostOnce)
