daemon: remove a counter and a constant that nothing reads

DmTarget.in_use_count was kept up to date and never read; slot states tell the same. exchange.c had a limit of its own that it did not use. Checked: build with sanitizers, Steady.MixedTrafficWithinRate and one Crash case pass; the whole script was not run again.

--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -94,7 +94,6 @@
   int64_t reported_us;
   uint32_t latency_us;
   uint32_t shed_permille;
-  uint32_t in_use_count; /* own requests, borrowed slots included */
   int64_t probe_due_us;
   gboolean probe_load; /* the next probe asks for the load */
   BkCall *probe;
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -156,7 +156,6 @@
   int64_t answered_us = ck_boot_us ();
 
   request->call = NULL;
-  request->target->in_use_count--;
   if (result->sent == BK_SENT_MAYBE)
     request->maybe_sent = TRUE;
   learn (request, result);
@@ -227,7 +226,6 @@
       = target_index (dm_service (daemon, request->service), request->target);
   request->step = DM_STEP_SENT;
   request->sent_us = now_us;
-  request->target->in_use_count++;
   daemon->retry_tokens
       = MIN (RETRY_BANK, daemon->retry_tokens + RETRY_PERMILLE);
   dm_record (daemon, EV_REQUEST_SENT,
@@ -523,5 +521,4 @@
   else
     release (request, SL_OUTCOME_NOT_SENT);
   request->call = NULL;
-  request->target->in_use_count--;
 }
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -2,7 +2,6 @@
 
 #define REPORT_PERIOD_US (200 * CK_US_PER_MS)
 #define CONTACT_PERIOD_US CK_US_PER_S
-#define LINKS_MAX 64
 
 void
 dm_fill_hello (const DmDaemon *daemon, Peer__Hello *hello)
