--- a/entry/send.c
+++ b/entry/send.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <string.h>
 
 #include "clock/clock.h"
--- a/route/route.c
+++ b/route/route.c
@@ -155,9 +155,8 @@
     set_fault (config, RT_ERROR_ROUTE, "no service", route->name);
   if (route->prefix[0] != '/' || !g_str_has_suffix (route->prefix, "/"))
     set_fault (config, RT_ERROR_ROUTE, "prefix without slashes", route->name);
-  if (route->timeout_ms == 0 || route->latency_ms > route->timeout_ms)
-    set_fault (config, RT_ERROR_TIME, "timeout below the latency target",
-               route->name);
+  if (route->timeout_ms == 0)
+    set_fault (config, RT_ERROR_TIME, "no timeout", route->name);
   if (route->attempts_max == 0)
     set_fault (config, RT_ERROR_ROUTE, "no attempt allowed", route->name);
 }
--- a/route/route.h
+++ b/route/route.h
@@ -16,7 +16,7 @@
      RT_ERROR_SERVICE   a route names a service that does not exist
      RT_ERROR_KEY       two customers hold the same key
      RT_ERROR_ROUTE     a route has no service, or a prefix without slashes
-     RT_ERROR_TIME      a timeout is zero, or below the latency target  */
+     RT_ERROR_TIME      a timeout is zero  */
 
 #ifndef RT_ROUTE_H
 #define RT_ROUTE_H
