target: place objects on two targets and hold requests while one learns an object

Cause: targets answer three times as fast for objects that they lately handled; requests were sent by load alone, so targets kept forgetting them.

--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -129,6 +129,21 @@
   finish (request, outcome);
 }
 
+static void
+cancel_send (EnRequest *request, int64_t now_us)
+{
+  EnProxy *proxy = request->proxy;
+  gboolean teaches = tg_use_teaches (request->use);
+
+  if (bk_cancel (request->call) != BK_SENT_NONE)
+    request->may_have_run = TRUE;
+  tg_end (en_view_targets (proxy->options.view), request->use,
+          &(TgEnd){ .kind = TG_END_CANCELLED }, now_us);
+  request->use = NULL;
+  if (teaches)
+    en_release_held (proxy, request->object_hash);
+}
+
 /* The caller has left; its target need not go on.  */
 static void
 on_cancel (FrRequest *front, void *data)
@@ -141,10 +156,10 @@
   tr_line (proxy->options.trace, EV_REQUEST_CANCELLED,
            "request=%s sends=%u took_ms=%" G_GINT64_FORMAT, request->id,
            request->sends, (now_us - request->front->arrived_us) / 1000);
-  if (bk_cancel (request->call) != BK_SENT_NONE)
-    request->may_have_run = TRUE;
-  tg_end (en_view_targets (proxy->options.view), request->use,
-          &(TgEnd){ .kind = TG_END_CANCELLED }, now_us);
+  if (request->hold_timer != NULL)
+    en_request_unhold (request);
+  else
+    cancel_send (request, now_us);
   finish (request, EN_OUTCOME_GONE);
 }
 
@@ -415,6 +430,7 @@
     return;
   fr_free (proxy->front);
   bk_pool_free (proxy->pool);
+  g_clear_pointer (&proxy->held, g_hash_table_unref);
   g_hash_table_unref (proxy->splits);
   g_free (proxy);
 }
--- a/entry/request.h
+++ b/entry/request.h
@@ -32,6 +32,7 @@
   BkPool *pool;
   GHashTable *splits; /* route name to EnSplit */
   GQueue requests;    /* EnRequest */
+  GHashTable *held;   /* object hash to GQueue of EnRequest */
   MtCounter *outcomes[EN_OUTCOME_COUNT];
   MtCounter *sends;
   MtCounter *repeats;
@@ -70,10 +71,20 @@
   TgUse *use;
   BkCall *call;
   int64_t sent_us;
+  struct event *hold_timer; /* while held */
+  GList hold_node;
+  gboolean was_held;
 };
 
 const char *en_outcome_name (EnOutcome outcome);
 
+/* Waits until another request for the same object has ended, LIMIT_US at
+   most.  */
+void en_request_hold (EnRequest *request, int64_t limit_us);
+void en_request_unhold (EnRequest *request);
+/* Sends what was held for an object.  */
+void en_release_held (EnProxy *proxy, uint64_t object_hash);
+
 /* Chooses a target and sends, or answers.  */
 void en_request_send (EnRequest *request);
 
--- a/entry/send.c
+++ b/entry/send.c
@@ -54,6 +54,7 @@
     .cold_per_s = service->cold_per_s,
     .latency_us = latency_us,
     .wait_max_us = latency_us * percent / 100,
+    .may_hold = !request->was_held,
     .uses_max = MAX (1, MIN (16, service->connections_max / 2)),
   };
 }
@@ -90,12 +91,13 @@
   tr_line (proxy->options.trace,
            request->sends > 0 ? EV_REQUEST_RETRIED : EV_REQUEST_SENT,
            "request=%s route=%s service=%s customer=%s target=%s zone=%s "
-           "known=%d wait_ms=%" G_GINT64_FORMAT " cost_ms=%" G_GINT64_FORMAT
+           "object=%04x known=%d wait_ms=%" G_GINT64_FORMAT " cost_ms=%" G_GINT64_FORMAT
            " left_ms=%s config=%" G_GUINT64_FORMAT
            " config_age_ms=%" G_GINT64_FORMAT,
            request->id, request->route->name, request->service,
            request->customer != NULL ? request->customer->name : "-",
-           tg_id (choice->target), tg_zone (choice->target), choice->known,
+           tg_id (choice->target), tg_zone (choice->target),
+           (uint32_t)(request->object_hash & 0xffff), choice->known,
            choice->wait_us / 1000, choice->cost_us / 1000, left,
            rt_version (request->config),
            en_view_age_us (proxy->options.view, now_us) / 1000);
@@ -116,7 +118,8 @@
                        "no_target");
 }
 
-/* Returns FALSE when no target may be used.  */
+/* Returns FALSE when no target may be used; the request is held, too, where
+   that is best.  */
 static gboolean
 try_send (EnRequest *request, TgPick *pick)
 {
@@ -126,6 +129,11 @@
   TgChoice choice;
 
   *pick = tg_pick (targets, &query, now_us, &choice);
+  if (*pick == TG_PICK_HOLD)
+    {
+      en_request_hold (request, tg_unknown_us (targets, &query));
+      return TRUE;
+    }
   if (*pick != TG_PICK_FOUND)
     return FALSE;
   request->use = tg_begin (targets, &query, &choice, now_us);
@@ -202,6 +210,8 @@
 end_use (EnRequest *request, Verdict verdict, const BkResult *result)
 {
   TgEnd end = { .kind = ends[verdict] };
+  gboolean teaches = tg_use_teaches (request->use);
+  uint64_t object_hash = tg_use_object (request->use);
 
   if (verdict == VERDICT_OWN_FAILURE && result->status < 500)
     end.kind = TG_END_ANSWERED;
@@ -210,6 +220,8 @@
   end.has_load = read_load (request, result, &end);
   tg_end (targets_of (request), request->use, &end, ck_boot_us ());
   request->use = NULL;
+  if (teaches)
+    en_release_held (request->proxy, object_hash);
 }
 
 /* Whether a failure may be mended by another target.  */
--- a/entry/view.c
+++ b/entry/view.c
@@ -219,6 +219,19 @@
   .on_failure = on_targets_failure,
 };
 
+static uint32_t
+count_regions (const EnSettings *settings)
+{
+  g_autoptr (GHashTable) regions = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter zones;
+  gpointer region;
+
+  g_hash_table_iter_init (&zones, settings->zones);
+  while (g_hash_table_iter_next (&zones, NULL, &region))
+    g_hash_table_add (regions, region);
+  return g_hash_table_size (regions);
+}
+
 EnView *
 en_view_new (const EnViewOptions *options)
 {
@@ -239,8 +252,10 @@
   };
 
   view->options = *options;
-  view->targets = tg_new (&(TgOptions){ .zone = options->settings->zone,
-                                        .region = options->settings->region });
+  view->targets = tg_new (
+      &(TgOptions){ .zone = options->settings->zone,
+                    .region = options->settings->region,
+                    .region_count = count_regions (options->settings) });
   view->missing
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   view->keep_timer = event_new (options->base, -1, 0, on_keep_timer, view);
--- a/target/internal.h
+++ b/target/internal.h
@@ -33,6 +33,17 @@
 /* Spread by the rendezvous hash among targets that are alike.  */
 #define TG_RANK_COST_US 40000
 
+/* Targets that an object is placed on.  One is too few for an even load and
+   the loss of a target; each further one takes memory from other objects.  */
+#define TG_HOMES 2
+/* Room above an even part, as a divisor of it and as a count, so that ranks
+   decide before room does.  */
+#define TG_ROOM_SPARE 4
+/* An object that was not asked for in this time is no longer placed.  */
+#define TG_OBJECT_KEEP_US ((int64_t)60000000)
+/* Placement is redone at most this often while objects or targets change.  */
+#define TG_PLACE_PAUSE_US 100000
+
 typedef enum
 {
   TG_SAME_ZONE,
@@ -47,6 +58,23 @@
   uint32_t samples;
 } TgRoute;
 
+typedef struct
+{
+  uint64_t hash;
+  int64_t asked_us;
+  TgTarget *homes[TG_HOMES]; /* NULL: none */
+} TgObject;
+
+typedef struct
+{
+  char *name;
+  GPtrArray *targets;  /* TgTarget */
+  GHashTable *objects; /* hash to TgObject */
+  gboolean unplaced;   /* targets have changed */
+  int64_t placed_us;
+  int64_t service_us;  /* average over all requests; 0: none yet */
+} TgService;
+
 struct TgTarget
 {
   uint32_t references;
@@ -57,6 +85,8 @@
   char *zone;
   char *region;
   TgDistance distance;
+  uint32_t placed_count; /* objects whose home it is */
+  uint32_t object_room;  /* further ones that fit */
   uint32_t slots_count;
   gboolean draining;
   gboolean gone;
@@ -86,8 +116,10 @@
 {
   TgTarget *target;
   TgRoute *route;
+  TgService *service;
   uint64_t object_hash;
   gboolean known;
+  gboolean teaches; /* holds others for the same object, see TG_PICK_HOLD */
   gboolean waited;
   int64_t began_us;
   GList node;
@@ -97,13 +129,20 @@
 {
   char *zone;
   char *region;
+  uint32_t region_count;
   GHashTable *targets;     /* id to TgTarget */
-  GHashTable *services;    /* name to GPtrArray of TgTarget */
+  GHashTable *services;    /* name to TgService */
   GHashTable *routes;      /* name to TgRoute */
   GHashTable *evacuated;   /* zones */
   GHashTable *cold_shares; /* zone to double */
 };
 
+TgService *tg_service (TgSet *set, const char *name);
+/* The object of a request with its homes; NULL without an object.  */
+TgObject *tg_place (TgSet *set, TgService *service, uint64_t object_hash,
+                    int64_t now_us);
+gboolean tg_is_in_service (const TgSet *set, const TgTarget *target);
+uint64_t tg_rank (const TgTarget *target, uint64_t object_hash);
 TgRoute *tg_route (TgSet *set, const TgQuery *query);
 double tg_error_share (const TgTarget *target, int64_t now_us);
 uint64_t tg_hash (const char *text);
--- a/target/pick.c
+++ b/target/pick.c
@@ -103,15 +103,27 @@
         = MIN (1.0, target->cold_tokens + seconds * cold_per_s * *share);
 }
 
+gboolean
+tg_is_in_service (const TgSet *set, const TgTarget *target)
+{
+  return !target->draining && !target->gone && !target->misplaced
+         && (g_hash_table_size (set->evacuated) == 0
+             || !g_hash_table_contains (set->evacuated, target->zone));
+}
+
+uint64_t
+tg_rank (const TgTarget *target, uint64_t object_hash)
+{
+  return XXH3_64bits_withSeed (&object_hash, sizeof object_hash,
+                               target->id_hash);
+}
+
 static gboolean
 is_allowed (const TgSet *set, TgTarget *target, const TgQuery *query,
             int64_t now_us)
 {
-  if (target->draining || target->gone || target->misplaced
-      || target->id_hash == query->except || target->use_count >= query->uses_max)
-    return FALSE;
-  if (g_hash_table_size (set->evacuated) > 0
-      && g_hash_table_contains (set->evacuated, target->zone))
+  if (!tg_is_in_service (set, target) || target->id_hash == query->except
+      || target->use_count >= query->uses_max)
     return FALSE;
   if (!rt_is_home (query->homes, target->region)
       || !rt_is_home (query->customer_homes, target->region))
@@ -135,7 +147,7 @@
 
 static void
 estimate (const TgTarget *target, const TgQuery *query, const TgRoute *route,
-          int64_t now_us, TgChoice *choice)
+          int64_t queued_us, int64_t now_us, TgChoice *choice)
 {
   static const int64_t distances[] = {
     [TG_SAME_ZONE] = 0,
@@ -145,13 +157,13 @@
   double slow = slowness (target, route, now_us);
   double ahead = load (target, now_us) + 1 - target->slots_count;
   uint64_t key = query->object_hash != 0 ? query->object_hash : query->spread;
-  uint64_t rank = XXH3_64bits_withSeed (&key, sizeof key, target->id_hash);
+  uint64_t rank = tg_rank (target, key);
   int64_t service_us;
 
   choice->target = (TgTarget *)target;
   choice->known = tg_knows (target, query->object_hash);
   service_us = choice->known ? route->known_us : route->unknown_us;
-  choice->wait_us = ahead > 0 ? (int64_t)(ahead * slow * (double)route->known_us
+  choice->wait_us = ahead > 0 ? (int64_t)(ahead * slow * (double)queued_us
                                           / target->slots_count)
                               : 0;
   if (target->full_until_us > now_us)
@@ -164,33 +176,79 @@
         + (int64_t)(rank >> 40) * TG_RANK_COST_US / (1 << 24);
 }
 
-TgPick
-tg_pick (TgSet *set, const TgQuery *query, int64_t now_us, TgChoice *choice)
+typedef struct
 {
-  const GPtrArray *targets
-      = g_hash_table_lookup (set->services, query->service);
-  const TgRoute *route = tg_route (set, query);
-  gboolean any_allowed = FALSE;
-  gboolean found = FALSE;
+  TgSet *set;
+  const TgQuery *query;
+  const TgRoute *route;
+  int64_t queued_us; /* service time of those in a queue */
+  int64_t now_us;
+  gboolean any_allowed;
+  gboolean found;
+  TgChoice *choice;
+} Search;
+
+static void
+consider (Search *search, TgTarget *target, int64_t wait_max_us)
+{
+  TgChoice candidate;
+
+  if (!is_allowed (search->set, target, search->query, search->now_us))
+    return;
+  search->any_allowed = TRUE;
+  if (is_paused (target, search->now_us))
+    return;
+  estimate (target, search->query, search->route, search->queued_us,
+            search->now_us, &candidate);
+  if (candidate.wait_us > wait_max_us)
+    return;
+  if (search->found && candidate.cost_us >= search->choice->cost_us)
+    return;
+  *search->choice = candidate;
+  search->found = TRUE;
+}
 
-  for (guint i = 0; targets != NULL && i < targets->len; i++)
+static gboolean
+is_being_taught (const TgTarget *target, uint64_t object_hash)
+{
+  for (const GList *node = target->uses.head; node != NULL; node = node->next)
     {
-      TgTarget *target = targets->pdata[i];
-      TgChoice candidate;
-      if (!is_allowed (set, target, query, now_us))
-        continue;
-      any_allowed = TRUE;
-      if (is_paused (target, now_us))
-        continue;
-      estimate (target, query, route, now_us, &candidate);
-      if (candidate.wait_us > query->wait_max_us)
-        continue;
-      if (found && candidate.cost_us >= choice->cost_us)
-        continue;
-      *choice = candidate;
-      found = TRUE;
+      const TgUse *use = node->data;
+      if (use->teaches && use->object_hash == object_hash)
+        return TRUE;
     }
-  if (found)
+  return FALSE;
+}
+
+/* Requests for a placed object go elsewhere only where nothing waits: a target
+   that does not know the object takes several times as long, and forgets
+   another object for it.  */
+TgPick
+tg_pick (TgSet *set, const TgQuery *query, int64_t now_us, TgChoice *choice)
+{
+  TgService *service = tg_service (set, query->service);
+  const TgObject *object
+      = tg_place (set, service, query->object_hash, now_us);
+  Search search = {
+    .set = set,
+    .query = query,
+    .route = tg_route (set, query),
+    .now_us = now_us,
+    .choice = choice,
+  };
+
+  search.queued_us = service->service_us != 0 ? service->service_us
+                                              : search.route->known_us;
+  for (int i = 0; object != NULL && i < TG_HOMES; i++)
+    if (object->homes[i] != NULL)
+      consider (&search, object->homes[i], query->wait_max_us);
+  for (guint i = 0; !search.found && i < service->targets->len; i++)
+    consider (&search, service->targets->pdata[i],
+              object != NULL ? 0 : query->wait_max_us);
+  if (search.found && query->may_hold && object != NULL && !choice->known
+      && is_being_taught (choice->target, query->object_hash))
+    return TG_PICK_HOLD;
+  if (search.found)
     return TG_PICK_FOUND;
-  return any_allowed ? TG_PICK_FULL : TG_PICK_NONE;
+  return search.any_allowed ? TG_PICK_FULL : TG_PICK_NONE;
 }
--- a/target/target.c
+++ b/target/target.c
@@ -19,6 +19,17 @@
   g_free (target);
 }
 
+static void
+free_service (gpointer data)
+{
+  TgService *service = data;
+
+  g_hash_table_unref (service->objects);
+  g_ptr_array_unref (service->targets);
+  g_free (service->name);
+  g_free (service);
+}
+
 TgSet *
 tg_new (const TgOptions *options)
 {
@@ -26,10 +37,11 @@
 
   set->zone = g_strdup (options->zone);
   set->region = g_strdup (options->region);
+  set->region_count = MAX (1, options->region_count);
   set->targets = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                         unref_target);
-  set->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                         (GDestroyNotify)g_ptr_array_unref);
+  set->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                         free_service);
   set->routes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   set->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   set->cold_shares
@@ -52,28 +64,50 @@
   g_free (set);
 }
 
-static GPtrArray *
-service_of (TgSet *set, const char *name)
+TgService *
+tg_service (TgSet *set, const char *name)
 {
-  GPtrArray *targets = g_hash_table_lookup (set->services, name);
+  TgService *service = g_hash_table_lookup (set->services, name);
 
-  if (targets == NULL)
+  if (service == NULL)
     {
-      targets = g_ptr_array_new ();
-      g_hash_table_insert (set->services, g_strdup (name), targets);
+      service = g_new0 (TgService, 1);
+      service->name = g_strdup (name);
+      service->targets = g_ptr_array_new ();
+      service->objects
+          = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+      g_hash_table_insert (set->services, service->name, service);
     }
-  return targets;
+  return service;
+}
+
+/* Homes must not outlive their target.  */
+static void
+forget_homes (TgService *service, const TgTarget *target)
+{
+  GHashTableIter objects;
+  gpointer value;
+
+  service->unplaced = TRUE;
+  g_hash_table_iter_init (&objects, service->objects);
+  while (g_hash_table_iter_next (&objects, NULL, &value))
+    for (int i = 0; i < TG_HOMES; i++)
+      if (((TgObject *)value)->homes[i] == target)
+        ((TgObject *)value)->homes[i] = NULL;
 }
 
 gboolean
 tg_remove (TgSet *set, const char *id)
 {
   TgTarget *target = g_hash_table_lookup (set->targets, id);
+  TgService *service;
 
   if (target == NULL)
     return FALSE;
+  service = tg_service (set, target->service);
   target->gone = TRUE;
-  g_ptr_array_remove_fast (service_of (set, target->service), target);
+  g_ptr_array_remove_fast (service->targets, target);
+  forget_homes (service, target);
   g_hash_table_remove (set->targets, id);
   return TRUE;
 }
@@ -106,7 +140,7 @@
   target->slowness = 1;
   target->cold_tokens = 1;
   g_hash_table_insert (set->targets, target->id, target);
-  g_ptr_array_add (service_of (set, entry->service), target);
+  g_ptr_array_add (tg_service (set, entry->service)->targets, target);
   return target;
 }
 
@@ -136,6 +170,8 @@
   changed = target == NULL || target->draining != entry->draining;
   if (target == NULL)
     target = add (set, entry);
+  if (changed)
+    tg_service (set, entry->service)->unplaced = TRUE;
   target->slots_count = MAX (1, entry->slots_count);
   target->draining = entry->draining;
   target->report_number = entry->report_number;
@@ -158,14 +194,20 @@
 uint32_t
 tg_count (const TgSet *set, const char *service)
 {
-  GPtrArray *targets = g_hash_table_lookup (set->services, service);
+  const TgService *found = g_hash_table_lookup (set->services, service);
 
-  return targets != NULL ? targets->len : 0;
+  return found != NULL ? found->targets->len : 0;
 }
 
 void
 tg_evacuate (TgSet *set, const char *zone, gboolean evacuated)
 {
+  GHashTableIter services;
+  gpointer service;
+
+  g_hash_table_iter_init (&services, set->services);
+  while (g_hash_table_iter_next (&services, NULL, &service))
+    ((TgService *)service)->unplaced = TRUE;
   if (evacuated)
     g_hash_table_add (set->evacuated, g_strdup (zone));
   else
@@ -209,8 +251,10 @@
 
   use->target = target;
   use->route = tg_route (set, query);
+  use->service = tg_service (set, query->service);
   use->object_hash = query->object_hash;
   use->known = choice->known;
+  use->teaches = query->object_hash != 0 && !choice->known;
   use->waited = choice->wait_us > 0;
   use->began_us = now_us;
   use->node.data = use;
@@ -219,7 +263,6 @@
   g_queue_push_tail_link (&target->uses, &use->node);
   if (target->cold_until_us > now_us)
     target->cold_tokens -= 1;
-  tg_remember (target, query->object_hash);
   return use;
 }
 
@@ -258,6 +301,9 @@
   use->target->slowness_us = now_us;
   if (use->waited)
     return;
+  use->service->service_us = use->service->service_us == 0
+                                 ? took_us
+                                 : average (use->service->service_us, took_us);
   route->samples++;
   if (known)
     route->known_us = average (route->known_us, took_us);
@@ -296,6 +342,7 @@
   switch (end->kind)
     {
     case TG_END_ANSWERED:
+      tg_remember (target, use->object_hash);
       target->lost_count = 0;
       learn_errors (target, FALSE, now_us);
       learn_time (use, now_us);
@@ -310,6 +357,7 @@
       break;
     case TG_END_MISPLACED:
       target->misplaced = TRUE;
+      use->service->unplaced = TRUE;
       break;
     case TG_END_LOST:
       learn_failure (target, now_us);
@@ -327,6 +375,24 @@
   return use->target;
 }
 
+gboolean
+tg_use_teaches (const TgUse *use)
+{
+  return use->teaches;
+}
+
+uint64_t
+tg_use_object (const TgUse *use)
+{
+  return use->object_hash;
+}
+
+int64_t
+tg_unknown_us (TgSet *set, const TgQuery *query)
+{
+  return tg_route (set, query)->unknown_us;
+}
+
 uint64_t
 tg_key (const TgTarget *target)
 {
--- a/target/target.h
+++ b/target/target.h
@@ -16,12 +16,22 @@
      published, its load from its answers and from the requests under way,
      its recent failures and speed, and the objects it has lately handled.
 
-     tg_pick estimates for each target the time until the answer: time in the
+     Objects are placed on a few targets each, so that targets know the
+     objects that they are asked for: in the daemon's own region where it has
+     room, in different zones if possible, and elsewhere for the rest.  The
+     placement depends on the objects and targets alone, so daemons of a region
+     agree without a message.
+
+     tg_pick estimates for each candidate the time until the answer: time in the
      queue, service time for a known or an unknown object, distance, and the
      expected cost of a failure.  The least estimate wins; equal ones are
      decided by a rendezvous hash of the object, so that daemons which know
      nothing of each other send an object to the same targets.
 
+     While a target handles an object for the first time, further requests for
+     the object do better to wait for the end of that: together both take less
+     time than each would alone, and a third of the work.
+
      A cold target takes requests only within this daemon's share of what it
      bears.  A target is never chosen while its zone is evacuated, after it
      has reported that it leaves, or outside the homes of the request.
@@ -46,6 +56,7 @@
 {
   const char *zone;
   const char *region;
+  uint32_t region_count; /* regions with clients */
 } TgOptions;
 
 /* What a target says of itself.  */
@@ -76,6 +87,7 @@
   int64_t latency_us;     /* target latency of the route */
   int64_t wait_max_us;    /* longer queues are refused */
   uint32_t uses_max;      /* own requests at one target */
+  gboolean may_hold;      /* TG_PICK_HOLD is useful */
 } TgQuery;
 
 typedef enum
@@ -83,6 +95,7 @@
   TG_PICK_FOUND,
   TG_PICK_NONE, /* no target may be used */
   TG_PICK_FULL, /* all targets have long queues */
+  TG_PICK_HOLD, /* a request under way teaches a target the object */
 } TgPick;
 
 typedef struct
@@ -139,6 +152,11 @@
 TgTarget *tg_use_target (const TgUse *use);
 /* Stands for a target also when it is gone; never 0.  */
 uint64_t tg_key (const TgTarget *target);
+/* Whether requests for its object may be held for it.  */
+gboolean tg_use_teaches (const TgUse *use);
+uint64_t tg_use_object (const TgUse *use);
+/* Time that targets need for an object that they do not know.  */
+int64_t tg_unknown_us (TgSet *set, const TgQuery *query);
 const char *tg_id (const TgTarget *target);
 const char *tg_address (const TgTarget *target);
 const char *tg_zone (const TgTarget *target);
