--- a/target/internal.h
+++ b/target/internal.h
@@ -87,6 +87,7 @@
   TgDistance distance;
   uint32_t placed_count; /* objects whose home it is */
   uint32_t object_room;  /* further ones that fit */
+  gboolean is_spare;     /* may get objects that are not placed on it */
   uint32_t slots_count;
   gboolean draining;
   gboolean gone;
@@ -106,6 +107,7 @@
   int64_t paused_until_us;
   double error_share;
   int64_t error_us;
+  double forgets_share; /* of requests for objects it should have known */
   double slowness; /* time taken over time expected */
   int64_t slowness_us;
   uint64_t objects[TG_OBJECTS_MAX]; /* most recent first */
--- a/target/pick.c
+++ b/target/pick.c
@@ -162,7 +162,12 @@
 
   choice->target = (TgTarget *)target;
   choice->known = tg_knows (target, query->object_hash);
-  service_us = choice->known ? route->known_us : route->unknown_us;
+  service_us = choice->known
+                   ? route->known_us
+                         + (int64_t)(target->forgets_share
+                                     * (double)(route->unknown_us
+                                                - route->known_us))
+                   : route->unknown_us;
   choice->wait_us = ahead > 0 ? (int64_t)(ahead * slow * (double)queued_us
                                           / target->slots_count)
                               : 0;
@@ -223,6 +228,22 @@
 /* Requests for a placed object go elsewhere only where nothing waits: a target
    that does not know the object takes several times as long, and forgets
    another object for it.  */
+static void
+consider_all (Search *search, const TgService *service,
+              const TgObject *object)
+{
+  gboolean has_home = search->any_allowed;
+
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      TgTarget *target = service->targets->pdata[i];
+      if (!has_home || target->is_spare)
+        consider (search, target,
+                  object != NULL && has_home ? 0
+                                             : search->query->wait_max_us);
+    }
+}
+
 TgPick
 tg_pick (TgSet *set, const TgQuery *query, int64_t now_us, TgChoice *choice)
 {
@@ -242,9 +263,8 @@
   for (int i = 0; object != NULL && i < TG_HOMES; i++)
     if (object->homes[i] != NULL)
       consider (&search, object->homes[i], query->wait_max_us);
-  for (guint i = 0; !search.found && i < service->targets->len; i++)
-    consider (&search, service->targets->pdata[i],
-              object != NULL ? 0 : query->wait_max_us);
+  if (!search.found)
+    consider_all (&search, service, object);
   if (search.found && query->may_hold && object != NULL && !choice->known
       && is_being_taught (choice->target, query->object_hash))
     return TG_PICK_HOLD;
--- a/target/target.c
+++ b/target/target.c
@@ -295,6 +295,10 @@
   int64_t expected_us = known ? route->known_us : route->unknown_us;
   double ratio = (double)took_us / (double)MAX (1, expected_us);
 
+  if (use->known)
+    use->target->forgets_share
+        += ((known ? 0.0 : 1.0) - use->target->forgets_share)
+           / TG_AVERAGE_WEIGHT;
   use->target->slowness += (CLAMP (ratio, 0.5, TG_SLOWNESS_MAX)
                             - use->target->slowness)
                            / TG_AVERAGE_WEIGHT;
