--- a/entry/entry.c
+++ b/entry/entry.c
@@ -18,7 +18,7 @@
    are taken until this much of the grace time is left.  */
 #define STOP_FINISH_MS 2300
 /* The end of the grace time that is left for the exit.  */
-#define STOP_EXIT_MS 200
+#define STOP_EXIT_MS 400
 
 struct EnEntry
 {
--- a/entry/send.c
+++ b/entry/send.c
@@ -52,6 +52,7 @@
     = request->customer != NULL ? request->customer->homes : NULL,
     .except = request->failed,
     .cold_per_s = service->cold_per_s,
+    .cold_ms = service->cold_ms,
     .latency_us = latency_us,
     .wait_max_us = latency_us * percent / 100,
     .may_hold = !request->was_held,
--- a/entry/view.c
+++ b/entry/view.c
@@ -71,7 +71,7 @@
 {
   EnView *view = data;
 
-  tg_evacuate (view->targets, zone, evacuated);
+  tg_evacuate (view->targets, zone, evacuated, ck_boot_us ());
   tr_line (view->options.trace,
            evacuated ? EV_ZONE_EVACUATED : EV_ZONE_RESTORED, "zone=%s", zone);
 }
--- /dev/null
+++ b/gossip/gossip_test.cc
@@ -0,0 +1,160 @@
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+extern "C"
+{
+#include "gossip/gossip.h"
+}
+
+namespace
+{
+
+struct Heard
+{
+  std::vector<std::string> names;
+  std::vector<double> demands;
+  struct event_base *base;
+};
+
+void
+OnReport (const FlReport *report, void *data)
+{
+  auto *heard = static_cast<Heard *> (data);
+  heard->names.push_back (report->name);
+  for (uint32_t i = 0; i < report->demand_count; i++)
+    heard->demands.push_back (report->demands[i].per_s);
+  event_base_loopbreak (heard->base);
+}
+
+std::string
+FreeAddress ()
+{
+  struct sockaddr_in address = {};
+  socklen_t length = sizeof address;
+  int fd = socket (AF_INET, SOCK_DGRAM, 0);
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  EXPECT_EQ (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
+  getsockname (fd, (struct sockaddr *)&address, &length);
+  close (fd);
+  return "127.0.0.1:" + std::to_string (ntohs (address.sin_port));
+}
+
+FlReport
+Report (const char *name)
+{
+  FlReport report = {};
+  report.name = name;
+  report.zone = "a1";
+  report.region = "a";
+  report.front_address = "127.0.0.1:1";
+  report.gossip_address = "127.0.0.1:2";
+  return report;
+}
+
+class Gossip : public testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    heard.base = event_base_new ();
+    listen = FreeAddress ();
+    GoOptions options = { heard.base, listen.c_str (), OnReport, &heard };
+    gossip = go_new (&options, nullptr);
+    ASSERT_NE (gossip, nullptr);
+  }
+
+  void
+  TearDown () override
+  {
+    go_free (gossip);
+    event_base_free (heard.base);
+  }
+
+  void
+  Wait ()
+  {
+    struct timeval limit = { 5, 0 };
+    event_base_loopexit (heard.base, &limit);
+    event_base_dispatch (heard.base);
+  }
+
+  Heard heard;
+  std::string listen;
+  GoSocket *gossip;
+};
+
+/* Guards against fields lost between two daemons.  */
+TEST_F (Gossip, CarriesAReport)
+{
+  FlDemand demand = { "c1", 2.5 };
+  FlReport report = Report ("vm2");
+  report.demands = &demand;
+  report.demand_count = 1;
+  go_send (gossip, listen.c_str (), &report);
+  Wait ();
+  EXPECT_EQ (heard.names, std::vector<std::string>{ "vm2" });
+  EXPECT_EQ (heard.demands, std::vector<double>{ 2.5 });
+}
+
+/* Guards against a datagram of somebody else ending the daemon.  */
+TEST_F (Gossip, CountsAndDropsWhatItCannotRead)
+{
+  FlReport report = Report ("vm3");
+  struct sockaddr_in to = {};
+  int fd = socket (AF_INET, SOCK_DGRAM, 0);
+  to.sin_family = AF_INET;
+  to.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  to.sin_port
+      = htons ((uint16_t)std::stoi (listen.substr (listen.find (':') + 1)));
+  sendto (fd, "\xff\xff junk", 7, 0, (struct sockaddr *)&to, sizeof to);
+  sendto (fd, "", 0, 0, (struct sockaddr *)&to, sizeof to);
+  close (fd);
+  go_send (gossip, listen.c_str (), &report);
+  Wait ();
+  EXPECT_EQ (heard.names, std::vector<std::string>{ "vm3" });
+  EXPECT_EQ (go_counters (gossip)->malformed_count, 2u);
+}
+
+/* Guards against a report of many customers that is not sent at all.  */
+TEST_F (Gossip, LeavesOutWhatDoesNotFit)
+{
+  std::vector<std::string> names;
+  std::vector<FlDemand> demands;
+  FlReport report = Report ("vm2");
+  for (int i = 0; i < 4000; i++)
+    names.push_back ("customer-with-a-long-name-" + std::to_string (i));
+  for (auto &name : names)
+    demands.push_back ({ name.c_str (), 1 });
+  report.demands = demands.data ();
+  report.demand_count = (uint32_t)demands.size ();
+  go_send (gossip, listen.c_str (), &report);
+  Wait ();
+  ASSERT_EQ (heard.names.size (), 1u);
+  EXPECT_GT (heard.demands.size (), 500u);
+}
+
+/* Guards against an address that is silently not listened on.  */
+TEST (GossipErrors, RefusesBadAddresses)
+{
+  struct event_base *base = event_base_new ();
+  GError *error = nullptr;
+  GoOptions options = { base, "nowhere", OnReport, nullptr };
+  EXPECT_EQ (go_new (&options, &error), nullptr);
+  EXPECT_TRUE (g_error_matches (error, GO_ERROR, GO_ERROR_ADDRESS));
+  g_clear_error (&error);
+  options.listen = "192.0.2.1:7";
+  EXPECT_EQ (go_new (&options, &error), nullptr);
+  EXPECT_TRUE (g_error_matches (error, GO_ERROR, GO_ERROR_LISTEN));
+  g_clear_error (&error);
+  event_base_free (base);
+}
+
+}
--- a/target/internal.h
+++ b/target/internal.h
@@ -21,6 +21,9 @@
 /* Half-life of what was learned of failures and speed, so that a target that
    recovers unseen is tried again.  */
 #define TG_ERROR_HALF_US 2000000
+/* Targets of a zone whose evacuation ends may be cold.  They report it within
+   about this time: a report every second or two, and a reading of them.  */
+#define TG_RESTORE_DOUBT_US 2500000
 /* Pause after a lost connection; doubles up to the longest.  */
 #define TG_PAUSE_FIRST_US 200000
 #define TG_PAUSE_MAX_US 3000000
@@ -94,7 +97,10 @@
   gboolean misplaced;
   int64_t started_ms;
   uint32_t report_number;
-  int64_t cold_until_us;
+  int64_t cold_until_us;   /* as it reported */
+  int64_t doubt_until_us;  /* taken as cold, whatever it reported before */
+  gboolean report_is_old;  /* it was lost since */
+  int64_t cold_us;         /* how long it is cold after a start */
   double cold_tokens;
   int64_t cold_filled_us;
 
@@ -124,6 +130,7 @@
   gboolean teaches; /* holds others for the same object, see TG_PICK_HOLD */
   gboolean waited;
   int64_t began_us;
+  int64_t cold_us; /* of the service's targets after a start */
   GList node;
 };
 
@@ -146,6 +153,7 @@
 gboolean tg_is_in_service (const TgSet *set, const TgTarget *target);
 uint64_t tg_rank (const TgTarget *target, uint64_t object_hash);
 TgRoute *tg_route (TgSet *set, const TgQuery *query);
+gboolean tg_is_cold (const TgTarget *target, int64_t now_us);
 double tg_error_share (const TgTarget *target, int64_t now_us);
 uint64_t tg_hash (const char *text);
 void tg_remember (TgTarget *target, uint64_t object_hash);
--- a/target/pick.c
+++ b/target/pick.c
@@ -103,6 +103,12 @@
         = MIN (1.0, target->cold_tokens + seconds * cold_per_s * *share);
 }
 
+gboolean
+tg_is_cold (const TgTarget *target, int64_t now_us)
+{
+  return MAX (target->cold_until_us, target->doubt_until_us) > now_us;
+}
+
 gboolean
 tg_is_in_service (const TgSet *set, const TgTarget *target)
 {
@@ -128,7 +134,7 @@
   if (!rt_is_home (query->homes, target->region)
       || !rt_is_home (query->customer_homes, target->region))
     return FALSE;
-  if (target->cold_until_us > now_us)
+  if (tg_is_cold (target, now_us))
     {
       fill_cold_tokens (set, target, query->cold_per_s, now_us);
       return target->cold_tokens >= 1;
--- a/target/target.c
+++ b/target/target.c
@@ -175,6 +175,9 @@
   target->slots_count = MAX (1, entry->slots_count);
   target->draining = entry->draining;
   target->report_number = entry->report_number;
+  if (target->report_is_old)
+    target->doubt_until_us = 0;
+  target->report_is_old = FALSE;
   target->cold_until_us = now_us + (int64_t)entry->cold_left_ms * 1000;
   return changed;
 }
@@ -199,12 +202,29 @@
   return found != NULL ? found->targets->len : 0;
 }
 
+static void
+doubt_zone (TgSet *set, const char *zone, int64_t now_us)
+{
+  GHashTableIter targets;
+  gpointer value;
+
+  g_hash_table_iter_init (&targets, set->targets);
+  while (g_hash_table_iter_next (&targets, NULL, &value))
+    {
+      TgTarget *target = value;
+      if (strcmp (target->zone, zone) == 0)
+        target->doubt_until_us = now_us + TG_RESTORE_DOUBT_US;
+    }
+}
+
 void
-tg_evacuate (TgSet *set, const char *zone, gboolean evacuated)
+tg_evacuate (TgSet *set, const char *zone, gboolean evacuated, int64_t now_us)
 {
   GHashTableIter services;
   gpointer service;
 
+  if (!evacuated && g_hash_table_contains (set->evacuated, zone))
+    doubt_zone (set, zone, now_us);
   g_hash_table_iter_init (&services, set->services);
   while (g_hash_table_iter_next (&services, NULL, &service))
     ((TgService *)service)->unplaced = TRUE;
@@ -257,11 +277,12 @@
   use->teaches = query->object_hash != 0 && !choice->known;
   use->waited = choice->wait_us > 0;
   use->began_us = now_us;
+  use->cold_us = query->cold_ms * 1000;
   use->node.data = use;
   target->references++;
   target->use_count++;
   g_queue_push_tail_link (&target->uses, &use->node);
-  if (target->cold_until_us > now_us)
+  if (tg_is_cold (target, now_us))
     target->cold_tokens -= 1;
   return use;
 }
@@ -315,15 +336,28 @@
     route->unknown_us = average (route->unknown_us, took_us);
 }
 
+/* A lost target may have started anew, and then is cold.  */
 static void
-learn_failure (TgTarget *target, int64_t now_us)
+learn_failure (TgTarget *target, int64_t cold_us, int64_t now_us)
 {
   int64_t pause_us = TG_PAUSE_FIRST_US << MIN (target->lost_count, 5);
 
+  target->report_is_old = TRUE;
+  target->cold_us = cold_us;
+
   target->lost_count++;
   target->paused_until_us = now_us + MIN (pause_us, TG_PAUSE_MAX_US);
 }
 
+static void
+learn_return (TgTarget *target, int64_t now_us)
+{
+  if (target->lost_count > 0 && target->report_is_old)
+    target->doubt_until_us
+        = MAX (target->doubt_until_us, now_us + target->cold_us);
+  target->lost_count = 0;
+}
+
 static void
 learn_errors (TgTarget *target, gboolean failed, int64_t now_us)
 {
@@ -347,7 +381,7 @@
     {
     case TG_END_ANSWERED:
       tg_remember (target, use->object_hash);
-      target->lost_count = 0;
+      learn_return (target, now_us);
       learn_errors (target, FALSE, now_us);
       learn_time (use, now_us);
       break;
@@ -364,7 +398,7 @@
       use->service->unplaced = TRUE;
       break;
     case TG_END_LOST:
-      learn_failure (target, now_us);
+      learn_failure (target, use->cold_us, now_us);
       break;
     case TG_END_CANCELLED:
       break;
--- a/target/target.h
+++ b/target/target.h
@@ -33,7 +33,8 @@
      time than each would alone, and a third of the work.
 
      A cold target takes requests only within this daemon's share of what it
-     bears.  A target is never chosen while its zone is evacuated, after it
+     bears.  One that answers again after it was lost, or whose zone was just
+     restored, counts as cold until it has reported.  A target is never chosen while its zone is evacuated, after it
      has reported that it leaves, or outside the homes of the request.
 
      The package reads no clock and does no I/O.  Times are of one monotonic
@@ -84,6 +85,7 @@
   const char *const *customer_homes;
   uint64_t except;        /* tg_key of one that failed this request, or 0 */
   double cold_per_s;      /* that a cold target of the service bears */
+  int64_t cold_ms;        /* how long one is cold after its start */
   int64_t latency_us;     /* target latency of the route */
   int64_t wait_max_us;    /* longer queues are refused */
   uint32_t uses_max;      /* own requests at one target */
@@ -137,7 +139,8 @@
 uint32_t tg_count (const TgSet *set, const char *service);
 
 /* Nothing more is chosen in ZONE, or again where EVACUATED is FALSE.  */
-void tg_evacuate (TgSet *set, const char *zone, gboolean evacuated);
+void tg_evacuate (TgSet *set, const char *zone, gboolean evacuated,
+                  int64_t now_us);
 
 /* The part of what cold targets of ZONE bear that this daemon may use.  */
 void tg_set_cold_share (TgSet *set, const char *zone, double share);
