target: send a placed object to its homes only

Refusing what its homes cannot carry keeps the fleet fast. Test: Target.RefusesRatherThanSpreadsAnObject failed before. The log line of a send tells whether a target is a home.

--- a/entry/send.c
+++ b/entry/send.c
@@ -92,13 +92,14 @@
   tr_line (proxy->options.trace,
            request->sends > 0 ? EV_REQUEST_RETRIED : EV_REQUEST_SENT,
            "request=%s route=%s service=%s customer=%s target=%s zone=%s "
-           "object=%04x known=%d wait_ms=%" G_GINT64_FORMAT " cost_ms=%" G_GINT64_FORMAT
+           "object=%04x placed=%d known=%d wait_ms=%" G_GINT64_FORMAT " cost_ms=%" G_GINT64_FORMAT
            " left_ms=%s config=%" G_GUINT64_FORMAT
            " config_age_ms=%" G_GINT64_FORMAT,
            request->id, request->route->name, request->service,
            request->customer != NULL ? request->customer->name : "-",
            tg_id (choice->target), tg_zone (choice->target),
-           (uint32_t)(request->object_hash & 0xffff), choice->known,
+           (uint32_t)(request->object_hash & 0xffff), choice->placed,
+           choice->known,
            choice->wait_us / 1000, choice->cost_us / 1000, left,
            rt_version (request->config),
            en_view_age_us (proxy->options.view, now_us) / 1000);
--- a/target/internal.h
+++ b/target/internal.h
@@ -90,7 +90,6 @@
   TgDistance distance;
   uint32_t placed_count; /* objects whose home it is */
   uint32_t object_room;  /* further ones that fit */
-  gboolean is_spare;     /* may get objects that are not placed on it */
   uint32_t slots_count;
   gboolean draining;
   gboolean gone;
--- a/target/pick.c
+++ b/target/pick.c
@@ -200,7 +200,7 @@
 } Search;
 
 static void
-consider (Search *search, TgTarget *target, int64_t wait_max_us)
+consider (Search *search, TgTarget *target)
 {
   TgChoice candidate;
 
@@ -211,7 +211,7 @@
     return;
   estimate (target, search->query, search->route, search->queued_us,
             search->now_us, &candidate);
-  if (candidate.wait_us > wait_max_us)
+  if (candidate.wait_us > search->query->wait_max_us)
     return;
   if (search->found && candidate.cost_us >= search->choice->cost_us)
     return;
@@ -231,25 +231,9 @@
   return FALSE;
 }
 
-/* Requests for a placed object go elsewhere only where nothing waits: a target
-   that does not know the object takes several times as long, and forgets
-   another object for it.  */
-static void
-consider_all (Search *search, const TgService *service,
-              const TgObject *object)
-{
-  gboolean has_home = search->any_allowed;
-
-  for (guint i = 0; i < service->targets->len; i++)
-    {
-      TgTarget *target = service->targets->pdata[i];
-      if (!has_home || target->is_spare)
-        consider (search, target,
-                  object != NULL && has_home ? 0
-                                             : search->query->wait_max_us);
-    }
-}
-
+/* Requests for a placed object go elsewhere only where no home may be used: a
+   target that does not know the object takes several times as long, and
+   forgets another object for it.  */
 TgPick
 tg_pick (TgSet *set, const TgQuery *query, int64_t now_us, TgChoice *choice)
 {
@@ -263,14 +247,19 @@
     .now_us = now_us,
     .choice = choice,
   };
+  gboolean has_home;
 
   search.queued_us = service->service_us != 0 ? service->service_us
                                               : search.route->known_us;
   for (int i = 0; object != NULL && i < TG_HOMES; i++)
     if (object->homes[i] != NULL)
-      consider (&search, object->homes[i], query->wait_max_us);
-  if (!search.found)
-    consider_all (&search, service, object);
+      consider (&search, object->homes[i]);
+  has_home = search.any_allowed;
+  for (guint i = 0; !has_home && i < service->targets->len; i++)
+    consider (&search, service->targets->pdata[i]);
+  choice->placed = search.found && object != NULL
+                   && (choice->target == object->homes[0]
+                       || choice->target == object->homes[1]);
   if (search.found && query->may_hold && object != NULL && !choice->known
       && is_being_taught (choice->target, query->object_hash))
     return TG_PICK_HOLD;
--- a/target/place.c
+++ b/target/place.c
@@ -132,17 +132,6 @@
   return own <= fair ? own + own / TG_ROOM_SPARE + TG_ROOM_SPARE : fair;
 }
 
-/* Whether a target can do with objects that are not placed on it.  */
-static gboolean
-has_spare_room (const TgSet *set, const TgService *service,
-                const TgTarget *target, uint32_t fair)
-{
-  uint32_t objects = g_hash_table_size (service->objects);
-  uint32_t there = count_in_region (set, service, target->region);
-
-  return there * fair >= TG_HOMES * objects;
-}
-
 static void
 set_rooms (TgSet *set, TgService *service)
 {
@@ -158,7 +147,6 @@
     {
       TgTarget *target = service->targets->pdata[i];
       uint32_t room = room_of (set, service, target, fair);
-      target->is_spare = has_spare_room (set, service, target, fair);
       target->object_room
           = room > target->placed_count ? room - target->placed_count : 0;
     }
--- a/target/target.h
+++ b/target/target.h
@@ -103,7 +103,8 @@
 typedef struct
 {
   TgTarget *target;
-  gboolean known; /* the object was lately handled there */
+  gboolean known;  /* the object was lately handled there */
+  gboolean placed; /* it is a home of the object */
   int64_t wait_us;
   int64_t cost_us;
 } TgChoice;
--- a/target/target_test.cc
+++ b/target/target_test.cc
@@ -231,6 +231,27 @@
     EXPECT_LE (targets.size (), 2u) << object;
 }
 
+/* Guards against a burst that spreads objects over targets which do not know
+   them: all of them then forget what they knew (ctdc-lidar scale-2).  */
+TEST_F (Target, RefusesRatherThanSpreadsAnObject)
+{
+  std::set<std::string> seen;
+  int refused = 0;
+  for (int i = 0; i < 6; i++)
+    Add (("t" + std::to_string (i)).c_str (), i < 3 ? "a1" : "a2");
+  for (int i = 0; i < 100; i++)
+    {
+      TgUse *use = Begin (Query (7919));
+      now_us += kMs;
+      if (use == nullptr)
+        refused++;
+      else
+        seen.insert (tg_id (tg_use_target (use)));
+    }
+  EXPECT_LE (seen.size (), 2u);
+  EXPECT_GT (refused, 0);
+}
+
 /* Guards against a target that lost objects being counted as knowing them, and
    against an object's homes pointing at a target that is gone.  */
 TEST_F (Target, PlacesObjectsAnewWhenATargetGoes)
