--- a/entry/shares.h
+++ b/entry/shares.h
@@ -16,7 +16,7 @@
 #include "limit/budget.h"
 #include "limit/limit.h"
 #include "platform/platform.h"
-#include "target/target.h"
+#include "targets/targets.h"
 #include "trace/trace.h"
 
 typedef struct EnShares EnShares;
--- a/target/internal.h
+++ b/targets/internal.h
@@ -3,7 +3,7 @@
 #ifndef TG_INTERNAL_H
 #define TG_INTERNAL_H
 
-#include "target/target.h"
+#include "targets/targets.h"
 
 /* Averages give a new sample this part of the whole.  */
 #define TG_AVERAGE_WEIGHT 8
--- a/target/pick.c
+++ b/targets/pick.c
@@ -3,7 +3,7 @@
 #include <xxhash.h>
 
 #include "route/route.h"
-#include "target/internal.h"
+#include "targets/internal.h"
 
 /* A request that is older than this many expected times marks its target as
    slow before it is answered.  */
--- a/target/place.c
+++ b/targets/place.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "target/internal.h"
+#include "targets/internal.h"
 
 /* An object and a target that may be its home.  */
 typedef struct
--- a/target/target.c
+++ b/targets/targets.c
@@ -1,8 +1,8 @@
-#include "target/target.h"
+#include "targets/targets.h"
 
 #include <string.h>
 
-#include "target/internal.h"
+#include "targets/internal.h"
 
 static void
 unref_target (gpointer data)
--- a/target/target.h
+++ b/targets/targets.h
@@ -1,4 +1,4 @@
-/* target.h - the targets of all services and the choice among them
+/* targets.h - the targets of all services and the choice among them
 
    SYNOPSIS
      TgSet *set = tg_new (&(TgOptions){ .zone = "a1", .region = "a" });
@@ -43,8 +43,8 @@
    ERRORS
      TgPick tells why no target was chosen.  */
 
-#ifndef TG_TARGET_H
-#define TG_TARGET_H
+#ifndef TG_TARGETS_H
+#define TG_TARGETS_H
 
 #include <glib.h>
 #include <stdint.h>
--- a/target/target_test.cc
+++ b/targets/targets_test.cc
@@ -6,7 +6,7 @@
 
 extern "C"
 {
-#include "target/target.h"
+#include "targets/targets.h"
 }
 
 namespace
