entry: one daemon of a region reads targets and tells the others of changes

Change: the ready daemon of a region with the first name reads, and sends changes with their revisions; a daemon that misses some, or hears nothing for 1.3 s, reads for itself.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -77,6 +77,23 @@
     en_shares_announce (entry->shares);
 }
 
+static void
+on_own_news (const GoNews *news, void *data)
+{
+  EnEntry *entry = data;
+
+  if (entry->shares != NULL)
+    en_shares_tell (entry->shares, news);
+}
+
+static void
+on_told_news (const GoNews *news, void *data)
+{
+  EnEntry *entry = data;
+
+  en_view_take_news (entry->view, news);
+}
+
 static void
 before_metrics (void *data)
 {
@@ -210,11 +227,13 @@
                          .trace = entry->trace,
                          .on_config = on_config,
                          .on_change = on_change,
+                         .on_news = on_own_news,
                          .data = entry };
   EnSharesOptions shares = { .base = entry->base,
                              .settings = entry->settings,
                              .store = entry->store,
                              .trace = entry->trace,
+                             .on_news = on_told_news,
                              .is_ready = is_ready,
                              .data = entry };
   EnProxyOptions proxy = { .base = entry->base,
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -428,6 +428,7 @@
 {
   if (proxy == NULL)
     return;
+  /* Cancels the requests that are under way.  */
   fr_free (proxy->front);
   bk_pool_free (proxy->pool);
   g_clear_pointer (&proxy->held, g_hash_table_unref);
--- a/entry/shares.c
+++ b/entry/shares.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #include "clock/clock.h"
-#include "gossip/gossip.h"
 
 /* Demand shifts over seconds, and a member is silent after three reports.  */
 #define REPORT_MS 1000
@@ -222,6 +221,14 @@
   divide (shares, now_us);
 }
 
+static void
+on_news (const GoNews *news, void *data)
+{
+  EnShares *shares = data;
+
+  shares->options.on_news (news, shares->options.data);
+}
+
 static void
 on_member (const char *gossip_address, void *data)
 {
@@ -256,6 +263,7 @@
   GoOptions gossip = { .base = options->base,
                        .listen = settings->gossip_listen,
                        .on_report = on_report,
+                       .on_news = on_news,
                        .data = shares };
   PfFeedOptions members = { .kind = PF_FEED_MEMBERS,
                             .wait_ms = MEMBERS_WAIT_MS,
@@ -315,6 +323,56 @@
     report_to_all (shares, ck_boot_us ());
 }
 
+typedef struct
+{
+  EnShares *shares;
+  const GoNews *news;
+  int64_t now_us;
+  gboolean has_earlier; /* a member that reads in place of this daemon */
+} Telling;
+
+static gboolean
+is_region_peer (const Telling *telling, const FlMember *member)
+{
+  return fl_is_live (member, telling->now_us)
+         && strcmp (member->region,
+                    telling->shares->options.settings->region)
+                == 0;
+}
+
+static void
+look_for_earlier (const FlMember *member, void *data)
+{
+  Telling *telling = data;
+
+  if (is_region_peer (telling, member) && member->ready
+      && strcmp (member->name, telling->shares->options.settings->vm) < 0)
+    telling->has_earlier = TRUE;
+}
+
+static void
+tell_member (const FlMember *member, void *data)
+{
+  Telling *telling = data;
+
+  if (is_region_peer (telling, member))
+    go_send_news (telling->shares->gossip, member->gossip_address,
+                  telling->news);
+}
+
+void
+en_shares_tell (EnShares *shares, const GoNews *news)
+{
+  Telling telling
+      = { .shares = shares, .news = news, .now_us = ck_boot_us () };
+
+  if (!shares->options.is_ready (shares->options.data))
+    return;
+  fl_each (shares->fleet, look_for_earlier, &telling);
+  if (!telling.has_earlier)
+    fl_each (shares->fleet, tell_member, &telling);
+}
+
 void
 en_shares_stop (EnShares *shares)
 {
--- a/entry/shares.h
+++ b/entry/shares.h
@@ -13,6 +13,7 @@
 
 #include "entry/settings.h"
 #include "fleet/fleet.h"
+#include "gossip/gossip.h"
 #include "limit/budget.h"
 #include "limit/limit.h"
 #include "platform/platform.h"
@@ -28,6 +29,7 @@
   PfStore *store;
   TrTrace *trace;
   TgSet *targets; /* told its share of cold targets */
+  void (*on_news) (const GoNews *news, void *data);
   gboolean (*is_ready) (void *data); /* whether this daemon takes requests */
   void *data;
 } EnSharesOptions;
@@ -38,6 +40,9 @@
 /* Tells the others at once where it has changed whether this daemon takes
    requests.  */
 void en_shares_announce (EnShares *shares);
+/* Tells the others of the region what changed, where this daemon is the one
+   that reads for it.  */
+void en_shares_tell (EnShares *shares, const GoNews *news);
 /* Tells the others that this daemon leaves.  */
 void en_shares_stop (EnShares *shares);
 void en_shares_set_config (EnShares *shares, const RtConfig *config);
--- a/entry/view.c
+++ b/entry/view.c
@@ -21,6 +21,16 @@
 /* Shorter gaps are lost calls, in which no entry lapses.  */
 #define OUTAGE_US 1000000
 
+/* Two readings missed; this daemon then reads for itself, well within the time
+   in which a drain must work.  */
+#define NEWS_TIMEOUT_US 1300000
+
+/* A change of a target, kept until it is told to others.  */
+typedef struct
+{
+  TgEntry entry; /* owns its strings */
+} Change;
+
 struct EnView
 {
   EnViewOptions options;
@@ -35,6 +45,11 @@
   int64_t keep_until_us;   /* missing targets are kept */
   GHashTable *missing;     /* ids of targets that are kept */
   struct event *keep_timer;
+  GPtrArray *changes;       /* Change, since the last news */
+  GPtrArray *gone;          /* ids */
+  gboolean catches_up;      /* news were missed */
+  int64_t news_us;          /* when the last ones came; 0: never */
+  struct event *news_timer;
 };
 
 static void
@@ -76,13 +91,42 @@
            evacuated ? EV_ZONE_EVACUATED : EV_ZONE_RESTORED, "zone=%s", zone);
 }
 
+static void
+free_change (gpointer data)
+{
+  Change *change = data;
+
+  g_free ((char *)change->entry.id);
+  g_free ((char *)change->entry.address);
+  g_free ((char *)change->entry.service);
+  g_free ((char *)change->entry.zone);
+  g_free (change);
+}
+
+static void
+keep_change (EnView *view, const TgEntry *entry)
+{
+  Change *change = g_new0 (Change, 1);
+
+  change->entry = *entry;
+  change->entry.id = g_strdup (entry->id);
+  change->entry.address = g_strdup (entry->address);
+  change->entry.service = g_strdup (entry->service);
+  change->entry.zone = g_strdup (entry->zone);
+  change->entry.region = NULL;
+  g_ptr_array_add (view->changes, change);
+}
+
 static void
 on_target (const TgEntry *entry, void *data)
 {
   EnView *view = data;
+  gboolean changed = tg_update (view->targets, entry, ck_boot_us ());
 
   g_hash_table_remove (view->missing, entry->id);
-  if (tg_update (view->targets, entry, ck_boot_us ()))
+  if (changed || entry->cold_left_ms > 0)
+    keep_change (view, entry);
+  if (changed)
     tr_line (view->options.trace, EV_TARGET_LISTED,
              "target=%s service=%s address=%s zone=%s draining=%d cold_ms=%u",
              entry->id, entry->service, entry->address, entry->zone,
@@ -92,9 +136,11 @@
 static void
 remove_target (EnView *view, const char *id, const char *reason)
 {
-  if (tg_remove (view->targets, id))
-    tr_line (view->options.trace, EV_TARGET_GONE, "target=%s reason=%s", id,
-             reason);
+  if (!tg_remove (view->targets, id))
+    return;
+  tr_line (view->options.trace, EV_TARGET_GONE, "target=%s reason=%s", id,
+           reason);
+  g_ptr_array_add (view->gone, g_strdup (id));
 }
 
 static gboolean
@@ -174,6 +220,12 @@
   changed (view);
 }
 
+static gboolean
+hears_news (const EnView *view, int64_t now_us)
+{
+  return view->news_us != 0 && now_us - view->news_us < NEWS_TIMEOUT_US;
+}
+
 static void
 on_targets_current (int64_t asked_us, void *data)
 {
@@ -188,6 +240,8 @@
       event_add (view->keep_timer, &keep);
     }
   view->down_since_us = 0;
+  view->catches_up = FALSE;
+  pf_feed_rest (view->target_feed, hears_news (view, now_us));
   if (view->has_targets)
     return;
   view->has_targets = TRUE;
@@ -203,6 +257,84 @@
     view->down_since_us = ck_boot_us ();
 }
 
+static void
+on_targets_revision (uint64_t from, uint64_t to, void *data)
+{
+  EnView *view = data;
+  g_autofree TgEntry *entries = g_new (TgEntry, view->changes->len);
+  GoNews news = {
+    .from_revision = from,
+    .to_revision = to,
+    .entries = entries,
+    .entry_count = view->changes->len,
+    .gone = (const char *const *)view->gone->pdata,
+    .gone_count = view->gone->len,
+  };
+
+  for (guint i = 0; i < view->changes->len; i++)
+    entries[i] = ((Change *)view->changes->pdata[i])->entry;
+  if (from != 0)
+    view->options.on_news (&news, view->options.data);
+  g_ptr_array_set_size (view->changes, 0);
+  g_ptr_array_set_size (view->gone, 0);
+}
+
+static void
+on_news_timer (evutil_socket_t fd, short what, void *data)
+{
+  EnView *view = data;
+
+  (void)fd;
+  (void)what;
+  pf_feed_rest (view->target_feed, FALSE);
+}
+
+static void
+apply_news (EnView *view, const GoNews *news)
+{
+  GHashTable *zones = view->options.settings->zones;
+
+  for (uint32_t i = 0; i < news->entry_count; i++)
+    {
+      TgEntry entry = news->entries[i];
+      entry.region = g_hash_table_lookup (zones, entry.zone);
+      if (entry.region == NULL)
+        continue;
+      on_target (&entry, view);
+      pf_feed_note_target (view->target_feed, entry.id, TRUE);
+    }
+  for (uint32_t i = 0; i < news->gone_count; i++)
+    {
+      remove_target (view, news->gone[i], "told");
+      pf_feed_note_target (view->target_feed, news->gone[i], FALSE);
+    }
+  g_ptr_array_set_size (view->changes, 0);
+  g_ptr_array_set_size (view->gone, 0);
+}
+
+void
+en_view_take_news (EnView *view, const GoNews *news)
+{
+  struct timeval timeout
+      = { NEWS_TIMEOUT_US / CK_US_PER_S, NEWS_TIMEOUT_US % CK_US_PER_S };
+  uint64_t revision = pf_feed_revision (view->target_feed);
+
+  if (revision == 0 || news->to_revision <= revision)
+    return;
+  if (news->from_revision > revision)
+    {
+      view->catches_up = TRUE;
+      pf_feed_rest (view->target_feed, FALSE);
+      return;
+    }
+  apply_news (view, news);
+  pf_feed_advance (view->target_feed, news->to_revision);
+  view->news_us = ck_boot_us ();
+  if (!view->catches_up)
+    pf_feed_rest (view->target_feed, TRUE);
+  event_add (view->news_timer, &timeout);
+}
+
 static const PfEvents operator_events = {
   .on_config = on_config,
   .on_evacuated = on_evacuated,
@@ -216,6 +348,7 @@
   .on_target_gone = on_target_gone,
   .on_unreadable = on_unreadable,
   .on_current = on_targets_current,
+  .on_revision = on_targets_revision,
   .on_failure = on_targets_failure,
 };
 
@@ -258,6 +391,9 @@
                     .region_count = count_regions (options->settings) });
   view->missing
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  view->changes = g_ptr_array_new_with_free_func (free_change);
+  view->gone = g_ptr_array_new_with_free_func (g_free);
+  view->news_timer = event_new (options->base, -1, 0, on_news_timer, view);
   view->keep_timer = event_new (options->base, -1, 0, on_keep_timer, view);
   view->operator_feed = pf_feed_new (options->store, &operator_feed);
   view->target_feed = pf_feed_new (options->store, &target_feed);
@@ -272,6 +408,9 @@
   pf_feed_free (view->operator_feed);
   pf_feed_free (view->target_feed);
   event_free (view->keep_timer);
+  event_free (view->news_timer);
+  g_ptr_array_unref (view->changes);
+  g_ptr_array_unref (view->gone);
   g_hash_table_unref (view->missing);
   tg_free (view->targets);
   rt_config_unref (view->config);
--- a/entry/view.h
+++ b/entry/view.h
@@ -2,7 +2,9 @@
 
    DESCRIPTION
      Owns the configuration in force, the set of targets and the age of both.
-     Versions only go forward.  A target that disappears while the store does
+     Versions only go forward.  One daemon of each region reads what targets
+     report and tells the others of changes; a daemon that hears nothing of it
+     reads for itself.  A target that disappears while the store does
      not answer, or shortly after its return, is kept until it had time to
      report again.  */
 
@@ -12,6 +14,7 @@
 #include <glib.h>
 
 #include "entry/settings.h"
+#include "gossip/gossip.h"
 #include "platform/platform.h"
 #include "trace/trace.h"
 
@@ -25,6 +28,7 @@
   TrTrace *trace;
   void (*on_config) (RtConfig *config, void *data);
   void (*on_change) (void *data); /* ready or not may have changed */
+  void (*on_news) (const GoNews *news, void *data);
   void *data;
 } EnViewOptions;
 
@@ -35,6 +39,9 @@
 RtConfig *en_view_config (const EnView *view);
 TgSet *en_view_targets (const EnView *view);
 
+/* What the daemon that reads for this region has told.  */
+void en_view_take_news (EnView *view, const GoNews *news);
+
 /* Time since the store last confirmed the configuration; -1: never.  */
 int64_t en_view_age_us (const EnView *view, int64_t now_us);
 /* Whether a key that was withdrawn long enough ago would be known.  */
--- a/gossip/gossip.c
+++ b/gossip/gossip.c
@@ -24,7 +24,38 @@
 G_DEFINE_QUARK (go_error, go_error)
 
 static void
-deliver (GoSocket *gossip, const Gossip__Report *message)
+deliver_news (GoSocket *gossip, const Gossip__News *message)
+{
+  g_autofree TgEntry *entries = g_new0 (TgEntry, message->n_targets);
+  GoNews news = {
+    .from_revision = message->from_revision,
+    .to_revision = message->to_revision,
+    .entries = entries,
+    .entry_count = (uint32_t)message->n_targets,
+    .gone = (const char *const *)message->gone,
+    .gone_count = (uint32_t)message->n_gone,
+  };
+
+  for (size_t i = 0; i < message->n_targets; i++)
+    {
+      const Gossip__Target *target = message->targets[i];
+      entries[i] = (TgEntry){
+        .id = target->id,
+        .address = target->address,
+        .service = target->service,
+        .zone = target->zone,
+        .slots_count = target->slots,
+        .draining = target->draining,
+        .cold_left_ms = target->cold_left_ms,
+        .started_ms = target->started_ms,
+        .report_number = target->report_number,
+      };
+    }
+  gossip->options.on_news (&news, gossip->options.data);
+}
+
+static void
+deliver_report (GoSocket *gossip, const Gossip__Report *message)
 {
   g_autofree FlDemand *demands = g_new (FlDemand, message->n_demands);
   FlReport report = {
@@ -57,17 +88,20 @@
     {
       ssize_t got = recv (fd, gossip->buffer, sizeof gossip->buffer,
                           MSG_DONTWAIT);
-      Gossip__Report *message;
+      Gossip__Datagram *message;
       if (got < 0)
         return;
       gossip->counters.received_count++;
-      message = gossip__report__unpack (NULL, (size_t)got, gossip->buffer);
-      if (message == NULL || message->name[0] == '\0')
-        gossip->counters.malformed_count++;
+      message = gossip__datagram__unpack (NULL, (size_t)got, gossip->buffer);
+      if (message != NULL && message->news != NULL)
+        deliver_news (gossip, message->news);
+      else if (message != NULL && message->report != NULL
+               && message->report->name[0] != '\0')
+        deliver_report (gossip, message->report);
       else
-        deliver (gossip, message);
+        gossip->counters.malformed_count++;
       if (message != NULL)
-        gossip__report__free_unpacked (message, NULL);
+        gossip__datagram__free_unpacked (message, NULL);
     }
 }
 
@@ -116,10 +150,19 @@
   g_free (gossip);
 }
 
-/* Returns the packed length, or 0 where the report does not fit.  */
+/* Returns the packed length, or 0 where the datagram does not fit.  */
+static size_t
+pack_datagram (GoSocket *gossip, const Gossip__Datagram *datagram)
+{
+  if (gossip__datagram__get_packed_size (datagram) > sizeof gossip->buffer)
+    return 0;
+  return gossip__datagram__pack (datagram, gossip->buffer);
+}
+
 static size_t
 pack (GoSocket *gossip, const FlReport *report, uint32_t demand_count)
 {
+  Gossip__Datagram datagram = GOSSIP__DATAGRAM__INIT;
   Gossip__Report message = GOSSIP__REPORT__INIT;
   g_autofree Gossip__Demand *demands = g_new (Gossip__Demand, demand_count);
   g_autofree Gossip__Demand **list = g_new (Gossip__Demand *, demand_count);
@@ -142,23 +185,16 @@
     }
   message.demands = list;
   message.n_demands = demand_count;
-  if (gossip__report__get_packed_size (&message) > sizeof gossip->buffer)
-    return 0;
-  return gossip__report__pack (&message, gossip->buffer);
+  datagram.report = &message;
+  return pack_datagram (gossip, &datagram);
 }
 
-void
-go_send (GoSocket *gossip, const char *address, const FlReport *report)
+static void
+send_packed (GoSocket *gossip, const char *address, size_t bytes)
 {
   struct sockaddr_storage to = { 0 };
   int length = sizeof to;
-  size_t bytes = pack (gossip, report, report->demand_count);
 
-  for (uint32_t count = report->demand_count; bytes == 0 && count > 0;)
-    {
-      count /= 2;
-      bytes = pack (gossip, report, count);
-    }
   gossip->counters.sent_count++;
   if (bytes == 0
       || evutil_parse_sockaddr_port (address, (struct sockaddr *)&to, &length)
@@ -169,6 +205,64 @@
     gossip->counters.failed_count++;
 }
 
+void
+go_send (GoSocket *gossip, const char *address, const FlReport *report)
+{
+  size_t bytes = pack (gossip, report, report->demand_count);
+
+  for (uint32_t count = report->demand_count; bytes == 0 && count > 0;)
+    {
+      count /= 2;
+      bytes = pack (gossip, report, count);
+    }
+  send_packed (gossip, address, bytes);
+}
+
+static void
+set_target (Gossip__Target *target, const TgEntry *entry)
+{
+  gossip__target__init (target);
+  target->id = (char *)entry->id;
+  target->address = (char *)entry->address;
+  target->service = (char *)entry->service;
+  target->zone = (char *)entry->zone;
+  target->slots = entry->slots_count;
+  target->draining = entry->draining;
+  target->cold_left_ms = entry->cold_left_ms;
+  target->started_ms = entry->started_ms;
+  target->report_number = entry->report_number;
+}
+
+gboolean
+go_send_news (GoSocket *gossip, const char *address, const GoNews *news)
+{
+  Gossip__Datagram datagram = GOSSIP__DATAGRAM__INIT;
+  Gossip__News message = GOSSIP__NEWS__INIT;
+  g_autofree Gossip__Target *targets
+      = g_new (Gossip__Target, news->entry_count);
+  g_autofree Gossip__Target **list
+      = g_new (Gossip__Target *, news->entry_count);
+  size_t bytes;
+
+  for (uint32_t i = 0; i < news->entry_count; i++)
+    {
+      set_target (&targets[i], &news->entries[i]);
+      list[i] = &targets[i];
+    }
+  message.from_revision = news->from_revision;
+  message.to_revision = news->to_revision;
+  message.targets = list;
+  message.n_targets = news->entry_count;
+  message.gone = (char **)news->gone;
+  message.n_gone = news->gone_count;
+  datagram.news = &message;
+  bytes = pack_datagram (gossip, &datagram);
+  if (bytes == 0)
+    return FALSE;
+  send_packed (gossip, address, bytes);
+  return TRUE;
+}
+
 const GoCounters *
 go_counters (const GoSocket *gossip)
 {
--- a/gossip/gossip.h
+++ b/gossip/gossip.h
@@ -7,8 +7,9 @@
      go_send (gossip, "127.0.0.1:7221", &report);
 
    DESCRIPTION
-     Each datagram is one report in protobuf, see wire/gossip.proto.  Lost
-     ones are made up for by the next; there is no connection that could go
+     Each datagram is a report or news of targets in protobuf, see
+     wire/gossip.proto.  A lost report is made up for by the next, lost news
+     are noticed by their revisions; there is no connection that could go
      silent unnoticed.  Datagrams that cannot be read are counted and dropped.
 
    ERRORS
@@ -22,6 +23,7 @@
 #include <stdint.h>
 
 #include "fleet/fleet.h"
+#include "targets/targets.h"
 
 struct event_base;
 
@@ -37,6 +39,18 @@
   GO_ERROR_LISTEN,
 } GoError;
 
+/* Changes that the store listed after one revision, up to another.  Regions
+   of entries are not sent; a receiver knows them.  */
+typedef struct
+{
+  uint64_t from_revision;
+  uint64_t to_revision;
+  const TgEntry *entries;
+  uint32_t entry_count;
+  const char *const *gone; /* ids */
+  uint32_t gone_count;
+} GoNews;
+
 typedef struct GoSocket GoSocket;
 
 typedef struct
@@ -44,6 +58,7 @@
   struct event_base *base;
   const char *listen;
   void (*on_report) (const FlReport *report, void *data);
+  void (*on_news) (const GoNews *news, void *data);
   void *data;
 } GoOptions;
 
@@ -60,6 +75,9 @@
 void go_free (GoSocket *gossip);
 /* A datagram that the system does not take is counted, not kept.  */
 void go_send (GoSocket *gossip, const char *address, const FlReport *report);
+/* Returns FALSE where the news do not fit a datagram; nothing is sent.  */
+gboolean go_send_news (GoSocket *gossip, const char *address,
+                       const GoNews *news);
 const GoCounters *go_counters (const GoSocket *gossip);
 
 #endif
--- a/gossip/gossip_test.cc
+++ b/gossip/gossip_test.cc
@@ -19,9 +19,25 @@
 {
   std::vector<std::string> names;
   std::vector<double> demands;
+  std::vector<std::string> targets;
+  std::vector<std::string> gone;
+  uint64_t revision = 0;
   struct event_base *base;
 };
 
+void
+OnNews (const GoNews *news, void *data)
+{
+  auto *heard = static_cast<Heard *> (data);
+  heard->revision = news->to_revision;
+  for (uint32_t i = 0; i < news->entry_count; i++)
+    heard->targets.push_back (std::string (news->entries[i].id) + "@"
+                              + news->entries[i].address);
+  for (uint32_t i = 0; i < news->gone_count; i++)
+    heard->gone.push_back (news->gone[i]);
+  event_base_loopbreak (heard->base);
+}
+
 void
 OnReport (const FlReport *report, void *data)
 {
@@ -66,7 +82,8 @@
   {
     heard.base = event_base_new ();
     listen = FreeAddress ();
-    GoOptions options = { heard.base, listen.c_str (), OnReport, &heard };
+    GoOptions options
+        = { heard.base, listen.c_str (), OnReport, OnNews, &heard };
     gossip = go_new (&options, nullptr);
     ASSERT_NE (gossip, nullptr);
   }
@@ -104,6 +121,23 @@
   EXPECT_EQ (heard.demands, std::vector<double>{ 2.5 });
 }
 
+/* Guards against a change of a target lost between two daemons.  */
+TEST_F (Gossip, CarriesNews)
+{
+  TgEntry entry = {};
+  const char *gone[] = { "t2" };
+  GoNews news = { 5, 9, &entry, 1, gone, 1 };
+  entry.id = "t1";
+  entry.address = "127.0.0.1:7";
+  entry.service = "boards";
+  entry.zone = "a1";
+  EXPECT_TRUE (go_send_news (gossip, listen.c_str (), &news));
+  Wait ();
+  EXPECT_EQ (heard.revision, 9u);
+  EXPECT_EQ (heard.targets, std::vector<std::string>{ "t1@127.0.0.1:7" });
+  EXPECT_EQ (heard.gone, std::vector<std::string>{ "t2" });
+}
+
 /* Guards against a datagram of somebody else ending the daemon.  */
 TEST_F (Gossip, CountsAndDropsWhatItCannotRead)
 {
@@ -146,7 +180,7 @@
 {
   struct event_base *base = event_base_new ();
   GError *error = nullptr;
-  GoOptions options = { base, "nowhere", OnReport, nullptr };
+  GoOptions options = { base, "nowhere", OnReport, OnNews, nullptr };
   EXPECT_EQ (go_new (&options, &error), nullptr);
   EXPECT_TRUE (g_error_matches (error, GO_ERROR, GO_ERROR_ADDRESS));
   g_clear_error (&error);
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 extern "C"
 {
@@ -236,6 +237,7 @@
 TEST_F (Target, RefusesRatherThanSpreadsAnObject)
 {
   std::set<std::string> seen;
+  std::vector<TgUse *> uses;
   int refused = 0;
   for (int i = 0; i < 6; i++)
     Add (("t" + std::to_string (i)).c_str (), i < 3 ? "a1" : "a2");
@@ -244,10 +246,15 @@
       TgUse *use = Begin (Query (7919));
       now_us += kMs;
       if (use == nullptr)
-        refused++;
-      else
-        seen.insert (tg_id (tg_use_target (use)));
+        {
+          refused++;
+          continue;
+        }
+      seen.insert (tg_id (tg_use_target (use)));
+      uses.push_back (use);
     }
+  for (TgUse *use : uses)
+    End (use, TG_END_CANCELLED);
   EXPECT_LE (seen.size (), 2u);
   EXPECT_GT (refused, 0);
 }
--- a/wire/gossip.pb-c.c
+++ b/wire/gossip.pb-c.c
@@ -97,6 +97,141 @@
   assert(message->base.descriptor == &gossip__report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gossip__target__init
+                     (Gossip__Target         *message)
+{
+  static const Gossip__Target init_value = GOSSIP__TARGET__INIT;
+  *message = init_value;
+}
+size_t gossip__target__get_packed_size
+                     (const Gossip__Target *message)
+{
+  assert(message->base.descriptor == &gossip__target__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__target__pack
+                     (const Gossip__Target *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__target__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__target__pack_to_buffer
+                     (const Gossip__Target *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__target__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__Target *
+       gossip__target__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__Target *)
+     protobuf_c_message_unpack (&gossip__target__descriptor,
+                                allocator, len, data);
+}
+void   gossip__target__free_unpacked
+                     (Gossip__Target *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__target__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gossip__news__init
+                     (Gossip__News         *message)
+{
+  static const Gossip__News init_value = GOSSIP__NEWS__INIT;
+  *message = init_value;
+}
+size_t gossip__news__get_packed_size
+                     (const Gossip__News *message)
+{
+  assert(message->base.descriptor == &gossip__news__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__news__pack
+                     (const Gossip__News *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__news__pack_to_buffer
+                     (const Gossip__News *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__News *
+       gossip__news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__News *)
+     protobuf_c_message_unpack (&gossip__news__descriptor,
+                                allocator, len, data);
+}
+void   gossip__news__free_unpacked
+                     (Gossip__News *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gossip__datagram__init
+                     (Gossip__Datagram         *message)
+{
+  static const Gossip__Datagram init_value = GOSSIP__DATAGRAM__INIT;
+  *message = init_value;
+}
+size_t gossip__datagram__get_packed_size
+                     (const Gossip__Datagram *message)
+{
+  assert(message->base.descriptor == &gossip__datagram__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__datagram__pack
+                     (const Gossip__Datagram *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__datagram__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__datagram__pack_to_buffer
+                     (const Gossip__Datagram *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__datagram__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__Datagram *
+       gossip__datagram__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__Datagram *)
+     protobuf_c_message_unpack (&gossip__datagram__descriptor,
+                                allocator, len, data);
+}
+void   gossip__datagram__free_unpacked
+                     (Gossip__Datagram *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__datagram__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor gossip__demand__field_descriptors[2] =
 {
   {
@@ -303,3 +438,273 @@
   (ProtobufCMessageInit) gossip__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gossip__target__field_descriptors[9] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Target, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Target, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Target, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Target, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Target, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Target, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_left_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Target, cold_left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Target, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "report_number",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Target, report_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__target__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  6,   /* field[6] = cold_left_ms */
+  5,   /* field[5] = draining */
+  0,   /* field[0] = id */
+  8,   /* field[8] = report_number */
+  2,   /* field[2] = service */
+  4,   /* field[4] = slots */
+  7,   /* field[7] = started_ms */
+  3,   /* field[3] = zone */
+};
+static const ProtobufCIntRange gossip__target__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor gossip__target__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.Target",
+  "Target",
+  "Gossip__Target",
+  "gossip",
+  sizeof(Gossip__Target),
+  9,
+  gossip__target__field_descriptors,
+  gossip__target__field_indices_by_name,
+  1,  gossip__target__number_ranges,
+  (ProtobufCMessageInit) gossip__target__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gossip__news__field_descriptors[4] =
+{
+  {
+    "from_revision",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, from_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to_revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, to_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gossip__News, n_targets),
+    offsetof(Gossip__News, targets),
+    &gossip__target__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gossip__News, n_gone),
+    offsetof(Gossip__News, gone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__news__field_indices_by_name[] = {
+  0,   /* field[0] = from_revision */
+  3,   /* field[3] = gone */
+  2,   /* field[2] = targets */
+  1,   /* field[1] = to_revision */
+};
+static const ProtobufCIntRange gossip__news__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gossip__news__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.News",
+  "News",
+  "Gossip__News",
+  "gossip",
+  sizeof(Gossip__News),
+  4,
+  gossip__news__field_descriptors,
+  gossip__news__field_indices_by_name,
+  1,  gossip__news__number_ranges,
+  (ProtobufCMessageInit) gossip__news__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gossip__datagram__field_descriptors[2] =
+{
+  {
+    "report",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Datagram, report),
+    &gossip__report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "news",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Datagram, news),
+    &gossip__news__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__datagram__field_indices_by_name[] = {
+  1,   /* field[1] = news */
+  0,   /* field[0] = report */
+};
+static const ProtobufCIntRange gossip__datagram__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gossip__datagram__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.Datagram",
+  "Datagram",
+  "Gossip__Datagram",
+  "gossip",
+  sizeof(Gossip__Datagram),
+  2,
+  gossip__datagram__field_descriptors,
+  gossip__datagram__field_indices_by_name,
+  1,  gossip__datagram__number_ranges,
+  (ProtobufCMessageInit) gossip__datagram__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/wire/gossip.pb-c.h
+++ b/wire/gossip.pb-c.h
@@ -17,6 +17,9 @@
 
 typedef struct Gossip__Demand Gossip__Demand;
 typedef struct Gossip__Report Gossip__Report;
+typedef struct Gossip__Target Gossip__Target;
+typedef struct Gossip__News Gossip__News;
+typedef struct Gossip__Datagram Gossip__Datagram;
 
 
 /* --- enums --- */
@@ -36,7 +39,7 @@
 
 
 /*
- * One datagram; a daemon sends its state to its peers.
+ * What a daemon tells of itself.
  */
 struct  Gossip__Report
 {
@@ -61,6 +64,56 @@
     , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
 
 
+struct  Gossip__Target
+{
+  ProtobufCMessage base;
+  char *id;
+  char *address;
+  char *service;
+  char *zone;
+  uint32_t slots;
+  protobuf_c_boolean draining;
+  uint32_t cold_left_ms;
+  int64_t started_ms;
+  uint32_t report_number;
+};
+#define GOSSIP__TARGET__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gossip__target__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Changes of targets that the store listed after one revision, up to another.
+ */
+struct  Gossip__News
+{
+  ProtobufCMessage base;
+  uint64_t from_revision;
+  uint64_t to_revision;
+  size_t n_targets;
+  Gossip__Target **targets;
+  size_t n_gone;
+  char **gone;
+};
+#define GOSSIP__NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gossip__news__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * One datagram.
+ */
+struct  Gossip__Datagram
+{
+  ProtobufCMessage base;
+  Gossip__Report *report;
+  Gossip__News *news;
+};
+#define GOSSIP__DATAGRAM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gossip__datagram__descriptor) \
+    , NULL, NULL }
+
+
 /* Gossip__Demand methods */
 void   gossip__demand__init
                      (Gossip__Demand         *message);
@@ -99,6 +152,63 @@
 void   gossip__report__free_unpacked
                      (Gossip__Report *message,
                       ProtobufCAllocator *allocator);
+/* Gossip__Target methods */
+void   gossip__target__init
+                     (Gossip__Target         *message);
+size_t gossip__target__get_packed_size
+                     (const Gossip__Target   *message);
+size_t gossip__target__pack
+                     (const Gossip__Target   *message,
+                      uint8_t             *out);
+size_t gossip__target__pack_to_buffer
+                     (const Gossip__Target   *message,
+                      ProtobufCBuffer     *buffer);
+Gossip__Target *
+       gossip__target__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gossip__target__free_unpacked
+                     (Gossip__Target *message,
+                      ProtobufCAllocator *allocator);
+/* Gossip__News methods */
+void   gossip__news__init
+                     (Gossip__News         *message);
+size_t gossip__news__get_packed_size
+                     (const Gossip__News   *message);
+size_t gossip__news__pack
+                     (const Gossip__News   *message,
+                      uint8_t             *out);
+size_t gossip__news__pack_to_buffer
+                     (const Gossip__News   *message,
+                      ProtobufCBuffer     *buffer);
+Gossip__News *
+       gossip__news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gossip__news__free_unpacked
+                     (Gossip__News *message,
+                      ProtobufCAllocator *allocator);
+/* Gossip__Datagram methods */
+void   gossip__datagram__init
+                     (Gossip__Datagram         *message);
+size_t gossip__datagram__get_packed_size
+                     (const Gossip__Datagram   *message);
+size_t gossip__datagram__pack
+                     (const Gossip__Datagram   *message,
+                      uint8_t             *out);
+size_t gossip__datagram__pack_to_buffer
+                     (const Gossip__Datagram   *message,
+                      ProtobufCBuffer     *buffer);
+Gossip__Datagram *
+       gossip__datagram__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gossip__datagram__free_unpacked
+                     (Gossip__Datagram *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Gossip__Demand_Closure)
@@ -107,6 +217,15 @@
 typedef void (*Gossip__Report_Closure)
                  (const Gossip__Report *message,
                   void *closure_data);
+typedef void (*Gossip__Target_Closure)
+                 (const Gossip__Target *message,
+                  void *closure_data);
+typedef void (*Gossip__News_Closure)
+                 (const Gossip__News *message,
+                  void *closure_data);
+typedef void (*Gossip__Datagram_Closure)
+                 (const Gossip__Datagram *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -115,6 +234,9 @@
 
 extern const ProtobufCMessageDescriptor gossip__demand__descriptor;
 extern const ProtobufCMessageDescriptor gossip__report__descriptor;
+extern const ProtobufCMessageDescriptor gossip__target__descriptor;
+extern const ProtobufCMessageDescriptor gossip__news__descriptor;
+extern const ProtobufCMessageDescriptor gossip__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
 
