--- a/entry/view.c
+++ b/entry/view.c
@@ -4,14 +4,17 @@
 
 #include "clock/clock.h"
 
-/* A watch that comes back without a change confirms the configuration, so it
-   bounds the age of what a calm daemon knows: with the call's own time it
-   stays below half of the shortest time for keys and configurations.  */
+/* A watch that comes back without a change confirms the configuration as of
+   the time when it was asked for.  So what a calm daemon knows is up to two
+   waits old, and that and one lost call must fit in the time for withdrawn
+   keys.  */
 #define OPERATOR_WAIT_MS 1500
-/* Targets report every second or two, all in one part of the store.  Changes
-   are gathered for a part of the two seconds in which a drain must work.  */
-#define TARGETS_PAUSE_MS 600
-#define TARGETS_WAIT_MS 1000
+/* A daemon whose region's reader is cut off must read for itself within the
+   two seconds in which a drain works; the reader's watch comes back often
+   enough that its silence is noticed.  */
+#define TARGETS_WAIT_MS 700
+/* Gathers changes that come together.  */
+#define TARGETS_PAUSE_MS 100
 /* Kept from the time for withdrawn keys: the store's watches may lag by a
    second, and a request takes a moment.  */
 #define KEY_MARGIN_US 1100000
@@ -21,9 +24,8 @@
 /* Shorter gaps are lost calls, in which no entry lapses.  */
 #define OUTAGE_US 1000000
 
-/* Two readings missed; this daemon then reads for itself, well within the time
-   in which a drain must work.  */
-#define NEWS_TIMEOUT_US 1300000
+/* A watch of the reader and its way here, with some delay.  */
+#define NEWS_TIMEOUT_US 1200000
 
 /* A change of a target, kept until it is told to others.  */
 typedef struct
@@ -319,7 +321,7 @@
       = { NEWS_TIMEOUT_US / CK_US_PER_S, NEWS_TIMEOUT_US % CK_US_PER_S };
   uint64_t revision = pf_feed_revision (view->target_feed);
 
-  if (revision == 0 || news->to_revision <= revision)
+  if (revision == 0)
     return;
   if (news->from_revision > revision)
     {
@@ -327,7 +329,8 @@
       pf_feed_rest (view->target_feed, FALSE);
       return;
     }
-  apply_news (view, news);
+  if (news->to_revision > revision)
+    apply_news (view, news);
   pf_feed_advance (view->target_feed, news->to_revision);
   view->news_us = ck_boot_us ();
   if (!view->catches_up)
--- a/targets/internal.h
+++ b/targets/internal.h
@@ -35,6 +35,9 @@
 #define TG_REGION_COST_US 70000
 /* Spread by the rendezvous hash among targets that are alike.  */
 #define TG_RANK_COST_US 40000
+/* For a second home: an object that stays at one target is remembered better,
+   and the other one takes what that cannot carry.  */
+#define TG_SECOND_COST_US 40000
 
 /* Targets that an object is placed on.  One is too few for an even load and
    the loss of a target; each further one takes memory from other objects.  */
--- a/targets/pick.c
+++ b/targets/pick.c
@@ -200,7 +200,7 @@
 } Search;
 
 static void
-consider (Search *search, TgTarget *target)
+consider (Search *search, TgTarget *target, int64_t extra_us)
 {
   TgChoice candidate;
 
@@ -211,6 +211,7 @@
     return;
   estimate (target, search->query, search->route, search->queued_us,
             search->now_us, &candidate);
+  candidate.cost_us += extra_us;
   if (candidate.wait_us > search->query->wait_max_us)
     return;
   if (search->found && candidate.cost_us >= search->choice->cost_us)
@@ -253,10 +254,10 @@
                                               : search.route->known_us;
   for (int i = 0; object != NULL && i < TG_HOMES; i++)
     if (object->homes[i] != NULL)
-      consider (&search, object->homes[i]);
+      consider (&search, object->homes[i], i * TG_SECOND_COST_US);
   has_home = search.any_allowed;
   for (guint i = 0; !has_home && i < service->targets->len; i++)
-    consider (&search, service->targets->pdata[i]);
+    consider (&search, service->targets->pdata[i], 0);
   choice->placed = search.found && object != NULL
                    && (choice->target == object->homes[0]
                        || choice->target == object->homes[1]);
