--- a/targets/internal.h
+++ b/targets/internal.h
@@ -31,8 +31,8 @@
 #define TG_FULL_US 100000
 /* What a hop between zones and between regions is worth in waiting time: the
    network's delay and a price for its bytes.  */
-#define TG_ZONE_COST_US 45000
-#define TG_REGION_COST_US 70000
+#define TG_ZONE_COST_US 80000
+#define TG_REGION_COST_US 110000
 /* Spread by the rendezvous hash among targets that are alike.  */
 #define TG_RANK_COST_US 40000
 /* For a second home: an object that stays at one target is remembered better,
