--- a/client/client.c
+++ b/client/client.c
@@ -113,6 +113,9 @@
   { NULL },
 };
 
+/* Logs of a whole fleet at the size to come, and the request.  */
+#define LOGS_MAX 600
+
 static const Command commands[] = {
   { "check", NULL, "SHEET", "check a sheet", 1, 1, cl_check, sheet_options },
   { "diff", NULL, "SHEET", "show what a sheet would change", 1, 1, cl_diff,
@@ -142,6 +145,8 @@
     cl_timeline, timeline_options },
   { "watch", NULL, "", "show changes and warnings as they happen", 0, 0,
     cl_watch, watch_options },
+  { "explain", NULL, "REQUEST LOG...", "tell from logs how a request ended", 2,
+    LOGS_MAX, cl_explain, NULL },
 };
 
 void
--- a/client/internal.h
+++ b/client/internal.h
@@ -130,5 +130,6 @@
 int cl_status (ClContext *context);
 int cl_timeline (ClContext *context);
 int cl_watch (ClContext *context);
+int cl_explain (ClContext *context);
 
 #endif
--- /dev/null
+++ b/entry/entry_test.cc
@@ -0,0 +1,545 @@
+/* Integration tests: real daemons on the stand-in of the users' platform.  */
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <sys/wait.h>
+
+extern "C"
+{
+#include "client/client.h"
+#include "standin/harness.h"
+#include "standin/process.h"
+}
+
+namespace
+{
+
+constexpr uint32_t kGraceMs = 4000;
+constexpr uint32_t kWaitMs = 8000;
+
+std::string
+FreeAddress ()
+{
+  return "127.0.0.1:" + std::to_string (si_free_port ());
+}
+
+struct Vm
+{
+  std::string name, zone, front, ready, directory, settings, log;
+  uint16_t gossip_port;
+  pid_t pid = 0;
+};
+
+class Entry : public testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    folder = testing::TempDir () + "entry-" + std::to_string (getpid ()) + "-"
+             + testing::UnitTest::GetInstance ()->current_test_info ()->name ();
+    ASSERT_EQ (g_mkdir_with_parents (folder.c_str (), 0700), 0);
+    StartEstate ();
+    vms.push_back (MakeVm ("vm1", "a1"));
+    vms.push_back (MakeVm ("vm2", "a2"));
+    PutConfig (1);
+    PutTarget ("t1", "a1");
+    PutTarget ("t2", "a2");
+    for (Vm &vm : vms)
+      Start (vm);
+    for (Vm &vm : vms)
+      ASSERT_TRUE (WaitFor ([&] { return Status (vm.ready, "/ready") == 200; }))
+          << Log (vm);
+  }
+
+  void
+  TearDown () override
+  {
+    for (Vm &vm : vms)
+      if (vm.pid != 0)
+        si_process_signal (vm.pid, SIGTERM);
+    for (Vm &vm : vms)
+      Reap (vm);
+    if (estate_pid != 0)
+      si_process_kill (estate_pid);
+  }
+
+  void
+  Reap (Vm &vm)
+  {
+    int status = 0;
+    if (vm.pid == 0)
+      return;
+    EXPECT_TRUE (si_process_wait (vm.pid, 2 * kGraceMs, &status));
+    EXPECT_TRUE (WIFEXITED (status) && WEXITSTATUS (status) == 0)
+        << status << "\n"
+        << Log (vm);
+    vm.pid = 0;
+  }
+
+  void
+  StartEstate ()
+  {
+    store = FreeAddress ();
+    control = FreeAddress ();
+    targets = { FreeAddress (), FreeAddress () };
+    std::string t1 = "t1=" + targets[0];
+    std::string t2 = "t2=" + targets[1];
+    const char *argv[] = { CW_BIN "/standin/standin-estate",
+                           "--store",
+                           store.c_str (),
+                           "--control",
+                           control.c_str (),
+                           t1.c_str (),
+                           t2.c_str (),
+                           nullptr };
+    std::string log = folder + "/estate.log";
+    estate_pid = si_process_spawn (argv, log.c_str (), nullptr);
+    ASSERT_NE (estate_pid, 0);
+    ASSERT_TRUE (WaitFor ([&] { return Status (control, "/runs") == 200; }));
+  }
+
+  Vm
+  MakeVm (const std::string &name, const std::string &zone)
+  {
+    Vm vm;
+    vm.name = name;
+    vm.zone = zone;
+    vm.front = FreeAddress ();
+    vm.ready = FreeAddress ();
+    vm.directory = FreeAddress ();
+    vm.gossip_port = si_free_port ();
+    vm.settings = folder + "/" + name + ".json";
+    vm.log = folder + "/" + name + ".log";
+    WriteSettings (vm, "");
+    return vm;
+  }
+
+  void
+  WriteSettings (const Vm &vm, const std::string &comment)
+  {
+    std::ofstream (vm.settings)
+        << "// " << comment << "\n{\"vm\":\"" << vm.name << "\",\"zone\":\""
+        << vm.zone << "\",\"region\":\"a\",\"zones\":{\"a1\":\"a\","
+        << "\"a2\":\"a\"},\"front_listen\":\"" << vm.front
+        << "\",\"ready_listen\":\"" << vm.ready << "\",\"directory_listen\":\""
+        << vm.directory << "\",\"address\":\"127.0.0.1\",\"gossip_port\":"
+        << vm.gossip_port << ",\"store_address\":\"" << store
+        << "\",\"files_max\":1000,\"bounds\":{\"grace_s\":"
+        << kGraceMs / 1000 << ",\"revoke_s\":3}}\n";
+  }
+
+  void
+  Start (Vm &vm)
+  {
+    const char *argv[] = { CW_BIN "/daemon/comfreywalkd", "--platform",
+                           "--settings", vm.settings.c_str (), nullptr };
+    vm.pid = si_process_spawn (argv, vm.log.c_str (), nullptr);
+    ASSERT_NE (vm.pid, 0);
+  }
+
+  std::string
+  Log (const Vm &vm)
+  {
+    std::stringstream text;
+    text << std::ifstream (vm.log).rdbuf ();
+    return text.str ();
+  }
+
+  template <typename Condition>
+  bool
+  WaitFor (Condition condition, uint32_t ms = kWaitMs)
+  {
+    for (uint32_t waited = 0; waited < ms; waited += 20)
+      {
+        if (condition ())
+          return true;
+        si_sleep_ms (20);
+      }
+    return condition ();
+  }
+
+  void
+  Control (const std::string &path, const std::string &text = "")
+  {
+    g_autoptr (GError) error = nullptr;
+    EXPECT_TRUE (
+        si_post (control.c_str (), path.c_str (), text.c_str (), &error))
+        << path << ": " << error->message;
+  }
+
+  std::string
+  Told (const std::string &path)
+  {
+    g_autofree char *text
+        = si_get_text (control.c_str (), path.c_str (), nullptr);
+    return text != nullptr ? text : "";
+  }
+
+  int
+  Status (const std::string &address, const std::string &path)
+  {
+    SiAnswer answer = {};
+    int status = 0;
+    if (si_http ("GET", address.c_str (), path.c_str (), nullptr, nullptr,
+                 1000, &answer, nullptr))
+      status = answer.status;
+    si_answer_clear (&answer);
+    return status;
+  }
+
+  static std::string
+  Route (const char *name, const char *kind, bool open)
+  {
+    return std::string ("\"") + name + "\":{\"host\":\"127.0.0.1\","
+           + "\"prefix\":\"/" + name + "/\",\"kind\":\"" + kind
+           + "\",\"timeout_s\":3,\"target_latency_s\":0.5,\"priority\":1,"
+             "\"service\":\"s\",\"max_attempts\":2,\"sticky\":false,"
+             "\"anonymous\":"
+           + (open ? "true}" : "false}");
+  }
+
+  void
+  PutConfig (int version, const std::string &keys = "\"key-1\"",
+             const std::string &limit = "\"rate_per_s\":0,\"burst\":0")
+  {
+    Control ("/put?key=op/config",
+             "{\"version\":\"r" + std::to_string (version) + "\",\"routes\":{"
+                 + Route ("read", "safe", false) + ","
+                 + Route ("order", "unsafe", false) + ","
+                 + Route ("open", "safe", true)
+                 + "},\"services\":{\"s\":{\"max_connections\":100,"
+                   "\"cold_start_s\":1,\"cold_per_s\":5}},\"tenants\":{"
+                   "\"c1\":{\"api_keys\":["
+                 + keys + "]," + limit + "}}}");
+  }
+
+  void
+  PutTarget (const std::string &id, const std::string &zone,
+             const std::string &state = "ready")
+  {
+    Control ("/put?key=servers/" + id,
+             "{\"service\":\"s\",\"address\":\""
+                 + targets[id == "t1" ? 0 : 1] + "\",\"zone\":\"" + zone
+                 + "\",\"slots\":3,\"state\":\"" + state
+                 + "\",\"cold_remaining_s\":0,\"sequence\":"
+                 + std::to_string (++sequence) + ",\"born\":1000}");
+  }
+
+  int
+  Ask (const Vm &vm, const std::string &path, const std::string &id,
+       const char *key = "key-1", const char *method = "GET")
+  {
+    std::string id_header = "X-Comfreywalk-Attempt-Id: " + id;
+    std::string key_header = std::string ("Authorization: Token ") + key;
+    const char *headers[]
+        = { id_header.c_str (), "X-Comfreywalk-Deadline-Ms: 2000",
+            key_header.c_str (), nullptr };
+    SiAnswer answer = {};
+    int status = 0;
+    if (si_http (method, vm.front.c_str (), path.c_str (), headers,
+                 g_str_equal (method, "POST") ? "body" : nullptr, 4000,
+                 &answer, nullptr))
+      {
+        status = answer.status;
+        body = answer.body;
+      }
+    si_answer_clear (&answer);
+    return status;
+  }
+
+  int
+  Count (const std::string &path, const std::string &id)
+  {
+    std::istringstream lines (Told (path));
+    int count = 0;
+    for (std::string line; std::getline (lines, line);)
+      count += line.find (" " + id + " ") != std::string::npos;
+    return count;
+  }
+
+  std::string
+  Explain (const std::string &id)
+  {
+    std::string program = "comfreywalk";
+    std::string command = "explain";
+    std::string request = id;
+    char *argv[] = { program.data (), command.data (), request.data (),
+                     vms[0].log.data (), vms[1].log.data (), nullptr };
+    char *text = nullptr;
+    size_t length = 0;
+    ClIo io = { open_memstream (&text, &length), stderr, stdin, nullptr };
+    cl_run (5, argv, &io);
+    fclose (io.out);
+    std::string out = text;
+    free (text);
+    return out;
+  }
+
+  std::string folder, store, control, body;
+  std::vector<std::string> targets;
+  std::vector<Vm> vms;
+  pid_t estate_pid = 0;
+  int sequence = 0;
+};
+
+/* Guards against a target that sees a key, or not whose request it is.  */
+TEST_F (Entry, PassesARequestOnWithoutItsKey)
+{
+  EXPECT_EQ (Ask (vms[0], "/read/1", "r1"), 200);
+  EXPECT_NE (Told ("/runs").find (" r1 c1 nokey\n"), std::string::npos)
+      << Told ("/runs");
+  EXPECT_EQ (Ask (vms[0], "/read/1", "r2", "other"), 401);
+  EXPECT_EQ (Ask (vms[0], "/none/1", "r3"), 404);
+  EXPECT_EQ (Ask (vms[0], "/open/1", "r4", "other"), 200);
+  EXPECT_EQ (Count ("/arrivals", "r2") + Count ("/arrivals", "r3"), 0);
+  EXPECT_EQ (Log (vms[0]).find ("key-1"), std::string::npos);
+}
+
+/* Guards against a key that works on after it was withdrawn, and against an
+   older configuration undoing that.  */
+TEST_F (Entry, PutsANewerConfigurationIntoForce)
+{
+  PutConfig (3, "\"key-2\"");
+  EXPECT_TRUE (
+      WaitFor ([&] { return Ask (vms[0], "/read/1", "r1") == 401; }, 2000));
+  EXPECT_EQ (Ask (vms[1], "/read/1", "r2", "key-2"), 200);
+  PutConfig (2);
+  Control ("/put?key=op/config", "{\"version\":");
+  si_sleep_ms (300);
+  EXPECT_EQ (Ask (vms[0], "/read/1", "r3"), 401);
+  EXPECT_EQ (Ask (vms[0], "/read/1", "r4", "key-2"), 200);
+  EXPECT_TRUE (WaitFor ([&] {
+    return Log (vms[0]).find ("name=entry-unreadable key=op/config")
+           != std::string::npos;
+  }));
+}
+
+/* Guards against new work for a target that drains or is no longer listed,
+   also on the daemon that only hears of it from the other.  */
+TEST_F (Entry, SendsNothingToATargetThatLeaves)
+{
+  PutTarget ("t1", "a1", "draining");
+  si_sleep_ms (1500);
+  for (int i = 0; i < 10; i++)
+    for (const Vm &vm : vms)
+      EXPECT_EQ (Ask (vm, "/read/1", "d" + std::to_string (i)), 200);
+  EXPECT_EQ (Told ("/arrivals").find ("t1 d"), std::string::npos);
+  PutTarget ("t1", "a1");
+  Control ("/remove?key=servers/t2");
+  si_sleep_ms (1500);
+  for (const Vm &vm : vms)
+    EXPECT_EQ (Ask (vm, "/read/1", "e1"), 200);
+  EXPECT_EQ (Told ("/arrivals").find ("t2 e1"), std::string::npos);
+}
+
+/* Guards against a change that is lost with the store's history.  */
+TEST_F (Entry, ReadsAnewWhenHistoryIsDropped)
+{
+  Control ("/store?fault=silent");
+  Control ("/remove?key=servers/t1");
+  Control ("/compact");
+  Control ("/store?fault=none");
+  EXPECT_TRUE (WaitFor (
+      [&] {
+        return Log (vms[0]).find ("name=target-gone target=t1")
+               != std::string::npos;
+      },
+      6000))
+      << Log (vms[0]);
+}
+
+/* Guards against an order that runs twice, and against a refusal that says it
+   did not run.  */
+TEST_F (Entry, SendsAnOrderOnceWhereItMayHaveRun)
+{
+  Control ("/target?id=t1&fault=lose");
+  Control ("/target?id=t2&fault=lose");
+  EXPECT_EQ (Ask (vms[0], "/order/1", "o1", "key-1", "POST"), 502);
+  EXPECT_EQ (Count ("/runs", "o1"), 1);
+  EXPECT_TRUE (WaitFor ([&] {
+    return Explain ("o1").find ("may have run it") != std::string::npos;
+  })) << Explain ("o1");
+  EXPECT_NE (Explain ("o1").find ("verdict=lost"), std::string::npos);
+}
+
+/* Guards against an order that is given up although a target said truly that
+   it has not run.  */
+TEST_F (Entry, SendsAnOrderAgainWhereItWasRefusedUnrun)
+{
+  Control ("/target?id=t1&fault=shed");
+  EXPECT_EQ (Ask (vms[0], "/order/1", "o1", "key-1", "POST"), 200);
+  Control ("/target?id=t1&fault=other");
+  EXPECT_EQ (Ask (vms[0], "/order/1", "o2", "key-1", "POST"), 200);
+  EXPECT_EQ (Count ("/runs", "o1"), 1);
+  EXPECT_EQ (Count ("/runs", "o2"), 1);
+  Control ("/target?id=t1&fault=shed");
+  Control ("/target?id=t2&fault=shed");
+  EXPECT_EQ (Ask (vms[0], "/order/1", "o3", "key-1", "POST"), 503);
+  EXPECT_EQ (Count ("/runs", "o3"), 0);
+  EXPECT_NE (body.find ("not_run"), std::string::npos);
+}
+
+/* Guards against a failed read that another target would have served, and
+   against bytes that are not a target's passing as its answer.  */
+TEST_F (Entry, ReadsAgainFromAnotherTarget)
+{
+  Control ("/target?id=t1&fault=fail");
+  EXPECT_EQ (Ask (vms[0], "/read/1", "r1"), 200);
+  Control ("/target?id=t1&fault=spoil");
+  EXPECT_EQ (Ask (vms[0], "/read/1", "r2"), 200);
+  EXPECT_EQ (body, "t2");
+  Control ("/target?id=t2&fault=spoil");
+  EXPECT_EQ (Ask (vms[0], "/read/1", "r3"), 502);
+}
+
+/* Guards against a request that hangs past its time.  */
+TEST_F (Entry, AnswersWhenTheTimeIsOver)
+{
+  Control ("/target?id=t1&fault=hang");
+  Control ("/target?id=t2&fault=hang");
+  EXPECT_EQ (Ask (vms[0], "/order/1", "o1", "key-1", "POST"), 504);
+  EXPECT_EQ (Count ("/runs", "o1"), 1);
+}
+
+/* Guards against keys accepted on a daemon that could not hear of their
+   withdrawal, and against open routes that stop with them.  */
+TEST_F (Entry, RefusesKeysWhileTheStoreIsOutOfReach)
+{
+  Control ("/store?fault=silent");
+  EXPECT_TRUE (
+      WaitFor ([&] { return Ask (vms[0], "/read/1", "r1") == 503; }, 3500));
+  EXPECT_EQ (Ask (vms[0], "/open/1", "r2"), 200);
+  EXPECT_EQ (Status (vms[0].ready, "/ready"), 503);
+  EXPECT_TRUE (WaitFor ([&] {
+    return Explain ("r1").find ("the store had not confirmed")
+           != std::string::npos;
+  }));
+  EXPECT_NE (Explain ("r1").find ("name=store-down"), std::string::npos);
+  Control ("/store?fault=none");
+  EXPECT_TRUE (
+      WaitFor ([&] { return Ask (vms[0], "/read/1", "r3") == 200; }, 5000));
+}
+
+/* Guards against a daemon that needs the store to go on while it is only away
+   for a moment.  */
+TEST_F (Entry, ServesThroughAShortOutage)
+{
+  for (const char *fault : { "busy", "reset", "silent" })
+    {
+      Control (std::string ("/store?fault=") + fault);
+      si_sleep_ms (300);
+      EXPECT_EQ (Ask (vms[0], "/read/1", "r1"), 200) << fault;
+      Control ("/store?fault=none");
+      si_sleep_ms (1500);
+    }
+}
+
+/* Guards against more than a customer's rate over all daemons together.  */
+TEST_F (Entry, KeepsARateOverAllDaemons)
+{
+  int served = 0;
+  PutConfig (2, "\"key-1\"", "\"rate_per_s\":10,\"burst\":10");
+  si_sleep_ms (1500);
+  gint64 started_us = g_get_monotonic_time ();
+  for (int i = 0; i < 200; i++)
+    served += Ask (vms[(size_t)i % 2], "/read/1", "q" + std::to_string (i))
+              == 200;
+  double seconds = (double)(g_get_monotonic_time () - started_us) / 1e6;
+  EXPECT_LE (served, 10 * seconds + 10 + 2);
+  EXPECT_GE (served, 5);
+}
+
+/* Guards against clients being sent to a VM that is gone, and away from their
+   zone while its VM is there.  */
+TEST_F (Entry, NamesTheReadyVmsOfTheClientsZone)
+{
+  auto named = [&] (const Vm &by, const std::string &zone) {
+    std::string path = "/resolve?name=a.example&region=a&zone=" + zone;
+    g_autofree char *text
+        = si_get_text (by.directory.c_str (), path.c_str (), nullptr);
+    return std::string (text != nullptr ? text : "");
+  };
+  EXPECT_TRUE (WaitFor ([&] {
+    return named (vms[0], "a2").find (vms[1].front) != std::string::npos
+           && named (vms[0], "a2").find (vms[0].front) == std::string::npos;
+  }));
+  EXPECT_NE (named (vms[0], "a1").find (vms[0].front), std::string::npos);
+  si_process_kill (vms[1].pid);
+  vms[1].pid = 0;
+  EXPECT_TRUE (WaitFor (
+      [&] {
+        return named (vms[0], "a2").find (vms[1].front) == std::string::npos
+               && named (vms[0], "a2").find (vms[0].front)
+                      != std::string::npos;
+      },
+      6000));
+}
+
+/* Guards against a planned stop that cuts a request or outlives its grace.  */
+TEST_F (Entry, StopsGracefully)
+{
+  si_process_signal (vms[0].pid, SIGTERM);
+  EXPECT_TRUE (
+      WaitFor ([&] { return Status (vms[0].ready, "/ready") == 503; }, 1000));
+  EXPECT_EQ (Ask (vms[0], "/read/1", "r1"), 200);
+  int status = 0;
+  EXPECT_TRUE (si_process_wait (vms[0].pid, kGraceMs, &status));
+  EXPECT_TRUE (WIFEXITED (status) && WEXITSTATUS (status) == 0)
+      << Log (vms[0]);
+  vms[0].pid = 0;
+  EXPECT_EQ (Ask (vms[1], "/read/1", "r2"), 200);
+}
+
+/* Guards against changed settings that are only read after a restart.  */
+TEST_F (Entry, ReadsChangedSettings)
+{
+  si_process_signal (vms[0].pid, SIGHUP);
+  EXPECT_TRUE (WaitFor ([&] {
+    return Log (vms[0]).find ("settings-reloaded reason=signal")
+           != std::string::npos;
+  }));
+  si_sleep_ms (2500);
+  WriteSettings (vms[0], "changed");
+  EXPECT_TRUE (WaitFor ([&] {
+    return Log (vms[0]).find ("settings-reloaded reason=file")
+           != std::string::npos;
+  }));
+  EXPECT_EQ (Ask (vms[0], "/read/1", "r1"), 200);
+}
+
+/* Guards against a slow read after a restart whose cause is in no line.  */
+TEST_F (Entry, ExplainsAReadAfterARestart)
+{
+  EXPECT_EQ (Ask (vms[0], "/read/1", "r1"), 200);
+  EXPECT_TRUE (WaitFor ([&] {
+    return Explain ("r1").find ("r1: served") != std::string::npos;
+  }));
+  std::string text = Explain ("r1");
+  for (const char *part : { "name=daemon-started", "known=0", "placed=",
+                            "wait_ms=", "config_age_ms=", "took_ms=" })
+    EXPECT_NE (text.find (part), std::string::npos) << part << text;
+}
+
+/* Guards against metrics that miss what an engineer asks for first.  */
+TEST_F (Entry, ServesMetrics)
+{
+  Ask (vms[0], "/read/1", "r1");
+  g_autofree char *text
+      = si_get_text (vms[0].ready.c_str (), "/metrics", nullptr);
+  ASSERT_NE (text, nullptr);
+  for (const char *name :
+       { "requests_total{outcome=\"served\"} 1", "request_duration_us",
+         "target_sends_total 1", "config_age_us", "store_watches_total" })
+    EXPECT_NE (std::string (text).find (name), std::string::npos)
+        << name << "\n"
+        << text;
+}
+
+}
--- a/entry/view.c
+++ b/entry/view.c
@@ -6,9 +6,10 @@
 
 /* A watch that comes back without a change confirms the configuration as of
    the time when it was asked for.  So what a calm daemon knows is up to two
-   waits old, and that and one lost call must fit in the time for withdrawn
-   keys.  */
-#define OPERATOR_WAIT_MS 1500
+   waits old; that and some delay must fit in the time for withdrawn keys, of
+   which a wait takes this part.  */
+#define OPERATOR_WAIT_PERCENT 38
+#define OPERATOR_WAIT_MAX_MS 1500
 /* A daemon whose region's reader is cut off must read for itself within the
    two seconds in which a drain works; the reader's watch comes back often
    enough that its silence is noticed.  */
@@ -368,13 +369,29 @@
   return g_hash_table_size (regions);
 }
 
+static int64_t
+key_limit_us (const EnSettings *settings)
+{
+  return (int64_t)settings->bounds.key_withdrawal_ms * CK_US_PER_MS
+         - KEY_MARGIN_US;
+}
+
+static uint32_t
+operator_wait_ms (const EnSettings *settings)
+{
+  int64_t wait_ms = key_limit_us (settings) * OPERATOR_WAIT_PERCENT / 100
+                    / CK_US_PER_MS;
+
+  return (uint32_t)CLAMP (wait_ms, 1, OPERATOR_WAIT_MAX_MS);
+}
+
 EnView *
 en_view_new (const EnViewOptions *options)
 {
   EnView *view = g_new0 (EnView, 1);
   PfFeedOptions operator_feed = {
     .kind = PF_FEED_OPERATOR,
-    .wait_ms = OPERATOR_WAIT_MS,
+    .wait_ms = operator_wait_ms (options->settings),
     .events = &operator_events,
     .data = view,
   };
@@ -441,13 +458,9 @@
 gboolean
 en_view_knows_keys (const EnView *view, int64_t now_us)
 {
-  int64_t limit_us
-      = (int64_t)view->options.settings->bounds.key_withdrawal_ms
-            * CK_US_PER_MS
-        - KEY_MARGIN_US;
-
   return view->config != NULL && view->confirmed_us != 0
-         && now_us - view->confirmed_us <= limit_us;
+         && now_us - view->confirmed_us
+                <= key_limit_us (view->options.settings);
 }
 
 gboolean
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -95,7 +95,7 @@
   if (member != NULL && report->started_ms < member->started_ms)
     return FALSE;
   changed = member == NULL || report->started_ms > member->started_ms
-            || !fl_is_live (&member->public, now_us)
+            || now_us - member->public.heard_us > FL_SILENT_US
             || member->public.ready != report->ready
             || member->public.stopping != report->stopping;
   if (member == NULL || report->started_ms > member->started_ms)
--- a/fleet/fleet_test.cc
+++ b/fleet/fleet_test.cc
@@ -88,6 +88,15 @@
   EXPECT_EQ (Live (), 0);
 }
 
+/* Guards against two stopping daemons that answer each other's reports as fast
+   as they can.  */
+TEST_F (Fleet, ARepeatedStopIsNoChange)
+{
+  Hear ("vm2", "a1", "a");
+  EXPECT_TRUE (Hear ("vm2", "a1", "a", 1, TRUE));
+  EXPECT_FALSE (Hear ("vm2", "a1", "a", 1, TRUE));
+}
+
 /* Guards against a late report of an earlier start hiding the present one.  */
 TEST_F (Fleet, IgnoresReportsOfEarlierStarts)
 {
--- /dev/null
+++ b/standin/items.c
@@ -0,0 +1,399 @@
+#include <json-c/json.h>
+#include <string.h>
+
+#include "standin/estate_internal.h"
+
+typedef struct
+{
+  char *key;
+  char *value; /* base64; NULL: deleted */
+  uint64_t revision;
+  uint64_t created;
+  uint64_t lease;
+} Item;
+
+typedef enum
+{
+  FAULT_NONE,
+  FAULT_SILENT,
+  FAULT_BUSY,
+  FAULT_RESET,
+} Fault;
+
+struct SiItems
+{
+  SiServer *server;
+  GTree *items;       /* key to Item */
+  GPtrArray *history; /* Item, oldest first */
+  GPtrArray *waiting; /* SiExchange of watches */
+  uint64_t revision;
+  uint64_t compacted;
+  uint64_t next_lease;
+  Fault fault;
+};
+
+static void
+free_item (gpointer data)
+{
+  Item *item = data;
+
+  g_free (item->key);
+  g_free (item->value);
+  g_free (item);
+}
+
+static gint
+compare_keys (gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void)data;
+  return strcmp (a, b);
+}
+
+static struct json_object *
+item_to_json (const Item *item)
+{
+  struct json_object *object = json_object_new_object ();
+
+  json_object_object_add (object, "key", json_object_new_string (item->key));
+  json_object_object_add (object, "revision",
+                          json_object_new_uint64 (item->revision));
+  if (item->value == NULL)
+    {
+      json_object_object_add (object, "deleted",
+                              json_object_new_boolean (TRUE));
+      return object;
+    }
+  json_object_object_add (object, "value",
+                          json_object_new_string (item->value));
+  json_object_object_add (object, "created",
+                          json_object_new_uint64 (item->created));
+  json_object_object_add (object, "lease",
+                          json_object_new_uint64 (item->lease));
+  return object;
+}
+
+static void
+answer_json (SiExchange *x, int status, struct json_object *object)
+{
+  const char *text = json_object_to_json_string (object);
+
+  si_answer (x, status, text, strlen (text));
+  json_object_put (object);
+}
+
+/* NULL where nothing under PREFIX changed after REVISION.  */
+static struct json_object *
+events_after (const SiItems *items, const char *prefix, uint64_t revision)
+{
+  struct json_object *events = json_object_new_array ();
+
+  for (guint i = 0; i < items->history->len; i++)
+    {
+      const Item *item = items->history->pdata[i];
+      if (item->revision > revision && g_str_has_prefix (item->key, prefix))
+        json_object_array_add (events, item_to_json (item));
+    }
+  if (json_object_array_length (events) > 0)
+    return events;
+  json_object_put (events);
+  return NULL;
+}
+
+static void
+answer_events (SiItems *items, SiExchange *x, struct json_object *events)
+{
+  struct json_object *answer = json_object_new_object ();
+
+  json_object_object_add (answer, "events", events);
+  json_object_object_add (answer, "store_revision",
+                          json_object_new_uint64 (items->revision));
+  g_ptr_array_remove (items->waiting, x);
+  answer_json (x, 200, answer);
+}
+
+static void
+on_wait_over (SiExchange *x)
+{
+  answer_events (x->data, x, json_object_new_array ());
+}
+
+static void
+on_watcher_closed (SiExchange *x)
+{
+  SiItems *items = x->data;
+
+  g_ptr_array_remove (items->waiting, x);
+}
+
+static void
+answer_watch (SiItems *items, SiExchange *x)
+{
+  uint64_t after = (uint64_t)si_query_int (x, "after", 0);
+  struct json_object *events;
+
+  if (after < items->compacted)
+    {
+      si_answer_text (x, 410, "");
+      return;
+    }
+  events = events_after (items, si_query (x, "prefix"), after);
+  if (events != NULL)
+    {
+      answer_events (items, x, events);
+      return;
+    }
+  x->data = items;
+  x->on_closed = on_watcher_closed;
+  g_ptr_array_add (items->waiting, x);
+  si_later (x, si_query_int (x, "wait_ms", 0) * 1000, on_wait_over);
+}
+
+static void
+wake_watchers (SiItems *items)
+{
+  for (guint i = items->waiting->len; i > 0; i--)
+    {
+      SiExchange *x = items->waiting->pdata[i - 1];
+      struct json_object *events
+          = events_after (items, si_query (x, "prefix"),
+                          (uint64_t)si_query_int (x, "after", 0));
+      if (events != NULL && items->fault == FAULT_NONE)
+        answer_events (items, x, events);
+      else
+        json_object_put (events);
+    }
+}
+
+static Item *
+copy_item (const Item *item)
+{
+  Item *copy = g_new (Item, 1);
+
+  *copy = *item;
+  copy->key = g_strdup (item->key);
+  copy->value = g_strdup (item->value);
+  return copy;
+}
+
+static void
+store_item (SiItems *items, const char *key, const char *encoded,
+            uint64_t lease)
+{
+  const Item *old = g_tree_lookup (items->items, key);
+  Item *item = g_new0 (Item, 1);
+
+  item->key = g_strdup (key);
+  item->value = g_strdup (encoded);
+  item->revision = ++items->revision;
+  item->created = old != NULL ? old->created : item->revision;
+  item->lease = lease;
+  g_ptr_array_add (items->history, copy_item (item));
+  if (encoded != NULL)
+    g_tree_replace (items->items, item->key, item);
+  else
+    {
+      g_tree_remove (items->items, key);
+      free_item (item);
+    }
+  wake_watchers (items);
+}
+
+void
+si_items_put (SiItems *items, const char *key, const char *value,
+              gsize value_bytes)
+{
+  g_autofree char *encoded
+      = g_base64_encode ((const guchar *)value, value_bytes);
+
+  store_item (items, key, encoded, 0);
+}
+
+void
+si_items_remove (SiItems *items, const char *key)
+{
+  if (g_tree_lookup (items->items, key) != NULL)
+    store_item (items, key, NULL, 0);
+}
+
+/* Watchers are cut, and whoever asks for older changes gets 410.  */
+void
+si_items_compact (SiItems *items)
+{
+  items->compacted = items->revision + 1;
+  items->revision++;
+  g_ptr_array_set_size (items->history, 0);
+  while (items->waiting->len > 0)
+    {
+      SiExchange *x = items->waiting->pdata[0];
+      g_ptr_array_remove_index (items->waiting, 0);
+      si_drop (x);
+    }
+}
+
+gboolean
+si_items_set_fault (SiItems *items, const char *fault)
+{
+  static const char *const names[] = { "none", "silent", "busy", "reset" };
+
+  for (guint i = 0; i < G_N_ELEMENTS (names); i++)
+    if (strcmp (names[i], fault) == 0)
+      {
+        items->fault = (Fault)i;
+        return TRUE;
+      }
+  return FALSE;
+}
+
+typedef struct
+{
+  const char *prefix;
+  const char *after;
+  uint32_t left_count;
+  gboolean more;
+  struct json_object *list;
+} Page;
+
+/* Small pages, so that tests see several.  */
+#define PAGE_MAX_COUNT 3
+
+static gboolean
+add_to_page (gpointer key, gpointer value, gpointer data)
+{
+  Page *page = data;
+
+  if (!g_str_has_prefix (key, page->prefix)
+      || (page->after != NULL && strcmp (key, page->after) <= 0))
+    return FALSE;
+  if (page->left_count == 0)
+    {
+      page->more = TRUE;
+      return TRUE;
+    }
+  page->left_count--;
+  json_object_array_add (page->list, item_to_json (value));
+  return FALSE;
+}
+
+static void
+answer_range (SiItems *items, SiExchange *x)
+{
+  struct json_object *answer = json_object_new_object ();
+  Page page = {
+    .prefix = si_query (x, "prefix"),
+    .after = si_query (x, "after"),
+    .left_count = PAGE_MAX_COUNT,
+    .list = json_object_new_array (),
+  };
+
+  g_tree_foreach (items->items, add_to_page, &page);
+  json_object_object_add (answer, "items", page.list);
+  json_object_object_add (answer, "has_more",
+                          json_object_new_boolean (page.more));
+  json_object_object_add (answer, "store_revision",
+                          json_object_new_uint64 (items->revision));
+  answer_json (x, 200, answer);
+}
+
+static void
+answer_txn (SiItems *items, SiExchange *x)
+{
+  gsize text_bytes;
+  const char *text = si_body (x, &text_bytes);
+  g_autofree char *copy = g_strndup (text, text_bytes);
+  struct json_object *body = json_tokener_parse (copy);
+  struct json_object *answer = json_object_new_object ();
+  struct json_object *puts;
+
+  if (body != NULL && json_object_object_get_ex (body, "puts", &puts))
+    for (size_t i = 0; i < json_object_array_length (puts); i++)
+      {
+        struct json_object *put = json_object_array_get_idx (puts, i);
+        struct json_object *key;
+        struct json_object *value;
+        json_object_object_get_ex (put, "key", &key);
+        json_object_object_get_ex (put, "value", &value);
+        store_item (items, json_object_get_string (key),
+                    json_object_get_string (value), 0);
+      }
+  json_object_put (body);
+  json_object_object_add (answer, "revision",
+                          json_object_new_uint64 (items->revision));
+  answer_json (x, 200, answer);
+}
+
+static void
+answer_call (SiItems *items, SiExchange *x)
+{
+  const char *path = si_path (x);
+  g_autofree char *text = NULL;
+
+  if (strcmp (path, "/kv-range") == 0)
+    answer_range (items, x);
+  else if (strcmp (path, "/kv-watch") == 0)
+    answer_watch (items, x);
+  else if (strcmp (path, "/kv-txn") == 0)
+    answer_txn (items, x);
+  else if (strcmp (path, "/kv-lease") == 0)
+    {
+      text = g_strdup_printf ("{\"lease\":%" G_GUINT64_FORMAT
+                              ",\"ttl_s_time\":60}",
+                              ++items->next_lease);
+      si_answer_text (x, 200, text);
+    }
+  else if (g_str_has_prefix (path, "/kv-keep/"))
+    si_answer_text (x, 200, "{\"ttl_s_time\":60}");
+  else
+    si_answer_text (x, 404, "");
+}
+
+static void
+on_call (SiExchange *x, void *data)
+{
+  SiItems *items = data;
+
+  switch (items->fault)
+    {
+    case FAULT_NONE:
+      answer_call (items, x);
+      break;
+    case FAULT_SILENT:
+      break;
+    case FAULT_BUSY:
+      si_answer_text (x, 503, "");
+      break;
+    case FAULT_RESET:
+      si_drop (x);
+      break;
+    }
+}
+
+SiItems *
+si_items_new (struct event_base *base, const char *address, GError **error)
+{
+  SiItems *items = g_new0 (SiItems, 1);
+
+  items->revision = 1;
+  items->items = g_tree_new_full (compare_keys, NULL, NULL, free_item);
+  items->history = g_ptr_array_new_with_free_func (free_item);
+  items->waiting = g_ptr_array_new ();
+  items->server = si_serve (base, address, on_call, items, error);
+  if (items->server == NULL)
+    {
+      si_items_free (items);
+      return NULL;
+    }
+  return items;
+}
+
+void
+si_items_free (SiItems *items)
+{
+  if (items == NULL)
+    return;
+  if (items->server != NULL)
+    si_serve_free (items->server);
+  g_ptr_array_unref (items->waiting);
+  g_ptr_array_unref (items->history);
+  g_tree_unref (items->items);
+  g_free (items);
+}
