--- a/client/explain.c
+++ b/client/explain.c
@@ -90,8 +90,7 @@
   if (number == NULL || vm == NULL)
     return NULL;
   line = g_new0 (Line, 1);
-  line->time_ms
-      = g_ascii_strtoll (start + strlen ("time_ms="), NULL, 10);
+  line->time_ms = g_ascii_strtoll (start + strlen ("time_ms="), NULL, 10);
   line->number = g_ascii_strtoll (number, NULL, 10);
   line->vm = g_steal_pointer (&vm);
   line->text = g_strdup (start);
@@ -142,8 +141,8 @@
 {
   static const EvNumber states[]
       = { EV_DAEMON_STARTED, EV_DAEMON_DRAINING, EV_CONFIG_IN_FORCE,
-          EV_CONFIG_FRESH,   EV_STORE_DOWN,      EV_STORE_UP,
-          EV_SHARES_CHANGED, EV_LINES_DROPPED };
+          EV_CONFIG_STALE,   EV_CONFIG_FRESH,    EV_STORE_DOWN,
+          EV_STORE_UP,       EV_SHARES_CHANGED,  EV_LINES_DROPPED };
 
   for (guint i = 0; i < G_N_ELEMENTS (states); i++)
     if (line->number == (int64_t)states[i])
--- a/entry/view.c
+++ b/entry/view.c
@@ -48,6 +48,7 @@
   int64_t keep_until_us;   /* missing targets are kept */
   GHashTable *missing;     /* ids of targets that are kept */
   struct event *keep_timer;
+  struct event *stale_timer; /* keys are no longer confirmed */
   GPtrArray *changes;       /* Change, since the last news */
   GPtrArray *gone;          /* ids */
   gboolean catches_up;      /* news were missed */
@@ -189,6 +190,38 @@
            "key=%s problem=\"%s\"", key, problem);
 }
 
+static int64_t
+key_limit_us (const EnSettings *settings)
+{
+  return (int64_t)settings->bounds.key_withdrawal_ms * CK_US_PER_MS
+         - KEY_MARGIN_US;
+}
+
+static void
+on_stale_timer (evutil_socket_t fd, short what, void *data)
+{
+  EnView *view = data;
+
+  (void)fd;
+  (void)what;
+  tr_line (view->options.trace, EV_CONFIG_STALE,
+           "config=%" G_GUINT64_FORMAT " config_age_ms=%" G_GINT64_FORMAT,
+           view->config != NULL ? rt_version (view->config) : 0,
+           en_view_age_us (view, ck_boot_us ()) / 1000);
+  changed (view);
+}
+
+static void
+start_stale_timer (EnView *view)
+{
+  int64_t left_us = MAX (0, view->confirmed_us
+                                + key_limit_us (view->options.settings)
+                                - ck_boot_us ());
+  struct timeval left = { left_us / CK_US_PER_S, left_us % CK_US_PER_S };
+
+  event_add (view->stale_timer, &left);
+}
+
 static void
 on_operator_current (int64_t asked_us, void *data)
 {
@@ -196,6 +229,7 @@
   gboolean was_known = en_view_knows_keys (view, asked_us);
 
   view->confirmed_us = asked_us;
+  start_stale_timer (view);
   if (view->store_down)
     tr_line (view->options.trace, EV_STORE_UP, "part=operator");
   view->store_down = FALSE;
@@ -369,13 +403,6 @@
   return g_hash_table_size (regions);
 }
 
-static int64_t
-key_limit_us (const EnSettings *settings)
-{
-  return (int64_t)settings->bounds.key_withdrawal_ms * CK_US_PER_MS
-         - KEY_MARGIN_US;
-}
-
 static uint32_t
 operator_wait_ms (const EnSettings *settings)
 {
@@ -413,6 +440,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   view->changes = g_ptr_array_new_with_free_func (free_change);
   view->gone = g_ptr_array_new_with_free_func (g_free);
+  view->stale_timer = event_new (options->base, -1, 0, on_stale_timer, view);
   view->news_timer = event_new (options->base, -1, 0, on_news_timer, view);
   view->keep_timer = event_new (options->base, -1, 0, on_keep_timer, view);
   view->operator_feed = pf_feed_new (options->store, &operator_feed);
@@ -429,6 +457,7 @@
   pf_feed_free (view->target_feed);
   event_free (view->keep_timer);
   event_free (view->news_timer);
+  event_free (view->stale_timer);
   g_ptr_array_unref (view->changes);
   g_ptr_array_unref (view->gone);
   g_hash_table_unref (view->missing);
--- a/targets/internal.h
+++ b/targets/internal.h
@@ -42,13 +42,13 @@
 /* Targets that an object is placed on.  One is too few for an even load and
    the loss of a target; each further one takes memory from other objects.  */
 #define TG_HOMES 2
-/* Room above an even part, as a divisor of it and as a count, so that ranks
-   decide before room does.  */
-#define TG_ROOM_SPARE 4
+/* Room above the fair part, as a divisor of it, so that ranks decide before
+   room does.  Targets were seen to keep a sixth more than the fair part.  */
+#define TG_ROOM_SPARE 10
 /* An object that was not asked for in this time is no longer placed.  */
 #define TG_OBJECT_KEEP_US ((int64_t)60000000)
 /* Placement is redone at most this often while objects or targets change.  */
-#define TG_PLACE_PAUSE_US 100000
+#define TG_PLACE_PAUSE_US 200000
 
 typedef enum
 {
@@ -76,6 +76,8 @@
   char *name;
   GPtrArray *targets;  /* TgTarget */
   GHashTable *objects; /* hash to TgObject */
+  uint32_t near_count; /* homes in this daemon's region */
+  double near_room;    /* further ones that fit there */
   gboolean unplaced;   /* targets have changed */
   int64_t placed_us;
   int64_t service_us;  /* average over all requests; 0: none yet */
@@ -92,7 +94,7 @@
   char *region;
   TgDistance distance;
   uint32_t placed_count; /* objects whose home it is */
-  uint32_t object_room;  /* further ones that fit */
+  double object_room;    /* further ones that fit */
   uint32_t slots_count;
   gboolean draining;
   gboolean gone;
--- a/targets/place.c
+++ b/targets/place.c
@@ -2,82 +2,6 @@
 
 #include "targets/internal.h"
 
-/* An object and a target that may be its home.  */
-typedef struct
-{
-  TgObject *object;
-  TgTarget *target;
-  uint64_t rank;
-} Pair;
-
-typedef enum
-{
-  NEAR,       /* in this daemon's region */
-  NEAR_APART, /* and in another zone than the first home */
-  ANYWHERE,
-} Scope;
-
-static gint
-by_rank (gconstpointer a, gconstpointer b)
-{
-  const Pair *left = a;
-  const Pair *right = b;
-
-  return (left->rank < right->rank) - (left->rank > right->rank);
-}
-
-static gboolean
-fits (const TgObject *object, const TgTarget *target, Scope scope)
-{
-  const TgTarget *first = object->homes[0];
-
-  if (target->object_room == 0 || first == target)
-    return FALSE;
-  if (scope == ANYWHERE)
-    return TRUE;
-  if (target->distance == TG_FAR)
-    return FALSE;
-  return scope == NEAR || first == NULL
-         || strcmp (first->zone, target->zone) != 0;
-}
-
-static void
-set_home (TgObject *object, int home, TgTarget *target)
-{
-  object->homes[home] = target;
-  target->object_room -= target->object_room > 0;
-}
-
-/* Takes the pairs in falling order of rank, which is the stable assignment for
-   ranks that object and target agree on: a change of one target moves few
-   objects, and all daemons of a region arrive at the same one.  */
-static void
-assign (TgSet *set, TgService *service, GPtrArray *objects, int home,
-        Scope scope)
-{
-  g_autoptr (GArray) pairs = g_array_new (FALSE, FALSE, sizeof (Pair));
-
-  for (guint o = 0; o < objects->len; o++)
-    for (guint i = 0; i < service->targets->len; i++)
-      {
-        Pair pair = { objects->pdata[o], service->targets->pdata[i], 0 };
-        if (pair.object->homes[home] != NULL
-            || !tg_is_in_service (set, pair.target)
-            || !fits (pair.object, pair.target, scope))
-          continue;
-        pair.rank = tg_rank (pair.target, pair.object->hash);
-        g_array_append_val (pairs, pair);
-      }
-  g_array_sort (pairs, by_rank);
-  for (guint i = 0; i < pairs->len; i++)
-    {
-      const Pair *pair = &g_array_index (pairs, Pair, i);
-      if (pair->object->homes[home] == NULL
-          && fits (pair->object, pair->target, scope))
-        set_home (pair->object, home, pair->target);
-    }
-}
-
 typedef struct
 {
   uint32_t all;
@@ -100,55 +24,53 @@
   return census;
 }
 
-static uint32_t
-count_in_region (const TgSet *set, const TgService *service,
-                 const char *region)
+/* Targets in service by region.  */
+static GHashTable *
+count_regions (const TgSet *set, const TgService *service)
 {
-  uint32_t count = 0;
+  GHashTable *counts = g_hash_table_new (g_str_hash, g_str_equal);
 
   for (guint i = 0; i < service->targets->len; i++)
     {
       const TgTarget *target = service->targets->pdata[i];
-      count += tg_is_in_service (set, target)
-               && strcmp (target->region, region) == 0;
+      guint count;
+      if (!tg_is_in_service (set, target))
+        continue;
+      count = GPOINTER_TO_UINT (g_hash_table_lookup (counts, target->region));
+      g_hash_table_insert (counts, target->region,
+                           GUINT_TO_POINTER (count + 1));
     }
-  return count;
+  return counts;
 }
 
 /* Each region has about as many objects as this one, so a target's fair part
    follows from the number of targets.  A region whose targets have less than
-   their objects need keeps to the fair part; what the objects of a target's
-   own region leave of it may be used from elsewhere.  */
-static uint32_t
-room_of (const TgSet *set, const TgService *service, const TgTarget *target,
-         uint32_t fair)
-{
-  uint32_t objects = g_hash_table_size (service->objects);
-  uint32_t there = count_in_region (set, service, target->region);
-  uint32_t own = there > 0 ? TG_HOMES * objects / there : 0;
-
-  if (target->distance == TG_FAR)
-    return fair > own ? fair - own : 0;
-  return own <= fair ? own + own / TG_ROOM_SPARE + TG_ROOM_SPARE : fair;
-}
-
+   their objects need keeps to the fair part, whatever the number of objects
+   seen so far; what the objects of a target's own region leave of it may be
+   used from elsewhere.  */
 static void
 set_rooms (TgSet *set, TgService *service)
 {
-  uint32_t objects = g_hash_table_size (service->objects);
+  g_autoptr (GHashTable) regions = count_regions (set, service);
   Census census = count_targets (set, service);
-  uint32_t fair;
-
-  if (census.all == 0)
-    return;
-  fair = (TG_HOMES * objects * set->region_count + census.all - 1)
-         / census.all;
+  double homes = (double)TG_HOMES * g_hash_table_size (service->objects);
+  double fair = homes * set->region_count / MAX (1, census.all);
+  double own_here = homes / MAX (1, census.here);
+
+  service->near_room
+      = own_here > fair
+            ? MAX (0.0, fair * census.here - (double)service->near_count)
+            : G_MAXUINT32;
   for (guint i = 0; i < service->targets->len; i++)
     {
       TgTarget *target = service->targets->pdata[i];
-      uint32_t room = room_of (set, service, target, fair);
+      guint there = GPOINTER_TO_UINT (
+          g_hash_table_lookup (regions, target->region));
+      double room = target->distance == TG_FAR
+                        ? fair - homes / MAX (1, there)
+                        : fair + fair / TG_ROOM_SPARE;
       target->object_room
-          = room > target->placed_count ? room - target->placed_count : 0;
+          = MAX (0.0, room + 1 - (double)target->placed_count);
     }
 }
 
@@ -158,25 +80,86 @@
   GHashTableIter objects;
   gpointer value;
 
+  service->near_count = 0;
   for (guint i = 0; i < service->targets->len; i++)
     ((TgTarget *)service->targets->pdata[i])->placed_count = 0;
   g_hash_table_iter_init (&objects, service->objects);
   while (g_hash_table_iter_next (&objects, NULL, &value))
     for (int i = 0; i < TG_HOMES; i++)
-      if (((TgObject *)value)->homes[i] != NULL)
-        ((TgObject *)value)->homes[i]->placed_count++;
+      {
+        TgTarget *home = ((TgObject *)value)->homes[i];
+        if (home == NULL)
+          continue;
+        home->placed_count++;
+        service->near_count += home->distance != TG_FAR;
+      }
+}
+
+/* Kinds of homes, the better ones first.  */
+typedef enum
+{
+  NEAR_APART, /* in this region, in another zone than the first home */
+  NEAR,
+  FAR,
+  KIND_COUNT,
+} Kind;
+
+static Kind
+kind_of (const TgTarget *target, const TgTarget *first)
+{
+  if (target->distance == TG_FAR)
+    return FAR;
+  return first != NULL && strcmp (first->zone, target->zone) == 0
+             ? NEAR
+             : NEAR_APART;
+}
+
+/* The target with the highest rank of the best kind that has room: the same on
+   all daemons of a region, and a change of one target moves few objects.  */
+static TgTarget *
+find_home (const TgSet *set, const TgService *service, const TgObject *object)
+{
+  TgTarget *best[KIND_COUNT] = { NULL };
+  uint64_t best_rank[KIND_COUNT] = { 0 };
+  const TgTarget *first = object->homes[0];
+
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      TgTarget *target = service->targets->pdata[i];
+      Kind kind = kind_of (target, first);
+      uint64_t rank;
+      if (target == first || target->object_room < 1
+          || (kind != FAR && service->near_room < 1)
+          || !tg_is_in_service (set, target))
+        continue;
+      rank = tg_rank (target, object->hash);
+      if (best[kind] != NULL && rank <= best_rank[kind])
+        continue;
+      best[kind] = target;
+      best_rank[kind] = rank;
+    }
+  for (int kind = 0; kind < KIND_COUNT; kind++)
+    if (best[kind] != NULL)
+      return best[kind];
+  return NULL;
 }
 
 static void
-place (TgSet *set, TgService *service, GPtrArray *objects)
+place_object (const TgSet *set, TgService *service, TgObject *object)
 {
-  count_placed (service);
-  set_rooms (set, service);
-  assign (set, service, objects, 0, NEAR);
-  assign (set, service, objects, 1, NEAR_APART);
-  assign (set, service, objects, 1, NEAR);
-  assign (set, service, objects, 0, ANYWHERE);
-  assign (set, service, objects, 1, ANYWHERE);
+  for (int i = 0; i < TG_HOMES; i++)
+    {
+      TgTarget *home = find_home (set, service, object);
+      object->homes[i] = home;
+      if (home == NULL)
+        return;
+      home->object_room -= 1;
+      home->placed_count++;
+      if (home->distance == TG_FAR)
+        continue;
+      service->near_room -= 1;
+      service->near_count++;
+    }
 }
 
 static gboolean
@@ -188,6 +171,17 @@
   return *now_us - ((TgObject *)value)->asked_us > TG_OBJECT_KEEP_US;
 }
 
+static gint
+by_hash (gconstpointer a, gconstpointer b)
+{
+  uint64_t left = (*(const TgObject *const *)a)->hash;
+  uint64_t right = (*(const TgObject *const *)b)->hash;
+
+  return (left > right) - (left < right);
+}
+
+/* In the order of their hashes, so that daemons with the same objects come to
+   the same homes.  */
 static void
 place_all (TgSet *set, TgService *service, int64_t now_us)
 {
@@ -203,7 +197,11 @@
               sizeof ((TgObject *)value)->homes);
       g_ptr_array_add (all, value);
     }
-  place (set, service, all);
+  g_ptr_array_sort (all, by_hash);
+  count_placed (service);
+  set_rooms (set, service);
+  for (guint i = 0; i < all->len; i++)
+    place_object (set, service, all->pdata[i]);
   service->unplaced = FALSE;
   service->placed_us = now_us;
 }
@@ -221,12 +219,11 @@
   object = g_hash_table_lookup (service->objects, &object_hash);
   if (object == NULL)
     {
-      g_autoptr (GPtrArray) one = g_ptr_array_new ();
       object = g_new0 (TgObject, 1);
       object->hash = object_hash;
       g_hash_table_insert (service->objects, &object->hash, object);
-      g_ptr_array_add (one, object);
-      place (set, service, one);
+      set_rooms (set, service);
+      place_object (set, service, object);
     }
   object->asked_us = now_us;
   return object;
