--- a/backend/backend.c
+++ b/backend/backend.c
@@ -214,8 +214,7 @@
 {
   while (!g_queue_is_empty (&target->waiting))
     {
-      BkLink *link
-          = take_idle (target, g_queue_peek_head (&target->waiting));
+      BkLink *link = take_idle (target, g_queue_peek_head (&target->waiting));
       BkCall *call;
 
       if (link == NULL
--- a/backend/link.c
+++ b/backend/link.c
@@ -142,7 +142,8 @@
   call->result.complete = TRUE;
   bk_call_finish (call, BK_FAILURE_NONE,
                   is_quiet && evbuffer_get_length (link->in) == 0
-                      && call->head.keep_alive && call->sent_bytes == call->bytes->len);
+                      && call->head.keep_alive
+                      && call->sent_bytes == call->bytes->len);
 }
 
 /* evbuffer_read takes 4 KB at a time, which is slow for large answers.  */
--- a/client/explain.c
+++ b/client/explain.c
@@ -3,9 +3,10 @@
 #include "client/internal.h"
 #include "event/event.h"
 
-/* Changes of a daemon's state that are shown with a request, so long before
-   it.  */
+/* Changes of a daemon's state are shown with a request, so long before and
+   after it.  */
 #define STATE_BEFORE_MS 10000
+#define STATE_AFTER_MS 1000
 
 typedef struct
 {
@@ -152,10 +153,10 @@
 
 /* Whether LINE tells the state of the daemon that took the request.  */
 static gboolean
-is_context (const Line *line, const Line *first)
+is_context (const Line *line, const Line *first, const Line *last)
 {
   return is_state (line) && strcmp (line->vm, first->vm) == 0
-         && line->time_ms <= first->time_ms
+         && line->time_ms <= last->time_ms + STATE_AFTER_MS
          && line->time_ms >= first->time_ms - STATE_BEFORE_MS;
 }
 
@@ -194,7 +195,7 @@
     }
   for (guint i = 0; i < lines->len; i++)
     if (is_of_request (lines->pdata[i], id)
-        || is_context (lines->pdata[i], first))
+        || is_context (lines->pdata[i], first, last))
       cl_say (context, "%s\n", ((Line *)lines->pdata[i])->text);
   cl_say (context, "%s: %s\n", id, meaning_of (last));
   return CL_EXIT_DONE;
--- a/entry/dialect.h
+++ b/entry/dialect.h
@@ -12,8 +12,8 @@
 
 typedef struct
 {
-  const char *request_id;    /* of one attempt of a caller; echoed by targets */
-  const char *deadline_ms;   /* time that is left */
+  const char *request_id;  /* of one attempt of a caller; echoed by targets */
+  const char *deadline_ms; /* time that is left */
   const char *object_cookie; /* same value: same object */
   const char *signature;     /* proves that an answer is a target's */
   const char *customer;      /* set for targets, never taken from callers */
--- a/entry/directory.c
+++ b/entry/directory.c
@@ -94,7 +94,8 @@
   if (query != NULL)
     evhttp_parse_query_str (query, &fields);
   search.zone = evhttp_find_header (&fields, options->dialect->lookup_zone);
-  search.region = evhttp_find_header (&fields, options->dialect->lookup_region);
+  search.region
+      = evhttp_find_header (&fields, options->dialect->lookup_region);
   mt_add (directory->lookup_count, 1);
   if (options->is_ready (options->data))
     consider (&search, settings->zone, settings->region,
@@ -150,9 +151,9 @@
       host = g_strndup (address, (gsize)(colon - address));
       server = evhttp_new (base);
       evhttp_set_timeout (server, REQUEST_TIMEOUT_S);
-      if (evhttp_bind_socket (server, host,
-                              (ev_uint16_t)g_ascii_strtoull (colon + 1, NULL,
-                                                             10))
+      if (evhttp_bind_socket (
+              server, host,
+              (ev_uint16_t)g_ascii_strtoull (colon + 1, NULL, 10))
           == 0)
         return server;
       evhttp_free (server);
@@ -170,9 +171,8 @@
   directory->options = *options;
   directory->lookup_count = mt_counter (options->metrics, "lookups_total",
                                         "Look-ups of entry VMs");
-  directory->empty_count
-      = mt_counter (options->metrics, "lookups_empty_total",
-                    "Look-ups while no entry VM was ready");
+  directory->empty_count = mt_counter (options->metrics, "lookups_empty_total",
+                                       "Look-ups while no entry VM was ready");
   directory->lookups
       = listen_on (options->base, options->settings->directory_listen, error);
   if (directory->lookups != NULL)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -273,9 +273,8 @@
   entry->base = event_base_new ();
   entry->settings = settings;
   entry->path = g_strdup (path);
-  entry->trace = tr_new (&(TrOptions){ .base = entry->base,
-                                       .fd = STDOUT_FILENO,
-                                       .vm = settings->vm });
+  entry->trace = tr_new (&(TrOptions){
+      .base = entry->base, .fd = STDOUT_FILENO, .vm = settings->vm });
   make_metrics (entry);
   entry->store = pf_store_new (&(PfStoreOptions){
       .base = entry->base, .address = settings->store_address });
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -42,8 +42,9 @@
   void
   SetUp () override
   {
-    folder = testing::TempDir () + "entry-" + std::to_string (getpid ()) + "-"
-             + testing::UnitTest::GetInstance ()->current_test_info ()->name ();
+    folder
+        = testing::TempDir () + "entry-" + std::to_string (getpid ()) + "-"
+          + testing::UnitTest::GetInstance ()->current_test_info ()->name ();
     ASSERT_EQ (g_mkdir_with_parents (folder.c_str (), 0700), 0);
     StartEstate ();
     vms.push_back (MakeVm ("vm1", "a1"));
@@ -54,8 +55,9 @@
     for (Vm &vm : vms)
       Start (vm);
     for (Vm &vm : vms)
-      ASSERT_TRUE (WaitFor ([&] { return Status (vm.ready, "/ready") == 200; }))
-          << Log (vm);
+      ASSERT_TRUE (WaitFor ([&] {
+        return Status (vm.ready, "/ready") == 200;
+      })) << Log (vm);
   }
 
   void
@@ -129,10 +131,11 @@
         << vm.zone << "\",\"region\":\"a\",\"zones\":{\"a1\":\"a\","
         << "\"a2\":\"a\"},\"front_listen\":\"" << vm.front
         << "\",\"ready_listen\":\"" << vm.ready << "\",\"directory_listen\":\""
-        << vm.directory << "\",\"address\":\"127.0.0.1\",\"gossip_port\":"
-        << vm.gossip_port << ",\"store_address\":\"" << store
-        << "\",\"files_max\":1000,\"bounds\":{\"grace_s\":"
-        << kGraceMs / 1000 << ",\"revoke_s\":3}}\n";
+        << vm.directory
+        << "\",\"address\":\"127.0.0.1\",\"gossip_port\":" << vm.gossip_port
+        << ",\"store_address\":\"" << store
+        << "\",\"files_max\":1000,\"bounds\":{\"grace_s\":" << kGraceMs / 1000
+        << ",\"revoke_s\":3}}\n";
   }
 
   void
@@ -225,10 +228,9 @@
              const std::string &state = "ready")
   {
     Control ("/put?key=servers/" + id,
-             "{\"service\":\"s\",\"address\":\""
-                 + targets[id == "t1" ? 0 : 1] + "\",\"zone\":\"" + zone
-                 + "\",\"slots\":3,\"state\":\"" + state
-                 + "\",\"cold_remaining_s\":0,\"sequence\":"
+             "{\"service\":\"s\",\"address\":\"" + targets[id == "t1" ? 0 : 1]
+                 + "\",\"zone\":\"" + zone + "\",\"slots\":3,\"state\":\""
+                 + state + "\",\"cold_remaining_s\":0,\"sequence\":"
                  + std::to_string (++sequence) + ",\"born\":1000}");
   }
 
@@ -270,7 +272,7 @@
     std::string program = "comfreywalk";
     std::string command = "explain";
     std::string request = id;
-    char *argv[] = { program.data (), command.data (), request.data (),
+    char *argv[] = { program.data (),    command.data (),    request.data (),
                      vms[0].log.data (), vms[1].log.data (), nullptr };
     char *text = nullptr;
     size_t length = 0;
@@ -421,7 +423,9 @@
     return Explain ("r1").find ("the store had not confirmed")
            != std::string::npos;
   }));
-  EXPECT_NE (Explain ("r1").find ("name=config-stale"), std::string::npos);
+  EXPECT_TRUE (WaitFor ([&] {
+    return Explain ("r1").find ("name=config-stale") != std::string::npos;
+  }));
   Control ("/store?fault=none");
   EXPECT_TRUE (
       WaitFor ([&] { return Ask (vms[0], "/read/1", "r3") == 200; }, 5000));
--- a/entry/hold.c
+++ b/entry/hold.c
@@ -21,9 +21,8 @@
   if (queue == NULL)
     {
       queue = g_queue_new ();
-      g_hash_table_insert (proxy->held,
-                           g_memdup2 (&object_hash, sizeof object_hash),
-                           queue);
+      g_hash_table_insert (
+          proxy->held, g_memdup2 (&object_hash, sizeof object_hash), queue);
     }
   return queue;
 }
@@ -53,15 +52,14 @@
 void
 en_request_hold (EnRequest *request, int64_t limit_us)
 {
-  struct timeval limit
-      = { limit_us / CK_US_PER_S, limit_us % CK_US_PER_S };
+  struct timeval limit = { limit_us / CK_US_PER_S, limit_us % CK_US_PER_S };
 
   request->was_held = TRUE;
   request->hold_node.data = request;
   g_queue_push_tail_link (queue_of (request->proxy, request->object_hash),
                           &request->hold_node);
-  request->hold_timer = event_new (request->proxy->options.base, -1, 0,
-                                   on_limit, request);
+  request->hold_timer
+      = event_new (request->proxy->options.base, -1, 0, on_limit, request);
   event_add (request->hold_timer, &limit);
 }
 
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -61,7 +61,7 @@
 {
   EnProxy *proxy = request->proxy;
 
-  if (request->reserved && !request->may_have_run)
+  if (request->reserved && request->customer != NULL && !request->may_have_run)
     lm_return (en_shares_limits (proxy->options.shares),
                request->customer->name);
   mt_add (proxy->outcomes[outcome], 1);
@@ -98,9 +98,9 @@
                    int64_t retry_after_us, const char *reason)
 {
   g_autoptr (HtHeaders) headers = ht_headers_new ();
-  g_autofree char *body = g_strdup_printf (
-      "{\"error\":\"%s\",\"outcome\":\"%s\"}", reason,
-      request->may_have_run ? "unknown" : "not_run");
+  g_autofree char *body
+      = g_strdup_printf ("{\"error\":\"%s\",\"outcome\":\"%s\"}", reason,
+                         request->may_have_run ? "unknown" : "not_run");
   char seconds[G_ASCII_DTOSTR_BUF_SIZE];
 
   ht_headers_add (headers, "Content-Type", "application/json");
@@ -117,13 +117,14 @@
 void
 en_request_answer (EnRequest *request, const BkResult *result)
 {
-  EnOutcome outcome = result->status < 300 ? EN_OUTCOME_SERVED
-                                           : EN_OUTCOME_PASSED;
-
-  tr_line (request->proxy->options.trace, EV_REQUEST_ANSWERED,
-           "request=%s outcome=%s status=%u sends=%u took_ms=%" G_GINT64_FORMAT,
-           request->id, outcomes[outcome].name, result->status, request->sends,
-           (ck_boot_us () - request->front->arrived_us) / 1000);
+  EnOutcome outcome
+      = result->status < 300 ? EN_OUTCOME_SERVED : EN_OUTCOME_PASSED;
+
+  tr_line (
+      request->proxy->options.trace, EV_REQUEST_ANSWERED,
+      "request=%s outcome=%s status=%u sends=%u took_ms=%" G_GINT64_FORMAT,
+      request->id, outcomes[outcome].name, result->status, request->sends,
+      (ck_boot_us () - request->front->arrived_us) / 1000);
   fr_reply (request->front, result->status, result->headers, result->body,
             result->body_bytes);
   finish (request, outcome);
@@ -439,13 +440,13 @@
 void
 en_proxy_set_limits (EnProxy *proxy, const RtLimits *limits)
 {
-  fr_set_limits (proxy->front,
-                 &(FrLimits){
-                     .body_max_bytes
-                     = (uint32_t)MIN (limits->body_max_bytes, G_MAXINT32),
-                     .request_timeout_ms = limits->head_timeout_ms,
-                     .idle_timeout_ms = limits->idle_timeout_ms,
-                 });
+  fr_set_limits (
+      proxy->front,
+      &(FrLimits){
+          .body_max_bytes = (uint32_t)MIN (limits->body_max_bytes, G_MAXINT32),
+          .request_timeout_ms = limits->head_timeout_ms,
+          .idle_timeout_ms = limits->idle_timeout_ms,
+      });
 }
 
 void
--- a/entry/request.h
+++ b/entry/request.h
@@ -9,9 +9,9 @@
 
 typedef enum
 {
-  EN_OUTCOME_SERVED,    /* a target's success */
-  EN_OUTCOME_PASSED,    /* a target's own failure */
-  EN_OUTCOME_INVALID,   /* not a proper request */
+  EN_OUTCOME_SERVED,  /* a target's success */
+  EN_OUTCOME_PASSED,  /* a target's own failure */
+  EN_OUTCOME_INVALID, /* not a proper request */
   EN_OUTCOME_NO_ROUTE,
   EN_OUTCOME_NO_KEY,
   EN_OUTCOME_LIMITED,   /* over the customer's rate */
@@ -63,11 +63,11 @@
   uint32_t priority;
   HtHeaders *headers; /* for targets */
 
-  uint32_t sends;      /* handed to a target */
-  uint32_t tries;      /* with those that were not sent */
+  uint32_t sends; /* handed to a target */
+  uint32_t tries; /* with those that were not sent */
   gboolean may_have_run;
-  gboolean reserved;   /* took a token of its customer */
-  uint64_t failed;     /* key of the target that failed last; 0: none */
+  gboolean reserved; /* took a token of its customer */
+  uint64_t failed;   /* key of the target that failed last; 0: none */
   TgUse *use;
   BkCall *call;
   int64_t sent_us;
--- a/entry/send.c
+++ b/entry/send.c
@@ -92,15 +92,14 @@
   tr_line (proxy->options.trace,
            request->sends > 0 ? EV_REQUEST_RETRIED : EV_REQUEST_SENT,
            "request=%s route=%s service=%s customer=%s target=%s zone=%s "
-           "object=%04x placed=%d known=%d wait_ms=%" G_GINT64_FORMAT " cost_ms=%" G_GINT64_FORMAT
-           " left_ms=%s config=%" G_GUINT64_FORMAT
+           "object=%04x placed=%d known=%d wait_ms=%" G_GINT64_FORMAT
+           " cost_ms=%" G_GINT64_FORMAT " left_ms=%s config=%" G_GUINT64_FORMAT
            " config_age_ms=%" G_GINT64_FORMAT,
            request->id, request->route->name, request->service,
            request->customer != NULL ? request->customer->name : "-",
            tg_id (choice->target), tg_zone (choice->target),
            (uint32_t)(request->object_hash & 0xffff), choice->placed,
-           choice->known,
-           choice->wait_us / 1000, choice->cost_us / 1000, left,
+           choice->known, choice->wait_us / 1000, choice->cost_us / 1000, left,
            rt_version (request->config),
            en_view_age_us (proxy->options.view, now_us) / 1000);
   request->call = bk_request (proxy->pool, &call);
@@ -202,9 +201,9 @@
 }
 
 static const TgEndKind ends[] = {
-  [VERDICT_SUCCESS] = TG_END_ANSWERED,   [VERDICT_OWN_FAILURE] = TG_END_FAILED,
-  [VERDICT_UNRUN] = TG_END_SHED,         [VERDICT_MISPLACED] = TG_END_MISPLACED,
-  [VERDICT_SPOILED] = TG_END_FAILED,     [VERDICT_UNSENT] = TG_END_LOST,
+  [VERDICT_SUCCESS] = TG_END_ANSWERED, [VERDICT_OWN_FAILURE] = TG_END_FAILED,
+  [VERDICT_UNRUN] = TG_END_SHED,       [VERDICT_MISPLACED] = TG_END_MISPLACED,
+  [VERDICT_SPOILED] = TG_END_FAILED,   [VERDICT_UNSENT] = TG_END_LOST,
   [VERDICT_LOST] = TG_END_LOST,
 };
 
@@ -278,9 +277,9 @@
 log_failure (const EnRequest *request, Verdict verdict, const BkResult *result)
 {
   static const char *const names[] = {
-    [VERDICT_SUCCESS] = "success",     [VERDICT_OWN_FAILURE] = "own_failure",
-    [VERDICT_UNRUN] = "unrun",         [VERDICT_MISPLACED] = "misplaced",
-    [VERDICT_SPOILED] = "spoiled",     [VERDICT_UNSENT] = "unsent",
+    [VERDICT_SUCCESS] = "success", [VERDICT_OWN_FAILURE] = "own_failure",
+    [VERDICT_UNRUN] = "unrun",     [VERDICT_MISPLACED] = "misplaced",
+    [VERDICT_SPOILED] = "spoiled", [VERDICT_UNSENT] = "unsent",
     [VERDICT_LOST] = "lost",
   };
   const TgTarget *target = tg_use_target (request->use);
--- a/entry/shares.c
+++ b/entry/shares.c
@@ -33,7 +33,7 @@
   int64_t started_ms;
   uint64_t config_version;
   gboolean has_members; /* the store's list was read */
-  gboolean ready; /* as last reported */
+  gboolean ready;       /* as last reported */
   gboolean stopping;
   uint32_t daemon_count;
 };
@@ -162,13 +162,12 @@
              count, shares->daemon_count);
   shares->daemon_count = count;
   lm_each (shares->limits, share_customer, &visit);
-  lm_budget_set (shares->budget,
-                 &(LmBudgetOptions){
-                     .ratio = bounds->retry_ratio * BOUND_PART,
-                     .reserve_count
-                     = bounds->retry_reserve_count * BOUND_PART / count,
-                     .window_us
-                     = (int64_t)bounds->retry_window_ms * CK_US_PER_MS });
+  lm_budget_set (
+      shares->budget,
+      &(LmBudgetOptions){
+          .ratio = bounds->retry_ratio * BOUND_PART,
+          .reserve_count = bounds->retry_reserve_count * BOUND_PART / count,
+          .window_us = (int64_t)bounds->retry_window_ms * CK_US_PER_MS });
   g_hash_table_iter_init (&zones, settings->zones);
   while (g_hash_table_iter_next (&zones, &zone, &region))
     tg_set_cold_share (shares->options.targets, zone,
@@ -290,8 +289,7 @@
   shares->demands = g_array_new (FALSE, FALSE, sizeof (FlDemand));
   shares->addresses
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  shares->timer
-      = event_new (options->base, -1, EV_PERSIST, on_timer, shares);
+  shares->timer = event_new (options->base, -1, EV_PERSIST, on_timer, shares);
   event_add (shares->timer, &interval);
   shares->members = pf_feed_new (options->store, &members);
   shares->member = pf_member_new (options->store, &member);
@@ -335,8 +333,7 @@
 is_region_peer (const Telling *telling, const FlMember *member)
 {
   return fl_is_live (member, telling->now_us)
-         && strcmp (member->region,
-                    telling->shares->options.settings->region)
+         && strcmp (member->region, telling->shares->options.settings->region)
                 == 0;
 }
 
--- a/entry/view.c
+++ b/entry/view.c
@@ -28,12 +28,6 @@
 /* A watch of the reader and its way here, with some delay.  */
 #define NEWS_TIMEOUT_US 1200000
 
-/* A change of a target, kept until it is told to others.  */
-typedef struct
-{
-  TgEntry entry; /* owns its strings */
-} Change;
-
 struct EnView
 {
   EnViewOptions options;
@@ -44,15 +38,16 @@
   int64_t confirmed_us; /* of the configuration; 0: never */
   gboolean has_targets;
   gboolean store_down;
-  int64_t down_since_us;   /* first failure of the target feed; 0: none */
-  int64_t keep_until_us;   /* missing targets are kept */
-  GHashTable *missing;     /* ids of targets that are kept */
+  int64_t down_since_us; /* first failure of the target feed; 0: none */
+  int64_t keep_until_us; /* missing targets are kept */
+  GHashTable *missing;   /* ids of targets that are kept */
   struct event *keep_timer;
   struct event *stale_timer; /* keys are no longer confirmed */
-  GPtrArray *changes;       /* Change, since the last news */
-  GPtrArray *gone;          /* ids */
-  gboolean catches_up;      /* news were missed */
-  int64_t news_us;          /* when the last ones came; 0: never */
+  GArray *changes;           /* TgEntry that own their strings, since the last
+                                news */
+  GPtrArray *gone;           /* ids */
+  gboolean catches_up;       /* news were missed */
+  int64_t news_us;           /* when the last ones came; 0: never */
   struct event *news_timer;
 };
 
@@ -96,29 +91,27 @@
 }
 
 static void
-free_change (gpointer data)
+clear_change (gpointer data)
 {
-  Change *change = data;
+  TgEntry *entry = data;
 
-  g_free ((char *)change->entry.id);
-  g_free ((char *)change->entry.address);
-  g_free ((char *)change->entry.service);
-  g_free ((char *)change->entry.zone);
-  g_free (change);
+  g_free ((char *)entry->id);
+  g_free ((char *)entry->address);
+  g_free ((char *)entry->service);
+  g_free ((char *)entry->zone);
 }
 
 static void
 keep_change (EnView *view, const TgEntry *entry)
 {
-  Change *change = g_new0 (Change, 1);
+  TgEntry copy = *entry;
 
-  change->entry = *entry;
-  change->entry.id = g_strdup (entry->id);
-  change->entry.address = g_strdup (entry->address);
-  change->entry.service = g_strdup (entry->service);
-  change->entry.zone = g_strdup (entry->zone);
-  change->entry.region = NULL;
-  g_ptr_array_add (view->changes, change);
+  copy.id = g_strdup (entry->id);
+  copy.address = g_strdup (entry->address);
+  copy.service = g_strdup (entry->service);
+  copy.zone = g_strdup (entry->zone);
+  copy.region = NULL;
+  g_array_append_val (view->changes, copy);
 }
 
 static void
@@ -186,8 +179,8 @@
 {
   EnView *view = data;
 
-  tr_line (view->options.trace, EV_ENTRY_UNREADABLE,
-           "key=%s problem=\"%s\"", key, problem);
+  tr_line (view->options.trace, EV_ENTRY_UNREADABLE, "key=%s problem=\"%s\"",
+           key, problem);
 }
 
 static int64_t
@@ -214,9 +207,9 @@
 static void
 start_stale_timer (EnView *view)
 {
-  int64_t left_us = MAX (0, view->confirmed_us
-                                + key_limit_us (view->options.settings)
-                                - ck_boot_us ());
+  int64_t left_us
+      = MAX (0, view->confirmed_us + key_limit_us (view->options.settings)
+                    - ck_boot_us ());
   struct timeval left = { left_us / CK_US_PER_S, left_us % CK_US_PER_S };
 
   event_add (view->stale_timer, &left);
@@ -298,21 +291,18 @@
 on_targets_revision (uint64_t from, uint64_t to, void *data)
 {
   EnView *view = data;
-  g_autofree TgEntry *entries = g_new (TgEntry, view->changes->len);
   GoNews news = {
     .from_revision = from,
     .to_revision = to,
-    .entries = entries,
+    .entries = (const TgEntry *)view->changes->data,
     .entry_count = view->changes->len,
     .gone = (const char *const *)view->gone->pdata,
     .gone_count = view->gone->len,
   };
 
-  for (guint i = 0; i < view->changes->len; i++)
-    entries[i] = ((Change *)view->changes->pdata[i])->entry;
   if (from != 0)
     view->options.on_news (&news, view->options.data);
-  g_ptr_array_set_size (view->changes, 0);
+  g_array_set_size (view->changes, 0);
   g_ptr_array_set_size (view->gone, 0);
 }
 
@@ -345,7 +335,7 @@
       remove_target (view, news->gone[i], "told");
       pf_feed_note_target (view->target_feed, news->gone[i], FALSE);
     }
-  g_ptr_array_set_size (view->changes, 0);
+  g_array_set_size (view->changes, 0);
   g_ptr_array_set_size (view->gone, 0);
 }
 
@@ -406,8 +396,8 @@
 static uint32_t
 operator_wait_ms (const EnSettings *settings)
 {
-  int64_t wait_ms = key_limit_us (settings) * OPERATOR_WAIT_PERCENT / 100
-                    / CK_US_PER_MS;
+  int64_t wait_ms
+      = key_limit_us (settings) * OPERATOR_WAIT_PERCENT / 100 / CK_US_PER_MS;
 
   return (uint32_t)CLAMP (wait_ms, 1, OPERATOR_WAIT_MAX_MS);
 }
@@ -438,7 +428,8 @@
                     .region_count = count_regions (options->settings) });
   view->missing
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  view->changes = g_ptr_array_new_with_free_func (free_change);
+  view->changes = g_array_new (FALSE, FALSE, sizeof (TgEntry));
+  g_array_set_clear_func (view->changes, clear_change);
   view->gone = g_ptr_array_new_with_free_func (g_free);
   view->stale_timer = event_new (options->base, -1, 0, on_stale_timer, view);
   view->news_timer = event_new (options->base, -1, 0, on_news_timer, view);
@@ -458,7 +449,7 @@
   event_free (view->keep_timer);
   event_free (view->news_timer);
   event_free (view->stale_timer);
-  g_ptr_array_unref (view->changes);
+  g_array_unref (view->changes);
   g_ptr_array_unref (view->gone);
   g_hash_table_unref (view->missing);
   tg_free (view->targets);
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -157,7 +157,8 @@
 
   if (count->now_us - member->heard_us <= FL_RESERVED_US
       && (count->zone == NULL || strcmp (count->zone, member->zone) == 0)
-      && (count->region == NULL || strcmp (count->region, member->region) == 0))
+      && (count->region == NULL
+          || strcmp (count->region, member->region) == 0))
     count->count++;
 }
 
--- a/front/reply.c
+++ b/front/reply.c
@@ -101,8 +101,8 @@
   FrServer *server = conn->server;
   GString *out = server->scratch;
   struct evbuffer *output = bufferevent_get_output (conn->bev);
-  gboolean keep = conn->head.keep_alive && !server->stopping
-                  && !server->closing;
+  gboolean keep
+      = conn->head.keep_alive && !server->stopping && !server->closing;
   gboolean sends_body = body_bytes > 0 && !ht_is_bodiless (status)
                         && strcmp (request->method, "HEAD") != 0;
 
--- a/gossip/gossip.c
+++ b/gossip/gossip.c
@@ -86,8 +86,8 @@
   (void)what;
   for (int i = 0; i < RECEIVE_MAX_COUNT; i++)
     {
-      ssize_t got = recv (fd, gossip->buffer, sizeof gossip->buffer,
-                          MSG_DONTWAIT);
+      ssize_t got
+          = recv (fd, gossip->buffer, sizeof gossip->buffer, MSG_DONTWAIT);
       Gossip__Datagram *message;
       if (got < 0)
         return;
@@ -164,8 +164,9 @@
 {
   Gossip__Datagram datagram = GOSSIP__DATAGRAM__INIT;
   Gossip__Report message = GOSSIP__REPORT__INIT;
-  g_autofree Gossip__Demand *demands = g_new (Gossip__Demand, demand_count);
-  g_autofree Gossip__Demand **list = g_new (Gossip__Demand *, demand_count);
+  Gossip__Demand *demands = g_new (Gossip__Demand, demand_count);
+  Gossip__Demand **list = g_new (Gossip__Demand *, demand_count);
+  size_t bytes;
 
   message.name = (char *)report->name;
   message.started_ms = report->started_ms;
@@ -186,7 +187,10 @@
   message.demands = list;
   message.n_demands = demand_count;
   datagram.report = &message;
-  return pack_datagram (gossip, &datagram);
+  bytes = pack_datagram (gossip, &datagram);
+  g_free (list);
+  g_free (demands);
+  return bytes;
 }
 
 static void
@@ -238,10 +242,8 @@
 {
   Gossip__Datagram datagram = GOSSIP__DATAGRAM__INIT;
   Gossip__News message = GOSSIP__NEWS__INIT;
-  g_autofree Gossip__Target *targets
-      = g_new (Gossip__Target, news->entry_count);
-  g_autofree Gossip__Target **list
-      = g_new (Gossip__Target *, news->entry_count);
+  Gossip__Target *targets = g_new (Gossip__Target, news->entry_count);
+  Gossip__Target **list = g_new (Gossip__Target *, news->entry_count);
   size_t bytes;
 
   for (uint32_t i = 0; i < news->entry_count; i++)
@@ -257,6 +259,8 @@
   message.n_gone = news->gone_count;
   datagram.news = &message;
   bytes = pack_datagram (gossip, &datagram);
+  g_free (list);
+  g_free (targets);
   if (bytes == 0)
     return FALSE;
   send_packed (gossip, address, bytes);
--- a/limit/budget.c
+++ b/limit/budget.c
@@ -80,4 +80,3 @@
   bucket->tokens -= 1;
   return TRUE;
 }
-
--- a/limit/budget.h
+++ b/limit/budget.h
@@ -30,8 +30,7 @@
 LmBudget *lm_budget_new (const LmBudgetOptions *options);
 void lm_budget_free (LmBudget *budget);
 void lm_budget_set (LmBudget *budget, const LmBudgetOptions *options);
-void lm_budget_request (LmBudget *budget, const char *service,
-                        int64_t now_us);
+void lm_budget_request (LmBudget *budget, const char *service, int64_t now_us);
 gboolean lm_budget_take (LmBudget *budget, const char *service,
                          int64_t now_us);
 
--- a/limit/limit.c
+++ b/limit/limit.c
@@ -60,9 +60,8 @@
 
   bucket->filled_us = now_us;
   bucket->tokens
-      = MIN (capacity (bucket), bucket->tokens
-                                    + seconds * bucket->rate_per_s
-                                          * bucket->share);
+      = MIN (capacity (bucket),
+             bucket->tokens + seconds * bucket->rate_per_s * bucket->share);
 }
 
 void
--- a/route/route.h
+++ b/route/route.h
@@ -45,14 +45,14 @@
 {
   const char *name;
   const char *host;
-  const char *prefix;      /* begins and ends with a slash */
-  gboolean idempotent;     /* may run more than once */
-  gboolean open;           /* needs no key */
-  gboolean sticky;         /* targets answer faster for objects they know */
-  uint32_t timeout_ms;     /* longest time until the final answer */
-  uint32_t latency_ms;     /* answers within it are in time */
-  uint32_t attempts_max;   /* targets that one request may be sent to */
-  uint32_t priority;       /* 0 is the most urgent */
+  const char *prefix;       /* begins and ends with a slash */
+  gboolean idempotent;      /* may run more than once */
+  gboolean open;            /* needs no key */
+  gboolean sticky;          /* targets answer faster for objects they know */
+  uint32_t timeout_ms;      /* longest time until the final answer */
+  uint32_t latency_ms;      /* answers within it are in time */
+  uint32_t attempts_max;    /* targets that one request may be sent to */
+  uint32_t priority;        /* 0 is the most urgent */
   const char *const *homes; /* regions; NULL: all */
   const RtPart *parts;
   uint32_t part_count;
--- a/standin/estate.c
+++ b/standin/estate.c
@@ -72,9 +72,8 @@
   for (; *targets != NULL; targets++)
     {
       g_auto (GStrv) parts = g_strsplit (*targets, "=", 2);
-      SiUpstream *upstream
-          = si_upstream_new (base, parts[0], parts[1], estate->runs,
-                             estate->arrivals, error);
+      SiUpstream *upstream = si_upstream_new (
+          base, parts[0], parts[1], estate->runs, estate->arrivals, error);
       if (upstream == NULL)
         return FALSE;
       g_hash_table_insert (estate->upstreams, g_strdup (parts[0]), upstream);
@@ -83,15 +82,15 @@
 }
 
 SiEstate *
-si_estate_new (struct event_base *base, const char *store,
-               const char *control, char *const *targets, GError **error)
+si_estate_new (struct event_base *base, const char *store, const char *control,
+               char *const *targets, GError **error)
 {
   SiEstate *estate = g_new0 (SiEstate, 1);
 
   estate->runs = g_string_new (NULL);
   estate->arrivals = g_string_new (NULL);
-  estate->upstreams = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                             free_upstream);
+  estate->upstreams
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_upstream);
   estate->items = si_items_new (base, store, error);
   if (estate->items == NULL || !add_targets (estate, base, targets, error)
       || (estate->control
--- a/standin/estate_main.c
+++ b/standin/estate_main.c
@@ -14,8 +14,8 @@
       "IP:PORT" },
     { "control", 'c', 0, G_OPTION_ARG_STRING, &control,
       "Address of the control paths", "IP:PORT" },
-    { G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &targets,
-      "Targets", "ID=IP:PORT..." },
+    { G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &targets, "Targets",
+      "ID=IP:PORT..." },
     { NULL },
   };
   g_autoptr (GOptionContext) context
@@ -26,8 +26,8 @@
   SiEstate *estate;
 
   g_option_context_add_main_entries (context, entries, NULL);
-  if (!g_option_context_parse (context, &argc, &argv, &error)
-      || store == NULL || control == NULL)
+  if (!g_option_context_parse (context, &argc, &argv, &error) || store == NULL
+      || control == NULL)
     {
       fprintf (stderr, "standin-estate: %s\n",
                error != NULL ? error->message : "an address is missing");
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -30,11 +30,10 @@
   const char *request = si_header (x, REQUEST_ID);
   const char *customer = si_header (x, "X-Comfreywalk-Tenant");
 
-  g_string_append_printf (list, "%s %s %s %s\n", upstream->id,
-                          request != NULL ? request : "-",
-                          customer != NULL ? customer : "-",
-                          si_header (x, "Authorization") != NULL ? "key"
-                                                                 : "nokey");
+  g_string_append_printf (
+      list, "%s %s %s %s\n", upstream->id, request != NULL ? request : "-",
+      customer != NULL ? customer : "-",
+      si_header (x, "Authorization") != NULL ? "key" : "nokey");
 }
 
 static void
@@ -60,8 +59,7 @@
   add_common_headers (upstream, x);
   if (upstream->fault != FAULT_SPOIL)
     si_add_header (x, "X-Comfreywalk-Upstream-Signature", "stamp");
-  si_answer_text (x, upstream->fault == FAULT_FAIL ? 500 : 200,
-                  upstream->id);
+  si_answer_text (x, upstream->fault == FAULT_FAIL ? 500 : 200, upstream->id);
 }
 
 static void
--- a/targets/internal.h
+++ b/targets/internal.h
@@ -80,7 +80,7 @@
   double near_room;    /* further ones that fit there */
   gboolean unplaced;   /* targets have changed */
   int64_t placed_us;
-  int64_t service_us;  /* average over all requests; 0: none yet */
+  int64_t service_us; /* average over all requests; 0: none yet */
 } TgService;
 
 struct TgTarget
@@ -101,10 +101,10 @@
   gboolean misplaced;
   int64_t started_ms;
   uint32_t report_number;
-  int64_t cold_until_us;   /* as it reported */
-  int64_t doubt_until_us;  /* taken as cold, whatever it reported before */
-  gboolean report_is_old;  /* it was lost since */
-  int64_t cold_us;         /* how long it is cold after a start */
+  int64_t cold_until_us;  /* as it reported */
+  int64_t doubt_until_us; /* taken as cold, whatever it reported before */
+  gboolean report_is_old; /* it was lost since */
+  int64_t cold_us;        /* how long it is cold after a start */
   double cold_tokens;
   int64_t cold_filled_us;
 
@@ -118,7 +118,7 @@
   double error_share;
   int64_t error_us;
   double forgets_share; /* of requests for objects it should have known */
-  double slowness; /* time taken over time expected */
+  double slowness;      /* time taken over time expected */
   int64_t slowness_us;
   uint64_t objects[TG_OBJECTS_MAX]; /* most recent first */
   uint32_t object_count;
--- a/targets/pick.c
+++ b/targets/pick.c
@@ -66,9 +66,8 @@
 static double
 slowness (const TgTarget *target, const TgRoute *route, int64_t now_us)
 {
-  double learned = 1
-                   + (target->slowness - 1)
-                         * faded (now_us - target->slowness_us);
+  double learned
+      = 1 + (target->slowness - 1) * faded (now_us - target->slowness_us);
   const TgUse *oldest;
 
   if (target->use_count == 0)
@@ -168,15 +167,16 @@
 
   choice->target = (TgTarget *)target;
   choice->known = tg_knows (target, query->object_hash);
-  service_us = choice->known
-                   ? route->known_us
-                         + (int64_t)(target->forgets_share
-                                     * (double)(route->unknown_us
-                                                - route->known_us))
-                   : route->unknown_us;
-  choice->wait_us = ahead > 0 ? (int64_t)(ahead * slow * (double)queued_us
-                                          / target->slots_count)
-                              : 0;
+  service_us
+      = choice->known
+            ? route->known_us
+                  + (int64_t)(target->forgets_share
+                              * (double)(route->unknown_us - route->known_us))
+            : route->unknown_us;
+  choice->wait_us
+      = ahead > 0
+            ? (int64_t)(ahead * slow * (double)queued_us / target->slots_count)
+            : 0;
   if (target->full_until_us > now_us)
     choice->wait_us = MAX (choice->wait_us, target->full_until_us - now_us);
   choice->cost_us
@@ -239,8 +239,7 @@
 tg_pick (TgSet *set, const TgQuery *query, int64_t now_us, TgChoice *choice)
 {
   TgService *service = tg_service (set, query->service);
-  const TgObject *object
-      = tg_place (set, service, query->object_hash, now_us);
+  const TgObject *object = tg_place (set, service, query->object_hash, now_us);
   Search search = {
     .set = set,
     .query = query,
--- a/targets/place.c
+++ b/targets/place.c
@@ -64,13 +64,11 @@
   for (guint i = 0; i < service->targets->len; i++)
     {
       TgTarget *target = service->targets->pdata[i];
-      guint there = GPOINTER_TO_UINT (
-          g_hash_table_lookup (regions, target->region));
-      double room = target->distance == TG_FAR
-                        ? fair - homes / MAX (1, there)
-                        : fair + fair / TG_ROOM_SPARE;
-      target->object_room
-          = MAX (0.0, room + 1 - (double)target->placed_count);
+      guint there
+          = GPOINTER_TO_UINT (g_hash_table_lookup (regions, target->region));
+      double room = target->distance == TG_FAR ? fair - homes / MAX (1, there)
+                                               : fair + fair / TG_ROOM_SPARE;
+      target->object_room = MAX (0.0, room + 1 - (double)target->placed_count);
     }
 }
 
@@ -109,9 +107,8 @@
 {
   if (target->distance == TG_FAR)
     return FAR;
-  return first != NULL && strcmp (first->zone, target->zone) == 0
-             ? NEAR
-             : NEAR_APART;
+  return first != NULL && strcmp (first->zone, target->zone) == 0 ? NEAR
+                                                                  : NEAR_APART;
 }
 
 /* The target with the highest rank of the best kind that has room: the same on
@@ -207,8 +204,7 @@
 }
 
 TgObject *
-tg_place (TgSet *set, TgService *service, uint64_t object_hash,
-          int64_t now_us)
+tg_place (TgSet *set, TgService *service, uint64_t object_hash, int64_t now_us)
 {
   TgObject *object;
 
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -38,12 +38,14 @@
   set->zone = g_strdup (options->zone);
   set->region = g_strdup (options->region);
   set->region_count = MAX (1, options->region_count);
-  set->targets = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                                        unref_target);
-  set->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                                         free_service);
-  set->routes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  set->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  set->targets
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, unref_target);
+  set->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
+  set->routes
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  set->evacuated
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   set->cold_shares
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return set;
@@ -134,8 +136,8 @@
   target->region = g_strdup (entry->region);
   target->distance = TG_FAR;
   if (strcmp (entry->region, set->region) == 0)
-    target->distance = strcmp (entry->zone, set->zone) == 0 ? TG_SAME_ZONE
-                                                            : TG_SAME_REGION;
+    target->distance
+        = strcmp (entry->zone, set->zone) == 0 ? TG_SAME_ZONE : TG_SAME_REGION;
   target->started_ms = entry->started_ms;
   target->slowness = 1;
   target->cold_tokens = 1;
@@ -311,8 +313,9 @@
   TgRoute *route = use->route;
   int64_t took_us = MAX (1, now_us - use->began_us);
   int64_t middle_us = (route->known_us + route->unknown_us) / 2;
-  gboolean known = use->known && (route->samples < TG_FIRST_SAMPLES
-                                  || took_us < middle_us);
+  gboolean known
+      = use->known
+        && (route->samples < TG_FIRST_SAMPLES || took_us < middle_us);
   int64_t expected_us = known ? route->known_us : route->unknown_us;
   double ratio = (double)took_us / (double)MAX (1, expected_us);
 
@@ -320,9 +323,9 @@
     use->target->forgets_share
         += ((known ? 0.0 : 1.0) - use->target->forgets_share)
            / TG_AVERAGE_WEIGHT;
-  use->target->slowness += (CLAMP (ratio, 0.5, TG_SLOWNESS_MAX)
-                            - use->target->slowness)
-                           / TG_AVERAGE_WEIGHT;
+  use->target->slowness
+      += (CLAMP (ratio, 0.5, TG_SLOWNESS_MAX) - use->target->slowness)
+         / TG_AVERAGE_WEIGHT;
   use->target->slowness_us = now_us;
   if (use->waited)
     return;
--- a/targets/targets.h
+++ b/targets/targets.h
@@ -22,8 +22,8 @@
      placement depends on the objects and targets alone, so daemons of a region
      agree without a message.
 
-     tg_pick estimates for each candidate the time until the answer: time in the
-     queue, service time for a known or an unknown object, distance, and the
+     tg_pick estimates for each candidate the time until the answer: time in
+   the queue, service time for a known or an unknown object, distance, and the
      expected cost of a failure.  The least estimate wins; equal ones are
      decided by a rendezvous hash of the object, so that daemons which know
      nothing of each other send an object to the same targets.
@@ -34,8 +34,9 @@
 
      A cold target takes requests only within this daemon's share of what it
      bears.  One that answers again after it was lost, or whose zone was just
-     restored, counts as cold until it has reported.  A target is never chosen while its zone is evacuated, after it
-     has reported that it leaves, or outside the homes of the request.
+     restored, counts as cold until it has reported.  A target is never chosen
+   while its zone is evacuated, after it has reported that it leaves, or
+   outside the homes of the request.
 
      The package reads no clock and does no I/O.  Times are of one monotonic
      clock in microseconds.
@@ -71,7 +72,7 @@
   uint32_t slots_count;
   gboolean draining;
   uint32_t cold_left_ms;
-  int64_t started_ms; /* wall clock of its start; 0 where unknown */
+  int64_t started_ms;     /* wall clock of its start; 0 where unknown */
   uint32_t report_number; /* rises with each report of one start */
 } TgEntry;
 
@@ -83,13 +84,13 @@
   uint64_t spread;      /* random, decides where no object does */
   const char *const *homes;
   const char *const *customer_homes;
-  uint64_t except;        /* tg_key of one that failed this request, or 0 */
-  double cold_per_s;      /* that a cold target of the service bears */
-  int64_t cold_ms;        /* how long one is cold after its start */
-  int64_t latency_us;     /* target latency of the route */
-  int64_t wait_max_us;    /* longer queues are refused */
-  uint32_t uses_max;      /* own requests at one target */
-  gboolean may_hold;      /* TG_PICK_HOLD is useful */
+  uint64_t except;     /* tg_key of one that failed this request, or 0 */
+  double cold_per_s;   /* that a cold target of the service bears */
+  int64_t cold_ms;     /* how long one is cold after its start */
+  int64_t latency_us;  /* target latency of the route */
+  int64_t wait_max_us; /* longer queues are refused */
+  uint32_t uses_max;   /* own requests at one target */
+  gboolean may_hold;   /* TG_PICK_HOLD is useful */
 } TgQuery;
 
 typedef enum
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -216,7 +216,7 @@
 /* Guards against targets that forget: an object must go to few of them.  */
 TEST_F (Target, SendsAnObjectToFewTargets)
 {
-  std::map<uint64_t, std::set<std::string>> seen;
+  std::map<uint64_t, std::set<std::string> > seen;
   for (int i = 0; i < 6; i++)
     Add (("t" + std::to_string (i)).c_str (), i < 3 ? "a1" : "a2");
   for (int round = 0; round < 20; round++)
@@ -301,8 +301,10 @@
 {
   TgQuery query = Query ();
   TgChoice choice;
-  TgEnd end = { .kind = TG_END_ANSWERED, .has_load = TRUE,
-                .running_count = 3, .waiting_count = 6 };
+  TgEnd end = { .kind = TG_END_ANSWERED,
+                .has_load = TRUE,
+                .running_count = 3,
+                .waiting_count = 6 };
   Add ("t1");
   TgUse *use = Begin (query);
   now_us += 100 * kMs;
--- a/trace/trace.c
+++ b/trace/trace.c
@@ -142,10 +142,9 @@
       trace->dropped_count++;
       return;
     }
-  g_string_append_printf (trace->buffer,
-                          "time_ms=%" G_GINT64_FORMAT
-                          " vm=%s event=%d name=%s ",
-                          ck_wall_ms (), trace->vm, (int)number, kind->name);
+  g_string_append_printf (
+      trace->buffer, "time_ms=%" G_GINT64_FORMAT " vm=%s event=%d name=%s ",
+      ck_wall_ms (), trace->vm, (int)number, kind->name);
   va_start (arguments, format);
   g_string_append_vprintf (trace->buffer, format, arguments);
   va_end (arguments);
