--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -39,12 +39,6 @@
   [EN_OUTCOME_GONE] = { "gone", 0 },
 };
 
-const char *
-en_outcome_name (EnOutcome outcome)
-{
-  return outcomes[outcome].name;
-}
-
 static void
 free_request (EnRequest *request)
 {
--- a/entry/request.h
+++ b/entry/request.h
@@ -76,8 +76,6 @@
   gboolean was_held;
 };
 
-const char *en_outcome_name (EnOutcome outcome);
-
 /* Waits until another request for the same object has ended, LIMIT_US at
    most.  */
 void en_request_hold (EnRequest *request, int64_t limit_us);
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -184,18 +184,6 @@
   return changed;
 }
 
-void
-tg_each (const TgSet *set, void (*visit) (const char *id, void *data),
-         void *data)
-{
-  GHashTableIter targets;
-  gpointer id;
-
-  g_hash_table_iter_init (&targets, set->targets);
-  while (g_hash_table_iter_next (&targets, &id, NULL))
-    visit (id, data);
-}
-
 uint32_t
 tg_count (const TgSet *set, const char *service)
 {
--- a/targets/targets.h
+++ b/targets/targets.h
@@ -136,8 +136,6 @@
 gboolean tg_update (TgSet *set, const TgEntry *entry, int64_t now_us);
 /* Returns FALSE where the target is not known.  */
 gboolean tg_remove (TgSet *set, const char *id);
-void tg_each (const TgSet *set, void (*visit) (const char *id, void *data),
-              void *data);
 uint32_t tg_count (const TgSet *set, const char *service);
 
 /* Nothing more is chosen in ZONE, or again where EVACUATED is FALSE.  */
