--- a/client/explain.c
+++ b/client/explain.c
@@ -38,6 +38,8 @@
     "drains, evacuations or losses" },
   { "reason=target_refused",
     "refused, not run: the targets it was sent to refused it unrun" },
+  { "reason=deadline_passed",
+    "refused, not run: its time was over before it could be sent" },
   { "reason=key_unknown", "refused, not run: no customer has this key" },
   { "reason=key_missing", "refused, not run: it presented no key" },
   { "reason=no_route", "refused, not run: no route has its host and path" },
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -196,6 +196,7 @@
   int64_t assign_due_us;
   uint32_t assign_attempt;
   AsAim share;
+  int64_t joined_us; /* first entry of this process; 0: none yet */
   int64_t slots_rest_until_us;
 
   CfConfig *config;      /* in force */
@@ -306,8 +307,8 @@
 void dm_shares_offer (DmDaemon *daemon, const char *text, gsize length,
                       uint64_t store_index);
 gboolean dm_shares_released (const DmDaemon *daemon);
-/* Whether this process holds its share of weights and slots.  */
-gboolean dm_shares_settled (const DmDaemon *daemon);
+/* Whether this process holds what the others leave to it.  */
+gboolean dm_shares_settled (const DmDaemon *daemon, int64_t now_us);
 
 /* exchange.c */
 
--- a/daemon/shares.c
+++ b/daemon/shares.c
@@ -5,9 +5,9 @@
 /* Without word of a change the document is still read this often, in case all
    who knew of the change have gone.  */
 #define REREAD_US (10 * CK_US_PER_S)
-/* A daemon has its share once it holds half of an equal one: members leave
-   differences of up to an eighth as they are, and more while others join.  */
-#define SETTLED_PART 2
+/* Within this time other members give up the slots for which a new one is
+   preferred.  */
+#define SLOTS_WAIT_US ((AS_PREFERRED_MS + AS_CLAIM_MS) * CK_US_PER_MS)
 
 static uint32_t
 live_vms (DmDaemon *daemon, int64_t now_us, AsVm *vms)
@@ -152,6 +152,8 @@
       qt_set_share (daemon->quotas, 0, 0, now_us);
       return;
     }
+  if (daemon->joined_us == 0)
+    daemon->joined_us = now_us;
   apply_weights (daemon, own, now_us);
   for (guint i = 0; i < own->slots->len; i++)
     hold_slot (daemon, own, g_ptr_array_index (own->slots, i), now_us);
@@ -430,45 +432,20 @@
   change_document (daemon, now_us);
 }
 
-/* Whether the targets of the own region have a slot for each of its members.
- */
-static gboolean
-region_has_slots (const DmDaemon *daemon)
-{
-  const char *own = daemon->settings->region;
-  guint slots_count = 0;
-  guint members_count = 0;
-
-  for (guint i = 0; i < daemon->assign_targets->len; i++)
-    if (strcmp (g_array_index (daemon->assign_targets, AsTarget, i).region,
-                own)
-        == 0)
-      slots_count += SL_TARGET_SLOTS;
-  for (guint i = 0; i < daemon->assign->members->len; i++)
-    {
-      const AsMember *member = g_ptr_array_index (daemon->assign->members, i);
-
-      if (strcmp (region_of_zone (daemon, member->zone), own) == 0)
-        members_count++;
-    }
-  return slots_count >= members_count;
-}
-
-/* A daemon that joins gets its share from the others over some writes of the
-   document.  Until then it can serve little on its own.  */
+/* A daemon that joins gets its slots from the others over some writes of the
+   document; until then it can serve nothing on its own.  One that is preferred
+   for no target gets none.  */
 gboolean
-dm_shares_settled (const DmDaemon *daemon)
+dm_shares_settled (const DmDaemon *daemon, int64_t now_us)
 {
   const AsMember *own = daemon->assign == NULL
                             ? NULL
                             : as_find (daemon->assign, daemon->settings->vm);
 
-  if (own == NULL || own->incarnation < daemon->process_incarnation)
-    return FALSE;
-  if (own->flex
-      < AS_FLEX_WEIGHT / (SETTLED_PART * daemon->assign->members->len))
+  if (own == NULL || own->incarnation < daemon->process_incarnation
+      || own->flex == 0)
     return FALSE;
-  return own->slots->len > 0 || !region_has_slots (daemon);
+  return own->slots->len > 0 || now_us - daemon->joined_us >= SLOTS_WAIT_US;
 }
 
 /* Nothing is left in the document that a graceful stop has to give back.  */
--- a/daemon/status.c
+++ b/daemon/status.c
@@ -238,7 +238,7 @@
   status->incarnation = daemon->incarnation;
   /* Without the store nothing can be obtained; the daemon then borrows.  */
   status->ready = dm_ready (daemon) && dm_fresh (daemon, now_us)
-                  && (!daemon->store_up || dm_shares_settled (daemon));
+                  && (!daemon->store_up || dm_shares_settled (daemon, now_us));
   status->draining = daemon->draining;
   status->config_version
       = MAX (daemon->config_known, mb_config_heard (daemon->members));
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -236,13 +236,15 @@
 
   int
   Ask (const Vm &vm, const std::string &path, const std::string &id,
-       const char *key = "key-1", const char *method = "GET")
+       const char *key = "key-1", const char *method = "GET",
+       const char *left_ms = "2000")
   {
     std::string id_header = "X-Comfreywalk-Attempt-Id: " + id;
     std::string key_header = std::string ("Authorization: Token ") + key;
-    const char *headers[]
-        = { id_header.c_str (), "X-Comfreywalk-Deadline-Ms: 2000",
-            key_header.c_str (), nullptr };
+    std::string deadline
+        = std::string ("X-Comfreywalk-Deadline-Ms: ") + left_ms;
+    const char *headers[] = { id_header.c_str (), deadline.c_str (),
+                              key_header.c_str (), nullptr };
     SiAnswer answer = {};
     int status = 0;
     if (si_http (method, vm.front.c_str (), path.c_str (), headers,
@@ -410,6 +412,19 @@
   EXPECT_EQ (Count ("/runs", "o1"), 1);
 }
 
+/* Guards against a request that was never sent being reported as one that may
+   have run.  */
+TEST_F (Entry, RefusesWhatHasNoTimeLeft)
+{
+  EXPECT_EQ (Ask (vms[0], "/order/1", "o1", "key-1", "POST", "5"), 503);
+  EXPECT_NE (body.find ("not_run"), std::string::npos) << body;
+  EXPECT_EQ (Count ("/arrivals", "o1"), 0);
+  EXPECT_TRUE (WaitFor ([&] {
+    return Explain ("o1").find ("before it could be sent")
+           != std::string::npos;
+  })) << Explain ("o1");
+}
+
 /* Guards against keys accepted on a daemon that could not hear of their
    withdrawal, and against open routes that stop with them.  */
 TEST_F (Entry, RefusesKeysWhileTheStoreIsOutOfReach)
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -10,6 +10,9 @@
 
 /* Slots and queue of a target, with room for those that are larger.  */
 #define CONNECTIONS_PER_TARGET 24
+/* Of the files that the daemon may open; the rest is for targets, the store
+   and other daemons.  */
+#define CALLER_FILES_PERCENT 75
 /* A hop between regions and back, and some lost packets' worth.  */
 #define CONNECT_TIMEOUT_MS 400
 /* A target whose machine is gone acknowledges nothing.  */
@@ -393,6 +396,8 @@
   FrOptions front = {
     .base = options->base,
     .listen = options->settings->front_listen,
+    .connections_max
+    = MAX (1, options->settings->files_max * CALLER_FILES_PERCENT / 100),
     .on_request = on_request,
     .data = proxy,
   };
--- a/entry/send.c
+++ b/entry/send.c
@@ -149,7 +149,8 @@
 
   if (request->deadline_us - ck_boot_us () < SEND_LEFT_MIN_US)
     {
-      en_request_refuse (request, EN_OUTCOME_TIMEOUT, 0, "deadline_passed");
+      en_request_refuse (request, EN_OUTCOME_FULL, FULL_RETRY_US,
+                         "deadline_passed");
       return;
     }
   if (!try_send (request, &pick))
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -13,15 +13,12 @@
 /* Figures that all daemons together have to keep.  */
 typedef struct
 {
-  uint32_t contact_ms; /* after it, a daemon that heard nothing is cut off */
   uint32_t stop_grace_ms;     /* from SIGTERM to SIGKILL */
   uint32_t key_withdrawal_ms; /* until a withdrawn key must not work */
   uint32_t answer_ttl_ms;     /* longest time for a directory's answer */
   double retry_ratio;         /* repeats for each request to a service */
   double retry_reserve_count; /* further repeats in a window */
   uint32_t retry_window_ms;
-  double cold_factor;        /* over the rate that a cold target bears */
-  double cold_reserve_count; /* further requests in a second */
 } EnBounds;
 
 typedef struct
@@ -35,7 +32,7 @@
   char *directory_listen;
   char *gossip_listen;
   char *store_address;
-  uint32_t files_max;
+  uint32_t files_max; /* open files that the machine grants the daemon */
   EnBounds bounds;
 } EnSettings;
 
