--- a/entry/entry.c
+++ b/entry/entry.c
@@ -83,7 +83,24 @@
   EnEntry *entry = data;
 
   if (entry->shares != NULL)
-    en_shares_tell (entry->shares, news);
+    en_relay_tell (en_shares_relay (entry->shares), news, ck_boot_us ());
+}
+
+static void
+on_own_reading (const EnReading *reading, void *data)
+{
+  EnEntry *entry = data;
+
+  if (entry->shares != NULL)
+    en_relay_confirm (en_shares_relay (entry->shares), reading, ck_boot_us ());
+}
+
+static void
+on_confirmation (const GoConfirmation *confirmation, void *data)
+{
+  EnEntry *entry = data;
+
+  en_view_take_confirmation (entry->view, confirmation);
 }
 
 static void
@@ -228,12 +245,14 @@
                          .on_config = on_config,
                          .on_change = on_change,
                          .on_news = on_own_news,
+                         .on_reading = on_own_reading,
                          .data = entry };
   EnSharesOptions shares = { .base = entry->base,
                              .settings = entry->settings,
                              .store = entry->store,
                              .trace = entry->trace,
                              .on_news = on_told_news,
+                             .on_confirmation = on_confirmation,
                              .is_ready = is_ready,
                              .data = entry };
   EnProxyOptions proxy = { .base = entry->base,
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -268,6 +268,19 @@
     return count;
   }
 
+  int64_t
+  Metric (const Vm &vm, const std::string &name)
+  {
+    g_autofree char *text
+        = si_get_text (vm.ready.c_str (), "/metrics", nullptr);
+    std::istringstream lines (text != nullptr ? text : "");
+    for (std::string line; std::getline (lines, line);)
+      if (line.rfind (name + " ", 0) == 0)
+        return std::stoll (line.substr (name.size () + 1));
+    ADD_FAILURE () << "no metric " << name;
+    return 0;
+  }
+
   std::string
   Explain (const std::string &id)
   {
@@ -501,6 +514,59 @@
       6000));
 }
 
+/* Guards against each daemon watching the store for itself, which costs calls
+   with the number of daemons.  */
+TEST_F (Entry, LeavesReadingToOneDaemonOfItsRegion)
+{
+  si_sleep_ms (2000);
+  int64_t before = Metric (vms[1], "store_watches_total");
+  si_sleep_ms (4000);
+  EXPECT_LE (Metric (vms[1], "store_watches_total") - before, 1);
+  EXPECT_EQ (Ask (vms[1], "/read/1", "r1"), 200);
+  PutConfig (2, "\"key-2\"");
+  EXPECT_TRUE (
+      WaitFor ([&] { return Ask (vms[1], "/read/1", "r2") == 401; }, 1000));
+}
+
+/* Guards against daemons that stop serving, or that honour a withdrawn key,
+   when the one that reads for them is stopped; and against that one believing
+   after its stop what was confirmed before.  */
+TEST_F (Entry, ReadsForItselfWhenTheReaderIsStopped)
+{
+  si_sleep_ms (2000);
+  si_process_signal (vms[0].pid, SIGSTOP);
+  for (int i = 0; i < 20; i++)
+    {
+      EXPECT_EQ (Ask (vms[1], "/read/1", "a" + std::to_string (i)), 200);
+      si_sleep_ms (200);
+    }
+  PutConfig (2, "\"key-2\"");
+  EXPECT_TRUE (
+      WaitFor ([&] { return Ask (vms[1], "/read/1", "b") == 401; }, 1000));
+  si_process_signal (vms[0].pid, SIGCONT);
+  EXPECT_NE (Ask (vms[0], "/read/1", "c"), 200);
+  EXPECT_TRUE (WaitFor (
+      [&] { return Ask (vms[0], "/read/1", "d", "key-2") == 200; }, 2000));
+}
+
+/* Guards against a stopped daemon that takes a confirmation which waited in
+   its socket for a new one.  */
+TEST_F (Entry, DoesNotTrustAnOldConfirmation)
+{
+  si_sleep_ms (2000);
+  si_process_signal (vms[1].pid, SIGSTOP);
+  si_sleep_ms (2500);
+  PutConfig (2, "\"key-2\"");
+  si_sleep_ms (2000);
+  Control ("/store?fault=silent");
+  si_process_signal (vms[1].pid, SIGCONT);
+  for (int i = 0; i < 10; i++)
+    {
+      EXPECT_NE (Ask (vms[1], "/read/1", "c" + std::to_string (i)), 200);
+      si_sleep_ms (20);
+    }
+}
+
 /* Guards against a planned stop that cuts a request or outlives its grace.  */
 TEST_F (Entry, StopsGracefully)
 {
--- a/entry/shares.c
+++ b/entry/shares.c
@@ -23,6 +23,7 @@
   EnSharesOptions options;
   FlFleet *fleet;
   GoSocket *gossip;
+  EnRelay *relay;
   LmTable *limits;
   LmBudget *budget;
   PfFeed *members;
@@ -228,6 +229,23 @@
   shares->options.on_news (news, shares->options.data);
 }
 
+static void
+on_stamp (const GoStamp *stamp, void *data)
+{
+  EnShares *shares = data;
+
+  en_relay_take_stamp (shares->relay, stamp, ck_boot_us ());
+}
+
+static void
+on_confirmation (const GoConfirmation *confirmation, void *data)
+{
+  EnShares *shares = data;
+
+  if (en_relay_take_confirmation (shares->relay, confirmation, ck_boot_us ()))
+    shares->options.on_confirmation (confirmation, shares->options.data);
+}
+
 static void
 on_member (const char *gossip_address, void *data)
 {
@@ -263,6 +281,8 @@
                        .listen = settings->gossip_listen,
                        .on_report = on_report,
                        .on_news = on_news,
+                       .on_stamp = on_stamp,
+                       .on_confirmation = on_confirmation,
                        .data = shares };
   PfFeedOptions members = { .kind = PF_FEED_MEMBERS,
                             .wait_ms = MEMBERS_WAIT_MS,
@@ -284,6 +304,13 @@
   shares->fleet = fl_new (&(FlOptions){ .name = settings->vm,
                                         .zone = settings->zone,
                                         .region = settings->region });
+  shares->relay
+      = en_relay_new (&(EnRelayOptions){ .settings = settings,
+                                         .fleet = shares->fleet,
+                                         .gossip = shares->gossip,
+                                         .started_ms = shares->started_ms,
+                                         .is_ready = options->is_ready,
+                                         .data = options->data });
   shares->limits = lm_new ();
   shares->budget = lm_budget_new (&(LmBudgetOptions){ .window_us = 1 });
   shares->demands = g_array_new (FALSE, FALSE, sizeof (FlDemand));
@@ -309,6 +336,7 @@
   g_array_unref (shares->demands);
   lm_budget_free (shares->budget);
   lm_free (shares->limits);
+  en_relay_free (shares->relay);
   fl_free (shares->fleet);
   go_free (shares->gossip);
   g_free (shares);
@@ -321,53 +349,10 @@
     report_to_all (shares, ck_boot_us ());
 }
 
-typedef struct
-{
-  EnShares *shares;
-  const GoNews *news;
-  int64_t now_us;
-  gboolean has_earlier; /* a member that reads in place of this daemon */
-} Telling;
-
-static gboolean
-is_region_peer (const Telling *telling, const FlMember *member)
-{
-  return fl_is_live (member, telling->now_us)
-         && strcmp (member->region, telling->shares->options.settings->region)
-                == 0;
-}
-
-static void
-look_for_earlier (const FlMember *member, void *data)
+EnRelay *
+en_shares_relay (const EnShares *shares)
 {
-  Telling *telling = data;
-
-  if (is_region_peer (telling, member) && member->ready
-      && strcmp (member->name, telling->shares->options.settings->vm) < 0)
-    telling->has_earlier = TRUE;
-}
-
-static void
-tell_member (const FlMember *member, void *data)
-{
-  Telling *telling = data;
-
-  if (is_region_peer (telling, member))
-    go_send_news (telling->shares->gossip, member->gossip_address,
-                  telling->news);
-}
-
-void
-en_shares_tell (EnShares *shares, const GoNews *news)
-{
-  Telling telling
-      = { .shares = shares, .news = news, .now_us = ck_boot_us () };
-
-  if (!shares->options.is_ready (shares->options.data))
-    return;
-  fl_each (shares->fleet, look_for_earlier, &telling);
-  if (!telling.has_earlier)
-    fl_each (shares->fleet, tell_member, &telling);
+  return shares->relay;
 }
 
 void
--- a/entry/shares.h
+++ b/entry/shares.h
@@ -11,6 +11,7 @@
 
 #include <glib.h>
 
+#include "entry/relay.h"
 #include "entry/settings.h"
 #include "fleet/fleet.h"
 #include "gossip/gossip.h"
@@ -30,6 +31,7 @@
   TrTrace *trace;
   TgSet *targets; /* told its share of cold targets */
   void (*on_news) (const GoNews *news, void *data);
+  void (*on_confirmation) (const GoConfirmation *confirmation, void *data);
   gboolean (*is_ready) (void *data); /* whether this daemon takes requests */
   void *data;
 } EnSharesOptions;
@@ -40,9 +42,6 @@
 /* Tells the others at once where it has changed whether this daemon takes
    requests.  */
 void en_shares_announce (EnShares *shares);
-/* Tells the others of the region what changed, where this daemon is the one
-   that reads for it.  */
-void en_shares_tell (EnShares *shares, const GoNews *news);
 /* Tells the others that this daemon leaves.  */
 void en_shares_stop (EnShares *shares);
 void en_shares_set_config (EnShares *shares, const RtConfig *config);
@@ -52,5 +51,6 @@
 LmTable *en_shares_limits (const EnShares *shares);
 LmBudget *en_shares_budget (const EnShares *shares);
 const FlFleet *en_shares_fleet (const EnShares *shares);
+EnRelay *en_shares_relay (const EnShares *shares);
 
 #endif
--- a/entry/view.c
+++ b/entry/view.c
@@ -10,6 +10,12 @@
    which a wait takes this part.  */
 #define OPERATOR_WAIT_PERCENT 38
 #define OPERATOR_WAIT_MAX_MS 1500
+/* Gathers the stamps that answer a confirmation before the next reading.  */
+#define OPERATOR_PAUSE_MS 30
+/* A daemon that rests reads for itself when this part of the time in which
+   keys count as known has passed: above two waits, below it by the time that
+   a reading takes.  */
+#define OPERATOR_REST_PERCENT 86
 /* A daemon whose region's reader is cut off must read for itself within the
    two seconds in which a drain works; the reader's watch comes back often
    enough that its silence is noticed.  */
@@ -43,6 +49,7 @@
   GHashTable *missing;   /* ids of targets that are kept */
   struct event *keep_timer;
   struct event *stale_timer; /* keys are no longer confirmed */
+  struct event *rest_timer;  /* no confirmation came for long */
   GArray *changes;           /* TgEntry that own their strings, since the last
                                 news */
   GPtrArray *gone;           /* ids */
@@ -207,33 +214,78 @@
 }
 
 static void
-start_stale_timer (EnView *view)
+on_rest_timer (evutil_socket_t fd, short what, void *data)
 {
-  int64_t left_us
-      = MAX (0, view->confirmed_us + key_limit_us (view->options.settings)
-                    - ck_boot_us ());
+  EnView *view = data;
+
+  (void)fd;
+  (void)what;
+  pf_feed_rest (view->operator_feed, FALSE);
+}
+
+static void
+start_timer_at (struct event *timer, int64_t at_us)
+{
+  int64_t left_us = MAX (0, at_us - ck_boot_us ());
   struct timeval left = { left_us / CK_US_PER_S, left_us % CK_US_PER_S };
 
-  event_add (view->stale_timer, &left);
+  event_add (timer, &left);
+}
+
+/* What is known of the operators' entries held at AT_US.  */
+static void
+confirm (EnView *view, int64_t at_us)
+{
+  int64_t limit_us = key_limit_us (view->options.settings);
+  int64_t now_us = ck_boot_us ();
+  gboolean was_known = en_view_knows_keys (view, now_us);
+
+  view->confirmed_us = MAX (view->confirmed_us, at_us);
+  start_timer_at (view->stale_timer, view->confirmed_us + limit_us);
+  start_timer_at (view->rest_timer,
+                  view->confirmed_us + limit_us * OPERATOR_REST_PERCENT / 100);
+  if (!was_known && en_view_knows_keys (view, now_us))
+    {
+      tr_line (view->options.trace, EV_CONFIG_FRESH,
+               "config=%" G_GUINT64_FORMAT, rt_version (view->config));
+      changed (view);
+    }
 }
 
 static void
 on_operator_current (int64_t asked_us, void *data)
 {
   EnView *view = data;
-  gboolean was_known = en_view_knows_keys (view, asked_us);
+  EnReading reading = {
+    .asked_us = asked_us,
+    .revision = pf_feed_revision (view->operator_feed),
+    .changed_revision = pf_feed_changed_revision (view->operator_feed),
+  };
 
-  view->confirmed_us = asked_us;
-  start_stale_timer (view);
   if (view->store_down)
     tr_line (view->options.trace, EV_STORE_UP, "part=operator");
   view->store_down = FALSE;
-  if (!was_known && view->config != NULL)
+  confirm (view, asked_us);
+  view->options.on_reading (&reading, view->options.data);
+}
+
+void
+en_view_take_confirmation (EnView *view, const GoConfirmation *confirmation)
+{
+  uint64_t revision = pf_feed_revision (view->operator_feed);
+
+  if (revision == 0)
+    return;
+  if (revision < confirmation->changed_revision)
     {
-      tr_line (view->options.trace, EV_CONFIG_FRESH,
-               "config=%" G_GUINT64_FORMAT, rt_version (view->config));
-      changed (view);
+      pf_feed_rest (view->operator_feed, FALSE);
+      return;
     }
+  pf_feed_advance (view->operator_feed, confirmation->revision);
+  if (confirmation->stamp.stamp_us == 0)
+    return;
+  confirm (view, confirmation->stamp.stamp_us);
+  pf_feed_rest (view->operator_feed, TRUE);
 }
 
 static void
@@ -412,6 +464,7 @@
   PfFeedOptions operator_feed = {
     .kind = PF_FEED_OPERATOR,
     .wait_ms = operator_wait_ms (options->settings),
+    .pause_ms = OPERATOR_PAUSE_MS,
     .events = &operator_events,
     .data = view,
   };
@@ -435,6 +488,7 @@
   g_array_set_clear_func (view->changes, clear_change);
   view->gone = g_ptr_array_new_with_free_func (g_free);
   view->stale_timer = event_new (options->base, -1, 0, on_stale_timer, view);
+  view->rest_timer = event_new (options->base, -1, 0, on_rest_timer, view);
   view->news_timer = event_new (options->base, -1, 0, on_news_timer, view);
   view->keep_timer = event_new (options->base, -1, 0, on_keep_timer, view);
   view->operator_feed = pf_feed_new (options->store, &operator_feed);
@@ -451,6 +505,7 @@
   pf_feed_free (view->target_feed);
   event_free (view->keep_timer);
   event_free (view->news_timer);
+  event_free (view->rest_timer);
   event_free (view->stale_timer);
   g_array_unref (view->changes);
   g_ptr_array_unref (view->gone);
--- a/entry/view.h
+++ b/entry/view.h
@@ -2,9 +2,9 @@
 
    DESCRIPTION
      Owns the configuration in force, the set of targets and the age of both.
-     Versions only go forward.  One daemon of each region reads what targets
-     report and tells the others of changes; a daemon that hears nothing of it
-     reads for itself.  A target that disappears while the store does
+     Versions only go forward.  One daemon of each region reads the store and
+     tells the others, see relay.h; a daemon that hears nothing of it reads for
+     itself.  A target that disappears while the store does
      not answer, or shortly after its return, is kept until it had time to
      report again.  */
 
@@ -13,6 +13,7 @@
 
 #include <glib.h>
 
+#include "entry/relay.h"
 #include "entry/settings.h"
 #include "gossip/gossip.h"
 #include "platform/platform.h"
@@ -29,6 +30,7 @@
   void (*on_config) (RtConfig *config, void *data);
   void (*on_change) (void *data); /* ready or not may have changed */
   void (*on_news) (const GoNews *news, void *data);
+  void (*on_reading) (const EnReading *reading, void *data);
   void *data;
 } EnViewOptions;
 
@@ -42,6 +44,10 @@
 /* What the daemon that reads for this region has told.  */
 void en_view_take_news (EnView *view, const GoNews *news);
 
+/* What that daemon has confirmed of the operators' entries.  */
+void en_view_take_confirmation (EnView *view,
+                                const GoConfirmation *confirmation);
+
 /* Time since the store last confirmed the configuration; -1: never.  */
 int64_t en_view_age_us (const EnView *view, int64_t now_us);
 /* Whether a key that was withdrawn long enough ago would be known.  */
--- a/gossip/gossip.c
+++ b/gossip/gossip.c
@@ -54,6 +54,30 @@
   gossip->options.on_news (&news, gossip->options.data);
 }
 
+static void
+deliver_stamp (GoSocket *gossip, const Gossip__Stamp *message)
+{
+  GoStamp stamp = { .gossip_address = message->gossip_address,
+                    .started_ms = message->started_ms,
+                    .stamp_us = message->stamp_us };
+
+  gossip->options.on_stamp (&stamp, gossip->options.data);
+}
+
+static void
+deliver_confirmation (GoSocket *gossip, const Gossip__Confirmation *message)
+{
+  GoConfirmation confirmation = {
+    .stamp = { .gossip_address = message->gossip_address,
+               .started_ms = message->started_ms,
+               .stamp_us = message->stamp_us },
+    .revision = message->revision,
+    .changed_revision = message->changed_revision,
+  };
+
+  gossip->options.on_confirmation (&confirmation, gossip->options.data);
+}
+
 static void
 deliver_report (GoSocket *gossip, const Gossip__Report *message)
 {
@@ -78,6 +102,23 @@
   gossip->options.on_report (&report, gossip->options.data);
 }
 
+/* Returns FALSE where the datagram holds nothing that is known.  */
+static gboolean
+deliver (GoSocket *gossip, const Gossip__Datagram *message)
+{
+  if (message->news != NULL)
+    deliver_news (gossip, message->news);
+  else if (message->stamp != NULL)
+    deliver_stamp (gossip, message->stamp);
+  else if (message->confirmation != NULL)
+    deliver_confirmation (gossip, message->confirmation);
+  else if (message->report != NULL && message->report->name[0] != '\0')
+    deliver_report (gossip, message->report);
+  else
+    return FALSE;
+  return TRUE;
+}
+
 static void
 on_readable (evutil_socket_t fd, short what, void *data)
 {
@@ -93,12 +134,7 @@
         return;
       gossip->counters.received_count++;
       message = gossip__datagram__unpack (NULL, (size_t)got, gossip->buffer);
-      if (message != NULL && message->news != NULL)
-        deliver_news (gossip, message->news);
-      else if (message != NULL && message->report != NULL
-               && message->report->name[0] != '\0')
-        deliver_report (gossip, message->report);
-      else
+      if (message == NULL || !deliver (gossip, message))
         gossip->counters.malformed_count++;
       if (message != NULL)
         gossip__datagram__free_unpacked (message, NULL);
@@ -267,6 +303,35 @@
   return TRUE;
 }
 
+void
+go_send_stamp (GoSocket *gossip, const char *address, const GoStamp *stamp)
+{
+  Gossip__Datagram datagram = GOSSIP__DATAGRAM__INIT;
+  Gossip__Stamp message = GOSSIP__STAMP__INIT;
+
+  message.gossip_address = (char *)stamp->gossip_address;
+  message.started_ms = stamp->started_ms;
+  message.stamp_us = stamp->stamp_us;
+  datagram.stamp = &message;
+  send_packed (gossip, address, pack_datagram (gossip, &datagram));
+}
+
+void
+go_send_confirmation (GoSocket *gossip, const char *address,
+                      const GoConfirmation *confirmation)
+{
+  Gossip__Datagram datagram = GOSSIP__DATAGRAM__INIT;
+  Gossip__Confirmation message = GOSSIP__CONFIRMATION__INIT;
+
+  message.gossip_address = (char *)confirmation->stamp.gossip_address;
+  message.started_ms = confirmation->stamp.started_ms;
+  message.stamp_us = confirmation->stamp.stamp_us;
+  message.revision = confirmation->revision;
+  message.changed_revision = confirmation->changed_revision;
+  datagram.confirmation = &message;
+  send_packed (gossip, address, pack_datagram (gossip, &datagram));
+}
+
 const GoCounters *
 go_counters (const GoSocket *gossip)
 {
--- a/gossip/gossip.h
+++ b/gossip/gossip.h
@@ -7,10 +7,11 @@
      go_send (gossip, "127.0.0.1:7221", &report);
 
    DESCRIPTION
-     Each datagram is a report or news of targets in protobuf, see
-     wire/gossip.proto.  A lost report is made up for by the next, lost news
-     are noticed by their revisions; there is no connection that could go
-     silent unnoticed.  Datagrams that cannot be read are counted and dropped.
+     Each datagram is a report, news of targets, a stamp or a confirmation in
+     protobuf, see wire/gossip.proto.  A lost report is made up for by the
+   next, lost news are noticed by their revisions; there is no connection that
+   could go silent unnoticed.  Datagrams that cannot be read are counted and
+   dropped.
 
    ERRORS
      GO_ERROR_ADDRESS  the address is not an IP number and port
@@ -51,6 +52,24 @@
   uint32_t gone_count;
 } GoNews;
 
+/* A daemon's clock as it was alive; echoed in a confirmation, it tells the
+   daemon from when the confirmation holds, however long it was on its way.  */
+typedef struct
+{
+  const char *gossip_address; /* of the sender */
+  int64_t started_ms;         /* of the process whose clock it is */
+  int64_t stamp_us;
+} GoStamp;
+
+/* What the operators hold has not changed after CHANGED_REVISION, by a reading
+   of REVISION that was asked for after STAMP had come in.  */
+typedef struct
+{
+  GoStamp stamp; /* stamp_us is 0 where the receiver sent none yet */
+  uint64_t revision;
+  uint64_t changed_revision;
+} GoConfirmation;
+
 typedef struct GoSocket GoSocket;
 
 typedef struct
@@ -59,6 +78,8 @@
   const char *listen;
   void (*on_report) (const FlReport *report, void *data);
   void (*on_news) (const GoNews *news, void *data);
+  void (*on_stamp) (const GoStamp *stamp, void *data);
+  void (*on_confirmation) (const GoConfirmation *confirmation, void *data);
   void *data;
 } GoOptions;
 
@@ -78,6 +99,10 @@
 /* Returns FALSE where the news do not fit a datagram; nothing is sent.  */
 gboolean go_send_news (GoSocket *gossip, const char *address,
                        const GoNews *news);
+void go_send_stamp (GoSocket *gossip, const char *address,
+                    const GoStamp *stamp);
+void go_send_confirmation (GoSocket *gossip, const char *address,
+                           const GoConfirmation *confirmation);
 const GoCounters *go_counters (const GoSocket *gossip);
 
 #endif
--- a/gossip/gossip_test.cc
+++ b/gossip/gossip_test.cc
@@ -21,7 +21,9 @@
   std::vector<double> demands;
   std::vector<std::string> targets;
   std::vector<std::string> gone;
+  std::vector<std::string> stamps;
   uint64_t revision = 0;
+  uint64_t changed_revision = 0;
   struct event_base *base;
 };
 
@@ -38,6 +40,25 @@
   event_base_loopbreak (heard->base);
 }
 
+void
+OnStamp (const GoStamp *stamp, void *data)
+{
+  auto *heard = static_cast<Heard *> (data);
+  heard->stamps.push_back (stamp->gossip_address + std::string (" ")
+                           + std::to_string (stamp->started_ms) + " "
+                           + std::to_string (stamp->stamp_us));
+  event_base_loopbreak (heard->base);
+}
+
+void
+OnConfirmation (const GoConfirmation *confirmation, void *data)
+{
+  auto *heard = static_cast<Heard *> (data);
+  heard->revision = confirmation->revision;
+  heard->changed_revision = confirmation->changed_revision;
+  OnStamp (&confirmation->stamp, data);
+}
+
 void
 OnReport (const FlReport *report, void *data)
 {
@@ -82,8 +103,8 @@
   {
     heard.base = event_base_new ();
     listen = FreeAddress ();
-    GoOptions options
-        = { heard.base, listen.c_str (), OnReport, OnNews, &heard };
+    GoOptions options = { heard.base, listen.c_str (), OnReport, OnNews,
+                          OnStamp,    OnConfirmation,  &heard };
     gossip = go_new (&options, nullptr);
     ASSERT_NE (gossip, nullptr);
   }
@@ -138,6 +159,21 @@
   EXPECT_EQ (heard.gone, std::vector<std::string>{ "t2" });
 }
 
+/* Guards against a confirmation that is taken for newer than it is.  */
+TEST_F (Gossip, CarriesStampsAndConfirmations)
+{
+  GoStamp stamp = { "127.0.0.1:2", 7, 99 };
+  GoConfirmation confirmation = { stamp, 12, 11 };
+  go_send_stamp (gossip, listen.c_str (), &stamp);
+  Wait ();
+  go_send_confirmation (gossip, listen.c_str (), &confirmation);
+  Wait ();
+  EXPECT_EQ (heard.stamps, (std::vector<std::string>{ "127.0.0.1:2 7 99",
+                                                      "127.0.0.1:2 7 99" }));
+  EXPECT_EQ (heard.revision, 12u);
+  EXPECT_EQ (heard.changed_revision, 11u);
+}
+
 /* Guards against a datagram of somebody else ending the daemon.  */
 TEST_F (Gossip, CountsAndDropsWhatItCannotRead)
 {
--- a/wire/gossip.pb-c.c
+++ b/wire/gossip.pb-c.c
@@ -187,6 +187,96 @@
   assert(message->base.descriptor == &gossip__news__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gossip__stamp__init
+                     (Gossip__Stamp         *message)
+{
+  static const Gossip__Stamp init_value = GOSSIP__STAMP__INIT;
+  *message = init_value;
+}
+size_t gossip__stamp__get_packed_size
+                     (const Gossip__Stamp *message)
+{
+  assert(message->base.descriptor == &gossip__stamp__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__stamp__pack
+                     (const Gossip__Stamp *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__stamp__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__stamp__pack_to_buffer
+                     (const Gossip__Stamp *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__stamp__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__Stamp *
+       gossip__stamp__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__Stamp *)
+     protobuf_c_message_unpack (&gossip__stamp__descriptor,
+                                allocator, len, data);
+}
+void   gossip__stamp__free_unpacked
+                     (Gossip__Stamp *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__stamp__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gossip__confirmation__init
+                     (Gossip__Confirmation         *message)
+{
+  static const Gossip__Confirmation init_value = GOSSIP__CONFIRMATION__INIT;
+  *message = init_value;
+}
+size_t gossip__confirmation__get_packed_size
+                     (const Gossip__Confirmation *message)
+{
+  assert(message->base.descriptor == &gossip__confirmation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__confirmation__pack
+                     (const Gossip__Confirmation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__confirmation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__confirmation__pack_to_buffer
+                     (const Gossip__Confirmation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__confirmation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__Confirmation *
+       gossip__confirmation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__Confirmation *)
+     protobuf_c_message_unpack (&gossip__confirmation__descriptor,
+                                allocator, len, data);
+}
+void   gossip__confirmation__free_unpacked
+                     (Gossip__Confirmation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__confirmation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gossip__datagram__init
                      (Gossip__Datagram         *message)
 {
@@ -657,7 +747,161 @@
   (ProtobufCMessageInit) gossip__news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__datagram__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gossip__stamp__field_descriptors[3] =
+{
+  {
+    "gossip_address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Stamp, gossip_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Stamp, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stamp_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Stamp, stamp_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__stamp__field_indices_by_name[] = {
+  0,   /* field[0] = gossip_address */
+  2,   /* field[2] = stamp_us */
+  1,   /* field[1] = started_ms */
+};
+static const ProtobufCIntRange gossip__stamp__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gossip__stamp__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.Stamp",
+  "Stamp",
+  "Gossip__Stamp",
+  "gossip",
+  sizeof(Gossip__Stamp),
+  3,
+  gossip__stamp__field_descriptors,
+  gossip__stamp__field_indices_by_name,
+  1,  gossip__stamp__number_ranges,
+  (ProtobufCMessageInit) gossip__stamp__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gossip__confirmation__field_descriptors[5] =
+{
+  {
+    "gossip_address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Confirmation, gossip_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Confirmation, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changed_revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Confirmation, changed_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Confirmation, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stamp_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Confirmation, stamp_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__confirmation__field_indices_by_name[] = {
+  2,   /* field[2] = changed_revision */
+  0,   /* field[0] = gossip_address */
+  1,   /* field[1] = revision */
+  4,   /* field[4] = stamp_us */
+  3,   /* field[3] = started_ms */
+};
+static const ProtobufCIntRange gossip__confirmation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gossip__confirmation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.Confirmation",
+  "Confirmation",
+  "Gossip__Confirmation",
+  "gossip",
+  sizeof(Gossip__Confirmation),
+  5,
+  gossip__confirmation__field_descriptors,
+  gossip__confirmation__field_indices_by_name,
+  1,  gossip__confirmation__number_ranges,
+  (ProtobufCMessageInit) gossip__confirmation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gossip__datagram__field_descriptors[4] =
 {
   {
     "report",
@@ -683,15 +927,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stamp",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Datagram, stamp),
+    &gossip__stamp__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "confirmation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Datagram, confirmation),
+    &gossip__confirmation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__datagram__field_indices_by_name[] = {
+  3,   /* field[3] = confirmation */
   1,   /* field[1] = news */
   0,   /* field[0] = report */
+  2,   /* field[2] = stamp */
 };
 static const ProtobufCIntRange gossip__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gossip__datagram__descriptor =
 {
@@ -701,7 +971,7 @@
   "Gossip__Datagram",
   "gossip",
   sizeof(Gossip__Datagram),
-  2,
+  4,
   gossip__datagram__field_descriptors,
   gossip__datagram__field_indices_by_name,
   1,  gossip__datagram__number_ranges,
--- a/wire/gossip.pb-c.h
+++ b/wire/gossip.pb-c.h
@@ -19,6 +19,8 @@
 typedef struct Gossip__Report Gossip__Report;
 typedef struct Gossip__Target Gossip__Target;
 typedef struct Gossip__News Gossip__News;
+typedef struct Gossip__Stamp Gossip__Stamp;
+typedef struct Gossip__Confirmation Gossip__Confirmation;
 typedef struct Gossip__Datagram Gossip__Datagram;
 
 
@@ -100,6 +102,39 @@
     , 0, 0, 0,NULL, 0,NULL }
 
 
+/*
+ * Shows when a daemon was alive, by its own clock.
+ */
+struct  Gossip__Stamp
+{
+  ProtobufCMessage base;
+  char *gossip_address;
+  int64_t started_ms;
+  int64_t stamp_us;
+};
+#define GOSSIP__STAMP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gossip__stamp__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * What the operators hold in the store has not changed after changed_revision,
+ * as read after the stamp had come in.
+ */
+struct  Gossip__Confirmation
+{
+  ProtobufCMessage base;
+  char *gossip_address;
+  uint64_t revision;
+  uint64_t changed_revision;
+  int64_t started_ms;
+  int64_t stamp_us;
+};
+#define GOSSIP__CONFIRMATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gossip__confirmation__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
 /*
  * One datagram.
  */
@@ -108,10 +143,12 @@
   ProtobufCMessage base;
   Gossip__Report *report;
   Gossip__News *news;
+  Gossip__Stamp *stamp;
+  Gossip__Confirmation *confirmation;
 };
 #define GOSSIP__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__datagram__descriptor) \
-    , NULL, NULL }
+    , NULL, NULL, NULL, NULL }
 
 
 /* Gossip__Demand methods */
@@ -190,6 +227,44 @@
 void   gossip__news__free_unpacked
                      (Gossip__News *message,
                       ProtobufCAllocator *allocator);
+/* Gossip__Stamp methods */
+void   gossip__stamp__init
+                     (Gossip__Stamp         *message);
+size_t gossip__stamp__get_packed_size
+                     (const Gossip__Stamp   *message);
+size_t gossip__stamp__pack
+                     (const Gossip__Stamp   *message,
+                      uint8_t             *out);
+size_t gossip__stamp__pack_to_buffer
+                     (const Gossip__Stamp   *message,
+                      ProtobufCBuffer     *buffer);
+Gossip__Stamp *
+       gossip__stamp__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gossip__stamp__free_unpacked
+                     (Gossip__Stamp *message,
+                      ProtobufCAllocator *allocator);
+/* Gossip__Confirmation methods */
+void   gossip__confirmation__init
+                     (Gossip__Confirmation         *message);
+size_t gossip__confirmation__get_packed_size
+                     (const Gossip__Confirmation   *message);
+size_t gossip__confirmation__pack
+                     (const Gossip__Confirmation   *message,
+                      uint8_t             *out);
+size_t gossip__confirmation__pack_to_buffer
+                     (const Gossip__Confirmation   *message,
+                      ProtobufCBuffer     *buffer);
+Gossip__Confirmation *
+       gossip__confirmation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gossip__confirmation__free_unpacked
+                     (Gossip__Confirmation *message,
+                      ProtobufCAllocator *allocator);
 /* Gossip__Datagram methods */
 void   gossip__datagram__init
                      (Gossip__Datagram         *message);
@@ -223,6 +298,12 @@
 typedef void (*Gossip__News_Closure)
                  (const Gossip__News *message,
                   void *closure_data);
+typedef void (*Gossip__Stamp_Closure)
+                 (const Gossip__Stamp *message,
+                  void *closure_data);
+typedef void (*Gossip__Confirmation_Closure)
+                 (const Gossip__Confirmation *message,
+                  void *closure_data);
 typedef void (*Gossip__Datagram_Closure)
                  (const Gossip__Datagram *message,
                   void *closure_data);
@@ -236,6 +317,8 @@
 extern const ProtobufCMessageDescriptor gossip__report__descriptor;
 extern const ProtobufCMessageDescriptor gossip__target__descriptor;
 extern const ProtobufCMessageDescriptor gossip__news__descriptor;
+extern const ProtobufCMessageDescriptor gossip__stamp__descriptor;
+extern const ProtobufCMessageDescriptor gossip__confirmation__descriptor;
 extern const ProtobufCMessageDescriptor gossip__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
