--- a/entry/shares.c
+++ b/entry/shares.c
@@ -96,13 +96,15 @@
 make_report (EnShares *shares, Audience audience, int64_t now_us)
 {
   const EnSettings *settings = shares->options.settings;
-  Visit visit = { .shares = shares,
-                  .now_us = now_us,
-                  .for_zone = audience == TO_OTHERS };
+  FlSpeaker speaker = fl_speaker (shares->fleet, now_us);
+  Visit visit
+      = { .shares = shares,
+          .now_us = now_us,
+          .for_zone = audience == TO_OTHERS && speaker == FL_SPEAKER_SELF };
 
   shares->ready = shares->options.is_ready (shares->options.data);
   g_array_set_size (shares->demands, 0);
-  if (audience == TO_OWN_ZONE || fl_speaks_for_zone (shares->fleet, now_us))
+  if (audience == TO_OWN_ZONE || speaker != FL_SPEAKER_OTHER)
     lm_each (shares->limits, add_demand, &visit);
   return (FlReport){
     .name = settings->vm,
@@ -113,6 +115,7 @@
     .gossip_address = settings->gossip_listen,
     .ready = shares->ready,
     .stopping = shares->stopping,
+    .speaks_for_zone = speaker == FL_SPEAKER_SELF,
     .config_version = shares->config_version,
     .demands = (const FlDemand *)shares->demands->data,
     .demand_count = shares->demands->len,
@@ -355,7 +358,8 @@
   shares->started_ms = ck_wall_ms ();
   shares->fleet = fl_new (&(FlOptions){ .name = settings->vm,
                                         .zone = settings->zone,
-                                        .region = settings->region });
+                                        .region = settings->region,
+                                        .started_us = ck_boot_us () });
   shares->relay
       = en_relay_new (&(EnRelayOptions){ .settings = settings,
                                          .fleet = shares->fleet,
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -15,6 +15,7 @@
   char *name;
   char *zone;
   char *region;
+  int64_t started_us;
   GHashTable *members; /* name to Member */
 };
 
@@ -40,6 +41,7 @@
   fleet->name = g_strdup (options->name);
   fleet->zone = g_strdup (options->zone);
   fleet->region = g_strdup (options->region);
+  fleet->started_us = options->started_us;
   fleet->members
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_member);
   return fleet;
@@ -102,6 +104,7 @@
     member = add (fleet, report);
   member->public.ready = report->ready;
   member->public.stopping = report->stopping;
+  member->public.speaks_for_zone = report->speaks_for_zone;
   member->public.heard_us = now_us;
   learn_demands (member, report);
   return changed;
@@ -231,9 +234,12 @@
   return sum_demand (fleet, fleet->zone, customer_id, now_us);
 }
 
-gboolean
-fl_speaks_for_zone (const FlFleet *fleet, int64_t now_us)
+FlSpeaker
+fl_speaker (const FlFleet *fleet, int64_t now_us)
 {
+  FlSpeaker speaker = now_us - fleet->started_us >= FL_SETTLE_US
+                          ? FL_SPEAKER_SELF
+                          : FL_SPEAKER_NONE;
   GHashTableIter members;
   gpointer value;
 
@@ -241,10 +247,11 @@
   while (g_hash_table_iter_next (&members, NULL, &value))
     {
       const FlMember *member = value;
-      if (fl_is_live (member, now_us)
-          && strcmp (member->zone, fleet->zone) == 0
-          && strcmp (member->name, fleet->name) < 0)
-        return FALSE;
+      if (!member->speaks_for_zone || !fl_is_live (member, now_us)
+          || strcmp (member->zone, fleet->zone) != 0)
+        continue;
+      if (speaker == FL_SPEAKER_NONE || strcmp (member->name, fleet->name) < 0)
+        return FL_SPEAKER_OTHER;
     }
-  return TRUE;
+  return speaker;
 }
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -14,7 +14,9 @@
 
      Demand is told to all daemons of a zone by each, and to other zones by one
      as a sum, so that the traffic does not grow with the square of their
-     number.  Once that one is lost its last sum stays set aside, too, so its
+     number.  The speaker is the live daemon with the lowest name, once it has
+     run for long enough to have heard the others; until then each daemon tells
+     its own.  Once a speaker is lost its last sum stays set aside, too, so its
      zone may count twice for FL_RESERVED_US, but never not at all.
 
    ERRORS
@@ -34,6 +36,9 @@
    rate, so others leave it aside for longer than cuts usually last.  */
 #define FL_RESERVED_US ((int64_t)15000000)
 
+/* Two reports of each other daemon.  */
+#define FL_SETTLE_US ((int64_t)2500000)
+
 typedef struct FlFleet FlFleet;
 
 typedef struct
@@ -41,6 +46,7 @@
   const char *name;
   const char *zone;
   const char *region;
+  int64_t started_us; /* of this daemon */
 } FlOptions;
 
 typedef struct
@@ -60,6 +66,7 @@
   gboolean ready;
   gboolean stopping;
   uint64_t config_version;
+  gboolean speaks_for_zone;
   const FlDemand *demands; /* its own, or those of its zone */
   uint32_t demand_count;
 } FlReport;
@@ -73,6 +80,7 @@
   const char *gossip_address;
   gboolean ready;
   gboolean stopping;
+  gboolean speaks_for_zone;
   int64_t heard_us;
 } FlMember;
 
@@ -104,8 +112,14 @@
 double fl_demand (const FlFleet *fleet, uint32_t customer_id, int64_t now_us);
 double fl_demand_in_zone (const FlFleet *fleet, uint32_t customer_id,
                           int64_t now_us);
-/* Whether this daemon reports for its zone: no live one of it has a lower
-   name.  */
-gboolean fl_speaks_for_zone (const FlFleet *fleet, int64_t now_us);
+/* Who tells other zones the demand of this zone.  */
+typedef enum
+{
+  FL_SPEAKER_NONE, /* each daemon for itself */
+  FL_SPEAKER_SELF,
+  FL_SPEAKER_OTHER,
+} FlSpeaker;
+
+FlSpeaker fl_speaker (const FlFleet *fleet, int64_t now_us);
 
 #endif
--- a/fleet/fleet_test.cc
+++ b/fleet/fleet_test.cc
@@ -16,7 +16,7 @@
   void
   SetUp () override
   {
-    FlOptions options = { "vm1", "a1", "a" };
+    FlOptions options = { "vm1", "a1", "a", started_us };
     fleet = fl_new (&options);
   }
 
@@ -28,7 +28,8 @@
 
   gboolean
   Hear (const char *name, const char *zone, const char *region,
-        int64_t started_ms = 1, gboolean stopping = FALSE)
+        int64_t started_ms = 1, gboolean stopping = FALSE,
+        gboolean speaks = FALSE)
   {
     FlDemand demand = { fl_customer_id ("c"), 4 };
     FlReport report = {};
@@ -40,6 +41,7 @@
     report.gossip_address = "10.0.0.2:90";
     report.ready = TRUE;
     report.stopping = stopping;
+    report.speaks_for_zone = speaks;
     report.demands = &demand;
     report.demand_count = 1;
     return fl_hear (fleet, &report, now_us);
@@ -61,6 +63,7 @@
   }
 
   FlFleet *fleet;
+  int64_t started_us = 90 * kSecond;
   int64_t now_us = 100 * kSecond;
   int live = 0;
 };
@@ -118,20 +121,24 @@
   EXPECT_EQ (fl_count_in_region (fleet, "b", now_us), 1u);
 }
 
-/* Guards against a zone whose demand nobody tells to other zones, or that two
-   daemons tell for long.  */
-TEST_F (Fleet, OneLiveDaemonSpeaksForItsZone)
+/* Guards against a zone whose demand nobody tells to other zones: also while
+   the daemon with the lowest name has just started and knows of none.  */
+TEST_F (Fleet, OneSettledDaemonSpeaksForItsZone)
 {
-  EXPECT_TRUE (fl_speaks_for_zone (fleet, now_us));
-  Hear ("vm2", "a1", "a");
-  Hear ("vm0", "a2", "a");
-  EXPECT_TRUE (fl_speaks_for_zone (fleet, now_us));
+  EXPECT_EQ (fl_speaker (fleet, started_us + 1), FL_SPEAKER_NONE);
+  EXPECT_EQ (fl_speaker (fleet, now_us), FL_SPEAKER_SELF);
+  Hear ("vm2", "a1", "a", 1, FALSE, TRUE);
+  Hear ("vm0", "a2", "a", 1, FALSE, TRUE);
+  EXPECT_EQ (fl_speaker (fleet, started_us + 1), FL_SPEAKER_OTHER);
+  EXPECT_EQ (fl_speaker (fleet, now_us), FL_SPEAKER_SELF);
   Hear ("vm0a", "a1", "a");
-  EXPECT_FALSE (fl_speaks_for_zone (fleet, now_us));
+  EXPECT_EQ (fl_speaker (fleet, now_us), FL_SPEAKER_SELF);
+  Hear ("vm0a", "a1", "a", 1, FALSE, TRUE);
+  EXPECT_EQ (fl_speaker (fleet, now_us), FL_SPEAKER_OTHER);
   EXPECT_EQ (fl_demand_in_zone (fleet, fl_customer_id ("c"), now_us), 8);
   EXPECT_EQ (fl_demand (fleet, fl_customer_id ("c"), now_us), 12);
   now_us += FL_SILENT_US + 1;
-  EXPECT_TRUE (fl_speaks_for_zone (fleet, now_us));
+  EXPECT_EQ (fl_speaker (fleet, now_us), FL_SPEAKER_SELF);
 }
 
 }
--- a/wire/gossip.pb-c.c
+++ b/wire/gossip.pb-c.c
@@ -277,7 +277,7 @@
   assert(message->base.descriptor == &gossip__datagram__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gossip__report__field_descriptors[11] =
+static const ProtobufCFieldDescriptor gossip__report__field_descriptors[12] =
 {
   {
     "name",
@@ -411,6 +411,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "speaks_for_zone",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Report, speaks_for_zone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__report__field_indices_by_name[] = {
   8,   /* field[8] = config_version */
@@ -421,6 +433,7 @@
   0,   /* field[0] = name */
   6,   /* field[6] = ready */
   3,   /* field[3] = region */
+  11,   /* field[11] = speaks_for_zone */
   1,   /* field[1] = started_ms */
   7,   /* field[7] = stopping */
   2,   /* field[2] = zone */
@@ -429,7 +442,7 @@
 {
   { 1, 0 },
   { 11, 9 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor gossip__report__descriptor =
 {
@@ -439,7 +452,7 @@
   "Gossip__Report",
   "gossip",
   sizeof(Gossip__Report),
-  11,
+  12,
   gossip__report__field_descriptors,
   gossip__report__field_indices_by_name,
   2,  gossip__report__number_ranges,
--- a/wire/gossip.pb-c.h
+++ b/wire/gossip.pb-c.h
@@ -46,6 +46,10 @@
   protobuf_c_boolean ready;
   protobuf_c_boolean stopping;
   uint64_t config_version;
+  /*
+   * Its demands are those of its zone.
+   */
+  protobuf_c_boolean speaks_for_zone;
   /*
    * Hashes of names; a thousandth of a request a second each.
    */
@@ -56,7 +60,7 @@
 };
 #define GOSSIP__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Gossip__Target
