--- a/targets/internal.h
+++ b/targets/internal.h
@@ -35,13 +35,9 @@
 #define TG_REGION_COST_US 110000
 /* Spread by the rendezvous hash among targets that are alike.  */
 #define TG_RANK_COST_US 40000
-/* For a second home: an object that stays at one target is remembered better,
-   and the other one takes what that cannot carry.  */
-#define TG_SECOND_COST_US 40000
 
-/* Targets that an object is placed on.  One is too few for an even load and
-   the loss of a target; each further one takes memory from other objects.  */
-#define TG_HOMES 2
+/* Objects that targets were seen to keep at least.  */
+#define TG_OBJECTS_SURE 8
 /* Room above the fair part, as a divisor of it, so that ranks decide before
    room does.  Targets were seen to keep a sixth more than the fair part.  */
 #define TG_ROOM_SPARE 10
@@ -68,7 +64,7 @@
 {
   uint64_t hash;
   int64_t asked_us;
-  TgTarget *homes[TG_HOMES]; /* NULL: none */
+  TgTarget *home; /* NULL: none */
 } TgObject;
 
 typedef struct
--- a/targets/place.c
+++ b/targets/place.c
@@ -45,17 +45,18 @@
 
 /* Each region has about as many objects as this one, so a target's fair part
    follows from the number of targets.  A region whose targets have less than
-   their objects need keeps to the fair part, whatever the number of objects
-   seen so far; what the objects of a target's own region leave of it may be
-   used from elsewhere.  */
+   their objects need keeps to the fair part, or to what targets keep for sure,
+   whatever the number of objects seen so far; what the objects of a target's
+   own region leave of it may be used from elsewhere.  */
 static void
 set_rooms (TgSet *set, TgService *service)
 {
   g_autoptr (GHashTable) regions = count_regions (set, service);
   Census census = count_targets (set, service);
-  double homes = (double)TG_HOMES * g_hash_table_size (service->objects);
-  double fair = homes * set->region_count / MAX (1, census.all);
-  double own_here = homes / MAX (1, census.here);
+  double objects = (double)g_hash_table_size (service->objects);
+  double fair = MAX (TG_OBJECTS_SURE,
+                     objects * set->region_count / MAX (1, census.all));
+  double own_here = objects / MAX (1, census.here);
 
   service->near_room
       = own_here > fair
@@ -66,8 +67,9 @@
       TgTarget *target = service->targets->pdata[i];
       guint there
           = GPOINTER_TO_UINT (g_hash_table_lookup (regions, target->region));
-      double room = target->distance == TG_FAR ? fair - homes / MAX (1, there)
-                                               : fair + fair / TG_ROOM_SPARE;
+      double room = target->distance == TG_FAR
+                        ? fair - objects / MAX (1, there)
+                        : fair + fair / TG_ROOM_SPARE;
       target->object_room = MAX (0.0, room + 1 - (double)target->placed_count);
     }
 }
@@ -83,80 +85,59 @@
     ((TgTarget *)service->targets->pdata[i])->placed_count = 0;
   g_hash_table_iter_init (&objects, service->objects);
   while (g_hash_table_iter_next (&objects, NULL, &value))
-    for (int i = 0; i < TG_HOMES; i++)
-      {
-        TgTarget *home = ((TgObject *)value)->homes[i];
-        if (home == NULL)
-          continue;
-        home->placed_count++;
-        service->near_count += home->distance != TG_FAR;
-      }
-}
-
-/* Kinds of homes, the better ones first.  */
-typedef enum
-{
-  NEAR_APART, /* in this region, in another zone than the first home */
-  NEAR,
-  FAR,
-  KIND_COUNT,
-} Kind;
-
-static Kind
-kind_of (const TgTarget *target, const TgTarget *first)
-{
-  if (target->distance == TG_FAR)
-    return FAR;
-  return first != NULL && strcmp (first->zone, target->zone) == 0 ? NEAR
-                                                                  : NEAR_APART;
+    {
+      TgTarget *home = ((TgObject *)value)->home;
+      if (home == NULL)
+        continue;
+      home->placed_count++;
+      service->near_count += home->distance != TG_FAR;
+    }
 }
 
-/* The target with the highest rank of the best kind that has room: the same on
-   all daemons of a region, and a change of one target moves few objects.  */
+/* The target with the highest rank of this region that has room, or else of
+   the others: the same on all daemons of a region, and a change of one target
+   moves few objects.  */
 static TgTarget *
-find_home (const TgSet *set, const TgService *service, const TgObject *object)
+find_home (const TgSet *set, const TgService *service, uint64_t object_hash)
 {
-  TgTarget *best[KIND_COUNT] = { NULL };
-  uint64_t best_rank[KIND_COUNT] = { 0 };
-  const TgTarget *first = object->homes[0];
+  TgTarget *best = NULL;
+  uint64_t best_rank = 0;
+  gboolean may_be_near = service->near_room >= 1;
 
   for (guint i = 0; i < service->targets->len; i++)
     {
       TgTarget *target = service->targets->pdata[i];
-      Kind kind = kind_of (target, first);
-      uint64_t rank;
-      if (target == first || target->object_room < 1
-          || (kind != FAR && service->near_room < 1)
+      gboolean is_near = target->distance != TG_FAR;
+      uint64_t rank = tg_rank (target, object_hash);
+      if (target->object_room < 1 || (is_near && !may_be_near)
           || !tg_is_in_service (set, target))
         continue;
-      rank = tg_rank (target, object->hash);
-      if (best[kind] != NULL && rank <= best_rank[kind])
-        continue;
-      best[kind] = target;
-      best_rank[kind] = rank;
+      if (best != NULL)
+        {
+          gboolean best_is_near = best->distance != TG_FAR;
+          if (is_near != best_is_near ? best_is_near : rank <= best_rank)
+            continue;
+        }
+      best = target;
+      best_rank = rank;
     }
-  for (int kind = 0; kind < KIND_COUNT; kind++)
-    if (best[kind] != NULL)
-      return best[kind];
-  return NULL;
+  return best;
 }
 
 static void
 place_object (const TgSet *set, TgService *service, TgObject *object)
 {
-  for (int i = 0; i < TG_HOMES; i++)
-    {
-      TgTarget *home = find_home (set, service, object);
-      object->homes[i] = home;
-      if (home == NULL)
-        return;
-      home->object_room -= 1;
-      home->placed_count++;
-      if (home->distance == TG_FAR)
-        continue;
-      service->near_room -= 1;
-      service->near_count++;
-    }
+  TgTarget *home = find_home (set, service, object->hash);
+
+  object->home = home;
+  if (home == NULL)
+    return;
+  home->object_room -= 1;
+  home->placed_count++;
+  if (home->distance == TG_FAR)
+    return;
+  service->near_room -= 1;
+  service->near_count++;
 }
 
 static gboolean
@@ -190,8 +171,7 @@
   g_hash_table_iter_init (&objects, service->objects);
   while (g_hash_table_iter_next (&objects, NULL, &value))
     {
-      memset (((TgObject *)value)->homes, 0,
-              sizeof ((TgObject *)value)->homes);
+      ((TgObject *)value)->home = NULL;
       g_ptr_array_add (all, value);
     }
   g_ptr_array_sort (all, by_hash);
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -83,7 +83,7 @@
   return service;
 }
 
-/* Homes must not outlive their target.  */
+/* A home must not outlive its target.  */
 static void
 forget_homes (TgService *service, const TgTarget *target)
 {
@@ -93,9 +93,8 @@
   service->unplaced = TRUE;
   g_hash_table_iter_init (&objects, service->objects);
   while (g_hash_table_iter_next (&objects, NULL, &value))
-    for (int i = 0; i < TG_HOMES; i++)
-      if (((TgObject *)value)->homes[i] == target)
-        ((TgObject *)value)->homes[i] = NULL;
+    if (((TgObject *)value)->home == target)
+      ((TgObject *)value)->home = NULL;
 }
 
 gboolean
