targets: one home by hash, a second later where memory is ample

Two homes were taught twice, and daemons disagreed about homes for some 20 s, since rooms followed from the objects that each had seen. Regions with few targets (inland, baltic) decided near or far by the order of discovery.

Ruled out: queueing (wait_ms 1 to 5), strays (5%), learned beliefs alone.

Change: near or far by a hash of the object against the region's part of all targets; the home by rank among targets with room; a second home in another zone only 15 s after the first request and where targets have memory to spare.

--- a/targets/internal.h
+++ b/targets/internal.h
@@ -36,11 +36,24 @@
 /* Spread by the rendezvous hash among targets that are alike.  */
 #define TG_RANK_COST_US 40000
 
-/* Objects that targets were seen to keep at least.  */
-#define TG_OBJECTS_SURE 8
+/* Homes of an object at most.  A second one, in another zone, spares the bytes
+   between zones, but takes memory of targets from other objects and has to be
+   taught while requests wait.  So it is given only where targets have ample
+   memory, and after the first homes are taught.  */
+#define TG_HOMES_MAX 2
+/* Objects for each target, on average, that leave room for second homes: half
+   of the least that targets were seen to keep.  */
+#define TG_OBJECTS_AMPLE 7
+/* Time from the first request in which most objects are asked for.  */
+#define TG_SECOND_AFTER_US ((int64_t)15000000)
+/* For a second home: the first is remembered better.  */
+#define TG_SECOND_COST_US 40000
 /* Room above the fair part, as a divisor of it, so that ranks decide before
    room does.  Targets were seen to keep a sixth more than the fair part.  */
 #define TG_ROOM_SPARE 10
+/* Objects that a target takes in any case, so that ranks alone decide, and
+   daemons agree, before they have seen all objects.  */
+#define TG_ROOM_MIN 8
 /* An object that was not asked for in this time is no longer placed.  */
 #define TG_OBJECT_KEEP_US ((int64_t)60000000)
 /* Placement is redone at most this often while objects or targets change.  */
@@ -64,7 +77,7 @@
 {
   uint64_t hash;
   int64_t asked_us;
-  TgTarget *home; /* NULL: none */
+  TgTarget *homes[TG_HOMES_MAX]; /* NULL: none */
 } TgObject;
 
 typedef struct
@@ -72,8 +85,8 @@
   char *name;
   GPtrArray *targets;  /* TgTarget */
   GHashTable *objects; /* hash to TgObject */
-  uint32_t near_count; /* homes in this daemon's region */
-  double near_room;    /* further ones that fit there */
+  double near_share;   /* of its objects that this region takes */
+  int64_t first_us;    /* when the first object was asked for */
   gboolean unplaced;   /* targets have changed */
   int64_t placed_us;
   int64_t service_us; /* average over all requests; 0: none yet */
--- a/targets/pick.c
+++ b/targets/pick.c
@@ -200,7 +200,7 @@
 } Search;
 
 static void
-consider (Search *search, TgTarget *target)
+consider (Search *search, TgTarget *target, int64_t extra_us)
 {
   TgChoice candidate;
 
@@ -211,6 +211,7 @@
     return;
   estimate (target, search->query, search->route, search->queued_us,
             search->now_us, &candidate);
+  candidate.cost_us += extra_us;
   if (candidate.wait_us > search->query->wait_max_us)
     return;
   if (search->found && candidate.cost_us >= search->choice->cost_us)
@@ -231,8 +232,7 @@
   return FALSE;
 }
 
-/* Requests for a placed object go elsewhere only where its home may not be
-   used: a
+/* Requests for a placed object go elsewhere only where no home may be used: a
    target that does not know the object takes several times as long, and
    forgets another object for it.  */
 TgPick
@@ -251,13 +251,15 @@
 
   search.queued_us = service->service_us != 0 ? service->service_us
                                               : search.route->known_us;
-  if (object != NULL && object->home != NULL)
-    consider (&search, object->home);
+  for (int i = 0; object != NULL && i < TG_HOMES_MAX; i++)
+    if (object->homes[i] != NULL)
+      consider (&search, object->homes[i], i * TG_SECOND_COST_US);
   has_home = search.any_allowed;
   for (guint i = 0; !has_home && i < service->targets->len; i++)
-    consider (&search, service->targets->pdata[i]);
-  choice->placed
-      = search.found && object != NULL && choice->target == object->home;
+    consider (&search, service->targets->pdata[i], 0);
+  choice->placed = search.found && object != NULL
+                   && (choice->target == object->homes[0]
+                       || choice->target == object->homes[1]);
   if (search.found && query->may_hold && object != NULL && !choice->known
       && is_being_taught (choice->target, query->object_hash))
     return TG_PICK_HOLD;
--- a/targets/place.c
+++ b/targets/place.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include <xxhash.h>
 
 #include "targets/internal.h"
 
@@ -45,8 +46,7 @@
 
 /* Each region has about as many objects as this one, so a target's fair part
    follows from the number of targets.  A region whose targets have less than
-   their objects need keeps to the fair part, or to what targets keep for sure,
-   whatever the number of objects seen so far; what the objects of a target's
+   their objects need keeps to the fair part; what the objects of a target's
    own region leave of it may be used from elsewhere.  */
 static void
 set_rooms (TgSet *set, TgService *service)
@@ -54,14 +54,10 @@
   g_autoptr (GHashTable) regions = count_regions (set, service);
   Census census = count_targets (set, service);
   double objects = (double)g_hash_table_size (service->objects);
-  double fair = MAX (TG_OBJECTS_SURE,
-                     objects * set->region_count / MAX (1, census.all));
-  double own_here = objects / MAX (1, census.here);
-
-  service->near_room
-      = own_here > fair
-            ? MAX (0.0, fair * census.here - (double)service->near_count)
-            : G_MAXUINT32;
+  double fair = objects * set->region_count / MAX (1, census.all);
+
+  service->near_share
+      = (double)set->region_count * census.here / MAX (1, census.all);
   for (guint i = 0; i < service->targets->len; i++)
     {
       TgTarget *target = service->targets->pdata[i];
@@ -69,7 +65,7 @@
           = GPOINTER_TO_UINT (g_hash_table_lookup (regions, target->region));
       double room = target->distance == TG_FAR
                         ? fair - objects / MAX (1, there)
-                        : fair + fair / TG_ROOM_SPARE;
+                        : MAX (TG_ROOM_MIN, fair + fair / TG_ROOM_SPARE);
       target->object_room = MAX (0.0, room + 1 - (double)target->placed_count);
     }
 }
@@ -80,44 +76,66 @@
   GHashTableIter objects;
   gpointer value;
 
-  service->near_count = 0;
   for (guint i = 0; i < service->targets->len; i++)
     ((TgTarget *)service->targets->pdata[i])->placed_count = 0;
   g_hash_table_iter_init (&objects, service->objects);
   while (g_hash_table_iter_next (&objects, NULL, &value))
+    if (((TgObject *)value)->homes[0] != NULL)
+      ((TgObject *)value)->homes[0]->placed_count++;
+}
+
+/* The part of a region's objects that it takes itself is the same on all
+   daemons, whatever they have seen of the objects.  */
+static gboolean
+is_near_object (const TgService *service, uint64_t object_hash)
+{
+  uint64_t mixed = XXH3_64bits (&object_hash, sizeof object_hash);
+
+  return (double)(mixed >> 11) / (double)(1ULL << 53) < service->near_share;
+}
+
+/* The target with the highest rank that has room, or NULL.  A change of one
+   target moves few objects.  */
+static TgTarget *
+find_near (const TgSet *set, const TgService *service, uint64_t object_hash,
+           const TgTarget *first)
+{
+  TgTarget *best = NULL;
+  uint64_t best_rank = 0;
+
+  for (guint i = 0; i < service->targets->len; i++)
     {
-      TgTarget *home = ((TgObject *)value)->home;
-      if (home == NULL)
+      TgTarget *target = service->targets->pdata[i];
+      uint64_t rank;
+      if (target->distance == TG_FAR || target->object_room < 1
+          || !tg_is_in_service (set, target)
+          || (first != NULL && strcmp (first->zone, target->zone) == 0))
+        continue;
+      rank = tg_rank (target, object_hash);
+      if (best != NULL && rank <= best_rank)
         continue;
-      home->placed_count++;
-      service->near_count += home->distance != TG_FAR;
+      best = target;
+      best_rank = rank;
     }
+  return best;
 }
 
-/* The target with the highest rank of this region that has room, or else of
-   the others: the same on all daemons of a region, and a change of one target
-   moves few objects.  */
 static TgTarget *
-find_home (const TgSet *set, const TgService *service, uint64_t object_hash)
+find_far (const TgSet *set, const TgService *service, uint64_t object_hash)
 {
   TgTarget *best = NULL;
   uint64_t best_rank = 0;
-  gboolean may_be_near = service->near_room >= 1;
 
   for (guint i = 0; i < service->targets->len; i++)
     {
       TgTarget *target = service->targets->pdata[i];
-      gboolean is_near = target->distance != TG_FAR;
-      uint64_t rank = tg_rank (target, object_hash);
-      if (target->object_room < 1 || (is_near && !may_be_near)
+      uint64_t rank;
+      if (target->distance != TG_FAR || target->object_room < 1
           || !tg_is_in_service (set, target))
         continue;
-      if (best != NULL)
-        {
-          gboolean best_is_near = best->distance != TG_FAR;
-          if (is_near != best_is_near ? best_is_near : rank <= best_rank)
-            continue;
-        }
+      rank = tg_rank (target, object_hash);
+      if (best != NULL && rank <= best_rank)
+        continue;
       best = target;
       best_rank = rank;
     }
@@ -127,17 +145,29 @@
 static void
 place_object (const TgSet *set, TgService *service, TgObject *object)
 {
-  TgTarget *home = find_home (set, service, object->hash);
+  gboolean is_near = is_near_object (service, object->hash);
+  TgTarget *home = is_near ? find_near (set, service, object->hash, NULL)
+                           : find_far (set, service, object->hash);
 
-  object->home = home;
+  if (home == NULL)
+    home = is_near ? find_far (set, service, object->hash)
+                   : find_near (set, service, object->hash, NULL);
+  object->homes[0] = home;
+  object->homes[1] = NULL;
   if (home == NULL)
     return;
   home->object_room -= 1;
   home->placed_count++;
-  if (home->distance == TG_FAR)
-    return;
-  service->near_room -= 1;
-  service->near_count++;
+}
+
+static gboolean
+has_second_homes (const TgSet *set, const TgService *service, int64_t now_us)
+{
+  double objects = (double)g_hash_table_size (service->objects);
+
+  return now_us - service->first_us >= TG_SECOND_AFTER_US
+         && objects * TG_HOMES_MAX * set->region_count
+                <= (double)TG_OBJECTS_AMPLE * service->targets->len;
 }
 
 static gboolean
@@ -171,7 +201,7 @@
   g_hash_table_iter_init (&objects, service->objects);
   while (g_hash_table_iter_next (&objects, NULL, &value))
     {
-      ((TgObject *)value)->home = NULL;
+      ((TgObject *)value)->homes[0] = NULL;
       g_ptr_array_add (all, value);
     }
   g_ptr_array_sort (all, by_hash);
@@ -195,12 +225,18 @@
   object = g_hash_table_lookup (service->objects, &object_hash);
   if (object == NULL)
     {
+      if (service->first_us == 0)
+        service->first_us = now_us;
       object = g_new0 (TgObject, 1);
       object->hash = object_hash;
       g_hash_table_insert (service->objects, &object->hash, object);
       set_rooms (set, service);
       place_object (set, service, object);
     }
+  if (object->homes[1] == NULL && object->homes[0] != NULL
+      && object->homes[0]->distance != TG_FAR
+      && has_second_homes (set, service, now_us))
+    object->homes[1] = find_near (set, service, object_hash, object->homes[0]);
   object->asked_us = now_us;
   return object;
 }
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -93,8 +93,9 @@
   service->unplaced = TRUE;
   g_hash_table_iter_init (&objects, service->objects);
   while (g_hash_table_iter_next (&objects, NULL, &value))
-    if (((TgObject *)value)->home == target)
-      ((TgObject *)value)->home = NULL;
+    for (int i = 0; i < TG_HOMES_MAX; i++)
+      if (((TgObject *)value)->homes[i] == target)
+        ((TgObject *)value)->homes[i] = NULL;
 }
 
 gboolean
