--- a/standin/estate.h
+++ b/standin/estate.h
@@ -14,8 +14,9 @@
        POST /store?fault=F        F: none, silent, busy, reset
        POST /target?id=I&fault=F  F: none, hang, lose, shed, fail, spoil,
                                   other
-       GET /runs                  a line a run: target, request, customer,
-                                  whether a key was seen
+       GET /runs                  a line a run: monotonic time in us, target,
+                                  request, customer, "key" or "nokey" as one
+                                  was seen
        GET /arrivals              the same for all that reached a target
 
      Targets answer whole and at once unless a fault is set: hang: never;
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -31,7 +31,8 @@
   const char *customer = si_header (x, "X-Comfreywalk-Tenant");
 
   g_string_append_printf (
-      list, "%s %s %s %s\n", upstream->id, request != NULL ? request : "-",
+      list, "%" G_GINT64_FORMAT " %s %s %s %s\n", g_get_monotonic_time (),
+      upstream->id, request != NULL ? request : "-",
       customer != NULL ? customer : "-",
       si_header (x, "Authorization") != NULL ? "key" : "nokey");
 }
