--- a/docs/docs_test.cc
+++ b/docs/docs_test.cc
@@ -25,7 +25,7 @@
 /* Guards against a warning that tells an operator nothing of what to do.  */
 TEST (Docs, OperatorsPageHasEachWarning)
 {
-  std::string text = page ("docs/operators.md");
+  std::string text = page ("docs/OPERATIONS.md");
   uint32_t count;
   const EvKind *kinds = ev_catalogue (&count);
 
