--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -375,6 +375,25 @@
       << Log (vms[0]);
 }
 
+/* Guards against a target that stays in use on some VM after it left while the
+   store was away and was kept for its return.  */
+TEST_F (Entry, DropsATargetThatLeftDuringAnOutage)
+{
+  si_sleep_ms (1500);
+  Control ("/store?fault=silent");
+  si_sleep_ms (5000);
+  Control ("/remove?key=servers/t1");
+  si_process_signal (vms[1].pid, SIGSTOP);
+  Control ("/store?fault=none");
+  si_sleep_ms (1500);
+  si_process_signal (vms[1].pid, SIGCONT);
+  si_sleep_ms (5000);
+  for (int i = 0; i < 10; i++)
+    for (const Vm &vm : vms)
+      EXPECT_EQ (Ask (vm, "/open/1", "n" + std::to_string (i)), 200);
+  EXPECT_EQ (Told ("/arrivals").find ("t1 n"), std::string::npos);
+}
+
 /* Guards against an order that runs twice, and against a refusal that says it
    did not run.  */
 TEST_F (Entry, SendsAnOrderOnceWhereItMayHaveRun)
