--- a/entry/entry.c
+++ b/entry/entry.c
@@ -108,7 +108,7 @@
 {
   EnEntry *entry = data;
 
-  en_view_take_news (entry->view, news);
+  en_listing_take_news (en_view_listing (entry->view), news);
 }
 
 static void
--- a/entry/shares.c
+++ b/entry/shares.c
@@ -4,15 +4,10 @@
 #include <string.h>
 
 #include "clock/clock.h"
+#include "entry/reports.h"
 
 /* Demand shifts over seconds, and a member is silent after three reports.  */
 #define REPORT_MS 1000
-/* A customer asked for less, on average over the time of a demand, is left out
-   of reports.  */
-#define DEMAND_MIN_PER_S 0.01
-/* An address that nobody answered from is dropped; a member that comes back
-   reports by itself.  */
-#define ADDRESS_KEEP_US ((int64_t)60000000)
 /* Members change rarely, and reports tell of new ones first.  */
 #define MEMBERS_WAIT_MS 10000
 /* Nothing is spent before the first reading.  */
@@ -35,132 +30,17 @@
   PfFeed *members;
   PfMember *member;
   struct event *timer;
-  GHashTable *addresses; /* to int64_t, when it was last heard of */
-  GArray *demands;       /* FlDemand of the next report */
-  int64_t started_ms;
-  uint64_t config_version;
+  EnReports *reports;
   gboolean has_members; /* the store's list was read */
-  gboolean ready;       /* as last reported */
-  gboolean stopping;
   uint32_t daemon_count;
 };
 
-static void
-touch_address (EnShares *shares, const char *address, int64_t now_us)
-{
-  int64_t *heard_us = g_hash_table_lookup (shares->addresses, address);
-
-  if (strcmp (address, shares->options.settings->gossip_listen) == 0)
-    return;
-  if (heard_us == NULL)
-    {
-      heard_us = g_new (int64_t, 1);
-      g_hash_table_insert (shares->addresses, g_strdup (address), heard_us);
-    }
-  *heard_us = now_us;
-}
-
 typedef struct
 {
   EnShares *shares;
   int64_t now_us;
-  gboolean for_zone; /* sum up the zone */
 } Visit;
 
-typedef struct
-{
-  const char *zone;
-  GHashTable *addresses; /* of the daemons of ZONE */
-} Neighbours;
-
-typedef enum
-{
-  TO_OWN_ZONE,
-  TO_OTHERS,
-} Audience;
-
-static void
-add_demand (const char *customer, void *data)
-{
-  Visit *visit = data;
-  FlDemand demand = {
-    .customer_id = fl_customer_id (customer),
-    .per_s = lm_demand (visit->shares->limits, customer, visit->now_us),
-  };
-
-  if (visit->for_zone)
-    demand.per_s += fl_demand_in_zone (visit->shares->fleet,
-                                       demand.customer_id, visit->now_us);
-  if (demand.per_s >= DEMAND_MIN_PER_S)
-    g_array_append_val (visit->shares->demands, demand);
-}
-
-static FlReport
-make_report (EnShares *shares, Audience audience, int64_t now_us)
-{
-  const EnSettings *settings = shares->options.settings;
-  FlSpeaker speaker = fl_speaker (shares->fleet, now_us);
-  Visit visit
-      = { .shares = shares,
-          .now_us = now_us,
-          .for_zone = audience == TO_OTHERS && speaker == FL_SPEAKER_SELF };
-
-  shares->ready = shares->options.is_ready (shares->options.data);
-  g_array_set_size (shares->demands, 0);
-  if (audience == TO_OWN_ZONE || speaker != FL_SPEAKER_OTHER)
-    lm_each (shares->limits, add_demand, &visit);
-  return (FlReport){
-    .name = settings->vm,
-    .started_ms = shares->started_ms,
-    .zone = settings->zone,
-    .region = settings->region,
-    .front_address = settings->front_listen,
-    .gossip_address = settings->gossip_listen,
-    .ready = shares->ready,
-    .stopping = shares->stopping,
-    .speaks_for_zone = speaker == FL_SPEAKER_SELF,
-    .config_version = shares->config_version,
-    .demands = (const FlDemand *)shares->demands->data,
-    .demand_count = shares->demands->len,
-  };
-}
-
-static void
-collect_neighbour (const FlMember *member, void *data)
-{
-  Neighbours *neighbours = data;
-
-  if (strcmp (member->zone, neighbours->zone) == 0)
-    g_hash_table_add (neighbours->addresses, (gpointer)member->gossip_address);
-}
-
-static void
-send_to (EnShares *shares, Audience audience, GHashTable *neighbours,
-         int64_t now_us)
-{
-  FlReport report = make_report (shares, audience, now_us);
-  GHashTableIter addresses;
-  gpointer address;
-
-  g_hash_table_iter_init (&addresses, shares->addresses);
-  while (g_hash_table_iter_next (&addresses, &address, NULL))
-    if (g_hash_table_contains (neighbours, address)
-        == (audience == TO_OWN_ZONE))
-      go_send (shares->gossip, address, &report);
-}
-
-static void
-report_to_all (EnShares *shares, int64_t now_us)
-{
-  g_autoptr (GHashTable) addresses
-      = g_hash_table_new (g_str_hash, g_str_equal);
-  Neighbours neighbours = { shares->options.settings->zone, addresses };
-
-  fl_each (shares->fleet, collect_neighbour, &neighbours);
-  send_to (shares, TO_OWN_ZONE, addresses, now_us);
-  send_to (shares, TO_OTHERS, addresses, now_us);
-}
-
 static void
 share_customer (const char *customer, void *data)
 {
@@ -193,7 +73,7 @@
 count_daemons (const EnShares *shares, int64_t now_us)
 {
   return MAX (fl_count (shares->fleet, now_us),
-              1 + g_hash_table_size (shares->addresses));
+              1 + en_reports_count (shares->reports, now_us));
 }
 
 static void
@@ -225,16 +105,6 @@
                        cold_share (shares, zone, region, now_us));
 }
 
-static gboolean
-is_old_address (gpointer address, gpointer value, gpointer data)
-{
-  const int64_t *heard_us = value;
-  const int64_t *now_us = data;
-
-  (void)address;
-  return *now_us - *heard_us > ADDRESS_KEEP_US;
-}
-
 static void
 on_timer (evutil_socket_t fd, short what, void *data)
 {
@@ -244,9 +114,8 @@
   (void)fd;
   (void)what;
   fl_forget (shares->fleet, now_us);
-  g_hash_table_foreach_remove (shares->addresses, is_old_address, &now_us);
   divide (shares, now_us);
-  report_to_all (shares, now_us);
+  en_reports_send (shares->reports, now_us);
 }
 
 static void
@@ -270,24 +139,17 @@
 {
   EnShares *shares = data;
   int64_t now_us = ck_boot_us ();
-  FlReport answer;
+  gboolean changed = fl_hear (shares->fleet, report, now_us);
 
-  if (!fl_hear (shares->fleet, report, now_us))
-    {
-      touch_address (shares, report->gossip_address, now_us);
-      return;
-    }
+  en_reports_touch (shares->reports, report->gossip_address, now_us);
+  if (!changed)
+    return;
   tr_line (shares->options.trace,
            report->stopping ? EV_MEMBER_LEFT : EV_MEMBER_JOINED,
            "member=%s zone=%s ready=%d", report->name, report->zone,
            report->ready);
-  answer = make_report (
-      shares,
-      strcmp (report->zone, shares->options.settings->zone) == 0 ? TO_OWN_ZONE
-                                                                 : TO_OTHERS,
-      now_us);
-  go_send (shares->gossip, report->gossip_address, &answer);
-  touch_address (shares, report->gossip_address, now_us);
+  en_reports_send_to (shares->reports, report->gossip_address, report->zone,
+                      now_us);
   divide (shares, now_us);
 }
 
@@ -321,11 +183,9 @@
 {
   EnShares *shares = data;
   int64_t now_us = ck_boot_us ();
-  FlReport report = make_report (shares, TO_OTHERS, now_us);
 
-  touch_address (shares, gossip_address, now_us);
-  if (g_hash_table_contains (shares->addresses, gossip_address))
-    go_send (shares->gossip, gossip_address, &report);
+  if (en_reports_touch (shares->reports, gossip_address, now_us))
+    en_reports_send_to (shares->reports, gossip_address, NULL, now_us);
 }
 
 static void
@@ -341,6 +201,44 @@
 static const PfEvents member_events
     = { .on_member = on_member, .on_current = on_members_current };
 
+static void
+make_parts (EnShares *shares)
+{
+  const EnSharesOptions *options = &shares->options;
+  const EnSettings *settings = options->settings;
+  int64_t started_us = ck_boot_us ();
+  int64_t started_ms = ck_wall_ms ();
+
+  shares->fleet = fl_new (&(FlOptions){ .name = settings->vm,
+                                        .zone = settings->zone,
+                                        .region = settings->region,
+                                        .started_us = started_us });
+  shares->relay
+      = en_relay_new (&(EnRelayOptions){ .settings = settings,
+                                         .fleet = shares->fleet,
+                                         .gossip = shares->gossip,
+                                         .started_ms = started_ms,
+                                         .is_ready = options->is_ready,
+                                         .data = options->data });
+  shares->limits = lm_new ();
+  shares->pool = en_pool_new (
+      &(EnPoolOptions){ .base = options->base,
+                        .gossip_address = settings->gossip_listen,
+                        .gossip = shares->gossip,
+                        .fleet = shares->fleet,
+                        .limits = shares->limits,
+                        .started_us = started_us });
+  shares->reports
+      = en_reports_new (&(EnReportsOptions){ .settings = settings,
+                                             .fleet = shares->fleet,
+                                             .gossip = shares->gossip,
+                                             .limits = shares->limits,
+                                             .started_ms = started_ms,
+                                             .is_ready = options->is_ready,
+                                             .data = options->data });
+  shares->budget = lm_budget_new (&(LmBudgetOptions){ .window_us = 1 });
+}
+
 EnShares *
 en_shares_new (const EnSharesOptions *options, GError **error)
 {
@@ -373,30 +271,7 @@
       g_free (shares);
       return NULL;
     }
-  shares->started_ms = ck_wall_ms ();
-  shares->fleet = fl_new (&(FlOptions){ .name = settings->vm,
-                                        .zone = settings->zone,
-                                        .region = settings->region,
-                                        .started_us = ck_boot_us () });
-  shares->relay
-      = en_relay_new (&(EnRelayOptions){ .settings = settings,
-                                         .fleet = shares->fleet,
-                                         .gossip = shares->gossip,
-                                         .started_ms = shares->started_ms,
-                                         .is_ready = options->is_ready,
-                                         .data = options->data });
-  shares->limits = lm_new ();
-  shares->pool = en_pool_new (
-      &(EnPoolOptions){ .base = options->base,
-                        .gossip_address = settings->gossip_listen,
-                        .gossip = shares->gossip,
-                        .fleet = shares->fleet,
-                        .limits = shares->limits,
-                        .started_us = ck_boot_us () });
-  shares->budget = lm_budget_new (&(LmBudgetOptions){ .window_us = 1 });
-  shares->demands = g_array_new (FALSE, FALSE, sizeof (FlDemand));
-  shares->addresses
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  make_parts (shares);
   shares->timer = event_new (options->base, -1, EV_PERSIST, on_timer, shares);
   event_add (shares->timer, &interval);
   shares->members = pf_feed_new (options->store, &members);
@@ -413,8 +288,7 @@
   pf_member_free (shares->member);
   pf_feed_free (shares->members);
   event_free (shares->timer);
-  g_hash_table_unref (shares->addresses);
-  g_array_unref (shares->demands);
+  en_reports_free (shares->reports);
   lm_budget_free (shares->budget);
   lm_free (shares->limits);
   en_pool_free (shares->pool);
@@ -427,8 +301,8 @@
 void
 en_shares_announce (EnShares *shares)
 {
-  if (shares->ready != shares->options.is_ready (shares->options.data))
-    report_to_all (shares, ck_boot_us ());
+  if (!en_reports_are_true (shares->reports))
+    en_reports_send (shares->reports, ck_boot_us ());
 }
 
 EnPool *
@@ -446,8 +320,8 @@
 void
 en_shares_stop (EnShares *shares)
 {
-  shares->stopping = TRUE;
-  report_to_all (shares, ck_boot_us ());
+  en_reports_stop (shares->reports);
+  en_reports_send (shares->reports, ck_boot_us ());
 }
 
 typedef struct
@@ -472,7 +346,7 @@
   g_autoptr (GPtrArray) names = g_ptr_array_new ();
   Setting setting = { shares, names };
 
-  shares->config_version = rt_version (config);
+  en_reports_set_config (shares->reports, rt_version (config));
   rt_each_customer (config, set_limit, &setting);
   g_ptr_array_add (names, NULL);
   en_pool_set_customers (shares->pool, (const char *const *)names->pdata);
--- a/entry/view.h
+++ b/entry/view.h
@@ -1,18 +1,17 @@
 /* view.h - what the store says, as this daemon knows it
 
    DESCRIPTION
-     Owns the configuration in force, the set of targets and the age of both.
+     Owns the configuration in force and its age, and the listing of targets.
      Versions only go forward.  One daemon of each region reads the store and
      tells the others, see relay.h; a daemon that hears nothing of it reads for
-     itself.  A target that disappears while the store does
-     not answer, or shortly after its return, is kept until it had time to
-     report again.  */
+     itself.  */
 
 #ifndef EN_VIEW_H
 #define EN_VIEW_H
 
 #include <glib.h>
 
+#include "entry/listing.h"
 #include "entry/relay.h"
 #include "entry/settings.h"
 #include "gossip/gossip.h"
@@ -39,12 +38,10 @@
 
 /* NULL before the first one; belongs to the view.  */
 RtConfig *en_view_config (const EnView *view);
+EnListing *en_view_listing (const EnView *view);
 TgSet *en_view_targets (const EnView *view);
 
-/* What the daemon that reads for this region has told.  */
-void en_view_take_news (EnView *view, const GoNews *news);
-
-/* What that daemon has confirmed of the operators' entries.  */
+/* What the reader of this region has confirmed of the operators' entries.  */
 void en_view_take_confirmation (EnView *view,
                                 const GoConfirmation *confirmation);
 
