--- a/entry/entry.c
+++ b/entry/entry.c
@@ -96,19 +96,20 @@
 }
 
 static void
-on_confirmation (const GoConfirmation *confirmation, void *data)
+on_confirmation (const GoConfirmation *confirmation, gboolean may_rest,
+                 void *data)
 {
   EnEntry *entry = data;
 
-  en_view_take_confirmation (entry->view, confirmation);
+  en_view_take_confirmation (entry->view, confirmation, may_rest);
 }
 
 static void
-on_told_news (const GoNews *news, void *data)
+on_told_news (const GoNews *news, gboolean may_rest, void *data)
 {
   EnEntry *entry = data;
 
-  en_listing_take_news (en_view_listing (entry->view), news);
+  en_listing_take_news (en_view_listing (entry->view), news, may_rest);
 }
 
 static void
--- a/entry/listing.c
+++ b/entry/listing.c
@@ -229,7 +229,8 @@
 }
 
 void
-en_listing_take_news (EnListing *listing, const GoNews *news)
+en_listing_take_news (EnListing *listing, const GoNews *news,
+                      gboolean may_rest)
 {
   struct timeval timeout
       = { NEWS_TIMEOUT_US / CK_US_PER_S, NEWS_TIMEOUT_US % CK_US_PER_S };
@@ -246,6 +247,8 @@
   if (news->to_revision > revision)
     apply_news (listing, news);
   pf_feed_advance (listing->feed, news->to_revision);
+  if (!may_rest)
+    return;
   listing->news_us = ck_boot_us ();
   if (!listing->catches_up)
     pf_feed_rest (listing->feed, TRUE);
--- a/entry/listing.h
+++ b/entry/listing.h
@@ -43,7 +43,8 @@
 TgSet *en_listing_targets (const EnListing *listing);
 gboolean en_listing_is_known (const EnListing *listing);
 /* What the daemon that reads for this region has told.  */
-void en_listing_take_news (EnListing *listing, const GoNews *news);
+void en_listing_take_news (EnListing *listing, const GoNews *news,
+                           gboolean may_rest);
 
 void en_log_unreadable (TrTrace *trace, const char *key, const char *problem);
 
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -140,6 +140,36 @@
     fl_each (relay->options.fleet, confirm_to_member, &telling);
 }
 
+typedef struct
+{
+  Telling telling;
+  const char *address;
+  gboolean found;
+} Search;
+
+static void
+look_for_address (const FlMember *member, void *data)
+{
+  Search *search = data;
+
+  if (strcmp (member->gossip_address, search->address) == 0
+      && is_region_peer (&search->telling, member)
+      && strcmp (member->name, search->telling.relay->options.settings->vm)
+             < 0)
+    search->found = TRUE;
+}
+
+gboolean
+en_relay_may_rest_for (const EnRelay *relay, const char *address,
+                       int64_t now_us)
+{
+  Search search = { .telling = { .relay = (EnRelay *)relay, .now_us = now_us },
+                    .address = address };
+
+  fl_each (relay->options.fleet, look_for_address, &search);
+  return search.found;
+}
+
 void
 en_relay_take_stamp (EnRelay *relay, const GoStamp *stamp, int64_t now_us)
 {
--- a/entry/relay.h
+++ b/entry/relay.h
@@ -8,7 +8,9 @@
    DESCRIPTION
      The ready daemon with the lowest name of a region is its reader: it tells
      the others what targets report, and confirms what the operators hold.  The
-     others rest meanwhile; each reads for itself once it hears nothing.
+     others rest meanwhile; each reads for itself once it hears nothing.  A
+     daemon rests only for one with a lower name: two that took each other for
+     the reader would leave the store unread.
 
      A confirmation may be late, or wait in the socket of a daemon that is
      stopped.  So each daemon answers it with a stamp of its own clock, and the
@@ -57,6 +59,10 @@
 void en_relay_confirm (EnRelay *relay, const EnReading *reading,
                        int64_t now_us);
 
+/* Whether this daemon may rest for what the one at ADDRESS tells.  */
+gboolean en_relay_may_rest_for (const EnRelay *relay, const char *address,
+                                int64_t now_us);
+
 void en_relay_take_stamp (EnRelay *relay, const GoStamp *stamp,
                           int64_t now_us);
 /* Answers with a stamp.  Returns whether the confirmation is for this
--- a/entry/shares.c
+++ b/entry/shares.c
@@ -158,7 +158,11 @@
 {
   EnShares *shares = data;
 
-  shares->options.on_news (news, shares->options.data);
+  shares->options.on_news (news,
+                           en_relay_may_rest_for (shares->relay,
+                                                  news->gossip_address,
+                                                  ck_boot_us ()),
+                           shares->options.data);
 }
 
 static void
@@ -173,9 +177,14 @@
 on_confirmation (const GoConfirmation *confirmation, void *data)
 {
   EnShares *shares = data;
+  int64_t now_us = ck_boot_us ();
 
-  if (en_relay_take_confirmation (shares->relay, confirmation, ck_boot_us ()))
-    shares->options.on_confirmation (confirmation, shares->options.data);
+  if (en_relay_take_confirmation (shares->relay, confirmation, now_us))
+    shares->options.on_confirmation (
+        confirmation,
+        en_relay_may_rest_for (shares->relay,
+                               confirmation->stamp.gossip_address, now_us),
+        shares->options.data);
 }
 
 static void
--- a/entry/shares.h
+++ b/entry/shares.h
@@ -31,8 +31,10 @@
   PfStore *store;
   TrTrace *trace;
   TgSet *targets; /* told its share of cold targets */
-  void (*on_news) (const GoNews *news, void *data);
-  void (*on_confirmation) (const GoConfirmation *confirmation, void *data);
+  /* MAY_REST: the sender reads the store in place of this daemon.  */
+  void (*on_news) (const GoNews *news, gboolean may_rest, void *data);
+  void (*on_confirmation) (const GoConfirmation *confirmation,
+                           gboolean may_rest, void *data);
   gboolean (*is_ready) (void *data); /* whether this daemon takes requests */
   void *data;
 } EnSharesOptions;
--- a/entry/view.c
+++ b/entry/view.c
@@ -160,7 +160,8 @@
 }
 
 void
-en_view_take_confirmation (EnView *view, const GoConfirmation *confirmation)
+en_view_take_confirmation (EnView *view, const GoConfirmation *confirmation,
+                           gboolean may_rest)
 {
   uint64_t revision = pf_feed_revision (view->operator_feed);
 
@@ -175,7 +176,8 @@
   if (confirmation->stamp.stamp_us == 0)
     return;
   confirm (view, confirmation->stamp.stamp_us);
-  pf_feed_rest (view->operator_feed, TRUE);
+  if (may_rest)
+    pf_feed_rest (view->operator_feed, TRUE);
 }
 
 static void
--- a/entry/view.h
+++ b/entry/view.h
@@ -43,7 +43,8 @@
 
 /* What the reader of this region has confirmed of the operators' entries.  */
 void en_view_take_confirmation (EnView *view,
-                                const GoConfirmation *confirmation);
+                                const GoConfirmation *confirmation,
+                                gboolean may_rest);
 
 /* Time since the store last confirmed the configuration; -1: never.  */
 int64_t en_view_age_us (const EnView *view, int64_t now_us);
--- a/gossip/gossip.c
+++ b/gossip/gossip.c
@@ -1,5 +1,6 @@
 #include "gossip/gossip.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <event2/event.h>
 #include <event2/util.h>
@@ -13,6 +14,7 @@
 #define RECEIVE_MAX_COUNT 64
 
 #define MILLI 1000.0
+#define ADDRESS_BYTES (INET6_ADDRSTRLEN + 10)
 
 struct GoSocket
 {
@@ -26,10 +28,11 @@
 G_DEFINE_QUARK (go_error, go_error)
 
 static void
-deliver_news (GoSocket *gossip, const Gossip__News *message)
+deliver_news (GoSocket *gossip, const char *from, const Gossip__News *message)
 {
   g_autofree TgEntry *entries = g_new0 (TgEntry, message->n_targets);
   GoNews news = {
+    .gossip_address = from,
     .from_revision = message->from_revision,
     .to_revision = message->to_revision,
     .entries = entries,
@@ -130,10 +133,10 @@
 
 /* Returns FALSE where the datagram holds nothing that is known.  */
 static gboolean
-deliver (GoSocket *gossip, const Gossip__Datagram *message)
+deliver (GoSocket *gossip, const char *from, const Gossip__Datagram *message)
 {
   if (message->news != NULL)
-    deliver_news (gossip, message->news);
+    deliver_news (gossip, from, message->news);
   else if (message->stamp != NULL)
     deliver_stamp (gossip, message->stamp);
   else if (message->confirmation != NULL)
@@ -149,6 +152,25 @@
   return TRUE;
 }
 
+/* As daemons name themselves, "IP:PORT"; empty for what is no IP address.  */
+static void
+format_address (const struct sockaddr_storage *address,
+                char text[ADDRESS_BYTES])
+{
+  char ip[INET6_ADDRSTRLEN] = "";
+  const struct sockaddr_in *v4 = (const struct sockaddr_in *)address;
+  const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)address;
+
+  *text = '\0';
+  if (address->ss_family == AF_INET
+      && evutil_inet_ntop (AF_INET, &v4->sin_addr, ip, sizeof ip) != NULL)
+    g_snprintf (text, ADDRESS_BYTES, "%s:%u", ip, ntohs (v4->sin_port));
+  else if (address->ss_family == AF_INET6
+           && evutil_inet_ntop (AF_INET6, &v6->sin6_addr, ip, sizeof ip)
+                  != NULL)
+    g_snprintf (text, ADDRESS_BYTES, "[%s]:%u", ip, ntohs (v6->sin6_port));
+}
+
 static void
 on_readable (evutil_socket_t fd, short what, void *data)
 {
@@ -157,14 +179,19 @@
   (void)what;
   for (int i = 0; i < RECEIVE_MAX_COUNT; i++)
     {
+      struct sockaddr_storage sender = { 0 };
+      socklen_t sender_bytes = sizeof sender;
       ssize_t got
-          = recv (fd, gossip->buffer, sizeof gossip->buffer, MSG_DONTWAIT);
+          = recvfrom (fd, gossip->buffer, sizeof gossip->buffer, MSG_DONTWAIT,
+                      (struct sockaddr *)&sender, &sender_bytes);
+      char from[ADDRESS_BYTES];
       Gossip__Datagram *message;
       if (got < 0)
         return;
       gossip->counters.received_count++;
       message = gossip__datagram__unpack (NULL, (size_t)got, gossip->buffer);
-      if (message == NULL || !deliver (gossip, message))
+      format_address (&sender, from);
+      if (message == NULL || !deliver (gossip, from, message))
         gossip->counters.malformed_count++;
       if (message != NULL)
         gossip__datagram__free_unpacked (message, NULL);
--- a/gossip/gossip.h
+++ b/gossip/gossip.h
@@ -44,6 +44,7 @@
    of entries are not sent; a receiver knows them.  */
 typedef struct
 {
+  const char *gossip_address; /* of the sender; not set by senders */
   uint64_t from_revision;
   uint64_t to_revision;
   const TgEntry *entries;
--- a/gossip/gossip_test.cc
+++ b/gossip/gossip_test.cc
@@ -24,6 +24,7 @@
   std::vector<std::string> gone;
   std::vector<std::string> stamps;
   std::vector<std::string> asks;
+  std::string from;
   uint64_t revision = 0;
   uint64_t changed_revision = 0;
   struct event_base *base;
@@ -34,6 +35,7 @@
 {
   auto *heard = static_cast<Heard *> (data);
   heard->revision = news->to_revision;
+  heard->from = news->gossip_address;
   for (uint32_t i = 0; i < news->entry_count; i++)
     heard->targets.push_back (std::string (news->entries[i].id) + "@"
                               + news->entries[i].address);
@@ -174,13 +176,14 @@
 {
   TgEntry entry = {};
   const char *gone[] = { "t2" };
-  GoNews news = { 5, 9, &entry, 1, gone, 1 };
+  GoNews news = { nullptr, 5, 9, &entry, 1, gone, 1 };
   entry.id = "t1";
   entry.address = "127.0.0.1:7";
   entry.service = "boards";
   entry.zone = "a1";
   EXPECT_TRUE (go_send_news (gossip, listen.c_str (), &news));
   Wait ();
+  EXPECT_EQ (heard.from, listen);
   EXPECT_EQ (heard.revision, 9u);
   EXPECT_EQ (heard.targets, std::vector<std::string>{ "t1@127.0.0.1:7" });
   EXPECT_EQ (heard.gone, std::vector<std::string>{ "t2" });
