--- a/soak/record.h
+++ b/soak/record.h
@@ -20,7 +20,7 @@
        spoiled    a success whose body is not that of the target that ran it
        withdrawn  a key was accepted after its time
        drain      a target got work after it had said that it leaves; the
-                  bound runs while daemons are in touch with the store
+                  bound runs while daemons reach the store
        evacuated  a target of an evacuated zone got work; as before
        cold       a cold target got more than it bears
        rate       a customer got more than its rate and burst
