targets, fleet, standin: one function where the last reading found twins

find_near and find_far of targets/place.c differed in one comparison; the targets of all regions were counted a second time beside the table of regions; the test whether a member may still spend stood in four places; soak had its own copy of the harness's removal of a folder. Behaviour is unchanged.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -110,6 +110,13 @@
   return changed;
 }
 
+/* Cut off or stopping, it may still spend.  */
+static gboolean
+may_spend (const FlMember *member, int64_t now_us)
+{
+  return now_us - member->heard_us <= FL_RESERVED_US;
+}
+
 static gboolean
 is_forgotten (gpointer name, gpointer value, gpointer data)
 {
@@ -117,7 +124,7 @@
   const int64_t *now_us = data;
 
   (void)name;
-  return *now_us - member->public.heard_us > FL_RESERVED_US;
+  return !may_spend (&member->public, *now_us);
 }
 
 void
@@ -152,13 +159,12 @@
   uint32_t count;
 } Count;
 
-/* A stopping member still finishes what it has.  */
 static void
 count_member (const FlMember *member, void *data)
 {
   Count *count = data;
 
-  if (count->now_us - member->heard_us <= FL_RESERVED_US
+  if (may_spend (member, count->now_us)
       && (count->zone == NULL || strcmp (count->zone, member->zone) == 0)
       && (count->region == NULL
           || strcmp (count->region, member->region) == 0))
@@ -215,7 +221,7 @@
       const Member *member = value;
       const double *per_s = g_hash_table_lookup (
           member->demands, GUINT_TO_POINTER (customer_id));
-      if (per_s != NULL && now_us - member->public.heard_us <= FL_RESERVED_US
+      if (per_s != NULL && may_spend (&member->public, now_us)
           && (zone == NULL || strcmp (zone, member->public.zone) == 0)
           && (region == NULL || strcmp (region, member->public.region) == 0))
         sum += *per_s;
@@ -254,7 +260,7 @@
   while (g_hash_table_iter_next (&members, NULL, &value))
     {
       const FlMember *member = value;
-      if (now_us - member->heard_us <= FL_RESERVED_US)
+      if (may_spend (member, now_us))
         g_hash_table_add (regions, (gpointer)member->region);
     }
   return g_hash_table_size (regions);
--- a/soak/main.c
+++ b/soak/main.c
@@ -1,7 +1,6 @@
 /* soak - real daemons under random faults, checked from outside  */
 
 #include <event2/event.h>
-#include <glib/gstdio.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -9,6 +8,7 @@
 #include "soak/callers.h"
 #include "soak/plan.h"
 #include "soak/site.h"
+#include "standin/harness.h"
 
 #define TICK_MS 20
 /* Daemons hear each other twice before the first fault.  */
@@ -145,22 +145,6 @@
   return folder;
 }
 
-static void
-remove_folder (const char *folder)
-{
-  GDir *dir = g_dir_open (folder, 0, NULL);
-  const char *name;
-
-  while (dir != NULL && (name = g_dir_read_name (dir)) != NULL)
-    {
-      g_autofree char *path = g_build_filename (folder, name, NULL);
-      g_unlink (path);
-    }
-  if (dir != NULL)
-    g_dir_close (dir);
-  g_rmdir (folder);
-}
-
 static guint
 run_seed (const char *bin, uint32_t seed, int64_t faults_ms, const char *keep,
           gboolean verbose)
@@ -193,7 +177,7 @@
   event_base_free (run.base);
   g_array_unref (run.plan);
   if (keep == NULL && broken == 0)
-    remove_folder (folder);
+    si_remove_folder (folder);
   else if (broken > 0)
     printf ("  logs: %s\n", folder);
   return broken;
--- a/standin/harness.c
+++ b/standin/harness.c
@@ -51,8 +51,8 @@
   return NULL;
 }
 
-static void
-remove_folder (const char *folder)
+void
+si_remove_folder (const char *folder)
 {
   GDir *dir = g_dir_open (folder, 0, NULL);
   const char *name;
@@ -82,7 +82,7 @@
     si_process_kill (g_array_index (harness->pids, pid_t, i));
   /* The logs of a failed test are wanted afterwards.  */
   if (harness->folder != NULL && g_getenv ("CW_KEEP_LOGS") == NULL)
-    remove_folder (harness->folder);
+    si_remove_folder (harness->folder);
   g_array_unref (harness->pids);
   si_deployment_free (harness->deployment);
   g_free (harness->bin);
--- a/standin/harness.h
+++ b/standin/harness.h
@@ -205,6 +205,8 @@
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (SiHarness, si_free)
 
 uint16_t si_free_port (void);
+/* Removes FOLDER and the files in it.  */
+void si_remove_folder (const char *folder);
 void si_sleep_ms (uint32_t ms);
 
 #endif
--- a/targets/place.c
+++ b/targets/place.c
@@ -3,28 +3,6 @@
 
 #include "targets/internal.h"
 
-typedef struct
-{
-  uint32_t all;
-  uint32_t here; /* in this daemon's region */
-} Census;
-
-static Census
-count_targets (const TgSet *set, const TgService *service)
-{
-  Census census = { 0 };
-
-  for (guint i = 0; i < service->targets->len; i++)
-    {
-      const TgTarget *target = service->targets->pdata[i];
-      if (!tg_is_in_service (set, target))
-        continue;
-      census.all++;
-      census.here += target->distance != TG_FAR;
-    }
-  return census;
-}
-
 /* Targets in service by region.  */
 static GHashTable *
 count_regions (const TgSet *set, const TgService *service)
@@ -44,6 +22,19 @@
   return counts;
 }
 
+static guint
+sum_counts (GHashTable *counts)
+{
+  GHashTableIter regions;
+  gpointer count;
+  guint sum = 0;
+
+  g_hash_table_iter_init (&regions, counts);
+  while (g_hash_table_iter_next (&regions, NULL, &count))
+    sum += GPOINTER_TO_UINT (count);
+  return sum;
+}
+
 /* Each region has about as many objects as this one, so a target's fair part
    follows from the number of targets.  A region whose targets have less than
    their objects need keeps to the fair part; what the objects of a target's
@@ -52,12 +43,12 @@
 set_rooms (TgSet *set, TgService *service)
 {
   g_autoptr (GHashTable) regions = count_regions (set, service);
-  Census census = count_targets (set, service);
   double objects = (double)g_hash_table_size (service->objects);
-  double fair = objects * set->region_count / MAX (1, census.all);
+  guint all = sum_counts (regions);
+  guint here = GPOINTER_TO_UINT (g_hash_table_lookup (regions, set->region));
+  double fair = objects * set->region_count / MAX (1, all);
 
-  service->near_share
-      = (double)set->region_count * census.here / MAX (1, census.all);
+  service->near_share = (double)set->region_count * here / MAX (1, all);
   for (guint i = 0; i < service->targets->len; i++)
     {
       TgTarget *target = service->targets->pdata[i];
@@ -94,11 +85,12 @@
   return (double)(mixed >> 11) / (double)(1ULL << 53) < service->near_share;
 }
 
-/* The target with the highest rank that has room, or NULL.  A change of one
-   target moves few objects.  */
+/* The target with the highest rank that has room, in this region or outside,
+   or NULL.  A change of one target moves few objects.  FIRST is another home,
+   whose zone is left out, or NULL.  */
 static TgTarget *
-find_near (const TgSet *set, const TgService *service, uint64_t object_hash,
-           const TgTarget *first)
+find_home (const TgSet *set, const TgService *service, uint64_t object_hash,
+           gboolean is_near, const TgTarget *first)
 {
   TgTarget *best = NULL;
   uint64_t best_rank = 0;
@@ -107,7 +99,7 @@
     {
       TgTarget *target = service->targets->pdata[i];
       uint64_t rank;
-      if (target->distance == TG_FAR || target->object_room < 1
+      if ((target->distance != TG_FAR) != is_near || target->object_room < 1
           || !tg_is_in_service (set, target)
           || (first != NULL && strcmp (first->zone, target->zone) == 0))
         continue;
@@ -120,38 +112,14 @@
   return best;
 }
 
-static TgTarget *
-find_far (const TgSet *set, const TgService *service, uint64_t object_hash)
-{
-  TgTarget *best = NULL;
-  uint64_t best_rank = 0;
-
-  for (guint i = 0; i < service->targets->len; i++)
-    {
-      TgTarget *target = service->targets->pdata[i];
-      uint64_t rank;
-      if (target->distance != TG_FAR || target->object_room < 1
-          || !tg_is_in_service (set, target))
-        continue;
-      rank = tg_rank (target, object_hash);
-      if (best != NULL && rank <= best_rank)
-        continue;
-      best = target;
-      best_rank = rank;
-    }
-  return best;
-}
-
 static void
 place_object (const TgSet *set, TgService *service, TgObject *object)
 {
   gboolean is_near = is_near_object (service, object->hash);
-  TgTarget *home = is_near ? find_near (set, service, object->hash, NULL)
-                           : find_far (set, service, object->hash);
+  TgTarget *home = find_home (set, service, object->hash, is_near, NULL);
 
   if (home == NULL)
-    home = is_near ? find_far (set, service, object->hash)
-                   : find_near (set, service, object->hash, NULL);
+    home = find_home (set, service, object->hash, !is_near, NULL);
   object->homes[0] = home;
   object->homes[1] = NULL;
   if (home == NULL)
@@ -236,7 +204,8 @@
   if (object->homes[1] == NULL && object->homes[0] != NULL
       && object->homes[0]->distance != TG_FAR
       && has_second_homes (set, service, now_us))
-    object->homes[1] = find_near (set, service, object_hash, object->homes[0]);
+    object->homes[1]
+        = find_home (set, service, object_hash, TRUE, object->homes[0]);
   object->asked_us = now_us;
   return object;
 }
