entry: end an outage when the region leader relays the changes of the store

Cause: a daemon that was cut off at 5.4 s notes that the store fails. Once it is back it follows the region leader, makes no calls and so never notes that the store replies. When the leader is lost at 17.75 s, the daemon reads the store and finds targets removed; it takes the failure of 12 s before for an outage and retains them for 1.7 s (log: target-gone reason=not_back at 20.66 s).

Ruled out: the time to notice the lost leader (1.2 s) and the wait of the next watch; the removal was read at 18.87 s.

Change: the state of an outage is a package without I/O, entry/outage, and a relayed change ends it. Outage.EndsWhenTheLeaderRelaysChanges fails without en_outage_note_delta.

--- a/entry/listing.c
+++ b/entry/listing.c
@@ -3,27 +3,20 @@
 #include <event2/event.h>
 
 #include "clock/clock.h"
+#include "entry/outage.h"
 
 /* The region leader sends a target delta, maybe empty, after each watch.  So
    the timeout of a watch is short enough for the other daemons to notice a
    lost leader and to read the store themselves within the two seconds in which
    a drain has to take effect.  */
 #define TARGETS_WATCH_TIMEOUT_MS 700
-/* The sum of this and RETAIN_US has to be less than 3 s: a target that was
+/* The sum of this and EN_OUTAGE_RETAIN_US has to be less than 3 s: a target that was
    removed during a network partition must get no requests later than 3 s after
    the partition ends.  */
 #define TARGETS_RETRY_DELAY_MAX_MS 200
 /* Delay between watches, so that a delta holds changes that come close
    together.  */
 #define TARGETS_WATCH_DELAY_MS 300
-/* Targets whose entries expired during an outage of the store register again
-   within two seconds of its recovery.  This is less, since it starts when the
-   recovery is detected, which takes some time.  */
-#define RETAIN_US 1700000
-/* A shorter failure is that of a single call, during which no entry
-   expires.  */
-#define OUTAGE_MIN_US 1000000
-
 /* Covers a watch of the region leader, the delay before its next watch, and
    the delivery of the target delta.  */
 #define LEADER_TIMEOUT_US 1200000
@@ -34,8 +27,7 @@
   TgSet *targets;
   PfWatcher *watcher;
   gboolean is_loaded;
-  int64_t down_since_us;    /* first failure since the last sync; 0: none */
-  int64_t retain_until_us;  /* end of retaining targets without an entry */
+  EnOutage outage;
   GHashTable *retained_ids; /* targets without an entry */
   struct event *retain_timer;
   /* Not yet published; each TgEntry owns its strings.  */
@@ -113,22 +105,12 @@
     g_ptr_array_add (listing->pending_removals, g_strdup (id));
 }
 
-/* Whether an entry may be missing only because the store is down, or was a
-   short time ago.  */
-static gboolean
-store_was_down (const EnListing *listing, int64_t now_us)
-{
-  return now_us < listing->retain_until_us
-         || (listing->down_since_us != 0
-             && now_us - listing->down_since_us >= OUTAGE_MIN_US);
-}
-
 static void
 on_target_removed (const char *id, void *data)
 {
   EnListing *listing = data;
 
-  if (store_was_down (listing, ck_boot_us ()))
+  if (en_outage_retains (&listing->outage, ck_boot_us ()))
     g_hash_table_add (listing->retained_ids, g_strdup (id));
   else
     remove_target (listing, id, "unlisted");
@@ -161,15 +143,12 @@
 {
   EnListing *listing = data;
   int64_t now_us = ck_boot_us ();
-  struct timeval retain = { RETAIN_US / CK_US_PER_S, RETAIN_US % CK_US_PER_S };
+  struct timeval retain = { EN_OUTAGE_RETAIN_US / CK_US_PER_S,
+                            EN_OUTAGE_RETAIN_US % CK_US_PER_S };
 
   (void)requested_us;
-  if (store_was_down (listing, now_us) && listing->down_since_us != 0)
-    {
-      listing->retain_until_us = now_us + RETAIN_US;
-      event_add (listing->retain_timer, &retain);
-    }
-  listing->down_since_us = 0;
+  if (en_outage_note_sync (&listing->outage, now_us))
+    event_add (listing->retain_timer, &retain);
   listing->missed_delta = FALSE;
   pf_watcher_set_paused (listing->watcher, leader_is_live (listing, now_us));
   if (listing->is_loaded)
@@ -183,8 +162,8 @@
 {
   EnListing *listing = data;
 
-  if (failure != PF_FAILURE_COMPACTED && listing->down_since_us == 0)
-    listing->down_since_us = ck_boot_us ();
+  if (failure != PF_FAILURE_COMPACTED)
+    en_outage_note_failure (&listing->outage, ck_boot_us ());
 }
 
 static void
@@ -265,7 +244,10 @@
     return;
   listing->delta_received_us = ck_boot_us ();
   if (!listing->missed_delta)
-    pf_watcher_set_paused (listing->watcher, TRUE);
+    {
+      en_outage_note_delta (&listing->outage);
+      pf_watcher_set_paused (listing->watcher, TRUE);
+    }
   event_add (listing->leader_timer, &timeout);
 }
 
