targets: requests without an allowed replica meet at one target by hash

Cause: an object's replica is placed without regard to the home regions of a customer. Where it may not be used, or is cold and takes no more requests, each request went to whichever target was estimated cheapest (log: placed=0 known=0). The daemons share no state, so they spread an object over all targets: nearly each request was a cache miss, took three times as long and evicted other objects.

Ruled out: the end of a cold time and the move of placement at 30 s; both fall earlier, and the requests after 30 s are those of two customers with homes.

Change: the allowed target with the highest rendezvous weight is used, and the next one when its queue is long; first in the regions in which the object would be placed. Both new tests fail on the earlier code.

--- a/targets/internal.h
+++ b/targets/internal.h
@@ -178,6 +178,8 @@
 /* Returns NULL if OBJECT_HASH is 0.  */
 TgObject *tg_get_object (TgSet *set, TgService *service, uint64_t object_hash,
                          int64_t now_us);
+/* Whether this region places the object on its own targets.  */
+gboolean tg_is_local_object (const TgService *service, uint64_t object_hash);
 /* Whether TARGET is not draining, removed, misdirected or in an evacuated
    zone.  */
 gboolean tg_is_available (const TgSet *set, const TgTarget *target);
--- a/targets/pick.c
+++ b/targets/pick.c
@@ -8,6 +8,11 @@
 /* A request in flight for longer than this many service times of a cache miss
    makes its target count as slow before the response.  */
 #define OVERDUE_FACTOR 2
+/* Targets that are considered for an object without an allowed replica.  */
+#define ALTERNATES_MAX 2
+/* Added to the estimated time of the second one, so that it is used only when
+   the queue of the first one is long, whichever zone the two are in.  */
+#define SECOND_ALTERNATE_COST_US (TG_CROSS_ZONE_COST_US + TG_TIEBREAK_COST_US)
 
 uint64_t
 tg_hash (const char *text)
@@ -242,6 +247,74 @@
   return FALSE;
 }
 
+/* The allowed targets with the highest rendezvous weights.  */
+typedef struct
+{
+  TgTarget *targets[ALTERNATES_MAX]; /* best first; NULL: none */
+  uint64_t weights[ALTERNATES_MAX];
+} Alternates;
+
+static void
+add_alternate (Alternates *alternates, TgTarget *target, uint64_t weight)
+{
+  for (int i = 0; i < ALTERNATES_MAX; i++)
+    {
+      TgTarget *lower = alternates->targets[i];
+      uint64_t lower_weight = alternates->weights[i];
+      if (lower != NULL && lower_weight >= weight)
+        continue;
+      alternates->targets[i] = target;
+      alternates->weights[i] = weight;
+      target = lower;
+      weight = lower_weight;
+      if (target == NULL)
+        return;
+    }
+}
+
+static void
+consider_alternates (PickSearch *search, const TgService *service,
+                     gboolean is_local)
+{
+  Alternates alternates = { 0 };
+
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      TgTarget *target = service->targets->pdata[i];
+      if ((target->distance != TG_OTHER_REGION) == is_local
+          && is_allowed (search->set, target, search->query, search->now_us)
+          && !is_in_backoff (target, search->now_us))
+        add_alternate (
+            &alternates, target,
+            tg_rendezvous_weight (target, search->query->object_hash));
+    }
+  for (int i = 0; i < ALTERNATES_MAX; i++)
+    if (alternates.targets[i] != NULL)
+      consider_target (search, alternates.targets[i],
+                       i * SECOND_ALTERNATE_COST_US);
+}
+
+/* Where no replica is allowed, because of the home regions of the request or
+   because the replicas are cold, the requests of all daemons for the object
+   still have to meet at few targets, or each of them would be a cache miss.
+   The first choice is the target that place_object would choose.  */
+static void
+consider_without_replica (PickSearch *search, const TgService *service)
+{
+  gboolean is_local;
+
+  if (search->query->object_hash == 0)
+    {
+      for (guint i = 0; i < service->targets->len; i++)
+        consider_target (search, service->targets->pdata[i], 0);
+      return;
+    }
+  is_local = tg_is_local_object (service, search->query->object_hash);
+  consider_alternates (search, service, is_local);
+  if (!search->any_allowed)
+    consider_alternates (search, service, !is_local);
+}
+
 /* Requests for a placed object use other targets only where no replica is
    allowed: a cache miss takes several times as long and evicts another object
    from the target's cache.  */
@@ -258,7 +331,6 @@
     .now_us = now_us,
     .choice = choice,
   };
-  gboolean has_allowed_replica;
 
   search.queue_service_us
       = service->service_us != 0 ? service->service_us : search.route->hit_us;
@@ -266,9 +338,8 @@
     if (object->replicas[i] != NULL)
       consider_target (&search, object->replicas[i],
                        i * TG_SECOND_REPLICA_COST_US);
-  has_allowed_replica = search.any_allowed;
-  for (guint i = 0; !has_allowed_replica && i < service->targets->len; i++)
-    consider_target (&search, service->targets->pdata[i], 0);
+  if (!search.any_allowed)
+    consider_without_replica (&search, service);
   choice->is_replica = search.found && object != NULL
                        && (choice->target == object->replicas[0]
                            || choice->target == object->replicas[1]);
--- a/targets/place.c
+++ b/targets/place.c
@@ -87,11 +87,10 @@
       ((TgObject *)value)->replicas[0]->primary_count++;
 }
 
-/* Whether this region places the object on its own targets.  Depends on the
-   hash of the object, so that all daemons select the same objects whichever
-   ones they have seen.  */
-static gboolean
-is_local_object (const TgService *service, uint64_t object_hash)
+/* Depends on the hash of the object, so that all daemons select the same
+   objects whichever ones they have seen.  */
+gboolean
+tg_is_local_object (const TgService *service, uint64_t object_hash)
 {
   uint64_t mixed_hash = XXH3_64bits (&object_hash, sizeof object_hash);
 
@@ -130,7 +129,7 @@
 static void
 place_object (const TgSet *set, TgService *service, TgObject *object)
 {
-  gboolean is_local = is_local_object (service, object->hash);
+  gboolean is_local = tg_is_local_object (service, object->hash);
   TgTarget *replica
       = choose_replica (set, service, object->hash, is_local, NULL);
 
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -264,6 +264,78 @@
   EXPECT_GT (refused, 0);
 }
 
+/* Guards against the daemons of other regions spreading the requests of a
+   customer with home regions over all targets there, where each is a cache
+   miss (emcd-manizales-grown, target-crash, seed 523004454685: those requests
+   timed out, and their callers came back after the others had gone).  */
+TEST_F (Target, RequestsWithHomeRegionsMeetAtTheTargetsUsedThere)
+{
+  static const char *const homes[] = { "b", nullptr };
+  TgOptions options = { "b1", "b", 1 };
+  TgSet *there = tg_new (&options);
+  int met = 0;
+  for (int i = 0; i < 12; i++)
+    {
+      std::string id = "t" + std::to_string (i);
+      TgEntry entry = Entry (id.c_str (), i < 6 ? "a1" : "b1",
+                             i < 6 ? "a" : "b");
+      tg_update (set, &entry, now_us);
+      if (i >= 6)
+        tg_update (there, &entry, now_us);
+    }
+  for (uint64_t object = 1; object <= 40; object++)
+    {
+      TgQuery query = Query (object * 7919);
+      TgChoice here_choice, there_choice;
+      query.home_regions = homes;
+      ASSERT_EQ (tg_pick (set, &query, now_us, &here_choice), TG_PICK_FOUND);
+      ASSERT_EQ (tg_pick (there, &query, now_us, &there_choice),
+                 TG_PICK_FOUND);
+      met += std::string (tg_id (here_choice.target))
+             == tg_id (there_choice.target);
+    }
+  EXPECT_GE (met, 36);
+  tg_free (there);
+}
+
+/* Guards against daemons that each send an object to another target while its
+   replica is cold and takes no more requests (emcd-manizales-grown).  */
+TEST_F (Target, DaemonsAgreeOnATargetWhileTheReplicaIsCold)
+{
+  std::map<uint64_t, std::set<std::string> > seen;
+  TgEntry cold = Entry ("t0", "a1", "a");
+  cold.cold_left_ms = 60000;
+  for (int daemon = 0; daemon < 6; daemon++)
+    {
+      TgOptions options = { daemon % 2 == 0 ? "a1" : "a2", "a", 1 };
+      TgSet *other = tg_new (&options);
+      for (int i = 1; i < 12; i++)
+        {
+          std::string id = "t" + std::to_string (i);
+          TgEntry entry = Entry (id.c_str (), i % 2 == 0 ? "a1" : "a2", "a");
+          tg_update (other, &entry, now_us);
+        }
+      tg_update (other, &cold, now_us);
+      for (uint64_t object = 1; object <= 40; object++)
+        for (int i = 0; i < 4; i++)
+          {
+            TgQuery query = Query (object * 7919);
+            TgChoice choice;
+            TgResult result = { .kind = TG_RESULT_SUCCESS };
+            if (tg_pick (other, &query, now_us, &choice) != TG_PICK_FOUND
+                || std::string (tg_id (choice.target)) == "t0")
+              continue;
+            seen[object].insert (tg_id (choice.target));
+            tg_attempt_end (
+                other, tg_attempt_begin (other, &query, &choice, now_us),
+                &result, now_us);
+          }
+      tg_free (other);
+    }
+  for (auto &[object, targets] : seen)
+    EXPECT_EQ (targets.size (), 1u) << object;
+}
+
 /* Guards against relying on the cache of a removed target, and against an
    object whose replicas point to a removed target.  */
 TEST_F (Target, ReplacesReplicasOfARemovedTarget)
