limit, entry: shares follow settled demand; small customers are pooled from the start

Small customers paid at a start, too: for 2.5 s their rate was split among all daemons, a bucket with less than a token each.

Ruled out: the burst (a new bucket holds 0.3 of it, a larger share brings no tokens), members joining (they are known 10 s before), the even quarter.

Change: a share is computed from the lowest own demand of the last three reports, and from the demand of all daemons of one report ago if that was lower. A daemon is ready 0.3 s after it has read the list of members, when those have replied to its first report, and pools at once. The list of members is watched with a delay, so that one reply holds the entries of daemons that start together. A customer whose token owner is lost is told to return after 0.5 s at most, not when the small reserve has a token.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -55,7 +55,7 @@
 
   return !entry->stopping && en_view_is_ready (entry->view, ck_boot_us ())
          && (entry->shares == NULL
-             || en_shares_has_member_list (entry->shares));
+             || en_shares_has_members (entry->shares));
 }
 
 static void
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -16,6 +16,9 @@
 /* Fraction of a pooled rate that is reserved for daemons that get no token
    reply.  */
 #define FALLBACK_FRACTION 0.1
+/* The token owner may reply again before this daemon's own small bucket has a
+   token.  */
+#define FALLBACK_WAIT_MAX_US 500000
 /* Covers a round trip within a region and scheduling delay under load.  */
 #define REPLY_TIMEOUT_US 30000
 
@@ -23,6 +26,7 @@
 {
   EnPoolOptions options;
   uint32_t daemon_count;
+  gboolean members_known;
   GHashTable *customer_names; /* customer id to name */
   GHashTable *requests;       /* pending: number to EnTokenRequest */
   uint64_t last_number;
@@ -86,41 +90,84 @@
                          g_strdup (*customer_names));
 }
 
-/* Whether one daemon of each region keeps the customer's tokens.  A daemon
-   that has just started knows too few members to find the token owner.  */
+void
+en_pool_set_members_known (EnPool *pool)
+{
+  pool->members_known = TRUE;
+}
+
+/* Whether one daemon of each region keeps the customer's tokens.  */
 static gboolean
-is_pooled (const EnPool *pool, const char *customer, int64_t now_us)
+is_pooled (const EnPool *pool, const char *customer)
 {
   double rate_per_s = lm_rate (pool->options.limits, customer);
 
-  return rate_per_s > 0 && pool->daemon_count > 1
-         && rate_per_s < (double)POOLED_BELOW_PER_S * pool->daemon_count
-         && now_us - pool->options.started_us >= FL_DISCOVERY_US;
+  return rate_per_s > 0 && pool->members_known && pool->daemon_count > 1
+         && rate_per_s < (double)POOLED_BELOW_PER_S * pool->daemon_count;
+}
+
+static double
+demand_of (const EnPool *pool, const char *customer, LmScope scope,
+            int64_t now_us)
+{
+  const EnPoolOptions *options = &pool->options;
+  uint32_t id = fl_customer_id (customer);
+  double per_s = lm_demand (options->limits, customer, now_us);
+
+  switch (scope)
+    {
+    case LM_SCOPE_REGION:
+      return per_s + fl_demand_in_region (options->fleet, id, now_us);
+    case LM_SCOPE_ALL:
+      return per_s + fl_demand (options->fleet, id, now_us);
+    default:
+      return per_s;
+    }
+}
+
+void
+en_pool_note_demand (EnPool *pool, const char *customer, int64_t now_us)
+{
+  for (LmScope scope = 0; scope < LM_SCOPE_COUNT; scope++)
+    lm_note_demand (pool->options.limits, customer, scope,
+                    demand_of (pool, customer, scope, now_us));
+}
+
+/* Share of this daemon or region, one of COUNT.  */
+static double
+compute_share (const EnPool *pool, const char *customer, LmScope scope,
+               uint32_t count, int64_t now_us)
+{
+  LmTable *limits = pool->options.limits;
+  double own_per_s = lm_settled_demand (
+      limits, customer, scope, demand_of (pool, customer, scope, now_us));
+  double total_per_s = lm_previous_demand (
+      limits, customer, LM_SCOPE_ALL,
+      demand_of (pool, customer, LM_SCOPE_ALL, now_us));
+
+  return lm_compute_share (own_per_s, MAX (own_per_s, total_per_s), count,
+                           lm_rate (limits, customer));
 }
 
 double
 en_pool_share (const EnPool *pool, const char *customer, int64_t now_us)
 {
   const EnPoolOptions *options = &pool->options;
-  uint32_t id = fl_customer_id (customer);
-  double rate_per_s = lm_rate (options->limits, customer);
-  double local_per_s = lm_demand (options->limits, customer, now_us);
-  double total_per_s = local_per_s + fl_demand (options->fleet, id, now_us);
   double fallback_share = FALLBACK_FRACTION / pool->daemon_count;
 
-  if (!is_pooled (pool, customer, now_us))
+  if (!is_pooled (pool, customer))
     return SPLIT_FRACTION
-           * lm_compute_share (local_per_s, total_per_s, pool->daemon_count,
-                               rate_per_s);
-  if (fl_token_owner (options->fleet, id, now_us) != NULL)
+           * compute_share (pool, customer, LM_SCOPE_DAEMON,
+                            pool->daemon_count, now_us);
+  if (fl_token_owner (options->fleet, fl_customer_id (customer), now_us)
+      != NULL)
     return fallback_share;
   /* This daemon is the token owner: its bucket serves the whole region.  */
-  local_per_s += fl_demand_in_region (options->fleet, id, now_us);
   return fallback_share
          + (1 - FALLBACK_FRACTION)
-               * lm_compute_share (local_per_s, total_per_s,
-                                   fl_count_regions (options->fleet, now_us),
-                                   rate_per_s);
+               * compute_share (pool, customer, LM_SCOPE_REGION,
+                                fl_count_regions (options->fleet, now_us),
+                                now_us);
 }
 
 static EnPoolVerdict
@@ -150,13 +197,14 @@
 {
   EnTokenRequest *request = data;
   EnTokenResult result = { 0 };
+  EnPoolVerdict verdict;
 
   (void)fd;
   (void)what;
-  finish_request (request,
-                  take_local_token (request->pool, request->customer,
-                                    ck_boot_us (), &result),
-                  &result);
+  verdict = take_local_token (request->pool, request->customer, ck_boot_us (),
+                              &result);
+  result.wait_us = MIN (result.wait_us, FALLBACK_WAIT_MAX_US);
+  finish_request (request, verdict, &result);
 }
 
 static EnTokenRequest *
@@ -189,7 +237,7 @@
 
   *result = (EnTokenResult){ 0 };
   lm_record_request (pool->options.limits, customer, now_us);
-  if (!is_pooled (pool, customer, now_us))
+  if (!is_pooled (pool, customer))
     return take_local_token (pool, customer, now_us, result);
   owner = fl_token_owner (pool->options.fleet, fl_customer_id (customer),
                           now_us);
--- a/entry/pool.h
+++ b/entry/pool.h
@@ -46,7 +46,6 @@
   GoSocket *gossip;
   FlFleet *fleet;
   LmTable *limits;
-  int64_t started_us;
 } EnPoolOptions;
 
 typedef enum
@@ -69,6 +68,9 @@
 EnPool *en_pool_new (const EnPoolOptions *options);
 void en_pool_free (EnPool *pool);
 
+/* The other daemons of the region are known, so that the token owner can be
+   found.  Until then the rate of every customer is split.  */
+void en_pool_set_members_known (EnPool *pool);
 /* Sets the number of daemons among which rates are split, including this
    one.  */
 void en_pool_set_daemon_count (EnPool *pool, uint32_t daemon_count);
@@ -85,8 +87,12 @@
                                   EnTokenResult *result);
 void en_pool_cancel (EnTokenRequest *request);
 
+/* Records the customer's demand at this daemon and in its region; call it once
+   in each report interval, before en_pool_share.  */
+void en_pool_note_demand (EnPool *pool, const char *customer, int64_t now_us);
 /* This daemon's share of the customer's rate, 0 to 1, computed from the demand
-   at this daemon and at all daemons.  */
+   at all daemons, and from the settled demand (see limit.h) at this daemon or,
+   for its token owner, in this region.  */
 double en_pool_share (const EnPool *pool, const char *customer,
                       int64_t now_us);
 
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -286,7 +286,7 @@
   if (request->route->open)
     return TRUE;
   if (!en_view_has_fresh_keys (proxy->options.view, ck_boot_us ())
-      || !en_shares_has_member_list (proxy->options.shares))
+      || !en_shares_has_members (proxy->options.shares))
     {
       en_request_fail (request, EN_OUTCOME_NOT_READY, NOT_READY_RETRY_AFTER_US,
                        "keys_not_confirmed");
--- a/entry/shares.c
+++ b/entry/shares.c
@@ -11,7 +11,14 @@
 #define REPORT_INTERVAL_MS 1000
 /* Membership changes rarely, and the reports of a new member arrive before its
    entry in the store is read.  */
-#define MEMBERS_WATCH_TIMEOUT_MS 10000
+#define MEMBERS_WATCH_TIMEOUT_MS 30000
+/* Delay between watches: when many daemons start together, one reply holds all
+   of their entries.  */
+#define MEMBERS_WATCH_DELAY_MS 2000
+/* From reading the list of members until their replies to this daemon's first
+   report have arrived: round trips between regions, and the difference in
+   start time of daemons that start together.  */
+#define MEMBERS_REPLY_TIMEOUT_MS 300
 /* Short, since no tokens or retries may be spent before the first read.  */
 #define MEMBERS_RETRY_DELAY_MAX_MS 1000
 #define MEMBER_LEASE_TTL_MS 60000
@@ -32,8 +39,10 @@
   PfWatcher *member_watcher;
   PfRegistration *registration;
   struct event *report_timer;
+  struct event *members_timer; /* ends the wait for replies of members */
   EnReports *reports;
   gboolean has_member_list; /* read from the store */
+  gboolean members_known;   /* and they had the time to reply */
   uint32_t daemon_count;
 };
 
@@ -53,6 +62,14 @@
   lm_set_share (shares->limits, customer, share, update->now_us);
 }
 
+static void
+note_customer_demand (const char *customer, void *data)
+{
+  const ShareUpdate *update = data;
+
+  en_pool_note_demand (update->shares->pool, customer, update->now_us);
+}
+
 /* Only the daemons nearest to a cold target use it, so that few have to share
    its small request rate.  */
 static double
@@ -113,10 +130,12 @@
 {
   EnShares *shares = data;
   int64_t now_us = ck_boot_us ();
+  ShareUpdate update = { .shares = shares, .now_us = now_us };
 
   (void)fd;
   (void)what;
   fl_expire_members (shares->fleet, now_us);
+  lm_each_customer (shares->limits, note_customer_demand, &update);
   update_shares (shares, now_us);
   en_reports_send (shares->reports, now_us);
 }
@@ -204,12 +223,28 @@
 on_members_synced (int64_t requested_us, void *data)
 {
   EnShares *shares = data;
+  struct timeval timeout = { 0, MEMBERS_REPLY_TIMEOUT_MS * CK_US_PER_MS };
 
   (void)requested_us;
+  if (!shares->has_member_list)
+    event_add (shares->members_timer, &timeout);
   shares->has_member_list = TRUE;
   update_shares (shares, ck_boot_us ());
 }
 
+static void
+on_members_replied (evutil_socket_t fd, short what, void *data)
+{
+  EnShares *shares = data;
+
+  (void)fd;
+  (void)what;
+  shares->members_known = TRUE;
+  en_pool_set_members_known (shares->pool);
+  update_shares (shares, ck_boot_us ());
+  en_shares_report_readiness (shares);
+}
+
 static const PfWatcherCallbacks member_callbacks
     = { .on_member = on_member, .on_synced = on_members_synced };
 
@@ -238,8 +273,7 @@
                         .gossip_address = settings->gossip_listen,
                         .gossip = shares->gossip,
                         .fleet = shares->fleet,
-                        .limits = shares->limits,
-                        .started_us = started_us });
+                        .limits = shares->limits });
   shares->reports
       = en_reports_new (&(EnReportsOptions){ .settings = settings,
                                              .fleet = shares->fleet,
@@ -271,6 +305,7 @@
   PfWatcherOptions member_watcher
       = { .kind = PF_WATCH_MEMBERS,
           .wait_ms = MEMBERS_WATCH_TIMEOUT_MS,
+          .watch_delay_ms = MEMBERS_WATCH_DELAY_MS,
           .retry_delay_max_ms = MEMBERS_RETRY_DELAY_MAX_MS,
           .callbacks = &member_callbacks,
           .data = shares };
@@ -291,6 +326,8 @@
   shares->report_timer
       = event_new (options->base, -1, EV_PERSIST, on_report_timer, shares);
   event_add (shares->report_timer, &report_interval);
+  shares->members_timer
+      = event_new (options->base, -1, 0, on_members_replied, shares);
   shares->member_watcher = pf_watcher_new (options->store, &member_watcher);
   shares->registration = pf_registration_new (options->store, &registration);
   update_shares (shares, ck_boot_us ());
@@ -304,6 +341,7 @@
     return;
   pf_registration_free (shares->registration);
   pf_watcher_free (shares->member_watcher);
+  event_free (shares->members_timer);
   event_free (shares->report_timer);
   en_reports_free (shares->reports);
   lm_retry_budget_free (shares->budget);
@@ -372,9 +410,9 @@
 }
 
 gboolean
-en_shares_has_member_list (const EnShares *shares)
+en_shares_has_members (const EnShares *shares)
 {
-  return shares->has_member_list;
+  return shares->members_known;
 }
 
 LmTable *
--- a/entry/shares.h
+++ b/entry/shares.h
@@ -51,9 +51,10 @@
 void en_shares_report_stop (EnShares *shares);
 void en_shares_set_config (EnShares *shares, const RtConfig *config);
 
-/* Whether the list of members was read from the store.  Before that the number
-   of daemons is unknown, and no tokens or retries may be spent.  */
-gboolean en_shares_has_member_list (const EnShares *shares);
+/* Whether the list of members was read from the store and they had the time to
+   reply to the first report.  Before that the number of daemons and the token
+   owners are unknown, and no tokens or retries may be spent.  */
+gboolean en_shares_has_members (const EnShares *shares);
 LmTable *en_shares_limits (const EnShares *shares);
 LmRetryBudget *en_shares_budget (const EnShares *shares);
 const FlFleet *en_shares_fleet (const EnShares *shares);
--- a/limit/limit.h
+++ b/limit/limit.h
@@ -15,6 +15,14 @@
      lm_demand returns the demand at this daemon, and lm_compute_share computes
      a share from it and the demand at all daemons.
 
+     A daemon knows its own demand at once, the others learn of it from
+     reports.  If it raised its share meanwhile, and demand rose at many
+     daemons at the same time, as it does when all of them start, their shares
+     would add up to several times the limit.  So a share is computed from the
+     settled demand of its daemon, which has been reported for
+     LM_SETTLE_INTERVALS, and from the demand of all daemons of an interval ago
+     if that was lower: the other daemons do not use more than that yet.
+
      A bucket starts with only a fraction of its burst, so that a restart does
      not grant again a burst that was used just before it.
 
@@ -27,8 +35,21 @@
 #include <glib.h>
 #include <stdint.h>
 
+/* Report intervals until every daemon has learned of a demand and applied it:
+   one until the sum of a zone is reported, one until it is applied.  */
+#define LM_SETTLE_INTERVALS 3
+
 typedef struct LmTable LmTable;
 
+/* Whose demand a share follows.  */
+typedef enum
+{
+  LM_SCOPE_DAEMON,
+  LM_SCOPE_REGION,
+  LM_SCOPE_ALL,
+  LM_SCOPE_COUNT,
+} LmScope;
+
 LmTable *lm_new (void);
 void lm_free (LmTable *table);
 
@@ -60,6 +81,17 @@
 /* EWMA of the requests per second that callers of this daemon made, admitted
    or not.  */
 double lm_demand (LmTable *table, const char *customer, int64_t now_us);
+/* Records the demand of SCOPE; call it once in each report interval.  */
+void lm_note_demand (LmTable *table, const char *customer, LmScope scope,
+                     double per_s);
+/* The lowest of PER_S, which is the demand of SCOPE now, and of the last
+   LM_SETTLE_INTERVALS recorded ones; 0 until so many are recorded.  */
+double lm_settled_demand (LmTable *table, const char *customer, LmScope scope,
+                          double per_s);
+/* The lower of PER_S and the demand of SCOPE that was recorded before the last
+   one; PER_S until two are recorded.  */
+double lm_previous_demand (LmTable *table, const char *customer, LmScope scope,
+                           double per_s);
 /* Rate limit in requests per second, of all daemons together; 0 if there is
    none.  */
 double lm_rate (LmTable *table, const char *customer);
