backend: bound the bodies of all responses together

Cause: a target in trouble may send a body without end. Each body is limited to 16 MB, but nothing limited how many are received at a time: sixteen of them are more than the memory of a small VM, whose daemon is then killed.

Ruled out: heads (16 KB), chunk sizes and trailers are limited already; Backend.BoundsAHeadWithoutEnd passes on the earlier code, too.

Change: above 48 MB in all, the call with the largest body ends as too large; its connection is closed and the target is in backoff as after a lost response. Backend.BoundsBodiesWithoutEnd fails on the earlier code.

--- a/backend/answer.c
+++ b/backend/answer.c
@@ -188,6 +188,46 @@
   return progress;
 }
 
+static BkCall *
+find_largest_call (const BkPool *pool)
+{
+  BkCall *largest = NULL;
+
+  for (const GList *node = pool->calls.head; node != NULL; node = node->next)
+    {
+      BkCall *call = node->data;
+      if (!call->finished
+          && (largest == NULL
+              || call->buffered_bytes > largest->buffered_bytes))
+        largest = call;
+    }
+  return largest;
+}
+
+/* Counts the body of CALL.  If all bodies are above the limit of the pool, the
+   largest one is given up: it is the most likely never to end.  Returns FALSE
+   if that is CALL, whose failure is then set.  */
+static gboolean
+limit_buffered_bytes (BkCall *call)
+{
+  BkPool *pool = call->pool;
+  BkCall *largest;
+
+  pool->buffered_bytes += call->body->len - call->buffered_bytes;
+  call->buffered_bytes = call->body->len;
+  if (pool->buffered_bytes <= pool->options.buffered_max_bytes)
+    return TRUE;
+  largest = find_largest_call (pool);
+  if (largest == call)
+    {
+      fail_call (call, BK_FAILURE_TOO_LARGE);
+      return FALSE;
+    }
+  if (largest != NULL)
+    bk_call_finish (largest, BK_FAILURE_TOO_LARGE, FALSE);
+  return TRUE;
+}
+
 gboolean
 bk_response_parse (BkConn *conn, gboolean closed)
 {
@@ -197,6 +237,8 @@
   do
     progress = read_head_or_body (conn, closed);
   while (progress == PROGRESS_CONTINUE);
+  if (progress == PROGRESS_NEED_INPUT && !limit_buffered_bytes (call))
+    return TRUE;
   if (progress == PROGRESS_DONE && call->result.failure == BK_FAILURE_NONE
       && evbuffer_get_length (conn->input) > 0
       && !bk_response_echoes_id (call))
--- a/backend/backend.c
+++ b/backend/backend.c
@@ -59,6 +59,8 @@
     copy->response_max_bytes = BK_RESPONSE_MAX_BYTES;
   copy->response_max_bytes
       = MIN (copy->response_max_bytes, BK_RESPONSE_MAX_BYTES);
+  if (copy->buffered_max_bytes == 0)
+    copy->buffered_max_bytes = BK_BUFFERED_MAX_BYTES;
   pool->targets
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_target);
   return pool;
@@ -77,6 +79,7 @@
   if (call->target != NULL)
     call->target->call_count--;
   g_queue_unlink (&call->pool->calls, &call->pool_node);
+  call->pool->buffered_bytes -= call->buffered_bytes;
   event_free (call->timer);
   g_free (call->method);
   g_free (call->echo_header);
--- a/backend/backend.h
+++ b/backend/backend.h
@@ -34,6 +34,10 @@
      awaited, and bytes after a response with the right value close the
      connection but don't invalidate the response.
 
+     A response may never end.  Its head and its body are limited, and so are
+     all bodies together: above buffered_max_bytes the call with the largest
+     body ends with BK_FAILURE_TOO_LARGE.
+
      Times are CLOCK_BOOTTIME in microseconds.
 
    ERRORS
@@ -58,6 +62,9 @@
    already limit how many requests are passed to this package.  */
 #define BK_WAITING_MAX_COUNT 64
 #define BK_RESPONSE_MAX_BYTES (16 * 1024 * 1024)
+/* Bodies that are being received at a time.  An array may have twice the
+   capacity that it uses.  */
+#define BK_BUFFERED_MAX_BYTES (48 * 1024 * 1024)
 
 typedef enum
 {
@@ -75,7 +82,7 @@
   BK_FAILURE_TIMEOUT,   /* the deadline passed */
   BK_FAILURE_CLOSED,    /* closed or reset before the response was complete */
   BK_FAILURE_MALFORMED, /* not valid HTTP, or conflicting or wrong lengths */
-  BK_FAILURE_TOO_LARGE, /* the response is above its size limit */
+  BK_FAILURE_TOO_LARGE, /* the response, or all of them, are above a limit */
 } BkFailure;
 
 typedef struct
@@ -120,6 +127,7 @@
   uint32_t connect_timeout_ms; /* default 1000 */
   uint32_t unacked_timeout_ms; /* TCP_USER_TIMEOUT; 0: none */
   gsize response_max_bytes;    /* of the body; default and maximum 16 MB */
+  gsize buffered_max_bytes;    /* of all bodies; default 48 MB */
 } BkOptions;
 
 typedef struct BkPool BkPool;
--- a/backend/backend_test.cc
+++ b/backend/backend_test.cc
@@ -336,6 +336,69 @@
   EXPECT_TRUE (f.is_closed (fd));
 }
 
+/* Guards against targets that send bodies without end, several at a time,
+   until the daemon has no memory left, and against a sound response that is
+   given up with them.  */
+TEST (Backend, BoundsBodiesWithoutEnd)
+{
+  static const char *const heads[]
+      = { "Connection: close\r\n\r\n", "Content-Length: 15000000\r\n\r\n" };
+  BkOptions options = {};
+  options.connections_max = 5;
+  options.buffered_max_bytes = 4 * 1024 * 1024;
+  Fixture f (options);
+  Outcome endless[4], sound;
+  std::vector<int> fds;
+  const std::string filler (65536, 'x');
+
+  for (int i = 0; i < 4; i++)
+    {
+      f.start (&endless[i]);
+      fds.push_back (f.accept_one ());
+      f.receive (fds[i]);
+      send_text (fds[i], status_line + heads[i % 2]);
+    }
+  f.start (&sound);
+  int sound_fd = f.accept_one ();
+  f.receive (sound_fd);
+  send_text (sound_fd, status_line + "Content-Length: 4000\r\n\r\n"
+                           + std::string (2000, 'y'));
+  EXPECT_TRUE (f.run_until ([&] {
+    for (int fd : fds)
+      send (fd, filler.data (), filler.size (), MSG_NOSIGNAL);
+    return endless[0].done && endless[1].done && endless[2].done
+           && endless[3].done;
+  }));
+  for (const Outcome &outcome : endless)
+    {
+      EXPECT_EQ (BK_FAILURE_TOO_LARGE, outcome.result.failure);
+      EXPECT_FALSE (outcome.result.complete);
+    }
+  EXPECT_FALSE (sound.done);
+  send_text (sound_fd, std::string (2000, 'y'));
+  ASSERT_TRUE (f.run_until ([&] { return sound.done; }));
+  EXPECT_EQ (4000u, sound.body.size ());
+  for (int fd : fds)
+    EXPECT_TRUE (f.is_closed (fd));
+}
+
+/* Guards against a head without end.  */
+TEST (Backend, BoundsAHeadWithoutEnd)
+{
+  Fixture f;
+  Outcome outcome;
+  f.start (&outcome);
+  int fd = f.accept_one ();
+  f.receive (fd);
+  send_text (fd, status_line);
+  EXPECT_TRUE (f.run_until ([&] {
+    send (fd, "X-Filler: x\r\n", 13, MSG_NOSIGNAL);
+    return outcome.done;
+  }));
+  EXPECT_EQ (BK_FAILURE_MALFORMED, outcome.result.failure);
+  EXPECT_TRUE (f.is_closed (fd));
+}
+
 /* Guards against a request that is sent twice, or lost, because an idle
    connection was closed or has unread bytes.  */
 TEST (Backend, ReusesOnlyUsableConnections)
--- a/backend/link.h
+++ b/backend/link.h
@@ -15,8 +15,9 @@
 struct BkPool
 {
   BkOptions options;
-  GHashTable *targets; /* address to BkTarget */
-  GQueue calls;        /* each BkCall until its result is delivered */
+  GHashTable *targets;  /* address to BkTarget */
+  GQueue calls;         /* each BkCall until its result is delivered */
+  gsize buffered_bytes; /* of the bodies of all calls */
 };
 
 struct BkTarget
@@ -75,6 +76,7 @@
   HtChunkDecoder chunk_decoder;
   uint32_t skipped_count; /* interim (1xx) and late responses */
   GByteArray *body;
+  gsize buffered_bytes; /* of the body, as counted in the pool */
 };
 
 /* Opens a connection for CALL; NULL with errno set.  */
