limit, entry: compute shares from demands of the same age

Change: a share is computed from the own demand of one report interval ago and the demand that the others have reported by now, which is about as old. Demand.ThatVariesIsAdmittedWithinTheRate guards the sum.

--- a/entry/pool.c
+++ b/entry/pool.c
@@ -16,6 +16,13 @@
 /* Fraction of a pooled rate that is reserved for daemons that get no token
    reply.  */
 #define FALLBACK_FRACTION 0.1
+/* Report intervals for which this daemon does not use a change of its own
+   demand: the others learn of it one interval later, those of other zones two,
+   and compute their shares at their next one.  */
+#define OWN_DEMAND_INTERVALS 1
+/* The same for the demand that others report, which is a report old when it is
+   recorded.  */
+#define OTHERS_DEMAND_INTERVALS 0
 /* The token owner may reply again before this daemon's own small bucket has a
    token.  */
 #define FALLBACK_WAIT_MAX_US 500000
@@ -108,7 +115,7 @@
 
 static double
 demand_of (const EnPool *pool, const char *customer, LmScope scope,
-            int64_t now_us)
+           int64_t now_us)
 {
   const EnPoolOptions *options = &pool->options;
   uint32_t id = fl_customer_id (customer);
@@ -133,20 +140,22 @@
                     demand_of (pool, customer, scope, now_us));
 }
 
-/* Share of this daemon or region, one of COUNT.  */
+/* Share of this daemon or region, one of COUNT.  Both demands are as old as
+   those of which the others compute their shares.  */
 static double
 compute_share (const EnPool *pool, const char *customer, LmScope scope,
-               uint32_t count, int64_t now_us)
+               uint32_t count)
 {
   LmTable *limits = pool->options.limits;
-  double own_per_s = lm_settled_demand (
-      limits, customer, scope, demand_of (pool, customer, scope, now_us));
-  double total_per_s = lm_previous_demand (
-      limits, customer, LM_SCOPE_ALL,
-      demand_of (pool, customer, LM_SCOPE_ALL, now_us));
-
-  return lm_compute_share (own_per_s, MAX (own_per_s, total_per_s), count,
-                           lm_rate (limits, customer));
+  double own_per_s
+      = lm_noted_demand (limits, customer, scope, OWN_DEMAND_INTERVALS);
+  double others_per_s
+      = lm_noted_demand (limits, customer, LM_SCOPE_ALL,
+                         OTHERS_DEMAND_INTERVALS)
+        - lm_noted_demand (limits, customer, scope, OTHERS_DEMAND_INTERVALS);
+
+  return lm_compute_share (own_per_s, own_per_s + MAX (0.0, others_per_s),
+                           count, lm_rate (limits, customer));
 }
 
 double
@@ -158,7 +167,7 @@
   if (!is_pooled (pool, customer))
     return SPLIT_FRACTION
            * compute_share (pool, customer, LM_SCOPE_DAEMON,
-                            pool->daemon_count, now_us);
+                            pool->daemon_count);
   if (fl_token_owner (options->fleet, fl_customer_id (customer), now_us)
       != NULL)
     return fallback_share;
@@ -166,8 +175,7 @@
   return fallback_share
          + (1 - FALLBACK_FRACTION)
                * compute_share (pool, customer, LM_SCOPE_REGION,
-                                fl_count_regions (options->fleet, now_us),
-                                now_us);
+                                fl_count_regions (options->fleet, now_us));
 }
 
 static EnPoolVerdict
--- a/entry/pool.h
+++ b/entry/pool.h
@@ -90,9 +90,9 @@
 /* Records the customer's demand at this daemon and in its region; call it once
    in each report interval, before en_pool_share.  */
 void en_pool_note_demand (EnPool *pool, const char *customer, int64_t now_us);
-/* This daemon's share of the customer's rate, 0 to 1, computed from the demand
-   at all daemons, and from the settled demand (see limit.h) at this daemon or,
-   for its token owner, in this region.  */
+/* This daemon's share of the customer's rate, 0 to 1, computed from the
+   recorded demand at all daemons and at this one or, for its token owner, in
+   this region.  */
 double en_pool_share (const EnPool *pool, const char *customer,
                       int64_t now_us);
 
--- a/entry/pool_test.cc
+++ b/entry/pool_test.cc
@@ -159,6 +159,15 @@
       fl_receive_report (to.fleet, &report, now_us);
   }
 
+  void
+  Tick (Daemon &daemon, int64_t now_us)
+  {
+    en_pool_note_demand (daemon.pool, "c", now_us);
+    lm_set_share (daemon.limits, "c", en_pool_share (daemon.pool, "c", now_us),
+                  now_us);
+    Report (daemon, now_us);
+  }
+
   /* Returns the admitted requests of each step.  */
   std::vector<int>
   Run (int64_t until_us, int64_t start_us, double offered_per_s)
@@ -171,13 +180,7 @@
         int count = 0;
         for (int i = 0; i < kDaemons; i++)
           if (now_us % kSecond == i * kSecond / kDaemons)
-            {
-              Daemon &daemon = daemons[i];
-              en_pool_note_demand (daemon.pool, "c", now_us);
-              lm_set_share (daemon.limits, "c",
-                            en_pool_share (daemon.pool, "c", now_us), now_us);
-              Report (daemon, now_us);
-            }
+            Tick (daemons[i], now_us);
         for (due += now_us >= start_us ? offered_per_s * kStep / kSecond : 0;
              due >= 1; due--)
           {
@@ -219,6 +222,32 @@
   EXPECT_GE (MostInWindow (admitted, 5 * kSecond), 5 * kRate * 0.9);
 }
 
+/* Guards against shares that add up to less than the limit because the demand
+   at each daemon varies at random (ctdc-lidar, quiet-1).  */
+TEST_F (Demand, ThatVariesIsAdmittedWithinTheRate)
+{
+  g_autoptr (GRand) random = g_rand_new_with_seed (7);
+  std::vector<double> shares;
+  for (int64_t now_us = 0; now_us < 60 * kSecond; now_us += kStep)
+    {
+      double sum = 0;
+      for (int i = 0; i < kDaemons; i++)
+        {
+          if (now_us % kSecond == i * kSecond / kDaemons)
+            Tick (daemons[i], now_us);
+          if (g_rand_double (random)
+              < 0.6 * kRate / kDaemons * kStep / kSecond)
+            lm_record_request (daemons[i].limits, "c", now_us);
+          if (now_us % kSecond == 0)
+            sum += en_pool_share (daemons[i].pool, "c", now_us);
+        }
+      if (now_us % kSecond == 0 && now_us >= 10 * kSecond)
+        shares.push_back (sum);
+    }
+  for (double sum : shares)
+    EXPECT_NEAR (sum, 0.96, 0.06);
+}
+
 /* Guards against a customer within its rate paying for that caution.  */
 TEST_F (Demand, WithinTheRateIsAdmittedFromTheStart)
 {
--- a/limit/limit.c
+++ b/limit/limit.c
@@ -22,8 +22,7 @@
   double demand_per_s;
   int64_t demand_updated_us;
   /* Recorded demands, the last one first.  */
-  double noted_per_s[LM_SCOPE_COUNT][LM_SETTLE_INTERVALS];
-  uint32_t noted_count[LM_SCOPE_COUNT];
+  double noted_per_s[LM_SCOPE_COUNT][LM_NOTED_MAX];
   gboolean is_marked; /* limit set since the last sweep */
 } Bucket;
 
@@ -193,34 +192,17 @@
   if (bucket == NULL)
     return;
   noted = bucket->noted_per_s[scope];
-  memmove (&noted[1], &noted[0], (LM_SETTLE_INTERVALS - 1) * sizeof noted[0]);
+  memmove (&noted[1], &noted[0], (LM_NOTED_MAX - 1) * sizeof noted[0]);
   noted[0] = per_s;
-  bucket->noted_count[scope]
-      = MIN (bucket->noted_count[scope] + 1, LM_SETTLE_INTERVALS);
 }
 
 double
-lm_settled_demand (LmTable *table, const char *customer, LmScope scope,
-                   double per_s)
+lm_noted_demand (LmTable *table, const char *customer, LmScope scope,
+                 uint32_t intervals)
 {
   const Bucket *bucket = g_hash_table_lookup (table->buckets, customer);
 
-  if (bucket == NULL || bucket->noted_count[scope] < LM_SETTLE_INTERVALS)
-    return 0;
-  for (int i = 0; i < LM_SETTLE_INTERVALS; i++)
-    per_s = MIN (per_s, bucket->noted_per_s[scope][i]);
-  return per_s;
-}
-
-double
-lm_previous_demand (LmTable *table, const char *customer, LmScope scope,
-                    double per_s)
-{
-  const Bucket *bucket = g_hash_table_lookup (table->buckets, customer);
-
-  if (bucket == NULL || bucket->noted_count[scope] < 2)
-    return per_s;
-  return MIN (per_s, bucket->noted_per_s[scope][1]);
+  return bucket != NULL ? bucket->noted_per_s[scope][intervals] : 0;
 }
 
 double
--- a/limit/limit.h
+++ b/limit/limit.h
@@ -18,10 +18,9 @@
      A daemon knows its own demand at once, the others learn of it from
      reports.  If it raised its share meanwhile, and demand rose at many
      daemons at the same time, as it does when all of them start, their shares
-     would add up to several times the limit.  So a share is computed from the
-     settled demand of its daemon, which has been reported for
-     LM_SETTLE_INTERVALS, and from the demand of all daemons of an interval ago
-     if that was lower: the other daemons do not use more than that yet.
+     would add up to several times the limit.  So a share is computed from
+     demand that was recorded some report intervals ago, and that the other
+     daemons have learned of.
 
      A bucket starts with only a fraction of its burst, so that a restart does
      not grant again a burst that was used just before it.
@@ -35,9 +34,8 @@
 #include <glib.h>
 #include <stdint.h>
 
-/* Report intervals until every daemon has learned of a demand and applied it:
-   one until the sum of a zone is reported, one until it is applied.  */
-#define LM_SETTLE_INTERVALS 3
+/* Demands that are kept, one for each report interval.  */
+#define LM_NOTED_MAX 3
 
 typedef struct LmTable LmTable;
 
@@ -84,14 +82,10 @@
 /* Records the demand of SCOPE; call it once in each report interval.  */
 void lm_note_demand (LmTable *table, const char *customer, LmScope scope,
                      double per_s);
-/* The lowest of PER_S, which is the demand of SCOPE now, and of the last
-   LM_SETTLE_INTERVALS recorded ones; 0 until so many are recorded.  */
-double lm_settled_demand (LmTable *table, const char *customer, LmScope scope,
-                          double per_s);
-/* The lower of PER_S and the demand of SCOPE that was recorded before the last
-   one; PER_S until two are recorded.  */
-double lm_previous_demand (LmTable *table, const char *customer, LmScope scope,
-                           double per_s);
+/* The demand of SCOPE that was recorded INTERVALS calls before the last one,
+   less than LM_NOTED_MAX; 0 if so many are not recorded.  */
+double lm_noted_demand (LmTable *table, const char *customer, LmScope scope,
+                        uint32_t intervals);
 /* Rate limit in requests per second, of all daemons together; 0 if there is
    none.  */
 double lm_rate (LmTable *table, const char *customer);
