entry, client: a held retry that may have run is not refused as not run

Cause: a request that failed at one target and is held before its retry until its deadline got 503, which states that it has not run. It gets 504 now, with the reason deadline_passed_in_retry. Entry.HeldRetryIsNotReportedAsNotRun.

explain matched the first reason that was the start of another one, so rate_exceeded_in_region was shown as rate_exceeded; guarded by Explain.TellsReasonsWithTheSameStartApart.

A configuration change cost each daemon that follows its region leader two calls of the store, the second one a watch of a second; it pauses after the first one now (Entry.OneDaemonPerRegionReadsStore, which failed with 2 calls).

--- a/client/explain.c
+++ b/client/explain.c
@@ -30,7 +30,10 @@
     "long that a withdrawn key might have been accepted" },
   { "reason=no_configuration",
     "refused, not run: the daemon had no configuration yet" },
-  { "reason=rate_exceeded",
+  { "reason=rate_exceeded_in_region ",
+    "refused, not run: the customer's rate in this region was used up, as the "
+    "daemon that keeps its tokens there replied" },
+  { "reason=rate_exceeded ",
     "refused, not run: the customer's share of its rate on this daemon was "
     "used up" },
   { "reason=targets_full",
@@ -41,8 +44,11 @@
     "regions, drains, evacuations or lost targets" },
   { "reason=target_refused",
     "refused, not run: the targets it was sent to refused to run it" },
-  { "reason=deadline_passed",
+  { "reason=deadline_passed ",
     "refused, not run: its deadline passed before it could be sent" },
+  { "reason=deadline_passed_in_retry ",
+    "unknown: it may have run at a target, and its deadline passed while it "
+    "was held before it was sent to another one" },
   { "reason=key_unknown", "refused, not run: no customer has this key" },
   { "reason=key_missing", "refused, not run: it had no key" },
   { "reason=no_route", "refused, not run: no route has its host and path" },
--- a/client/explain_test.cc
+++ b/client/explain_test.cc
@@ -91,6 +91,33 @@
   EXPECT_NE (out.find ("may have run it"), std::string::npos);
 }
 
+/* Guards against naming the wrong token bucket, and against stating that a
+   request has not run which was held before its second target: one reason is
+   the start of the other.  */
+TEST_F (Explain, TellsReasonsWithTheSameStartApart)
+{
+  static const struct
+  {
+    const char *reason, *text;
+  } rows[] = {
+    { "rate_exceeded", "share of its rate on this daemon" },
+    { "rate_exceeded_in_region", "rate in this region" },
+    { "deadline_passed", "before it could be sent" },
+    { "deadline_passed_in_retry", "may have run" },
+  };
+  std::string text;
+  for (auto &row : rows)
+    text += Line (7000, "vm=vm1 event=403 name=request-refused request="
+                            + std::string (row.reason)
+                            + " reason=" + row.reason + " route=r");
+  WriteLog ("reasons", text);
+  for (auto &row : rows)
+    {
+      ASSERT_EQ (Run (row.reason), CL_EXIT_DONE);
+      EXPECT_NE (out.find (row.text), std::string::npos) << out;
+    }
+}
+
 /* Guards against a slow request without the lines that explain it: that the
    daemon had just started, and that it did not know of its object as cached at
    the target (known=0).  */
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -54,8 +54,7 @@
   EnEntry *entry = data;
 
   return !entry->stopping && en_view_is_ready (entry->view, ck_boot_us ())
-         && (entry->shares == NULL
-             || en_shares_has_members (entry->shares));
+         && (entry->shares == NULL || en_shares_has_members (entry->shares));
 }
 
 static void
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <future>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -207,9 +208,9 @@
     return std::string ("\"") + name + "\":{\"host\":\"127.0.0.1\","
            + "\"prefix\":\"/" + name + "/\",\"kind\":\"" + kind
            + "\",\"timeout_s\":3,\"target_latency_s\":0.5,\"priority\":1,"
-             "\"service\":\"s\",\"max_attempts\":2,\"sticky\":false,"
-             "\"anonymous\":"
-           + (anonymous ? "true}" : "false}");
+             "\"service\":\"s\",\"max_attempts\":2,\"sticky\":"
+           + (std::string (name) == "object" ? "true" : "false")
+           + ",\"anonymous\":" + (anonymous ? "true}" : "false}");
   }
 
   void
@@ -220,7 +221,8 @@
                  "{\"version\":\"r" + std::to_string (version)
                      + "\",\"routes\":{" + RouteJson ("read", "safe", false)
                      + "," + RouteJson ("order", "unsafe", false) + ","
-                     + RouteJson ("open", "safe", true)
+                     + RouteJson ("open", "safe", true) + ","
+                     + RouteJson ("object", "safe", false)
                      + "},\"services\":{\"s\":{\"max_connections\":100,"
                        "\"cold_start_s\":1,\"cold_per_s\":5}},\"tenants\":{"
                        "\"c1\":{\"api_keys\":["
@@ -263,6 +265,27 @@
     return status;
   }
 
+  /* Sends a request for the object OBJECT and returns its status.  */
+  static int
+  RequestObject (const std::string &front, const std::string &id,
+                 const char *deadline_ms)
+  {
+    std::string id_header = "X-Comfreywalk-Attempt-Id: " + id;
+    std::string deadline
+        = std::string ("X-Comfreywalk-Deadline-Ms: ") + deadline_ms;
+    const char *headers[]
+        = { id_header.c_str (), deadline.c_str (),
+            "Authorization: Token key-1",
+            "Cookie: X-Comfreywalk-Affinity-Key=7", nullptr };
+    SiResponse answer = {};
+    int status = 0;
+    if (si_http_request ("GET", front.c_str (), "/object/1", headers, nullptr,
+                         4000, &answer, nullptr))
+      status = answer.status;
+    si_response_clear (&answer);
+    return status;
+  }
+
   int
   CountLines (const std::string &path, const std::string &id)
   {
@@ -481,6 +504,28 @@
   })) << RunExplain ("o1");
 }
 
+/* Guards against stating that a request has not run which ran at one target
+   and was held for its retry until the deadline.  */
+TEST_F (Entry, HeldRetryIsNotReportedAsNotRun)
+{
+  std::string home, other;
+  ASSERT_EQ (RequestObject (vms[0].front, "o1", "2000"), 200);
+  home = CountLines ("/runs", "o1") == 1
+                 && GetControl ("/runs").find (" t1 o1 ") != std::string::npos
+             ? "t1"
+             : "t2";
+  other = home == "t1" ? "t2" : "t1";
+  PostControl ("/target?id=" + home + "&fault=fail");
+  PostControl ("/target?id=" + other + "&fault=hang");
+  std::future<int> filling = std::async (std::launch::async, RequestObject,
+                                         vms[0].front, "o2", "2500");
+  ASSERT_TRUE (WaitFor ([&] { return CountLines ("/runs", "o2") == 2; }))
+      << GetControl ("/runs");
+  EXPECT_EQ (RequestObject (vms[0].front, "o3", "300"), 504);
+  EXPECT_EQ (CountLines ("/runs", "o3"), 1);
+  filling.wait ();
+}
+
 /* Guards against accepting keys on a daemon that cannot learn of their
    revocation, and against refusing requests on open routes with them.  */
 TEST_F (Entry, RefusesKeysWhileStoreIsUnreachable)
@@ -570,6 +615,11 @@
   PutConfig (2, "\"key-2\"");
   EXPECT_TRUE (WaitFor (
       [&] { return SendRequest (vms[1], "/read/1", "r2") == 401; }, 1000));
+  si_sleep_ms (1500);
+  before = GetMetric (vms[1], "store_watches_total");
+  PutConfig (3, "\"key-3\"");
+  si_sleep_ms (2000);
+  EXPECT_LE (GetMetric (vms[1], "store_watches_total") - before, 1);
 }
 
 /* Guards against daemons that stop serving or accept a revoked key after their
--- a/entry/listing.c
+++ b/entry/listing.c
@@ -10,9 +10,9 @@
    lost leader and to read the store themselves within the two seconds in which
    a drain has to take effect.  */
 #define TARGETS_WATCH_TIMEOUT_MS 700
-/* The sum of this and EN_OUTAGE_RETAIN_US has to be less than 3 s: a target that was
-   removed during a network partition must get no requests later than 3 s after
-   the partition ends.  */
+/* The sum of this and EN_OUTAGE_RETAIN_US has to be less than 3 s: a target
+   that was removed during a network partition must get no requests later than
+   3 s after the partition ends.  */
 #define TARGETS_RETRY_DELAY_MAX_MS 200
 /* Delay between watches, so that a delta holds changes that come close
    together.  */
--- a/entry/outage.c
+++ b/entry/outage.c
@@ -17,8 +17,8 @@
 gboolean
 en_outage_note_sync (EnOutage *outage, int64_t now_us)
 {
-  gboolean ended = outage->down_since_us != 0
-                   && en_outage_retains (outage, now_us);
+  gboolean ended
+      = outage->down_since_us != 0 && en_outage_retains (outage, now_us);
 
   if (ended)
     outage->retain_until_us = now_us + EN_OUTAGE_RETAIN_US;
--- a/entry/send.c
+++ b/entry/send.c
@@ -152,8 +152,12 @@
 
   if (request->deadline_us - ck_boot_us () < SEND_TIME_LEFT_MIN_US)
     {
-      en_request_fail (request, EN_OUTCOME_UNAVAILABLE, FULL_RETRY_AFTER_US,
-                       "deadline_passed");
+      if (request->may_have_run)
+        en_request_fail (request, EN_OUTCOME_TIMEOUT, 0,
+                         "deadline_passed_in_retry");
+      else
+        en_request_fail (request, EN_OUTCOME_UNAVAILABLE, FULL_RETRY_AFTER_US,
+                         "deadline_passed");
       return;
     }
   if (!try_send (request, &pick))
--- a/entry/view.c
+++ b/entry/view.c
@@ -169,6 +169,9 @@
   if (view->store_down)
     tr_log (view->options.trace, EV_STORE_UP, "part=operator");
   view->store_down = FALSE;
+  /* A change that the region leader announced is read by a single call.  */
+  if (event_pending (view->leader_timer, EV_TIMEOUT, NULL))
+    pf_watcher_set_paused (view->operator_watcher, TRUE);
   set_confirmed (view, requested_us);
   view->options.on_store_read (&store_read, view->options.data);
 }
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -277,8 +277,8 @@
   for (int i = 0; i < 12; i++)
     {
       std::string id = "t" + std::to_string (i);
-      TgEntry entry = Entry (id.c_str (), i < 6 ? "a1" : "b1",
-                             i < 6 ? "a" : "b");
+      TgEntry entry
+          = Entry (id.c_str (), i < 6 ? "a1" : "b1", i < 6 ? "a" : "b");
       tg_update (set, &entry, now_us);
       if (i >= 6)
         tg_update (there, &entry, now_us);
@@ -326,9 +326,9 @@
                 || std::string (tg_id (choice.target)) == "t0")
               continue;
             seen[object].insert (tg_id (choice.target));
-            tg_attempt_end (
-                other, tg_attempt_begin (other, &query, &choice, now_us),
-                &result, now_us);
+            tg_attempt_end (other,
+                            tg_attempt_begin (other, &query, &choice, now_us),
+                            &result, now_us);
           }
       tg_free (other);
     }
