fleet, entry: reports without demand go to other regions at a longer interval

Cause: every daemon reports to every other one each second. With 119 daemons the reports of those that are no zone leader to other regions are most of the bytes between regions, and they grow with the square of the fleet.

A report states its interval, and a member is suspect by that. Smaller fleets send what they sent. A build without the field takes such a member for suspect for half a second at most, which only changes lookups of callers whose region is lost.

Ruled out: longer intervals for the sums of zones; token owners follow them.

--- a/entry/reports.c
+++ b/entry/reports.c
@@ -17,13 +17,16 @@
   uint64_t config_version;
   gboolean ready; /* as in the last report */
   gboolean stopping;
+  uint32_t interval_count; /* report intervals since the start */
 };
 
-typedef enum
+/* What a report to an address depends on.  An address of which no report was
+   received counts as one of another zone.  */
+typedef struct
 {
-  RECIPIENTS_SAME_ZONE,
-  RECIPIENTS_OTHER_ZONES,
-} Recipients;
+  gboolean is_same_zone;
+  uint32_t intervals; /* from one report to the next */
+} Recipient;
 
 EnReports *
 en_reports_new (const EnReportsOptions *options)
@@ -108,20 +111,19 @@
 
 /* Only the zone leader, if there is one, reports demand to other zones.  */
 static FlReport
-make_report (EnReports *reports, Recipients recipients, int64_t now_us)
+make_report (EnReports *reports, const Recipient *recipient, int64_t now_us)
 {
   const EnReportsOptions *options = &reports->options;
   const EnSettings *settings = options->settings;
   FlZoneLeader zone_leader = fl_zone_leader (options->fleet, now_us);
   DemandSum sum = { .reports = reports,
                     .now_us = now_us,
-                    .of_zone = recipients == RECIPIENTS_OTHER_ZONES
+                    .of_zone = !recipient->is_same_zone
                                && zone_leader == FL_ZONE_LEADER_SELF };
 
   reports->ready = options->is_ready (options->data);
   g_array_set_size (reports->demands, 0);
-  if (recipients == RECIPIENTS_SAME_ZONE
-      || zone_leader != FL_ZONE_LEADER_OTHER)
+  if (recipient->is_same_zone || zone_leader != FL_ZONE_LEADER_OTHER)
     lm_each_customer (options->limits, add_demand, &sum);
   return (FlReport){
     .name = settings->vm,
@@ -133,65 +135,106 @@
     .ready = reports->ready,
     .stopping = reports->stopping,
     .is_zone_leader = zone_leader == FL_ZONE_LEADER_SELF,
+    .interval_us = recipient->intervals * FL_REPORT_INTERVAL_US,
     .config_version = reports->config_version,
     .demands = (const FlDemand *)reports->demands->data,
     .demand_count = reports->demands->len,
   };
 }
 
+/* Data of the callback of fl_each_member.  */
 typedef struct
 {
-  const char *zone;
-  GHashTable *addresses; /* of the daemons of ZONE */
-} ZoneAddresses;
+  const EnReports *reports;
+  GHashTable *recipients; /* address to Recipient */
+  int64_t now_us;
+} RecipientSearch;
 
 static void
-add_zone_address (const FlMember *member, void *data)
+add_recipient (const FlMember *member, void *data)
 {
-  ZoneAddresses *zone_addresses = data;
+  RecipientSearch *search = data;
+  const EnReportsOptions *options = &search->reports->options;
+  Recipient *recipient = g_new0 (Recipient, 1);
 
-  if (strcmp (member->zone, zone_addresses->zone) == 0)
-    g_hash_table_add (zone_addresses->addresses,
-                      (gpointer)member->gossip_address);
+  recipient->is_same_zone
+      = strcmp (member->zone, options->settings->zone) == 0;
+  recipient->intervals
+      = fl_intervals_to (options->fleet, member, search->now_us);
+  g_hash_table_replace (search->recipients, (gpointer)member->gossip_address,
+                        recipient);
 }
 
+static gboolean
+is_due (const EnReports *reports, const Recipient *recipient)
+{
+  return reports->interval_count % recipient->intervals == 0;
+}
+
+/* Sends to the addresses of one kind of recipient.  */
 static void
-send_to_recipients (EnReports *reports, Recipients recipients,
-                    GHashTable *zone_addresses, int64_t now_us)
+send_to_recipients (EnReports *reports, GHashTable *recipients,
+                    const Recipient *kind, int64_t now_us)
 {
-  FlReport report = make_report (reports, recipients, now_us);
+  static const Recipient unknown = { .intervals = 1 };
+  FlReport report = make_report (reports, kind, now_us);
   GHashTableIter addresses;
   gpointer address;
 
   g_hash_table_iter_init (&addresses, reports->addresses);
   while (g_hash_table_iter_next (&addresses, &address, NULL))
-    if (g_hash_table_contains (zone_addresses, address)
-        == (recipients == RECIPIENTS_SAME_ZONE))
-      go_send_report (reports->options.gossip, address, &report);
+    {
+      const Recipient *recipient = g_hash_table_lookup (recipients, address);
+      if (recipient == NULL)
+        recipient = &unknown;
+      if (recipient->is_same_zone == kind->is_same_zone
+          && recipient->intervals == kind->intervals)
+        go_send_report (reports->options.gossip, address, &report);
+    }
+}
+
+static void
+send_reports (EnReports *reports, gboolean only_due, int64_t now_us)
+{
+  g_autoptr (GHashTable) recipients
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  RecipientSearch search = { reports, recipients, now_us };
+
+  fl_each_member (reports->options.fleet, add_recipient, &search);
+  send_to_recipients (reports, recipients,
+                      &(Recipient){ .is_same_zone = TRUE, .intervals = 1 },
+                      now_us);
+  for (uint32_t i = 1; i <= FL_REMOTE_INTERVALS_MAX; i++)
+    {
+      Recipient kind = { .intervals = i };
+      if (!only_due || is_due (reports, &kind))
+        send_to_recipients (reports, recipients, &kind, now_us);
+    }
 }
 
 void
 en_reports_send (EnReports *reports, int64_t now_us)
 {
-  g_autoptr (GHashTable) addresses
-      = g_hash_table_new (g_str_hash, g_str_equal);
-  ZoneAddresses zone_addresses
-      = { reports->options.settings->zone, addresses };
+  send_reports (reports, FALSE, now_us);
+}
 
-  fl_each_member (reports->options.fleet, add_zone_address, &zone_addresses);
-  send_to_recipients (reports, RECIPIENTS_SAME_ZONE, addresses, now_us);
-  send_to_recipients (reports, RECIPIENTS_OTHER_ZONES, addresses, now_us);
+void
+en_reports_send_due (EnReports *reports, int64_t now_us)
+{
+  reports->interval_count++;
+  send_reports (reports, TRUE, now_us);
 }
 
 void
 en_reports_send_to (EnReports *reports, const char *address, const char *zone,
                     int64_t now_us)
 {
-  gboolean is_same_zone
-      = zone != NULL && strcmp (zone, reports->options.settings->zone) == 0;
-  FlReport report = make_report (
-      reports, is_same_zone ? RECIPIENTS_SAME_ZONE : RECIPIENTS_OTHER_ZONES,
-      now_us);
+  Recipient recipient
+      = { .is_same_zone
+          = zone != NULL
+            && strcmp (zone, reports->options.settings->zone) == 0,
+          .intervals = FL_REMOTE_INTERVALS_MAX };
+  FlReport report = make_report (reports, &recipient, now_us);
 
   go_send_report (reports->options.gossip, address, &report);
 }
--- a/entry/reports.h
+++ b/entry/reports.h
@@ -50,6 +50,9 @@
 
 /* Sends a report to every noted address.  */
 void en_reports_send (EnReports *reports, int64_t now_us);
+/* The same, but leaves out the addresses whose interval has not passed; call
+   it once in each report interval.  */
+void en_reports_send_due (EnReports *reports, int64_t now_us);
 /* Sends a report to one daemon.  ZONE is NULL where it is unknown.  */
 void en_reports_send_to (EnReports *reports, const char *address,
                          const char *zone, int64_t now_us);
--- a/entry/shares.c
+++ b/entry/shares.c
@@ -6,9 +6,6 @@
 #include "clock/clock.h"
 #include "entry/reports.h"
 
-/* Demand shifts over seconds, and a member is suspect after three missed
-   reports.  */
-#define REPORT_INTERVAL_MS 1000
 /* Membership changes rarely, and the reports of a new member arrive before its
    entry in the store is read.  */
 #define MEMBERS_WATCH_TIMEOUT_MS 30000
@@ -137,7 +134,7 @@
   fl_expire_members (shares->fleet, now_us);
   lm_each_customer (shares->limits, note_customer_demand, &update);
   update_shares (shares, now_us);
-  en_reports_send (shares->reports, now_us);
+  en_reports_send_due (shares->reports, now_us);
 }
 
 static void
@@ -292,7 +289,8 @@
   const EnSettings *settings = options->settings;
   EnShares *shares = g_new0 (EnShares, 1);
   struct timeval report_interval
-      = { REPORT_INTERVAL_MS / 1000, REPORT_INTERVAL_MS % 1000 * 1000 };
+      = { FL_REPORT_INTERVAL_US / CK_US_PER_S,
+          FL_REPORT_INTERVAL_US % CK_US_PER_S };
   GoOptions gossip = { .base = options->base,
                        .listen = settings->gossip_listen,
                        .on_report = on_report,
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -86,6 +86,13 @@
                                     sizeof report->demands[i].requests_per_s));
 }
 
+static gboolean
+is_suspect (const FlMember *member, int64_t now_us)
+{
+  return now_us - member->last_report_us
+         > FL_SUSPECT_TIMEOUT_US + member->interval_us - FL_REPORT_INTERVAL_US;
+}
+
 gboolean
 fl_receive_report (FlFleet *fleet, const FlReport *report, int64_t now_us)
 {
@@ -97,7 +104,7 @@
   if (member != NULL && report->started_ms < member->started_ms)
     return FALSE;
   changed = member == NULL || report->started_ms > member->started_ms
-            || now_us - member->public.last_report_us > FL_SUSPECT_TIMEOUT_US
+            || is_suspect (&member->public, now_us)
             || member->public.ready != report->ready
             || member->public.stopping != report->stopping;
   if (member == NULL || report->started_ms > member->started_ms)
@@ -105,6 +112,8 @@
   member->public.ready = report->ready;
   member->public.stopping = report->stopping;
   member->public.is_zone_leader = report->is_zone_leader;
+  member->public.interval_us = MAX (
+      FL_REPORT_INTERVAL_US, MIN (report->interval_us, FL_EXPIRY_TIMEOUT_US));
   member->public.last_report_us = now_us;
   update_demands (member, report);
   return changed;
@@ -136,8 +145,7 @@
 gboolean
 fl_is_live (const FlMember *member, int64_t now_us)
 {
-  return !member->stopping
-         && now_us - member->last_report_us <= FL_SUSPECT_TIMEOUT_US;
+  return !member->stopping && !is_suspect (member, now_us);
 }
 
 void
@@ -317,3 +325,14 @@
     }
   return leader;
 }
+
+uint32_t
+fl_intervals_to (const FlFleet *fleet, const FlMember *member, int64_t now_us)
+{
+  uint32_t count = g_hash_table_size (fleet->members) + 1;
+
+  if (strcmp (member->region, fleet->region) == 0
+      || fl_zone_leader (fleet, now_us) != FL_ZONE_LEADER_OTHER)
+    return 1;
+  return CLAMP (count / FL_LARGE_FLEET_COUNT + 1, 1, FL_REMOTE_INTERVALS_MAX);
+}
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -8,8 +8,11 @@
 
    DESCRIPTION
      Daemons send each other reports as datagrams, which serve as heartbeats.
-     A member without a report for FL_SUSPECT_TIMEOUT_US is suspect and is no
-     longer returned in lookups.  It may still run, partitioned from this
+     In a large fleet, those to other regions that carry no demand are sent at
+     a longer interval, which the report states: only lookups of callers whose
+     region is lost depend on them.  A member without a report for
+     FL_SUSPECT_TIMEOUT_US beyond that interval is suspect and is no longer
+     returned in lookups.  It may still run, partitioned from this
      daemon, so its share of the rates stays reserved until
      FL_EXPIRY_TIMEOUT_US, when it expires.  A member that reports that it is
      stopping is not returned from then on.
@@ -33,6 +36,12 @@
 #include <glib.h>
 #include <stdint.h>
 
+/* Shortest interval of reports: demand shifts over seconds.  */
+#define FL_REPORT_INTERVAL_US ((int64_t)1000000)
+/* Intervals between reports to other regions, for each FL_LARGE_FLEET_COUNT
+   daemons.  A member that missed all of three reports is near its expiry.  */
+#define FL_LARGE_FLEET_COUNT 40
+#define FL_REMOTE_INTERVALS_MAX 3
 /* Three missed reports.  The platform counts a daemon as disconnected after
    3 s without contact.  Lookups may return a failed daemon for up to 3 s after
    that, so for at most 6 s after its failure.  */
@@ -73,6 +82,7 @@
   gboolean stopping;
   uint64_t config_version;
   gboolean is_zone_leader;
+  int64_t interval_us;     /* until the next report; 0: FL_REPORT_INTERVAL_US */
   const FlDemand *demands; /* its own, or the sums over its zone */
   uint32_t demand_count;
 } FlReport;
@@ -88,6 +98,7 @@
   gboolean ready;
   gboolean stopping;
   gboolean is_zone_leader;
+  int64_t interval_us; /* at least FL_REPORT_INTERVAL_US */
   int64_t last_report_us;
 } FlMember;
 
@@ -146,4 +157,8 @@
 
 FlZoneLeader fl_zone_leader (const FlFleet *fleet, int64_t now_us);
 
+/* Report intervals from one report to MEMBER to the next, at least 1.  */
+uint32_t fl_intervals_to (const FlFleet *fleet, const FlMember *member,
+                          int64_t now_us);
+
 #endif
--- a/fleet/fleet_test.cc
+++ b/fleet/fleet_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <string>
+
 extern "C"
 {
 #include "fleet/fleet.h"
@@ -144,4 +146,42 @@
   EXPECT_EQ (fl_zone_leader (fleet, now_us), FL_ZONE_LEADER_SELF);
 }
 
+/* Guards against reports to all daemons of a large fleet in each interval:
+   they would grow with the square of its size.  A member that reports less
+   often is suspect later, or lookups and shares would change all the time.  */
+TEST_F (Fleet, ReportsLessOftenToOtherRegionsOfALargeFleet)
+{
+  FlMember near = {}, far = {};
+  near.region = "a";
+  far.region = "b";
+  Receive ("vm0", "a1", "a", 1, FALSE, TRUE);
+  now_us += FL_DISCOVERY_US;
+  Receive ("vm0", "a1", "a", 1, FALSE, TRUE);
+  EXPECT_EQ (fl_intervals_to (fleet, &far, now_us), 1u);
+  for (int i = 0; i < 118; i++)
+    Receive (("w" + std::to_string (i)).c_str (), "b1", "b");
+  EXPECT_EQ (fl_intervals_to (fleet, &far, now_us),
+             (uint32_t)FL_REMOTE_INTERVALS_MAX);
+  EXPECT_EQ (fl_intervals_to (fleet, &near, now_us), 1u);
+}
+
+/* Guards against taking a member for lost that reports at a longer interval.  */
+TEST_F (Fleet, SuspectsAMemberByItsOwnInterval)
+{
+  FlReport report = {};
+  report.name = "vm9";
+  report.zone = "b1";
+  report.region = "b";
+  report.started_ms = 1;
+  report.front_address = "10.0.0.9:80";
+  report.gossip_address = "10.0.0.9:90";
+  report.ready = TRUE;
+  report.interval_us = 3 * FL_REPORT_INTERVAL_US;
+  fl_receive_report (fleet, &report, now_us);
+  now_us += FL_SUSPECT_TIMEOUT_US + 2 * FL_REPORT_INTERVAL_US;
+  EXPECT_EQ (CountLiveMembers (), 1);
+  now_us += 1;
+  EXPECT_EQ (CountLiveMembers (), 0);
+}
+
 }
--- a/gossip/gossip.c
+++ b/gossip/gossip.c
@@ -101,6 +101,7 @@
     .ready = message->ready,
     .stopping = message->stopping,
     .is_zone_leader = message->speaks_for_zone,
+    .interval_us = (int64_t)message->interval_ms * 1000,
     .config_version = message->config_version,
     .demands = demands,
     .demand_count = (uint32_t)demand_count,
@@ -276,6 +277,7 @@
   message.ready = report->ready;
   message.stopping = report->stopping;
   message.speaks_for_zone = report->is_zone_leader;
+  message.interval_ms = (uint32_t)(report->interval_us / 1000);
   message.config_version = report->config_version;
   for (uint32_t i = 0; i < demand_count; i++)
     {
--- a/wire/gossip.pb-c.c
+++ b/wire/gossip.pb-c.c
@@ -367,7 +367,7 @@
   assert(message->base.descriptor == &gossip__datagram__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gossip__report__field_descriptors[12] =
+static const ProtobufCFieldDescriptor gossip__report__field_descriptors[13] =
 {
   {
     "name",
@@ -513,6 +513,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "interval_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Report, interval_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__report__field_indices_by_name[] = {
   8,   /* field[8] = config_version */
@@ -520,6 +532,7 @@
   10,   /* field[10] = demands_milli_per_s */
   4,   /* field[4] = front_address */
   5,   /* field[5] = gossip_address */
+  12,   /* field[12] = interval_ms */
   0,   /* field[0] = name */
   6,   /* field[6] = ready */
   3,   /* field[3] = region */
@@ -532,7 +545,7 @@
 {
   { 1, 0 },
   { 11, 9 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor gossip__report__descriptor =
 {
@@ -542,7 +555,7 @@
   "Gossip__Report",
   "gossip",
   sizeof(Gossip__Report),
-  12,
+  13,
   gossip__report__field_descriptors,
   gossip__report__field_indices_by_name,
   2,  gossip__report__number_ranges,
--- a/wire/gossip.pb-c.h
+++ b/wire/gossip.pb-c.h
@@ -66,10 +66,14 @@
   uint32_t *customers;
   size_t n_demands_milli_per_s;
   uint32_t *demands_milli_per_s;
+  /*
+   * Time until the next report to this recipient; 0 is one second.
+   */
+  uint32_t interval_ms;
 };
 #define GOSSIP__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
