targets: one replica an object

Cause: from 15 s after the first request, where caches have room, an object got a second replica in another zone, to save bytes between zones. A daemon that does not know which one has the object cached sends its first request to the nearer one, and that request is a late one.

Change: the second replica and what decided on it are gone. Target.DaemonsOfAllZonesUseOneTargetAnObject fails on the earlier code.

--- a/entry/shares.c
+++ b/entry/shares.c
@@ -288,9 +288,8 @@
 {
   const EnSettings *settings = options->settings;
   EnShares *shares = g_new0 (EnShares, 1);
-  struct timeval report_interval
-      = { FL_REPORT_INTERVAL_US / CK_US_PER_S,
-          FL_REPORT_INTERVAL_US % CK_US_PER_S };
+  struct timeval report_interval = { FL_REPORT_INTERVAL_US / CK_US_PER_S,
+                                     FL_REPORT_INTERVAL_US % CK_US_PER_S };
   GoOptions gossip = { .base = options->base,
                        .listen = settings->gossip_listen,
                        .on_report = on_report,
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -82,7 +82,7 @@
   gboolean stopping;
   uint64_t config_version;
   gboolean is_zone_leader;
-  int64_t interval_us;     /* until the next report; 0: FL_REPORT_INTERVAL_US */
+  int64_t interval_us; /* until the next report; 0: FL_REPORT_INTERVAL_US */
   const FlDemand *demands; /* its own, or the sums over its zone */
   uint32_t demand_count;
 } FlReport;
--- a/fleet/fleet_test.cc
+++ b/fleet/fleet_test.cc
@@ -165,7 +165,8 @@
   EXPECT_EQ (fl_intervals_to (fleet, &near, now_us), 1u);
 }
 
-/* Guards against taking a member for lost that reports at a longer interval.  */
+/* Guards against taking a member for lost that reports at a longer interval.
+ */
 TEST_F (Fleet, SuspectsAMemberByItsOwnInterval)
 {
   FlReport report = {};
--- a/targets/internal.h
+++ b/targets/internal.h
@@ -41,21 +41,6 @@
    similar estimates.  */
 #define TG_TIEBREAK_COST_US 40000
 
-/* Most replicas of an object.  A second one, in another zone, saves traffic
-   between zones, but takes cache space from other objects, and requests wait
-   while its cache is filled.  So it is added only while the targets have ample
-   cache space, and after the first replicas have their objects cached.  */
-#define TG_REPLICAS_MAX 2
-/* Second replicas are added while targets have at most this many objects on
-   average, second replicas included: half of the smallest cache of a
-   target.  */
-#define TG_SECOND_REPLICA_OBJECTS_MAX 7
-/* Time from a service's first request for an object until second replicas are
-   added; by then most objects have been requested.  */
-#define TG_SECOND_REPLICA_DELAY_US ((int64_t)15000000)
-/* Added to the estimated time of a second replica: the first is more likely to
-   have the object cached.  */
-#define TG_SECOND_REPLICA_COST_US 40000
 /* Capacity of a target beyond the average number of objects per target, as a
    divisor of that number.  With it, the rendezvous hash decides where most
    objects are placed, not the capacity.  Targets can cache a sixth more
@@ -87,8 +72,8 @@
 typedef struct
 {
   uint64_t hash;
-  int64_t requested_us;                /* time of the last request */
-  TgTarget *replicas[TG_REPLICAS_MAX]; /* first and second; NULL: none */
+  int64_t requested_us; /* time of the last request */
+  TgTarget *replica;    /* NULL: none */
 } TgObject;
 
 typedef struct
@@ -97,7 +82,6 @@
   GPtrArray *targets;       /* TgTarget */
   GHashTable *objects;      /* hash to TgObject */
   double local_fraction;    /* of the objects, to place in this region */
-  int64_t first_request_us; /* time of the first request for an object */
   gboolean placement_stale; /* the targets have changed since placed_us */
   int64_t placed_us;        /* time of the last rebuild of the placement */
   int64_t service_us;       /* EWMA of the service time; 0: none yet */
@@ -113,8 +97,8 @@
   char *zone;
   char *region;
   TgDistance distance;
-  uint32_t primary_count; /* objects of which it is the first replica */
-  double capacity_left;   /* objects that may still be placed on it */
+  uint32_t object_count; /* objects of which it is the replica */
+  double capacity_left;  /* objects that may still be placed on it */
   uint32_t slot_count;
   gboolean draining;
   gboolean removed;
--- a/targets/pick.c
+++ b/targets/pick.c
@@ -8,7 +8,7 @@
 /* A request in flight for longer than this many service times of a cache miss
    makes its target count as slow before the response.  */
 #define OVERDUE_FACTOR 2
-/* Targets that are considered for an object without an allowed replica.  */
+/* Targets that are considered for an object whose replica is not allowed.  */
 #define ALTERNATES_MAX 2
 /* Added to the estimated time of the second one, so that it is used only when
    the queue of the first one is long, whichever zone the two are in.  */
@@ -294,8 +294,8 @@
                        i * SECOND_ALTERNATE_COST_US);
 }
 
-/* Where no replica is allowed, because of the home regions of the request or
-   because the replicas are cold, the requests of all daemons for the object
+/* Where the replica is not allowed, because of the home regions of the request
+   or because it is cold, the requests of all daemons for the object
    still have to meet at few targets, or each of them would be a cache miss.
    The first choice is the target that place_object would choose.  */
 static void
@@ -315,7 +315,7 @@
     consider_alternates (search, service, !is_local);
 }
 
-/* Requests for a placed object use other targets only where no replica is
+/* Requests for a placed object use other targets only where its replica is not
    allowed: a cache miss takes several times as long and evicts another object
    from the target's cache.  */
 TgPick
@@ -334,15 +334,12 @@
 
   search.queue_service_us
       = service->service_us != 0 ? service->service_us : search.route->hit_us;
-  for (int i = 0; object != NULL && i < TG_REPLICAS_MAX; i++)
-    if (object->replicas[i] != NULL)
-      consider_target (&search, object->replicas[i],
-                       i * TG_SECOND_REPLICA_COST_US);
+  if (object != NULL && object->replica != NULL)
+    consider_target (&search, object->replica, 0);
   if (!search.any_allowed)
     consider_without_replica (&search, service);
-  choice->is_replica = search.found && object != NULL
-                       && (choice->target == object->replicas[0]
-                           || choice->target == object->replicas[1]);
+  choice->is_replica
+      = search.found && object != NULL && choice->target == object->replica;
   if (search.found && query->may_hold && object != NULL && !choice->cached
       && is_filling_cache (choice->target, query->object_hash))
     return TG_PICK_HOLD;
--- a/targets/place.c
+++ b/targets/place.c
@@ -69,22 +69,22 @@
                        objects_per_target
                            + objects_per_target / TG_CAPACITY_SLACK_DIVISOR);
       target->capacity_left
-          = MAX (0.0, capacity + 1 - (double)target->primary_count);
+          = MAX (0.0, capacity + 1 - (double)target->object_count);
     }
 }
 
 static void
-count_primaries (TgService *service)
+count_objects (TgService *service)
 {
   GHashTableIter objects;
   gpointer value;
 
   for (guint i = 0; i < service->targets->len; i++)
-    ((TgTarget *)service->targets->pdata[i])->primary_count = 0;
+    ((TgTarget *)service->targets->pdata[i])->object_count = 0;
   g_hash_table_iter_init (&objects, service->objects);
   while (g_hash_table_iter_next (&objects, NULL, &value))
-    if (((TgObject *)value)->replicas[0] != NULL)
-      ((TgObject *)value)->replicas[0]->primary_count++;
+    if (((TgObject *)value)->replica != NULL)
+      ((TgObject *)value)->replica->object_count++;
 }
 
 /* Depends on the hash of the object, so that all daemons select the same
@@ -100,11 +100,10 @@
 
 /* Returns the target with the highest rendezvous weight among those with
    capacity left, in this region if IS_LOCAL, else in the others, or NULL.  By
-   rendezvous hashing, a change of one target moves few objects.  FIRST is the
-   object's first replica, whose zone is excluded, or NULL.  */
+   rendezvous hashing, a change of one target moves few objects.  */
 static TgTarget *
 choose_replica (const TgSet *set, const TgService *service,
-                uint64_t object_hash, gboolean is_local, const TgTarget *first)
+                uint64_t object_hash, gboolean is_local)
 {
   TgTarget *best = NULL;
   uint64_t best_weight = 0;
@@ -114,8 +113,7 @@
       TgTarget *target = service->targets->pdata[i];
       uint64_t weight;
       if ((target->distance != TG_OTHER_REGION) != is_local
-          || target->capacity_left < 1 || !tg_is_available (set, target)
-          || (first != NULL && strcmp (first->zone, target->zone) == 0))
+          || target->capacity_left < 1 || !tg_is_available (set, target))
         continue;
       weight = tg_rendezvous_weight (target, object_hash);
       if (best != NULL && weight <= best_weight)
@@ -130,29 +128,15 @@
 place_object (const TgSet *set, TgService *service, TgObject *object)
 {
   gboolean is_local = tg_is_local_object (service, object->hash);
-  TgTarget *replica
-      = choose_replica (set, service, object->hash, is_local, NULL);
+  TgTarget *replica = choose_replica (set, service, object->hash, is_local);
 
   if (replica == NULL)
-    replica = choose_replica (set, service, object->hash, !is_local, NULL);
-  object->replicas[0] = replica;
-  object->replicas[1] = NULL;
+    replica = choose_replica (set, service, object->hash, !is_local);
+  object->replica = replica;
   if (replica == NULL)
     return;
   replica->capacity_left -= 1;
-  replica->primary_count++;
-}
-
-static gboolean
-allows_second_replica (const TgSet *set, const TgService *service,
-                       int64_t now_us)
-{
-  double object_count = (double)g_hash_table_size (service->objects);
-
-  return now_us - service->first_request_us >= TG_SECOND_REPLICA_DELAY_US
-         && object_count * TG_REPLICAS_MAX * set->region_count
-                <= (double)TG_SECOND_REPLICA_OBJECTS_MAX
-                       * service->targets->len;
+  replica->object_count++;
 }
 
 static gboolean
@@ -186,11 +170,11 @@
   g_hash_table_iter_init (&objects, service->objects);
   while (g_hash_table_iter_next (&objects, NULL, &value))
     {
-      ((TgObject *)value)->replicas[0] = NULL;
+      ((TgObject *)value)->replica = NULL;
       g_ptr_array_add (sorted, value);
     }
   g_ptr_array_sort (sorted, compare_hashes);
-  count_primaries (service);
+  count_objects (service);
   set_capacities (set, service);
   for (guint i = 0; i < sorted->len; i++)
     place_object (set, service, sorted->pdata[i]);
@@ -212,19 +196,12 @@
   object = g_hash_table_lookup (service->objects, &object_hash);
   if (object == NULL)
     {
-      if (service->first_request_us == 0)
-        service->first_request_us = now_us;
       object = g_new0 (TgObject, 1);
       object->hash = object_hash;
       g_hash_table_insert (service->objects, &object->hash, object);
       set_capacities (set, service);
       place_object (set, service, object);
     }
-  if (object->replicas[1] == NULL && object->replicas[0] != NULL
-      && object->replicas[0]->distance != TG_OTHER_REGION
-      && allows_second_replica (set, service, now_us))
-    object->replicas[1] = choose_replica (set, service, object_hash, TRUE,
-                                          object->replicas[0]);
   object->requested_us = now_us;
   return object;
 }
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -85,7 +85,7 @@
 
 /* Objects must not keep pointers to a removed target.  */
 static void
-clear_replicas (TgService *service, const TgTarget *target)
+clear_replica (TgService *service, const TgTarget *target)
 {
   GHashTableIter objects;
   gpointer value;
@@ -93,9 +93,8 @@
   service->placement_stale = TRUE;
   g_hash_table_iter_init (&objects, service->objects);
   while (g_hash_table_iter_next (&objects, NULL, &value))
-    for (int i = 0; i < TG_REPLICAS_MAX; i++)
-      if (((TgObject *)value)->replicas[i] == target)
-        ((TgObject *)value)->replicas[i] = NULL;
+    if (((TgObject *)value)->replica == target)
+      ((TgObject *)value)->replica = NULL;
 }
 
 gboolean
@@ -109,7 +108,7 @@
   service = tg_get_service (set, target->service);
   target->removed = TRUE;
   g_ptr_array_remove_fast (service->targets, target);
-  clear_replicas (service, target);
+  clear_replica (service, target);
   g_hash_table_remove (set->targets, id);
   return TRUE;
 }
--- a/targets/targets.h
+++ b/targets/targets.h
@@ -20,12 +20,14 @@
      objects that it handled recently and so is expected to have cached.
 
      A request may name an object, by a hash; a target responds faster if it
-     has the object cached.  Each object is placed on at most two targets, its
-     replicas, so that requests for it hit a cache.  Replicas are in the
-     daemon's own region while that has capacity, otherwise in another region;
-     a second one is in another zone of the own region.  The placement depends
-     only on the objects and the targets, so daemons of a region agree without
-     exchanging messages.
+     has the object cached.  Each object is placed on one target, its replica,
+     so that requests for it hit a cache.  The replica is in the daemon's own
+     region while that has capacity, otherwise in another region.  The
+     placement depends only on the objects and the targets, so daemons of a
+     region agree without exchanging messages.  Where the replica may not be
+     used, because of the home regions of a request or because it is cold, a
+     hash of the object selects another target, on which all daemons agree,
+     too.
 
      tg_pick estimates for each candidate the time to a response: queueing
      time, service time of a cache hit or miss, network distance, and the
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -237,6 +237,41 @@
     EXPECT_LE (targets.size (), 2u) << object;
 }
 
+/* Guards against a daemon that sends its first requests for objects to other
+   targets than the daemons that have filled a cache with them: those requests
+   are late (tammemets-boards-large, quiet-1, from 14 s).  */
+TEST_F (Target, DaemonsOfAllZonesUseOneTargetAnObject)
+{
+  std::map<uint64_t, std::set<std::string> > seen;
+  TgOptions options = { "a2", "a", 1 };
+  TgSet *other = tg_new (&options);
+  for (int i = 0; i < 12; i++)
+    {
+      std::string id = "t" + std::to_string (i);
+      TgEntry entry = Entry (id.c_str (), i < 6 ? "a1" : "a2", "a");
+      tg_update (set, &entry, now_us);
+      tg_update (other, &entry, now_us);
+    }
+  for (int round = 0; round < 60; round++, now_us += kSecond / 2)
+    for (uint64_t object = 0; object <= 10; object++)
+      for (TgSet *daemon : { set, other })
+        {
+          TgQuery query = Query (object * 7919 + 1);
+          TgChoice choice;
+          TgResult result = { .kind = TG_RESULT_SUCCESS };
+          if (daemon == other && round < 40 && object > 0)
+            continue;
+          ASSERT_EQ (tg_pick (daemon, &query, now_us, &choice), TG_PICK_FOUND);
+          seen[object].insert (tg_id (choice.target));
+          tg_attempt_end (daemon,
+                          tg_attempt_begin (daemon, &query, &choice, now_us),
+                          &result, now_us);
+        }
+  for (auto &[object, targets] : seen)
+    EXPECT_EQ (targets.size (), 1u) << object;
+  tg_free (other);
+}
+
 /* Guards against a burst spreading objects over targets that do not have them
    cached, each of which then evicts other objects (ctdc-lidar, scale-2).  */
 TEST_F (Target, RefusesInsteadOfSpreadingAnObject)
