targets: leave a target that does not respond, and use another one for its objects

And while a target was in backoff, requests for its objects were refused as if its queue were full, although others had room, until its entry expired.

Change: a request without a response for three service times of a miss, and without any other response since it was sent, shows that its target does not respond: it gets no more before they time out, and is in backoff after that. Objects of a target in backoff go to the next one by hash.

Ruled out: counting every timeout; a caller may leave little time, and one slow request is no lost target (Target.KeepsATargetThatRespondsToOtherRequests).

Target.SendsObjectsOfALostTargetElsewhere and LeavesATargetThatDoesNotRespondBeforeRequestsTimeOut fail on the earlier code.

--- a/entry/send.c
+++ b/entry/send.c
@@ -230,9 +230,8 @@
 
   if (verdict == VERDICT_ERROR_RESPONSE && result->status < 500)
     attempt_result.kind = TG_RESULT_SUCCESS;
-  /* A timeout counts as an error of the target, but starts no backoff.  */
   if (verdict == VERDICT_NO_RESPONSE && result->failure == BK_FAILURE_TIMEOUT)
-    attempt_result.kind = TG_RESULT_FAILED;
+    attempt_result.kind = TG_RESULT_TIMEOUT;
   attempt_result.has_load = parse_load (request, result, &attempt_result);
   tg_attempt_end (get_targets (request), request->attempt, &attempt_result,
                   ck_boot_us ());
--- a/targets/internal.h
+++ b/targets/internal.h
@@ -121,7 +121,8 @@
   int64_t shed_until_us;
   uint32_t no_response_count; /* attempts since its last success */
   int64_t backoff_until_us;
-  double error_fraction; /* of its recent requests */
+  int64_t last_success_us; /* 0: never */
+  double error_fraction;   /* of its recent requests */
   int64_t error_updated_us;
   double miss_fraction; /* of the requests that were expected to hit */
   double slowness;      /* ratio of the actual to the expected service time */
@@ -170,6 +171,9 @@
 uint64_t tg_rendezvous_weight (const TgTarget *target, uint64_t object_hash);
 TgRoute *tg_get_route (TgSet *set, const TgQuery *query);
 gboolean tg_is_cold (const TgTarget *target, int64_t now_us);
+/* Whether ATTEMPT has lasted long without a response, and its target has
+   responded to no other one since it began.  */
+gboolean tg_is_unanswered (const TgAttempt *attempt, int64_t now_us);
 /* Decayed to NOW_US.  */
 double tg_error_fraction (const TgTarget *target, int64_t now_us);
 uint64_t tg_hash (const char *text);
--- a/targets/pick.c
+++ b/targets/pick.c
@@ -8,7 +8,11 @@
 /* A request in flight for longer than this many service times of a cache miss
    makes its target count as slow before the response.  */
 #define OVERDUE_FACTOR 2
-/* Targets that are considered for an object whose replica is not allowed.  */
+/* A request without a response for this many service times of a cache miss,
+   and without one to any other request since, shows that its target does not
+   respond.  */
+#define UNANSWERED_FACTOR 3
+/* Targets that are considered for an object whose replica can't be used.  */
 #define ALTERNATES_MAX 2
 /* Added to the estimated time of the second one, so that it is used only when
    the queue of the first one is long, whichever zone the two are in.  */
@@ -151,11 +155,23 @@
   return TRUE;
 }
 
-/* After the backoff, one request at a time is sent until the target
-   responds.  */
+gboolean
+tg_is_unanswered (const TgAttempt *attempt, int64_t now_us)
+{
+  return attempt->target->last_success_us < attempt->started_us
+         && now_us - attempt->started_us
+                >= UNANSWERED_FACTOR * attempt->route->miss_us;
+}
+
+/* After the backoff, one request at a time is sent until the target responds.
+   A target that accepts requests and responds to none is left alone before
+   they time out.  */
 static gboolean
 is_in_backoff (const TgTarget *target, int64_t now_us)
 {
+  if (target->in_flight_count > 0
+      && tg_is_unanswered (target->in_flight.head->data, now_us))
+    return TRUE;
   if (target->no_response_count == 0)
     return FALSE;
   return target->backoff_until_us > now_us || target->in_flight_count > 0;
@@ -272,7 +288,8 @@
     }
 }
 
-static void
+/* Returns FALSE if no target can be considered.  */
+static gboolean
 consider_alternates (PickSearch *search, const TgService *service,
                      gboolean is_local)
 {
@@ -281,9 +298,11 @@
   for (guint i = 0; i < service->targets->len; i++)
     {
       TgTarget *target = service->targets->pdata[i];
-      if ((target->distance != TG_OTHER_REGION) == is_local
-          && is_allowed (search->set, target, search->query, search->now_us)
-          && !is_in_backoff (target, search->now_us))
+      if ((target->distance != TG_OTHER_REGION) != is_local
+          || !is_allowed (search->set, target, search->query, search->now_us))
+        continue;
+      search->any_allowed = TRUE;
+      if (!is_in_backoff (target, search->now_us))
         add_alternate (
             &alternates, target,
             tg_rendezvous_weight (target, search->query->object_hash));
@@ -292,12 +311,13 @@
     if (alternates.targets[i] != NULL)
       consider_target (search, alternates.targets[i],
                        i * SECOND_ALTERNATE_COST_US);
+  return alternates.targets[0] != NULL;
 }
 
-/* Where the replica is not allowed, because of the home regions of the request
-   or because it is cold, the requests of all daemons for the object
-   still have to meet at few targets, or each of them would be a cache miss.
-   The first choice is the target that place_object would choose.  */
+/* Where the replica can't be used, because of the home regions of the request
+   or because it is cold or in backoff, the requests of all daemons for the
+   object still have to meet at few targets, or each of them would be a cache
+   miss. The first choice is the target that place_object would choose.  */
 static void
 consider_without_replica (PickSearch *search, const TgService *service)
 {
@@ -310,14 +330,13 @@
       return;
     }
   is_local = tg_is_local_object (service, search->query->object_hash);
-  consider_alternates (search, service, is_local);
-  if (!search->any_allowed)
+  if (!consider_alternates (search, service, is_local))
     consider_alternates (search, service, !is_local);
 }
 
 /* Requests for a placed object use other targets only where its replica is not
-   allowed: a cache miss takes several times as long and evicts another object
-   from the target's cache.  */
+   allowed or in backoff: a cache miss takes several times as long and evicts
+   another object from the target's cache.  */
 TgPick
 tg_pick (TgSet *set, const TgQuery *query, int64_t now_us, TgChoice *choice)
 {
@@ -334,7 +353,8 @@
 
   search.queue_service_us
       = service->service_us != 0 ? service->service_us : search.route->hit_us;
-  if (object != NULL && object->replica != NULL)
+  if (object != NULL && object->replica != NULL
+      && !is_in_backoff (object->replica, now_us))
     consider_target (&search, object->replica, 0);
   if (!search.any_allowed)
     consider_without_replica (&search, service);
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -374,6 +374,7 @@
   switch (result->kind)
     {
     case TG_RESULT_SUCCESS:
+      target->last_success_us = now_us;
       tg_cache_add (target, attempt->object_hash);
       end_backoff (target, now_us);
       update_error_fraction (target, FALSE, now_us);
@@ -382,6 +383,11 @@
     case TG_RESULT_FAILED:
       update_error_fraction (target, TRUE, now_us);
       break;
+    case TG_RESULT_TIMEOUT:
+      update_error_fraction (target, TRUE, now_us);
+      if (tg_is_unanswered (attempt, now_us))
+        start_backoff (target, attempt->cold_us, now_us);
+      break;
     case TG_RESULT_SHED:
       update_error_fraction (target, TRUE, now_us);
       tg_cache_remove (target, attempt->object_hash);
--- a/targets/targets.h
+++ b/targets/targets.h
@@ -41,6 +41,11 @@
      together take less time than each of them would take if both ran as
      misses at once, and cost the target a third of the work of those.
 
+     A target that does not respond is in backoff: it gets no requests for a
+     time that doubles, then one at a time until it responds.  That includes
+     one that accepts requests and responds to none of them.  Requests for its
+     objects use another target meanwhile.
+
      A cold target, one that has started a short time ago, receives requests
      only up to this daemon's share of the rate that the target can handle
      while cold.  A target that responds again after it failed to respond
@@ -125,7 +130,8 @@
 typedef enum
 {
   TG_RESULT_SUCCESS,     /* or an error that the request itself caused */
-  TG_RESULT_FAILED,      /* error or invalid response, or timeout */
+  TG_RESULT_FAILED,      /* error or invalid response */
+  TG_RESULT_TIMEOUT,     /* no response before the deadline */
   TG_RESULT_SHED,        /* refused by the target without running it */
   TG_RESULT_MISDIRECTED, /* another target has the address now */
   TG_RESULT_NO_RESPONSE, /* no connection, or an incomplete response */
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -272,6 +272,69 @@
   tg_free (other);
 }
 
+/* Guards against refusing the requests for the objects of a target that is
+   lost, while others have room: it stays listed for seconds.  */
+TEST_F (Target, SendsObjectsOfALostTargetElsewhere)
+{
+  AddTarget ("t1");
+  AddTarget ("t2", "a2");
+  AddTarget ("t3", "a2");
+  TgAttempt *first = BeginAttempt (Query (7919));
+  std::string lost = tg_id (tg_attempt_target (first));
+  EndAttempt (first, TG_RESULT_NO_RESPONSE);
+  TgAttempt *second = BeginAttempt (Query (7919));
+  ASSERT_NE (second, nullptr);
+  EXPECT_NE (lost, tg_id (tg_attempt_target (second)));
+  EndAttempt (second, TG_RESULT_SUCCESS);
+}
+
+/* Guards against a target that accepts requests and responds to none keeping
+   its objects, whose requests all time out (incident of
+   tammemets-boards-grown, 18 to 28 s).  */
+TEST_F (Target, LeavesATargetThatDoesNotRespondBeforeRequestsTimeOut)
+{
+  std::vector<TgAttempt *> stuck;
+  AddTarget ("t1");
+  AddTarget ("t2", "a2");
+  AddTarget ("t3", "a2");
+  stuck.push_back (BeginAttempt (Query (7919)));
+  stuck.push_back (BeginAttempt (Query (7919)));
+  std::string silent = tg_id (tg_attempt_target (stuck[0]));
+  now_us += kSecond;
+  TgAttempt *next = BeginAttempt (Query (7919));
+  ASSERT_NE (next, nullptr);
+  EXPECT_NE (silent, tg_id (tg_attempt_target (next)));
+  EndAttempt (next, TG_RESULT_SUCCESS);
+  for (TgAttempt *attempt : stuck)
+    EndAttempt (attempt, TG_RESULT_TIMEOUT);
+  next = BeginAttempt (Query (7919));
+  ASSERT_NE (next, nullptr);
+  EXPECT_NE (silent, tg_id (tg_attempt_target (next)));
+  EndAttempt (next, TG_RESULT_SUCCESS);
+}
+
+/* Guards against taking a target for lost because one request at it takes
+   long, or because a caller left it little time.  */
+TEST_F (Target, KeepsATargetThatRespondsToOtherRequests)
+{
+  AddTarget ("t1");
+  TgAttempt *slow = BeginAttempt (Query (7919));
+  now_us += kSecond / 2;
+  EndAttempt (BeginAttempt (Query (7919)), TG_RESULT_SUCCESS);
+  now_us += kSecond;
+  TgAttempt *next = BeginAttempt (Query (7919));
+  ASSERT_NE (next, nullptr);
+  EndAttempt (next, TG_RESULT_SUCCESS);
+  EndAttempt (slow, TG_RESULT_TIMEOUT);
+  now_us += 5 * kSecond;
+  TgAttempt *hurried = BeginAttempt (Query (7919));
+  ASSERT_NE (hurried, nullptr);
+  now_us += kSecond / 20;
+  EndAttempt (hurried, TG_RESULT_TIMEOUT);
+  EXPECT_NE (next = BeginAttempt (Query (7919)), nullptr);
+  EndAttempt (next, TG_RESULT_SUCCESS);
+}
+
 /* Guards against a burst spreading objects over targets that do not have them
    cached, each of which then evicts other objects (ctdc-lidar, scale-2).  */
 TEST_F (Target, RefusesInsteadOfSpreadingAnObject)
