targets: a timeout of one service time shows that a target is silent

Two service times now show it while the request waits, one when it has timed out. Target.LeavesATargetAfterAShortTimeout fails with the earlier bounds.

--- a/targets/internal.h
+++ b/targets/internal.h
@@ -171,9 +171,10 @@
 uint64_t tg_rendezvous_weight (const TgTarget *target, uint64_t object_hash);
 TgRoute *tg_get_route (TgSet *set, const TgQuery *query);
 gboolean tg_is_cold (const TgTarget *target, int64_t now_us);
-/* Whether ATTEMPT has lasted long without a response, and its target has
-   responded to no other one since it began.  */
-gboolean tg_is_unanswered (const TgAttempt *attempt, int64_t now_us);
+/* Whether ATTEMPT has lasted MISS_COUNT service times of a cache miss without
+   a response, and its target has responded to no other one since it began.  */
+gboolean tg_is_unanswered (const TgAttempt *attempt, uint32_t miss_count,
+                           int64_t now_us);
 /* Decayed to NOW_US.  */
 double tg_error_fraction (const TgTarget *target, int64_t now_us);
 uint64_t tg_hash (const char *text);
--- a/targets/pick.c
+++ b/targets/pick.c
@@ -156,11 +156,12 @@
 }
 
 gboolean
-tg_is_unanswered (const TgAttempt *attempt, int64_t now_us)
+tg_is_unanswered (const TgAttempt *attempt, uint32_t miss_count,
+                  int64_t now_us)
 {
   return attempt->target->last_success_us < attempt->started_us
          && now_us - attempt->started_us
-                >= UNANSWERED_FACTOR * attempt->route->miss_us;
+                >= miss_count * attempt->route->miss_us;
 }
 
 /* After the backoff, one request at a time is sent until the target responds.
@@ -170,7 +171,8 @@
 is_in_backoff (const TgTarget *target, int64_t now_us)
 {
   if (target->in_flight_count > 0
-      && tg_is_unanswered (target->in_flight.head->data, now_us))
+      && tg_is_unanswered (target->in_flight.head->data, UNANSWERED_FACTOR,
+                           now_us))
     return TRUE;
   if (target->no_response_count == 0)
     return FALSE;
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -385,7 +385,8 @@
       break;
     case TG_RESULT_TIMEOUT:
       update_error_fraction (target, TRUE, now_us);
-      if (tg_is_unanswered (attempt, now_us))
+      /* The deadline may leave little more than one service time.  */
+      if (tg_is_unanswered (attempt, 1, now_us))
         start_backoff (target, attempt->cold_us, now_us);
       break;
     case TG_RESULT_SHED:
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -313,6 +313,23 @@
   EndAttempt (next, TG_RESULT_SUCCESS);
 }
 
+/* Guards against each request for the objects of a silent target waiting for
+   its timeout, where that is shorter than two service times of a miss
+   (incident of tammemets-boards-large, 18 to 28 s).  */
+TEST_F (Target, LeavesATargetAfterAShortTimeout)
+{
+  AddTarget ("t1");
+  AddTarget ("t2", "a2");
+  TgAttempt *first = BeginAttempt (Query (7919));
+  std::string silent = tg_id (tg_attempt_target (first));
+  now_us += 300 * kMs;
+  EndAttempt (first, TG_RESULT_TIMEOUT);
+  TgAttempt *next = BeginAttempt (Query (7919));
+  ASSERT_NE (next, nullptr);
+  EXPECT_NE (silent, tg_id (tg_attempt_target (next)));
+  EndAttempt (next, TG_RESULT_SUCCESS);
+}
+
 /* Guards against taking a target for lost because one request at it takes
    long, or because a caller left it little time.  */
 TEST_F (Target, KeepsATargetThatRespondsToOtherRequests)
