--- a/client/explain.c
+++ b/client/explain.c
@@ -63,6 +63,8 @@
                       "passed on" },
   { "event=407 ",
     "cancelled: the caller closed the connection before the response" },
+  { "event=409 ",
+    "lost: the daemon ended and closed the connection without a response" },
 };
 
 static void
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -46,6 +46,9 @@
   MtCounter *store_writes;
   MtCounter *store_failures;
   MtCounter *dropped_lines;
+  MtCounter *front_timeouts;
+  MtCounter *front_malformed;
+  MtCounter *front_over_limit;
 };
 
 static gboolean
@@ -120,6 +123,7 @@
 {
   EnEntry *entry = data;
   const PfCounters *counters = pf_store_counters (entry->store);
+  const FrCounters *front = en_proxy_front_counters (entry->proxy);
 
   mt_set (entry->config_age,
           en_view_config_age_us (entry->view, ck_boot_us ()));
@@ -129,6 +133,9 @@
           (int64_t)(counters->write_count + counters->renewal_count));
   mt_set (entry->store_failures, (int64_t)counters->failure_count);
   mt_set (entry->dropped_lines, (int64_t)tr_dropped_count (entry->trace));
+  mt_set (entry->front_timeouts, (int64_t)front->timeout_count);
+  mt_set (entry->front_malformed, (int64_t)front->malformed_count);
+  mt_set (entry->front_over_limit, (int64_t)front->over_limit_count);
 }
 
 static void
@@ -147,6 +154,13 @@
       = mt_gauge (metrics, "store_failures_total", "Calls that failed");
   entry->dropped_lines = mt_gauge (metrics, "log_lines_dropped_total",
                                    "Log lines that were left out");
+  entry->front_timeouts = mt_gauge (metrics, "front_timeouts_total",
+                                    "Connections of callers that timed out");
+  entry->front_malformed = mt_gauge (metrics, "front_malformed_total",
+                                     "Malformed requests of callers");
+  entry->front_over_limit
+      = mt_gauge (metrics, "front_over_limit_total",
+                  "Connections of callers closed above the limit");
 }
 
 /* Applies the bounds only; other settings need a restart.  */
@@ -331,7 +345,9 @@
 en_run (EnEntry *entry)
 {
   event_base_dispatch (entry->base);
-  tr_log (entry->trace, EV_DAEMON_STOPPED, "vm=%s", entry->settings->vm);
+  tr_log (entry->trace, EV_DAEMON_STOPPED, "running=%u connections=%u",
+          en_proxy_front_counters (entry->proxy)->running_count,
+          en_proxy_front_counters (entry->proxy)->connection_count);
 }
 
 static void
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -42,6 +42,7 @@
   [EN_OUTCOME_UNKNOWN] = { "unknown", 502 },
   [EN_OUTCOME_TIMEOUT] = { "timeout", 504 },
   [EN_OUTCOME_CANCELLED] = { "gone", 0 },
+  [EN_OUTCOME_CUT] = { "cut", 0 },
 };
 
 static void
@@ -145,26 +146,31 @@
     en_proxy_release_held (proxy, request->object_hash);
 }
 
-/* Called when the caller closed its connection; cancels the request at the
-   target, too.  */
+/* Called when the caller closed its connection, or the daemon ends; cancels
+   the request at the target, too.  */
 static void
 on_cancel (FrRequest *front, void *data)
 {
   EnRequest *request = data;
   EnProxy *proxy = request->proxy;
+  EnOutcome outcome = proxy->is_ending ? EN_OUTCOME_CUT : EN_OUTCOME_CANCELLED;
   int64_t now_us = ck_boot_us ();
 
   (void)front;
-  tr_log (proxy->options.trace, EV_REQUEST_CANCELLED,
-          "request=%s sends=%u took_ms=%" G_GINT64_FORMAT, request->id,
-          request->send_count, (now_us - request->front->arrived_us) / 1000);
+  tr_log (proxy->options.trace,
+          proxy->is_ending ? EV_REQUEST_CUT : EV_REQUEST_CANCELLED,
+          "request=%s outcome=%s sends=%u took_ms=%" G_GINT64_FORMAT
+          " left_ms=%" G_GINT64_FORMAT,
+          request->id, outcomes[outcome].name, request->send_count,
+          (now_us - request->front->arrived_us) / 1000,
+          (request->deadline_us - now_us) / 1000);
   if (request->token_request != NULL)
     en_pool_cancel (request->token_request);
   else if (request->hold_timer != NULL)
     en_request_end_hold (request);
   else
     cancel_call (request, now_us);
-  finish_request (request, EN_OUTCOME_CANCELLED);
+  finish_request (request, outcome);
 }
 
 static char *
@@ -470,6 +476,7 @@
   if (proxy == NULL)
     return;
   /* Cancels the requests in progress.  */
+  proxy->is_ending = TRUE;
   fr_free (proxy->front);
   bk_pool_free (proxy->connection_pool);
   g_clear_pointer (&proxy->held_requests, g_hash_table_unref);
@@ -489,6 +496,12 @@
       });
 }
 
+const FrCounters *
+en_proxy_front_counters (const EnProxy *proxy)
+{
+  return fr_counters (proxy->front);
+}
+
 void
 en_proxy_close_connections (EnProxy *proxy)
 {
--- a/entry/proxy.h
+++ b/entry/proxy.h
@@ -16,6 +16,7 @@
 #include "entry/settings.h"
 #include "entry/shares.h"
 #include "entry/view.h"
+#include "front/front.h"
 #include "metric/metric.h"
 #include "trace/trace.h"
 
@@ -37,6 +38,7 @@
 void en_proxy_free (EnProxy *proxy);
 
 void en_proxy_set_limits (EnProxy *proxy, const RtLimits *limits);
+const FrCounters *en_proxy_front_counters (const EnProxy *proxy);
 
 /* Closes each connection of a caller after its next response.  */
 void en_proxy_close_connections (EnProxy *proxy);
--- a/entry/request.h
+++ b/entry/request.h
@@ -21,6 +21,7 @@
   EN_OUTCOME_UNKNOWN,      /* may have run */
   EN_OUTCOME_TIMEOUT,      /* may have run; the deadline passed */
   EN_OUTCOME_CANCELLED,    /* the caller closed the connection */
+  EN_OUTCOME_CUT,          /* the daemon ended before the response */
   EN_OUTCOME_COUNT,
 } EnOutcome;
 
@@ -34,6 +35,7 @@
   GHashTable *splits;        /* route name to EnSplit */
   GQueue requests;           /* EnRequest */
   GHashTable *held_requests; /* object hash to GQueue of EnRequest */
+  gboolean is_ending;        /* connections are closed by this daemon */
   MtCounter *outcome_counts[EN_OUTCOME_COUNT];
   MtCounter *attempt_count;
   MtCounter *retry_count;
--- a/entry/view.c
+++ b/entry/view.c
@@ -62,8 +62,10 @@
     }
   rt_config_unref (view->config);
   view->config = rt_config_ref (config);
-  tr_log (view->options.trace, EV_CONFIG_IN_FORCE, "config=%" G_GUINT64_FORMAT,
-          version);
+  tr_log (view->options.trace, EV_CONFIG_IN_FORCE,
+          "config=%" G_GUINT64_FORMAT " head_timeout_ms=%u idle_timeout_ms=%u",
+          version, rt_limits (config)->head_timeout_ms,
+          rt_limits (config)->idle_timeout_ms);
   view->options.on_config (config, view->options.data);
 }
 
--- a/event/catalogue.c
+++ b/event/catalogue.c
@@ -83,6 +83,9 @@
     "The caller closed its connection before the response." },
   { EV_SEND_FAILED, EV_LEVEL_DEBUG, "send-failed",
     "A target refused, failed or did not respond to a request." },
+  { EV_REQUEST_CUT, EV_LEVEL_WARNING, "request-cut",
+    "The daemon ended and closed the caller's connection without a "
+    "response." },
   { EV_TARGET_HEALTHY, EV_LEVEL_INFO, "target-healthy",
     "A target responds to probes or requests again." },
   { EV_TARGET_UNHEALTHY, EV_LEVEL_WARNING, "target-unhealthy",
