entry: a stopping daemon accepts only what it can finish

Cause: a daemon took connections until 2.3 s before the end of its grace period, and requests on open connections until the end, whatever time they needed; 0.4 s before the end it closed all connections. A request that arrived in between and ran for longer than what was left was cut.

Change: en_stop decides, without network or clock, which requests a stopping daemon accepts: at first all for which a usual service time is left, later only those whose deadline is before the end. The others are refused at once, not run. At the end every request that is left gets a response that says whether it may have run, and an incomplete one is refused.

--- a/client/explain.c
+++ b/client/explain.c
@@ -25,6 +25,11 @@
   const char *pattern;
   const char *description;
 } outcomes[] = {
+  { "reason=daemon_stopping",
+    "refused, not run: the daemon was stopping and might not have finished "
+    "it" },
+  { "reason=daemon_ended",
+    "unknown: it was at a target when the daemon ended" },
   { "reason=keys_not_confirmed",
     "refused, not run: the store had not confirmed the configuration for so "
     "long that a withdrawn key might have been accepted" },
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -9,16 +9,15 @@
 #include "entry/directory.h"
 #include "entry/proxy.h"
 #include "entry/shares.h"
+#include "entry/stop.h"
 #include "entry/view.h"
 #include "platform/platform.h"
 
 /* Interval at which the settings file is checked for changes.  */
 #define SETTINGS_POLL_S 2
-/* Last part of the grace period, in which no new connections are accepted.
-   Until then they are, since callers cache lookups that returned this VM.  */
-#define STOP_NO_ACCEPT_MS 2300
-/* Time before the end of the grace period that is left for exiting.  */
-#define STOP_EXIT_MS 400
+/* Time to write the responses to the requests that are ended; less than
+   EN_STOP_END_MS, so that the process exits within the grace period.  */
+#define STOP_FLUSH_MS 200
 
 struct EnEntry
 {
@@ -36,7 +35,9 @@
   struct event *int_event;
   struct event *hup_event;
   struct event *settings_timer;
+  EnStop stop;
   struct event *stop_timer; /* ends accepting connections */
+  struct event *end_timer;  /* ends the requests in progress */
   struct event *exit_timer; /* ends the event loop */
   struct timespec settings_mtime;
   gboolean stopping;
@@ -229,32 +230,43 @@
 }
 
 static void
-start_timer (struct event *timer, uint32_t ms)
+start_timer (struct event *timer, int64_t us)
 {
-  struct timeval delay = { ms / 1000, ms % 1000 * 1000 };
+  struct timeval delay = { us / CK_US_PER_S, us % CK_US_PER_S };
 
   event_add (timer, &delay);
 }
 
+static void
+on_end_timer (evutil_socket_t fd, short what, void *data)
+{
+  EnEntry *entry = data;
+
+  (void)fd;
+  (void)what;
+  en_proxy_end_requests (entry->proxy);
+  start_timer (entry->exit_timer, STOP_FLUSH_MS * CK_US_PER_MS);
+}
+
 static void
 on_term (evutil_socket_t fd, short what, void *data)
 {
   EnEntry *entry = data;
   uint32_t grace_ms = entry->settings->bounds.stop_grace_ms;
+  int64_t now_us = ck_boot_us ();
 
   (void)fd;
   (void)what;
   if (entry->stopping)
     return;
   entry->stopping = TRUE;
-  tr_log (entry->trace, EV_DAEMON_DRAINING, "grace_ms=%u", grace_ms);
+  en_stop_begin (&entry->stop, grace_ms, now_us);
+  tr_log (entry->trace, EV_DAEMON_DRAINING, "grace_ms=%u running=%u", grace_ms,
+          en_proxy_front_counters (entry->proxy)->running_count);
   en_shares_report_stop (entry->shares);
   en_proxy_close_connections (entry->proxy);
-  start_timer (entry->stop_timer, grace_ms > STOP_NO_ACCEPT_MS
-                                      ? grace_ms - STOP_NO_ACCEPT_MS
-                                      : 0);
-  start_timer (entry->exit_timer,
-               grace_ms > STOP_EXIT_MS ? grace_ms - STOP_EXIT_MS : 0);
+  start_timer (entry->stop_timer, entry->stop.accept_until_us - now_us);
+  start_timer (entry->end_timer, entry->stop.end_us - now_us);
 }
 
 static gboolean
@@ -280,6 +292,7 @@
   EnProxyOptions proxy = { .base = entry->base,
                            .settings = entry->settings,
                            .dialect = pf_dialect (),
+                           .stop = &entry->stop,
                            .trace = entry->trace,
                            .metrics = entry->metrics };
   EnDirectoryOptions directory = { .base = entry->base,
@@ -330,6 +343,7 @@
   entry->settings_timer
       = event_new (entry->base, -1, EV_PERSIST, on_settings_poll, entry);
   entry->stop_timer = event_new (entry->base, -1, 0, on_stop_timer, entry);
+  entry->end_timer = event_new (entry->base, -1, 0, on_end_timer, entry);
   entry->exit_timer = event_new (entry->base, -1, 0, on_exit_timer, entry);
   event_add (entry->term_event, NULL);
   event_add (entry->int_event, NULL);
@@ -363,6 +377,7 @@
   if (entry == NULL)
     return;
   free_event (entry->exit_timer);
+  free_event (entry->end_timer);
   free_event (entry->stop_timer);
   free_event (entry->settings_timer);
   free_event (entry->hup_event);
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -9,7 +9,10 @@
 #include <string>
 #include <vector>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 extern "C"
 {
@@ -286,6 +289,41 @@
     return status;
   }
 
+  struct Exchange
+  {
+    std::string response; /* all that was received */
+    int64_t took_ms;
+  };
+
+  /* Sends a whole request and receives until the connection ends.  */
+  static Exchange
+  SendAndReceive (const std::string &front, const std::string &id)
+  {
+    std::string request = "GET /read/1 HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+                          "X-Comfreywalk-Attempt-Id: "
+                          + id
+                          + "\r\nX-Comfreywalk-Deadline-Ms: 3000\r\n"
+                            "Authorization: Token key-1\r\n"
+                            "Connection: close\r\n\r\n";
+    int64_t start_us = g_get_monotonic_time ();
+    Exchange exchange = {};
+    struct sockaddr_in address = {};
+    int fd = socket (AF_INET, SOCK_STREAM, 0);
+    char bytes[4096];
+
+    address.sin_family = AF_INET;
+    address.sin_port
+        = htons ((uint16_t)std::stoi (front.substr (front.find (':') + 1)));
+    address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    if (connect (fd, (struct sockaddr *)&address, sizeof address) == 0
+        && send (fd, request.data (), request.size (), MSG_NOSIGNAL) > 0)
+      for (ssize_t n; (n = recv (fd, bytes, sizeof bytes, 0)) > 0;)
+        exchange.response.append (bytes, (size_t)n);
+    close (fd);
+    exchange.took_ms = (g_get_monotonic_time () - start_us) / 1000;
+    return exchange;
+  }
+
   int
   CountLines (const std::string &path, const std::string &id)
   {
@@ -716,6 +754,37 @@
   EXPECT_EQ (SendRequest (vms[1], "/read/1", "r2"), 200);
 }
 
+/* Guards against a stopping daemon that accepts a request, sends it to a
+   target and closes the caller's connection without a response.  */
+TEST_F (Entry, StoppingDaemonAnswersEveryRequestThatItAccepts)
+{
+  std::vector<std::future<Exchange> > exchanges;
+  PostControl ("/target?id=t1&fault=hang");
+  PostControl ("/target?id=t2&fault=hang");
+  si_process_signal (vms[0].pid, SIGTERM);
+  for (int i = 0; i < 16; i++)
+    {
+      exchanges.push_back (std::async (std::launch::async, SendAndReceive,
+                                       vms[0].front,
+                                       "e" + std::to_string (i)));
+      si_sleep_ms (100);
+    }
+  for (size_t i = 0; i < exchanges.size (); i++)
+    {
+      Exchange exchange = exchanges[i].get ();
+      std::string id = "e" + std::to_string (i);
+      EXPECT_EQ (exchange.response.substr (0, 9), "HTTP/1.1 ")
+          << id << " sent " << i * 100 << " ms after SIGTERM, "
+          << CountLines ("/runs", id) << " runs, closed after "
+          << exchange.took_ms << " ms";
+      if (exchange.response.find ("not_run") != std::string::npos)
+        {
+          EXPECT_EQ (CountLines ("/runs", id), 0) << id;
+        }
+    }
+  EXPECT_EQ (ReadLog (vms[0]).find ("name=request-cut"), std::string::npos);
+}
+
 /* Guards against changed settings that take effect only after a restart.  */
 TEST_F (Entry, ReloadsChangedSettings)
 {
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -25,6 +25,8 @@
 #define DEFAULT_TIMEOUT_MS 10000
 /* Retry-After while the daemon has no current configuration.  */
 #define NOT_READY_RETRY_AFTER_US 500000
+/* Retry-After while the daemon stops: another VM can serve the caller now.  */
+#define STOPPING_RETRY_AFTER_US 1000
 
 static const struct
 {
@@ -146,6 +148,22 @@
     en_proxy_release_held (proxy, request->object_hash);
 }
 
+/* Ends what the request waits for: a token, another request for its object, or
+   a target.  */
+static void
+stop_waiting (EnRequest *request, int64_t now_us)
+{
+  if (request->token_request != NULL)
+    {
+      en_pool_cancel (request->token_request);
+      request->token_request = NULL;
+    }
+  else if (request->hold_timer != NULL)
+    en_request_end_hold (request);
+  else
+    cancel_call (request, now_us);
+}
+
 /* Called when the caller closed its connection, or the daemon ends; cancels
    the request at the target, too.  */
 static void
@@ -164,12 +182,7 @@
           request->id, outcomes[outcome].name, request->send_count,
           (now_us - request->front->arrived_us) / 1000,
           (request->deadline_us - now_us) / 1000);
-  if (request->token_request != NULL)
-    en_pool_cancel (request->token_request);
-  else if (request->hold_timer != NULL)
-    en_request_end_hold (request);
-  else
-    cancel_call (request, now_us);
+  stop_waiting (request, now_us);
   finish_request (request, outcome);
 }
 
@@ -393,6 +406,21 @@
   return FALSE;
 }
 
+/* Returns FALSE if it refused the request, which is then freed.  */
+static gboolean
+check_stopping (EnRequest *request)
+{
+  int64_t latency_target_us
+      = (int64_t)request->route->latency_target_ms * CK_US_PER_MS;
+
+  if (en_stop_admits (request->proxy->options.stop, request->deadline_us,
+                      latency_target_us, ck_boot_us ()))
+    return TRUE;
+  en_request_fail (request, EN_OUTCOME_NOT_READY, STOPPING_RETRY_AFTER_US,
+                   "daemon_stopping");
+  return FALSE;
+}
+
 static void
 on_request (FrRequest *front, void *data)
 {
@@ -410,7 +438,7 @@
   if (!find_route (request))
     return;
   set_deadline (request, front->headers);
-  if (!authenticate (request))
+  if (!check_stopping (request) || !authenticate (request))
     return;
   fr_set_cancel_handler (front, on_cancel, request);
   admit (request);
@@ -513,3 +541,37 @@
 {
   fr_stop (proxy->front, on_idle, data);
 }
+
+static void
+end_request (EnRequest *request)
+{
+  stop_waiting (request, ck_boot_us ());
+  if (request->may_have_run)
+    en_request_fail (request, EN_OUTCOME_UNKNOWN, 0, "daemon_ended");
+  else
+    en_request_fail (request, EN_OUTCOME_NOT_READY, STOPPING_RETRY_AFTER_US,
+                     "daemon_stopping");
+}
+
+static gboolean
+is_at_target (const EnRequest *request)
+{
+  return request->token_request == NULL && request->hold_timer == NULL;
+}
+
+void
+en_proxy_end_requests (EnProxy *proxy)
+{
+  GList *next;
+
+  /* The end of a request at a target sends those that are held for it.  */
+  for (GList *node = proxy->requests.head; node != NULL; node = next)
+    {
+      next = node->next;
+      if (!is_at_target (node->data))
+        end_request (node->data);
+    }
+  while (!g_queue_is_empty (&proxy->requests))
+    end_request (g_queue_peek_head (&proxy->requests));
+  fr_reject_incomplete (proxy->front);
+}
--- a/entry/proxy.h
+++ b/entry/proxy.h
@@ -5,7 +5,8 @@
      applies the customer's rate limit, chooses a target, forwards the request
      and returns the response.  A request that cannot be served gets an error
      response at once.  Its body reports the outcome "not_run" only where no
-     target can have begun to run the request, else "unknown".  */
+     target can have begun to run the request, else "unknown".  While the
+   daemon stops, a request that it may not finish is refused, see stop.h.  */
 
 #ifndef EN_PROXY_H
 #define EN_PROXY_H
@@ -15,6 +16,7 @@
 #include "entry/dialect.h"
 #include "entry/settings.h"
 #include "entry/shares.h"
+#include "entry/stop.h"
 #include "entry/view.h"
 #include "front/front.h"
 #include "metric/metric.h"
@@ -29,6 +31,7 @@
   const EnDialect *dialect;
   EnView *view;
   EnShares *shares;
+  const EnStop *stop;
   TrTrace *trace;
   MtRegistry *metrics;
 } EnProxyOptions;
@@ -44,5 +47,8 @@
 void en_proxy_close_connections (EnProxy *proxy);
 /* Accepts no new connections; calls ON_IDLE when the last one has closed.  */
 void en_proxy_stop (EnProxy *proxy, void (*on_idle) (void *data), void *data);
+/* Cancels the requests in progress at their targets and responds to their
+   callers, also to those whose request is incomplete.  */
+void en_proxy_end_requests (EnProxy *proxy);
 
 #endif
--- a/front/front.c
+++ b/front/front.c
@@ -229,6 +229,14 @@
   server->keep_alive_disabled = TRUE;
 }
 
+void
+fr_reject_incomplete (FrServer *server)
+{
+  for (FrConn *conn = server->connections; conn != NULL; conn = conn->next)
+    if (conn->state == FR_CONN_HEAD || conn->state == FR_CONN_BODY)
+      fr_conn_reject (conn, 503, "daemon_stopping");
+}
+
 void
 fr_stop (FrServer *server, void (*on_stopped) (void *data), void *data)
 {
--- a/front/front.h
+++ b/front/front.h
@@ -141,6 +141,9 @@
    are still accepted.  */
 void fr_disable_keep_alive (FrServer *server);
 
+/* Rejects each request of which a part has arrived with 503.  */
+void fr_reject_incomplete (FrServer *server);
+
 /* Stops accepting connections.  Requests that arrive on open ones are served,
    each with "Connection: close".  ON_STOPPED is called once, from the loop,
    when no connection is open; it may call fr_free.  */
