entry, daemon: a second signal does not end a stopping daemon at once

Cause: libevent restores the default action of a signal when its event is freed, and the events were freed first, so a SIGTERM or SIGHUP that came while the daemon closed its connections ended it; a SIGHUP before they were created did, too.

Change: the events are created before the modules, signals are blocked once the loop has ended, and SIGHUP is ignored until then.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -28,9 +28,12 @@
 {
   g_autoptr (GPtrArray) problems = NULL;
   g_autoptr (GError) error = NULL;
-  EnSettings *settings = pf_settings_load (path, &problems);
+  EnSettings *settings;
   EnEntry *entry;
 
+  /* A reload during the start must not end the process.  */
+  signal (SIGHUP, SIG_IGN);
+  settings = pf_settings_load (path, &problems);
   for (guint i = 0; settings == NULL && i < problems->len; i++)
     fprintf (stderr, "%s: %s\n", path, (char *)problems->pdata[i]);
   if (settings == NULL)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -332,22 +332,23 @@
   create_metrics (entry);
   entry->store = pf_store_new (&(PfStoreOptions){
       .base = entry->base, .address = settings->store_address });
+  /* First, so that the loop handles signals that come during the start.  */
+  entry->term_event = evsignal_new (entry->base, SIGTERM, on_term, entry);
+  entry->int_event = evsignal_new (entry->base, SIGINT, on_term, entry);
+  entry->hup_event = evsignal_new (entry->base, SIGHUP, on_hup, entry);
+  event_add (entry->term_event, NULL);
+  event_add (entry->int_event, NULL);
+  event_add (entry->hup_event, NULL);
   if (!start_modules (entry, error))
     {
       en_free (entry);
       return NULL;
     }
-  entry->term_event = evsignal_new (entry->base, SIGTERM, on_term, entry);
-  entry->int_event = evsignal_new (entry->base, SIGINT, on_term, entry);
-  entry->hup_event = evsignal_new (entry->base, SIGHUP, on_hup, entry);
   entry->settings_timer
       = event_new (entry->base, -1, EV_PERSIST, on_settings_poll, entry);
   entry->stop_timer = event_new (entry->base, -1, 0, on_stop_timer, entry);
   entry->end_timer = event_new (entry->base, -1, 0, on_end_timer, entry);
   entry->exit_timer = event_new (entry->base, -1, 0, on_exit_timer, entry);
-  event_add (entry->term_event, NULL);
-  event_add (entry->int_event, NULL);
-  event_add (entry->hup_event, NULL);
   event_add (entry->settings_timer, &poll_interval);
   tr_log (entry->trace, EV_DAEMON_STARTED,
           "zone=%s region=%s front=%s store=%s", settings->zone,
@@ -355,10 +356,24 @@
   return entry;
 }
 
+/* Without the loop, the default action of a signal would end the process.  */
+static void
+block_signals (void)
+{
+  sigset_t signals;
+
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGTERM);
+  sigaddset (&signals, SIGINT);
+  sigaddset (&signals, SIGHUP);
+  sigprocmask (SIG_BLOCK, &signals, NULL);
+}
+
 void
 en_run (EnEntry *entry)
 {
   event_base_dispatch (entry->base);
+  block_signals ();
   tr_log (entry->trace, EV_DAEMON_STOPPED, "running=%u connections=%u",
           en_proxy_front_counters (entry->proxy)->running_count,
           en_proxy_front_counters (entry->proxy)->connection_count);
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -785,6 +785,22 @@
   EXPECT_EQ (ReadLog (vms[0]).find ("name=request-cut"), std::string::npos);
 }
 
+/* Guards against a second signal that ends a stopping daemon at once, while it
+   writes its last responses.  */
+TEST_F (Entry, StopsGracefullyUnderRepeatedSignals)
+{
+  int status = 0;
+  bool exited = false;
+  for (int i = 0; i < 1000 && !exited; i++)
+    {
+      si_process_signal (vms[0].pid, i % 2 == 0 ? SIGTERM : SIGHUP);
+      exited = si_process_wait (vms[0].pid, 5, &status);
+    }
+  EXPECT_TRUE (exited && WIFEXITED (status) && WEXITSTATUS (status) == 0)
+      << exited << " " << status;
+  vms[0].pid = 0;
+}
+
 /* Guards against changed settings that take effect only after a restart.  */
 TEST_F (Entry, ReloadsChangedSettings)
 {
