front: test for valid requests with a line above 8 KB

Callers saw their connection closed without a response. A request target of exactly 8192 bytes, or a header whose name or value is 8192 bytes or longer, is valid for http/ (8 KB of target, 16 KB of head), but not for libevhtp, whose parser then closes the connection; fr_conn_dispatch is never called.

Fails on this code: Front.RespondsToRequestsWithLongLines, 0 responses and a closed connection in all 7 cases.

--- a/front/front_test.cc
+++ b/front/front_test.cc
@@ -280,6 +280,38 @@
   EXPECT_EQ ("DELETE / [abcde]", server.requests[20]);
 }
 
+/* Guards against a valid request whose connection is closed without a
+   response, because its target or one of its headers is longer than 8 KB, the
+   size of the buffer of libevhtp's parser.  */
+TEST (Front, RespondsToRequestsWithLongLines)
+{
+  const std::string get = "GET /" + version_and_host;
+  const std::string texts[] = {
+    "GET /" + std::string (8191, 'a') + version_and_host + "\r\n",
+    "GET /?" + std::string (8190, 'a') + version_and_host + "\r\n",
+    get + "X: " + std::string (8192, 'a') + "\r\n\r\n",
+    get + "Cookie: " + std::string (16000, 'a') + "\r\n\r\n",
+    get + std::string (8192, 'a') + ": x\r\n\r\n",
+    "GET / HTTP/1.1\r\nHost: " + std::string (8192, 'a') + "\r\n\r\n",
+    "POST /" + version_and_host + "X: " + std::string (9000, 'a')
+        + "\r\nContent-Length: 3\r\n\r\nabc",
+  };
+
+  Server server;
+  for (const std::string &text : texts)
+    {
+      Caller caller (server);
+      caller.send (text + text);
+      server.run_until (
+          [&] { return caller.receive () || caller.response_count () == 2; });
+      EXPECT_EQ (2, caller.response_count ()) << text.substr (0, 30);
+      EXPECT_FALSE (caller.closed) << text.substr (0, 30);
+      EXPECT_EQ ("HTTP/1.1 200", caller.received.substr (0, 12));
+    }
+  ASSERT_EQ (2 * std::size (texts), server.requests.size ());
+  EXPECT_EQ ("POST / [abc]", server.requests.back ());
+}
+
 /* Guards against a second request that overtakes a running one, and against a
    response that goes to the wrong connection.  */
 TEST (Front, DeferredResponsesGoToTheirOwnConnection)
