front: give libevhtp a short head instead of the caller's

Callers saw their connection closed without a response when a valid request had a line above 8 KB: libevhtp's parser rejects what http/ has accepted. Nothing of the head that libevhtp parses is used: on_request gets the method, the request target and the headers of http/. So libevhtp now gets a fixed head with the length of the body, as it already did for chunked requests. It also closes the connection now where it did not recognise the caller's "Connection: close" (in capitals, in a list, or on a chunked request).

--- a/front/conn.c
+++ b/front/conn.c
@@ -293,32 +293,44 @@
   evbuffer_free (message);
 }
 
-/* Replaces a chunked message with one that has a Content-Length, since
-   libevhtp does not parse all valid chunks and trailers.  The headers are
-   dropped and Host gets any value: on_request gets those in conn->head.  */
+/* Replaces the chunks, which are the whole input, with their content.  */
 static void
-dechunk_message (FrConn *conn)
+decode_chunks (FrConn *conn)
 {
   struct evbuffer *input = input_buffer (conn);
-  gsize length = evbuffer_get_length (input) - conn->head_bytes;
+  gsize length = evbuffer_get_length (input);
   g_autoptr (GByteArray) body = g_byte_array_new ();
-  struct evbuffer *message = evbuffer_new ();
   HtChunkDecoder chunk_decoder = { 0 };
   gsize used;
 
-  evbuffer_drain (input, conn->head_bytes);
   ht_chunk_decode (&chunk_decoder, (char *)evbuffer_pullup (input, -1), length,
                    &used, body);
   g_assert (used == length);
   drain_buffer (input);
-  evbuffer_add_printf (message,
-                       "%s %s HTTP/1.1\r\nHost: a\r\n"
-                       "Content-Length: %u\r\n\r\n",
-                       conn->head.method, conn->head.request_target,
-                       body->len);
-  evbuffer_add (message, body->data, body->len);
-  evbuffer_prepend_buffer (input, message);
-  evbuffer_free (message);
+  evbuffer_prepend (input, body->data, body->len);
+}
+
+/* Gives the message a short head with a Content-Length, since libevhtp does
+   not parse all valid heads, chunks and trailers, nor all forms of
+   "Connection: close".  on_request gets the method, the request target and the
+   headers from conn->head.  */
+static void
+simplify_message (FrConn *conn)
+{
+  struct evbuffer *input = input_buffer (conn);
+  char head[128];
+  int head_bytes;
+
+  evbuffer_drain (input, conn->head_bytes);
+  if (conn->head.body_framing == HT_BODY_CHUNKED)
+    decode_chunks (conn);
+  head_bytes
+      = g_snprintf (head, sizeof head,
+                    "POST / HTTP/1.1\r\nHost: a\r\n"
+                    "Content-Length: %" G_GSIZE_FORMAT "\r\n%s\r\n",
+                    evbuffer_get_length (input),
+                    conn->head.keep_alive ? "" : "Connection: close\r\n");
+  evbuffer_prepend (input, head, (gsize)head_bytes);
 }
 
 /* Passes one checked request to libevhtp, which calls fr_conn_dispatch.  */
@@ -355,8 +367,7 @@
   if (message_bytes == 0)
     return;
   isolate_message (conn, message_bytes);
-  if (conn->head.body_framing == HT_BODY_CHUNKED)
-    dechunk_message (conn);
+  simplify_message (conn);
   pass_to_evhtp (conn);
 }
 
