front: test for requests that arrived before an idle timeout

Callers saw a whole request end with a closed connection, beside a change of the configuration that lowered the idle timeout, or after the process had not been scheduled for a while. The timer closes a connection as idle whose request is in the socket buffer, or was read already in the same turn of the loop: libevhtp's bufferevents defer their callbacks, so these run after the timer's.

Fails on this code: Front.ServesRequestsThatArrivedBeforeAnIdleTimeout, 0 of 8 requests handled, 8 connections closed without a response, in 3 of 3 runs.

--- a/front/front_test.cc
+++ b/front/front_test.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -428,6 +429,35 @@
   EXPECT_EQ (3u, fr_counters (server.front)->timeout_count);
 }
 
+/* Guards against idle connections that are closed, after the process was not
+   scheduled for a while, although requests have arrived on them.  */
+TEST (Front, ServesRequestsThatArrivedBeforeAnIdleTimeout)
+{
+  Server server;
+  std::vector<std::unique_ptr<Caller> > callers;
+  FrLimits limits = {};
+
+  for (int i = 0; i < 8; i++)
+    callers.push_back (std::make_unique<Caller> (server));
+  ASSERT_TRUE (server.run_until (
+      [&] { return fr_counters (server.front)->connection_count == 8; }));
+  limits.idle_timeout_ms = 200;
+  fr_set_limits (server.front, &limits);
+  for (auto &caller : callers)
+    caller->send ("GET /" + version_and_host + "\r\n");
+  usleep (300000);
+  for (auto &caller : callers)
+    {
+      server.run_until (
+          [&] { return caller->receive () || caller->response_count () > 0; });
+      EXPECT_EQ (1, caller->response_count ());
+    }
+  EXPECT_EQ (8u, server.requests.size ());
+  callers.clear ();
+  EXPECT_TRUE (server.run_until (
+      [&] { return fr_counters (server.front)->connection_count == 0; }));
+}
+
 /* Guards against a stop that aborts a request, and one that never ends because
    of a persistent connection.  */
 TEST (Front, StopCompletesRequests)
