front: do not close idle connections on which a request has arrived

Before the timer closes a connection as idle, it now looks for input: bytes that were read already, for which the deferred callback has not run, or bytes in the socket buffer. A connection with input is left to the read callback.

--- a/front/conn.c
+++ b/front/conn.c
@@ -548,6 +548,37 @@
   fr_conn_close (conn);
 }
 
+/* Whether bytes of the next request have arrived for which on_read was not
+   called yet.  */
+static gboolean
+has_unread_input (const FrConn *conn)
+{
+  char byte;
+
+  return evbuffer_get_length (input_buffer (conn)) > 0
+         || recv (bufferevent_getfd (conn->bev), &byte, 1,
+                  MSG_PEEK | MSG_DONTWAIT)
+                > 0;
+}
+
+static void
+check_idle_timeout (FrConn *conn, int64_t age_us)
+{
+  const FrServer *server = conn->server;
+  const FrOptions *options = &server->options;
+  gboolean stop_timed_out
+      = server->stopping
+        && age_us > (int64_t)options->stop_idle_timeout_ms * 1000;
+  gboolean timed_out = age_us > (int64_t)options->idle_timeout_ms * 1000;
+
+  if ((!stop_timed_out && !timed_out) || has_unread_input (conn))
+    return;
+  if (stop_timed_out)
+    fr_conn_close (conn);
+  else
+    close_timed_out (conn);
+}
+
 void
 fr_conn_check_timeouts (FrConn *conn, int64_t now_us)
 {
@@ -557,11 +588,7 @@
   switch (conn->state)
     {
     case FR_CONN_IDLE:
-      if (conn->server->stopping
-          && age_us > (int64_t)options->stop_idle_timeout_ms * 1000)
-        fr_conn_close (conn);
-      else if (age_us > (int64_t)options->idle_timeout_ms * 1000)
-        close_timed_out (conn);
+      check_idle_timeout (conn, age_us);
       break;
     case FR_CONN_HEAD:
     case FR_CONN_BODY:
