entry: test for requests that are held beyond their deadline

Callers got nothing until after their deadline. A request that waits for another one to fill a target's cache is held for the expected time of a cache miss, whatever time the caller has left, and is refused only after that.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -564,6 +564,22 @@
   filling.wait ();
 }
 
+/* Guards against a request that is held beyond its deadline, and then gets its
+   response after the caller has given up.  */
+TEST_F (Entry, HeldRequestIsAnsweredByItsDeadline)
+{
+  PostControl ("/target?id=t1&fault=hang");
+  PostControl ("/target?id=t2&fault=hang");
+  std::future<int> filling = std::async (std::launch::async, RequestObject,
+                                         vms[0].front, "o1", "2500");
+  ASSERT_TRUE (WaitFor ([&] { return CountLines ("/runs", "o1") == 1; }));
+  int64_t start_us = g_get_monotonic_time ();
+  EXPECT_EQ (RequestObject (vms[0].front, "o2", "150"), 503);
+  EXPECT_LT (g_get_monotonic_time () - start_us, 300000);
+  EXPECT_EQ (CountLines ("/arrivals", "o2"), 0);
+  filling.wait ();
+}
+
 /* Guards against accepting keys on a daemon that cannot learn of their
    revocation, and against refusing requests on open routes with them.  */
 TEST_F (Entry, RefusesKeysWhileStoreIsUnreachable)
