--- a/entry/send.c
+++ b/entry/send.c
@@ -22,6 +22,9 @@
 #define NO_TARGET_RETRY_AFTER_US 600000
 /* A request with less time left until its deadline is not sent.  */
 #define SEND_TIME_LEFT_MIN_US 20000
+/* A held request that could not be sent is refused this long before its
+   deadline, so that the caller still gets the response.  */
+#define HOLD_TIME_LEFT_US (SEND_TIME_LEFT_MIN_US / 2)
 /* Requests that are not idempotent avoid connections that have been idle for
    longer: the target may have closed them without this daemon having seen
    it.  */
@@ -123,6 +126,15 @@
                      "no_target");
 }
 
+static int64_t
+compute_hold_timeout (const EnRequest *request, const TgQuery *query,
+                      int64_t now_us)
+{
+  int64_t left_us = request->deadline_us - HOLD_TIME_LEFT_US - now_us;
+
+  return MAX (0, MIN (tg_miss_us (get_targets (request), query), left_us));
+}
+
 /* Sends or holds the request.  Returns FALSE if no target can be used.  */
 static gboolean
 try_send (EnRequest *request, TgPick *pick)
@@ -135,7 +147,8 @@
   *pick = tg_pick (targets, &query, now_us, &choice);
   if (*pick == TG_PICK_HOLD)
     {
-      en_request_hold (request, tg_miss_us (targets, &query));
+      en_request_hold (request,
+                       compute_hold_timeout (request, &query, now_us));
       return TRUE;
     }
   if (*pick != TG_PICK_FOUND)
