front: test that "Connection: close" closes the connection

Callers that read a response up to the end of the connection, after the daemon said "Connection: close" because it is stopping, waited until the idle timeout.

Fails on this code: Front.ClosesAfterTheLastResponseWithoutKeepAlive, neither connection closed within 5 s, and both pipelined responses say close.

--- a/front/front_test.cc
+++ b/front/front_test.cc
@@ -490,6 +490,35 @@
     }
 }
 
+/* Guards against a connection that stays open after a response with
+   "Connection: close", and against a request that was read ahead and gets no
+   response because the connection is closed after the previous one.  */
+TEST (Front, ClosesAfterTheLastResponseWithoutKeepAlive)
+{
+  Server server;
+  Caller single (server), pipelining (server);
+  const std::string get = "GET /" + version_and_host + "\r\n";
+  std::vector<FrRequest *> pending;
+  server.handler = [&] (FrRequest *request) { pending.push_back (request); };
+
+  single.send (get);
+  pipelining.send (get + get);
+  ASSERT_TRUE (server.run_until ([&] { return pending.size () == 2; }));
+  fr_disable_keep_alive (server.front);
+  server.handler = nullptr;
+  for (FrRequest *request : pending)
+    fr_respond (request, 200, NULL, "x", 1);
+  for (Caller *caller : { &single, &pipelining })
+    {
+      EXPECT_TRUE (server.run_until ([&] { return caller->receive (); }));
+      EXPECT_EQ (caller == &single ? 1 : 2, caller->response_count ());
+      EXPECT_EQ (caller->received.find ("Connection: close"),
+                 caller->received.rfind ("Connection: close"));
+      EXPECT_LT (caller->received.rfind ("HTTP/1.1 "),
+                 caller->received.find ("Connection: close"));
+    }
+}
+
 /* Guards against a caller that waits for 100 Continue for ever, and against
    framing headers of a target that conflict with the server's own.  */
 TEST (Front, SendsContinueAndOwnFraming)
