front: close connections after the last response without keep-alive

fr_respond clears libevhtp's flag itself. While the server is stopping, it says "Connection: close" only where no further request has arrived: the others are answered first.

--- a/front/conn.c
+++ b/front/conn.c
@@ -548,14 +548,15 @@
   fr_conn_close (conn);
 }
 
-/* Whether bytes of the next request have arrived for which on_read was not
-   called yet.  */
-static gboolean
-has_unread_input (const FrConn *conn)
+gboolean
+fr_conn_has_next_input (const FrConn *conn)
 {
   char byte;
 
-  return evbuffer_get_length (input_buffer (conn)) > 0
+  /* During a call of libevhtp the input is the current request.  */
+  return evbuffer_get_length (conn->read_ahead) > 0
+         || (!conn->in_evhtp_call
+             && evbuffer_get_length (input_buffer (conn)) > 0)
          || recv (bufferevent_getfd (conn->bev), &byte, 1,
                   MSG_PEEK | MSG_DONTWAIT)
                 > 0;
@@ -571,7 +572,7 @@
         && age_us > (int64_t)options->stop_idle_timeout_ms * 1000;
   gboolean timed_out = age_us > (int64_t)options->idle_timeout_ms * 1000;
 
-  if ((!stop_timed_out && !timed_out) || has_unread_input (conn))
+  if ((!stop_timed_out && !timed_out) || fr_conn_has_next_input (conn))
     return;
   if (stop_timed_out)
     fr_conn_close (conn);
--- a/front/conn.h
+++ b/front/conn.h
@@ -89,6 +89,9 @@
 void fr_conn_close (FrConn *conn);
 /* Passes the request that libevhtp has parsed to on_request.  */
 void fr_conn_dispatch (FrConn *conn, evhtp_request_t *request);
+/* Whether bytes of the next request have arrived, including those for which
+   on_read was not called yet.  The current request, if any, is complete.  */
+gboolean fr_conn_has_next_input (const FrConn *conn);
 void fr_conn_check_timeouts (FrConn *conn, int64_t now_us);
 void fr_conn_set_state (FrConn *conn, FrConnState state);
 /* Responds with an error to a request that is not passed to on_request, and
--- a/front/front.h
+++ b/front/front.h
@@ -137,16 +137,17 @@
 /* HANDLER is called if the request is cancelled.  */
 void fr_set_cancel_handler (FrRequest *request, FrHandler handler, void *data);
 
-/* From now on, closes each connection after its next response; new connections
-   are still accepted.  */
+/* From now on, closes each connection after the next response, or after those
+   to the requests that have arrived by then; new connections are still
+   accepted.  */
 void fr_disable_keep_alive (FrServer *server);
 
 /* Rejects each request of which a part has arrived with 503.  */
 void fr_reject_incomplete (FrServer *server);
 
 /* Stops accepting connections.  Requests that arrive on open ones are served,
-   each with "Connection: close".  ON_STOPPED is called once, from the loop,
-   when no connection is open; it may call fr_free.  */
+   the last one of each with "Connection: close".  ON_STOPPED is called once,
+   from the loop, when no connection is open; it may call fr_free.  */
 void fr_stop (FrServer *server, void (*on_stopped) (void *data), void *data);
 
 #endif
--- a/front/reply.c
+++ b/front/reply.c
@@ -97,6 +97,18 @@
   g_string_append (out, "\r\n");
 }
 
+/* When the server is stopping, requests that have already arrived are still
+   answered, so only the last response closes the connection.  */
+static gboolean
+keeps_connection (const FrConn *conn)
+{
+  const FrServer *server = conn->server;
+
+  return conn->head.keep_alive
+         && ((!server->stopping && !server->keep_alive_disabled)
+             || fr_conn_has_next_input (conn));
+}
+
 void
 fr_respond (FrRequest *request, uint32_t status, const HtHeaders *headers,
             const void *body, gsize body_bytes)
@@ -105,8 +117,7 @@
   FrServer *server = conn->server;
   GString *out = server->scratch;
   struct evbuffer *output = bufferevent_get_output (conn->bev);
-  gboolean keep_alive = conn->head.keep_alive && !server->stopping
-                        && !server->keep_alive_disabled;
+  gboolean keep_alive = keeps_connection (conn);
   gboolean sends_body = body_bytes > 0 && !ht_status_has_no_body (status)
                         && strcmp (request->method, "HEAD") != 0;
 
@@ -120,6 +131,8 @@
     evbuffer_add (output, body, body_bytes);
   server->counters.running_count--;
   fr_conn_set_state (conn, FR_CONN_RESPONDING);
-  evhtp_request_set_keepalive (conn->evhtp_request, keep_alive);
+  /* evhtp_request_set_keepalive cannot clear the flag.  */
+  if (!keep_alive)
+    conn->evhtp_request->flags &= (uint16_t)~EVHTP_REQ_FLAG_KEEPALIVE;
   evhtp_send_reply_end (conn->evhtp_request);
 }
