entry: test for a reload signal during the start

A SIGHUP that arrives before the daemon has installed its handler ends the process: the signal's default action is in force while the settings are read and the modules are started.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -834,6 +836,37 @@
   EXPECT_EQ (SendRequest (vms[0], "/read/1", "r1"), 200);
 }
 
+/* Guards against a daemon that is ended by a reload signal during its start,
+   and against settings changed at that time that take effect only after a
+   restart.  */
+TEST_F (Entry, ReloadSignalDuringStartIsNotFatal)
+{
+  Vm vm = MakeVm ("vm3", "a1");
+  std::string changed = vm.settings + ".changed";
+  std::string text;
+  ASSERT_TRUE (std::getline (std::ifstream (vm.settings), text, '\0'));
+  ASSERT_EQ (rename (vm.settings.c_str (), changed.c_str ()), 0);
+  ASSERT_EQ (mkfifo (vm.settings.c_str (), 0600), 0);
+  Start (vm);
+  int fd = -1;
+  ASSERT_TRUE (WaitFor ([&] {
+    fd = open (vm.settings.c_str (), O_WRONLY | O_NONBLOCK);
+    return fd >= 0;
+  }));
+  ASSERT_EQ (rename (changed.c_str (), vm.settings.c_str ()), 0);
+  std::signal (SIGPIPE, SIG_IGN);
+  si_process_signal (vm.pid, SIGHUP);
+  si_sleep_ms (100);
+  EXPECT_EQ (write (fd, text.data (), text.size ()), (ssize_t)text.size ());
+  close (fd);
+  EXPECT_TRUE (WaitFor ([&] {
+    return ReadLog (vm).find ("settings-reloaded reason=signal")
+           != std::string::npos;
+  })) << ReadLog (vm);
+  si_process_signal (vm.pid, SIGTERM);
+  WaitForExit (vm);
+}
+
 /* Guards against log lines that don't explain a slow read after a restart.  */
 TEST_F (Entry, ExplainsReadAfterRestart)
 {
