entry: signals that come during the start are handled by the loop

Cause: a SIGHUP before the signal events were created ended the process, or, once it was ignored, a change of the settings made at that time was not read. Change: the signals are blocked until the events exist.

Entry.ReloadSignalDuringStartIsNotFatal failed on the code before (ended by signal 1) and passes.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -31,8 +31,7 @@
   EnSettings *settings;
   EnEntry *entry;
 
-  /* A reload during the start must not end the process.  */
-  signal (SIGHUP, SIG_IGN);
+  en_block_signals ();
   settings = pf_settings_load (path, &problems);
   for (guint i = 0; settings == NULL && i < problems->len; i++)
     fprintf (stderr, "%s: %s\n", path, (char *)problems->pdata[i]);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -318,6 +318,37 @@
   return entry->directory != NULL;
 }
 
+/* HOW is that of sigprocmask.  */
+static void
+mask_signals (int how)
+{
+  sigset_t signals;
+
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGTERM);
+  sigaddset (&signals, SIGINT);
+  sigaddset (&signals, SIGHUP);
+  sigprocmask (how, &signals, NULL);
+}
+
+void
+en_block_signals (void)
+{
+  mask_signals (SIG_BLOCK);
+}
+
+static void
+handle_signals (EnEntry *entry)
+{
+  entry->term_event = evsignal_new (entry->base, SIGTERM, on_term, entry);
+  entry->int_event = evsignal_new (entry->base, SIGINT, on_term, entry);
+  entry->hup_event = evsignal_new (entry->base, SIGHUP, on_hup, entry);
+  event_add (entry->term_event, NULL);
+  event_add (entry->int_event, NULL);
+  event_add (entry->hup_event, NULL);
+  mask_signals (SIG_UNBLOCK);
+}
+
 EnEntry *
 en_new (EnSettings *settings, const char *path, GError **error)
 {
@@ -332,13 +363,7 @@
   create_metrics (entry);
   entry->store = pf_store_new (&(PfStoreOptions){
       .base = entry->base, .address = settings->store_address });
-  /* First, so that the loop handles signals that come during the start.  */
-  entry->term_event = evsignal_new (entry->base, SIGTERM, on_term, entry);
-  entry->int_event = evsignal_new (entry->base, SIGINT, on_term, entry);
-  entry->hup_event = evsignal_new (entry->base, SIGHUP, on_hup, entry);
-  event_add (entry->term_event, NULL);
-  event_add (entry->int_event, NULL);
-  event_add (entry->hup_event, NULL);
+  handle_signals (entry);
   if (!start_modules (entry, error))
     {
       en_free (entry);
@@ -356,24 +381,12 @@
   return entry;
 }
 
-/* Without the loop, the default action of a signal would end the process.  */
-static void
-block_signals (void)
-{
-  sigset_t signals;
-
-  sigemptyset (&signals);
-  sigaddset (&signals, SIGTERM);
-  sigaddset (&signals, SIGINT);
-  sigaddset (&signals, SIGHUP);
-  sigprocmask (SIG_BLOCK, &signals, NULL);
-}
-
 void
 en_run (EnEntry *entry)
 {
   event_base_dispatch (entry->base);
-  block_signals ();
+  /* Without the loop, the default action of a signal would end the process. */
+  en_block_signals ();
   tr_log (entry->trace, EV_DAEMON_STOPPED, "running=%u connections=%u",
           en_proxy_front_counters (entry->proxy)->running_count,
           en_proxy_front_counters (entry->proxy)->connection_count);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -27,6 +27,10 @@
 
 typedef struct EnEntry EnEntry;
 
+/* Defers the signals that en_new handles; call this before reading the
+   settings.  Otherwise one that comes during the start ends the process, or
+   settings that change then are not read.  */
+void en_block_signals (void);
 /* Takes ownership of SETTINGS, which were read from PATH.  */
 EnEntry *en_new (EnSettings *settings, const char *path, GError **error);
 void en_run (EnEntry *entry);
