standin: targets of the estate with a service time, log of their answers

Targets responded at once, so that a test never had a request under way when a daemon was stopped. POST /target?id=I&service_ms=N sets the time between the run of a request and its response, at first 0. GET /answers lists the responses that were sent to an open connection, as /runs does the runs: a test can tell a target that is still at work from one whose answer was lost on the way.

--- a/standin/estate.c
+++ b/standin/estate.c
@@ -9,17 +9,23 @@
   SiItemStore *store;
   GHashTable *stub_targets; /* id -> SiStubTarget */
   SiServer *control_server;
-  GString *run_log;
-  GString *arrival_log;
+  SiStubLogs logs;
 };
 
 static gboolean
-set_target_fault (SiUserPlatform *platform, const char *id, const char *fault)
+change_target (SiUserPlatform *platform, const SiExchange *x)
 {
+  const char *id = si_query_param (x, "id");
+  const char *fault = si_query_param (x, "fault");
+  int64_t service_ms = si_query_param_int (x, "service_ms", -1);
   SiStubTarget *target
       = id != NULL ? g_hash_table_lookup (platform->stub_targets, id) : NULL;
 
-  return target != NULL && si_stub_target_set_fault (target, fault);
+  if (target == NULL || (fault == NULL && service_ms < 0))
+    return FALSE;
+  if (service_ms >= 0)
+    si_stub_target_set_service_time (target, service_ms * 1000);
+  return fault == NULL || si_stub_target_set_fault (target, fault);
 }
 
 static gboolean
@@ -39,8 +45,8 @@
     si_item_store_compact (platform->store);
   else if (strcmp (path, "/store") == 0 && fault != NULL)
     return si_item_store_set_fault (platform->store, fault);
-  else if (strcmp (path, "/target") == 0 && fault != NULL)
-    return set_target_fault (platform, si_query_param (x, "id"), fault);
+  else if (strcmp (path, "/target") == 0)
+    return change_target (platform, x);
   else
     return FALSE;
   return TRUE;
@@ -52,9 +58,11 @@
   SiUserPlatform *platform = data;
 
   if (strcmp (si_request_path (x), "/runs") == 0)
-    si_send_text (x, 200, platform->run_log->str);
+    si_send_text (x, 200, platform->logs.runs->str);
   else if (strcmp (si_request_path (x), "/arrivals") == 0)
-    si_send_text (x, 200, platform->arrival_log->str);
+    si_send_text (x, 200, platform->logs.arrivals->str);
+  else if (strcmp (si_request_path (x), "/answers") == 0)
+    si_send_text (x, 200, platform->logs.answers->str);
   else
     si_send_text (x, apply_change (platform, x) ? 200 : 404, "");
 }
@@ -72,9 +80,8 @@
   for (; *targets != NULL; targets++)
     {
       g_auto (GStrv) parts = g_strsplit (*targets, "=", 2);
-      SiStubTarget *target
-          = si_stub_target_new (base, parts[0], parts[1], platform->run_log,
-                                platform->arrival_log, error);
+      SiStubTarget *target = si_stub_target_new (base, parts[0], parts[1],
+                                                 &platform->logs, error);
       if (target == NULL)
         return FALSE;
       g_hash_table_insert (platform->stub_targets, g_strdup (parts[0]),
@@ -90,8 +97,9 @@
 {
   SiUserPlatform *platform = g_new0 (SiUserPlatform, 1);
 
-  platform->run_log = g_string_new (NULL);
-  platform->arrival_log = g_string_new (NULL);
+  platform->logs = (SiStubLogs){ .runs = g_string_new (NULL),
+                                 .arrivals = g_string_new (NULL),
+                                 .answers = g_string_new (NULL) };
   platform->stub_targets = g_hash_table_new_full (g_str_hash, g_str_equal,
                                                   g_free, free_stub_target);
   platform->store = si_item_store_new (base, store_address, error);
@@ -115,7 +123,8 @@
     si_server_free (platform->control_server);
   g_hash_table_unref (platform->stub_targets);
   si_item_store_free (platform->store);
-  g_string_free (platform->arrival_log, TRUE);
-  g_string_free (platform->run_log, TRUE);
+  g_string_free (platform->logs.answers, TRUE);
+  g_string_free (platform->logs.arrivals, TRUE);
+  g_string_free (platform->logs.runs, TRUE);
   g_free (platform);
 }
--- a/standin/estate.h
+++ b/standin/estate.h
@@ -17,6 +17,9 @@
        POST /compact              compacts the history up to now
        POST /store?fault=F        sets a fault of the store
        POST /target?id=I&fault=F  sets a fault of target I
+       POST /target?id=I&service_ms=N
+                                  sets the service time of target I, at first
+                                  0, for requests that arrive later
        GET /runs                  one line for each executed request: monotonic
                                   time in us, target, attempt id, customer ("-"
                                   where the header is missing), and "key" if it
@@ -24,6 +27,8 @@
                                   "nokey"
        GET /arrivals              the same for each request that reached a
                                   target
+       GET /answers               the same for each response that a target sent
+                                  to an open connection
 
      The fault "none" ends a fault.  The store handles each request unless a
      fault is set:
@@ -32,7 +37,8 @@
        busy    respond with 503
        reset   close the connection without a response
 
-     Targets send a complete response at once unless a fault is set:
+     Targets send a complete response after their service time unless a fault
+     is set:
 
        hang    execute the request and never respond
        lose    execute the request, then close without a response
--- a/standin/estate_internal.h
+++ b/standin/estate_internal.h
@@ -20,14 +20,25 @@
 
 typedef struct SiStubTarget SiStubTarget;
 
-/* A target that responds at once; target.h is the one with service time and
-   slots.  Appends a line to RUN_LOG for each executed request and to
-   ARRIVAL_LOG for each request that arrives.  */
+/* One line for each request, as in estate.h.  */
+typedef struct
+{
+  GString *runs;
+  GString *arrivals;
+  GString *answers;
+} SiStubLogs;
+
+/* A target that responds after a fixed service time, at first 0, to any number
+   of requests at once; target.h is the one with slots.  LOGS is copied, its
+   strings must outlive the target.  */
 SiStubTarget *si_stub_target_new (struct event_base *base, const char *id,
-                                  const char *address, GString *run_log,
-                                  GString *arrival_log, GError **error);
+                                  const char *address, const SiStubLogs *logs,
+                                  GError **error);
 void si_stub_target_free (SiStubTarget *target);
 /* Returns FALSE for an unknown fault.  */
 gboolean si_stub_target_set_fault (SiStubTarget *target, const char *fault);
+/* Applies to requests that arrive later.  */
+void si_stub_target_set_service_time (SiStubTarget *target,
+                                      int64_t service_us);
 
 #endif
--- a/standin/standin_test.cc
+++ b/standin/standin_test.cc
@@ -12,6 +12,7 @@
 #include "standin/echo.h"
 #include "standin/fixture.h"
 #include "standin/harness.h"
+#include "standin/process.h"
 #include "standin/verify.h"
 #include "store/store.h"
 }
@@ -511,6 +512,44 @@
     }
 }
 
+/* Guards against a target of the users' platform that responds before its
+   service time has passed, or that logs an answer that nobody received.  */
+TEST (Estate, TargetAnswersAfterItsServiceTime)
+{
+  std::string addresses[3];
+  for (std::string &address : addresses)
+    address = "127.0.0.1:" + std::to_string (si_find_free_port ());
+  const char *store = addresses[0].c_str ();
+  const char *control = addresses[1].c_str ();
+  std::string t1 = "t1=" + addresses[2];
+  const char *argv[] = { CW_BINARY_DIR "/standin/standin-estate",
+                         "--store",
+                         store,
+                         "--control",
+                         control,
+                         t1.c_str (),
+                         nullptr };
+  pid_t pid = si_process_spawn (argv, "/dev/null", nullptr);
+  ASSERT_GT (pid, 0);
+  for (int i = 0; i < 500 && fetch (control, "/runs", {}, 100).status != 200;
+       i++)
+    si_sleep_ms (10);
+  EXPECT_TRUE (si_post (control, "/target?id=t1&service_ms=300", "", nullptr));
+  Headers first = { "X-Comfreywalk-Attempt-Id: q1" };
+  Headers second = { "X-Comfreywalk-Attempt-Id: q2" };
+  Response response = fetch (addresses[2].c_str (), "/", first);
+  EXPECT_EQ (response.status, 200);
+  EXPECT_GE (response.took_us, 290000);
+  EXPECT_FALSE (fetch (addresses[2].c_str (), "/", second, 100).complete);
+  si_sleep_ms (400);
+  EXPECT_NE (fetch (control, "/runs").body.find ("q2"), std::string::npos);
+  std::string answers = fetch (control, "/answers").body;
+  EXPECT_NE (answers.find ("q1"), std::string::npos);
+  EXPECT_EQ (answers.find ("q2"), std::string::npos);
+  EXPECT_FALSE (si_post (control, "/target?id=t1", "", nullptr));
+  si_process_kill (pid);
+}
+
 /* Guards against processes that outlive a harness and disturb later runs.  */
 TEST_F (Standin, FreeKillsAllProcesses)
 {
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -19,9 +19,9 @@
 {
   SiServer *server;
   char *id;
-  GString *run_log;
-  GString *arrival_log;
+  SiStubLogs logs;
   Fault fault;
+  int64_t service_us;
 };
 
 static void
@@ -50,9 +50,18 @@
 }
 
 static void
-execute_request (SiStubTarget *target, SiExchange *x)
+respond (const SiStubTarget *target, SiExchange *x, int status,
+         const char *text)
+{
+  log_request (target, x, target->logs.answers);
+  si_send_text (x, status, text);
+}
+
+static void
+end_execution (SiExchange *x)
 {
-  log_request (target, x, target->run_log);
+  const SiStubTarget *target = x->data;
+
   if (target->fault == FAULT_DROP_RESPONSE)
     {
       si_drop_connection (x);
@@ -62,8 +71,21 @@
   /* The daemon checks only whether the header is present.  */
   if (target->fault != FAULT_NO_SIGNATURE)
     si_add_response_header (x, "X-Comfreywalk-Upstream-Signature", "stamp");
-  si_send_text (x, target->fault == FAULT_INTERNAL_ERROR ? 500 : 200,
-                target->id);
+  respond (target, x, target->fault == FAULT_INTERNAL_ERROR ? 500 : 200,
+           target->id);
+}
+
+static void
+execute_request (SiStubTarget *target, SiExchange *x)
+{
+  log_request (target, x, target->logs.runs);
+  x->data = target;
+  if (target->fault == FAULT_HANG)
+    return;
+  if (target->service_us > 0)
+    si_set_timer (x, target->service_us, end_execution);
+  else
+    end_execution (x);
 }
 
 static void
@@ -73,26 +95,21 @@
   const char *expected
       = si_request_header (x, "X-Comfreywalk-Expect-Instance");
 
-  log_request (target, x, target->arrival_log);
+  log_request (target, x, target->logs.arrivals);
   if (target->fault == FAULT_MISDIRECTED
       || (expected != NULL && strcmp (expected, target->id) != 0))
     {
-      si_send_text (x, 421, "");
+      respond (target, x, 421, "");
       return;
     }
-  switch (target->fault)
+  if (target->fault == FAULT_REJECT)
     {
-    case FAULT_HANG:
-      log_request (target, x, target->run_log);
-      break;
-    case FAULT_REJECT:
       add_common_headers (target, x);
       si_add_response_header (x, "X-Comfreywalk-Not-Executed", "1");
-      si_send_text (x, 503, "");
-      break;
-    default:
-      execute_request (target, x);
+      respond (target, x, 503, "");
+      return;
     }
+  execute_request (target, x);
 }
 
 gboolean
@@ -111,16 +128,21 @@
   return FALSE;
 }
 
+void
+si_stub_target_set_service_time (SiStubTarget *target, int64_t service_us)
+{
+  target->service_us = service_us;
+}
+
 SiStubTarget *
 si_stub_target_new (struct event_base *base, const char *id,
-                    const char *address, GString *run_log,
-                    GString *arrival_log, GError **error)
+                    const char *address, const SiStubLogs *logs,
+                    GError **error)
 {
   SiStubTarget *target = g_new0 (SiStubTarget, 1);
 
   target->id = g_strdup (id);
-  target->run_log = run_log;
-  target->arrival_log = arrival_log;
+  target->logs = *logs;
   target->server
       = si_server_new (base, address, handle_request, target, error);
   if (target->server == NULL)
