soak: check for requests that end without an answer

The callers recorded status 0 for a request without a response, and no check looked at it. The check `lost' reports a request that had reached a target, or was not answered within loss_slack_us, and whose connection was closed before its deadline. The record now has the daemon of each request, when daemons were stopped, killed and paused, and when targets and links had faults; only these excuse a loss, as far as the platform's rules do (contact_us before the request to its end; a target at work in the last sixth of the grace period). A stop, a reload, a new key and a fault of the store alone excuse nothing. A response of a stopping daemon in place of a target that is at work on the request is lost, too.

Two kinds of callers now have a deadline of 4 s, so that requests last beyond the end of a stop.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -9,9 +9,8 @@
 #define CALLER_COUNT 15
 /* Mean pause between a response and the next request of the caller.  */
 #define PAUSE_MEAN_MS 60
-#define DEADLINE_MS 2000
-/* Longer than the deadline: a daemon may still deliver a response after it. */
-#define RESPONSE_TIMEOUT_S 6
+/* Longer than the deadlines: a daemon may still deliver a response after. */
+#define RESPONSE_TIMEOUT_S 8
 /* Percentage of the requests of c1 that present the key before the current
    one, though that is revoked.  */
 #define PREVIOUS_KEY_PERCENT 10
@@ -24,12 +23,13 @@
   const char *customer; /* "-": none; sends no key */
   enum evhttp_cmd_type method;
   gboolean is_unsafe; /* must not run more than once */
+  int64_t deadline_ms;
 } request_kinds[] = {
-  { "/read/1", "c1", EVHTTP_REQ_GET, FALSE },
-  { "/order/1", "c1", EVHTTP_REQ_POST, TRUE },
-  { "/open/1", "-", EVHTTP_REQ_GET, FALSE },
-  { "/order/2", "c1", EVHTTP_REQ_POST, TRUE },
-  { "/read/2", "c2", EVHTTP_REQ_GET, FALSE },
+  { "/read/1", "c1", EVHTTP_REQ_GET, FALSE, 2000 },
+  { "/order/1", "c1", EVHTTP_REQ_POST, TRUE, SK_TIMEOUT_MS },
+  { "/open/1", "-", EVHTTP_REQ_GET, FALSE, SK_TIMEOUT_MS },
+  { "/order/2", "c1", EVHTTP_REQ_POST, TRUE, 2000 },
+  { "/read/2", "c2", EVHTTP_REQ_GET, FALSE, 2000 },
 };
 
 typedef struct
@@ -119,7 +119,8 @@
 add_headers (const SkRequest *request, struct evhttp_request *http)
 {
   struct evkeyvalq *headers = evhttp_request_get_output_headers (http);
-  g_autofree char *deadline = g_strdup_printf ("%d", DEADLINE_MS);
+  g_autofree char *deadline = g_strdup_printf (
+      "%" G_GINT64_FORMAT, (request->deadline_us - request->sent_us) / 1000);
   g_autofree char *key
       = request->key_number != 0
             ? g_strdup_printf ("Token key-%d", request->key_number)
@@ -158,10 +159,14 @@
 
   (void)fd;
   (void)event;
+  request.deadline_us
+      = request.sent_us + request_kinds[kind].deadline_ms * 1000;
   if (caller->connection_failed || caller->connection == NULL)
     connect_to_next_daemon (caller);
   caller->connection_failed = FALSE;
   g_snprintf (request.id, sizeof request.id, "q%u", ++callers->request_count);
+  g_snprintf (request.daemon, sizeof request.daemon, "vm%u",
+              caller->daemon_index % SK_DAEMON_COUNT);
   request.key_number = choose_key_number (callers, request.customer);
   caller->request_index = sk_record_add_request (callers->record, &request);
   evhttp_request_set_error_cb (http, on_error);
--- a/soak/main.c
+++ b/soak/main.c
@@ -20,8 +20,8 @@
 /* Load continues this long after RECOVERY_MS.  Every request must then succeed
    or be refused with 401 or 429.  */
 #define POST_RECOVERY_MS 2000
-/* Wait for the last responses; longer than the callers' deadline of 2 s.  */
-#define LAST_RESPONSES_MS 2500
+/* Wait for the last responses.  */
+#define LAST_RESPONSES_MS (SK_TIMEOUT_MS + 500)
 #define FAULTS_END_DEFAULT_MS 10000
 
 /* The bounds that the users' platform sets for daemons with the settings that
@@ -39,6 +39,10 @@
   .retry_ratio = 0.1,
   .retry_reserve_count = 10,
   .retry_window_us = 10000000,
+  .loss_slack_us = 200000,
+  .contact_us = 3000000,
+  .stop_grace_us = SK_STOP_GRACE_MS * 1000,
+  .stop_sent_us = 3000000,
 };
 
 typedef struct
@@ -129,17 +133,20 @@
   SkBounds bounds = default_bounds;
   g_autofree char *runs = sk_testbed_get_runs (soak->testbed);
   g_autofree char *arrivals = sk_testbed_get_arrivals (soak->testbed);
+  g_autofree char *answers = sk_testbed_get_answers (soak->testbed);
   g_autoptr (GPtrArray) violations = NULL;
 
   bounds.recovery_deadline_us
       = soak->started_us + (soak->faults_end_ms + RECOVERY_MS) * 1000;
-  if (runs == NULL || arrivals == NULL)
+  if (runs == NULL || arrivals == NULL || answers == NULL)
     {
       printf ("  the platform stand-in does not respond\n");
       return 1;
     }
-  violations = sk_record_check (record, runs, arrivals, sk_testbed_target_zone,
-                                &bounds);
+  violations = sk_record_check (
+      record,
+      &(SkLogs){ .runs = runs, .arrivals = arrivals, .answers = answers },
+      sk_testbed_target_zone, &bounds);
   return print_lines (sk_testbed_errors (soak->testbed))
          + print_lines (violations);
 }
--- a/soak/record.c
+++ b/soak/record.c
@@ -5,6 +5,9 @@
 /* Time allowed between a daemon's choice of a target and the arrival of the
    request there.  */
 #define DISPATCH_DELAY_US ((int64_t)200000)
+/* Timers of a daemon round to ms and start from the cached time of its event
+   loop.  */
+#define TIMER_TOLERANCE_US 5000
 
 SkRecord *
 sk_record_new (void)
@@ -89,6 +92,7 @@
   GPtrArray *violations;
   GArray *runs;                /* LogEntry */
   GArray *arrivals;            /* LogEntry */
+  GArray *answers;             /* LogEntry */
   GHashTable *request_indexes; /* id to index of the request + 1 */
   GHashTable *run_counts;      /* id to count */
 } Check;
@@ -381,6 +385,148 @@
                    max_count, limit_count);
 }
 
+static gboolean
+has_fault (const Check *check, SkPeriodKind kind, const char *subject,
+           const SkRequest *request)
+{
+  for (guint i = 0; i < check->record->periods->len; i++)
+    {
+      const SkPeriod *period
+          = &g_array_index (check->record->periods, SkPeriod, i);
+      if (period->kind == kind
+          && (subject == NULL || strcmp (period->subject, subject) == 0)
+          && period->from_us <= request->ended_us
+          && period->until_us >= request->sent_us - check->bounds->contact_us)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Returns the stop of the request's daemon that overlaps REQUEST, or NULL.  */
+static const SkPeriod *
+find_stop (const Check *check, const SkRequest *request)
+{
+  for (guint i = 0; i < check->record->periods->len; i++)
+    {
+      const SkPeriod *period
+          = &g_array_index (check->record->periods, SkPeriod, i);
+      if (period->kind == SK_PERIOD_STOP
+          && strcmp (period->subject, request->daemon) == 0
+          && period->from_us <= request->ended_us
+          && period->until_us >= request->sent_us)
+        return period;
+    }
+  return NULL;
+}
+
+/* Returns the time at which a target answered, or INT64_MAX.  TARGET may be
+   NULL for any.  */
+static int64_t
+find_answer (const Check *check, const char *id, const char *target)
+{
+  for (guint i = 0; i < check->answers->len; i++)
+    {
+      const LogEntry *entry = &g_array_index (check->answers, LogEntry, i);
+      if (strcmp (entry->id, id) == 0
+          && (target == NULL || strcmp (entry->target, target) == 0))
+        return entry->at_us;
+    }
+  return INT64_MAX;
+}
+
+static gboolean
+was_at_work_late (const Check *check, const SkRequest *request,
+                  const SkPeriod *stop, const char *target)
+{
+  const SkBounds *bounds = check->bounds;
+  int64_t work_end_us
+      = MIN (request->ended_us, find_answer (check, request->id, target));
+
+  return stop != NULL
+         && request->sent_us <= stop->from_us + bounds->stop_sent_us
+         && work_end_us >= stop->from_us + bounds->stop_grace_us
+                               - bounds->stop_grace_us / 6;
+}
+
+/* Returns the target at which REQUEST was lost, "-" if it was lost on the way
+   to one, or NULL if it was not lost.  */
+static const char *
+find_lost_at (const Check *check, const SkRequest *request,
+              const SkPeriod *stop)
+{
+  gboolean arrived = FALSE;
+
+  for (guint i = 0; i < check->arrivals->len; i++)
+    {
+      const LogEntry *entry = &g_array_index (check->arrivals, LogEntry, i);
+      if (strcmp (entry->id, request->id) != 0
+          || entry->at_us > request->ended_us)
+        continue;
+      arrived = TRUE;
+      if (!has_fault (check, SK_PERIOD_TARGET_FAULT, entry->target, request)
+          && !was_at_work_late (check, request, stop, entry->target))
+        return entry->target;
+    }
+  if (arrived || request->status != 0
+      || request->ended_us - request->sent_us <= check->bounds->loss_slack_us
+      || has_fault (check, SK_PERIOD_TARGET_FAULT, NULL, request))
+    return NULL;
+  return "-";
+}
+
+/* Returns whether the daemon itself ended REQUEST before its deadline.  */
+static gboolean
+was_broken_off (const Check *check, const SkRequest *request,
+                const SkPeriod *stop)
+{
+  if (request->ended_us == 0 || request->status == 200
+      || request->ended_us >= request->deadline_us - TIMER_TOLERANCE_US)
+    return FALSE;
+  return request->status == 0
+         || (stop != NULL
+             && find_answer (check, request->id, NULL) > request->ended_us);
+}
+
+static void
+add_lost (Check *check, const SkRequest *request, const SkPeriod *stop,
+          const char *target)
+{
+  g_autofree char *since
+      = stop == NULL
+            ? g_strdup ("no SIGTERM")
+            : g_strdup_printf ("sent %" G_GINT64_FORMAT
+                               " ms and ended %" G_GINT64_FORMAT
+                               " ms after SIGTERM",
+                               (request->sent_us - stop->from_us) / 1000,
+                               (request->ended_us - stop->from_us) / 1000);
+
+  add_violation (check,
+                 "lost: %s got %d from %s after %" G_GINT64_FORMAT
+                 " ms, target %s, %s",
+                 request->id, request->status, request->daemon,
+                 (request->ended_us - request->sent_us) / 1000, target, since);
+}
+
+static void
+check_lost (Check *check)
+{
+  for (guint i = 0; i < check->record->requests->len; i++)
+    {
+      const SkRequest *request = sk_record_get_request (check->record, i);
+      const SkPeriod *stop = find_stop (check, request);
+      const char *target;
+      if (!was_broken_off (check, request, stop)
+          || has_fault (check, SK_PERIOD_DAEMON_FAULT, request->daemon,
+                        request)
+          || has_fault (check, SK_PERIOD_STORE_LINK_FAULT, request->daemon,
+                        request))
+        continue;
+      target = find_lost_at (check, request, stop);
+      if (target != NULL)
+        add_lost (check, request, stop, target);
+    }
+}
+
 static void
 check_periods (Check *check)
 {
@@ -403,14 +549,14 @@
         case SK_PERIOD_COLD:
           check_cold (check, period);
           break;
-        case SK_PERIOD_UNSTABLE:
+        default:
           break;
         }
     }
 }
 
 GPtrArray *
-sk_record_check (SkRecord *record, const char *runs, const char *arrivals,
+sk_record_check (SkRecord *record, const SkLogs *logs,
                  const char *(*zone_of) (const char *target),
                  const SkBounds *bounds)
 {
@@ -425,17 +571,20 @@
     g_hash_table_insert (check.request_indexes,
                          sk_record_get_request (record, i)->id,
                          GUINT_TO_POINTER (i + 1));
-  check.runs = parse_log (&check, runs);
-  check.arrivals = parse_log (&check, arrivals);
+  check.runs = parse_log (&check, logs->runs);
+  check.arrivals = parse_log (&check, logs->arrivals);
+  check.answers = parse_log (&check, logs->answers);
   check_runs (&check);
   check_arrivals (&check);
   check_responses (&check);
   check_periods (&check);
   check_customer_rate (&check);
   check_retries (&check);
+  check_lost (&check);
   g_hash_table_unref (check.run_counts);
   g_hash_table_unref (check.request_indexes);
   g_array_unref (check.runs);
   g_array_unref (check.arrivals);
+  g_array_unref (check.answers);
   return check.violations;
 }
--- a/soak/record.h
+++ b/soak/record.h
@@ -6,13 +6,13 @@
      sk_record_begin_period (record, SK_PERIOD_DRAIN, "t1", now_us);
      sk_record_end_period (record, SK_PERIOD_DRAIN, "t1", now_us);
      GPtrArray *violations
-         = sk_record_check (record, runs, arrivals, zone_of, &bounds);
+         = sk_record_check (record, &logs, zone_of, &bounds);
 
    DESCRIPTION
      The checks use only what is visible outside the daemons: responses to
-     callers, and the lines that targets write for arrivals and runs of
-     requests, "TIME_US TARGET REQUEST CUSTOMER KEY", where KEY is "key" if the
-     target received an API key, else "nokey".  Times are of the monotonic
+     callers, and the lines that targets write for arrivals, runs and answers
+     of requests, "TIME_US TARGET REQUEST CUSTOMER KEY", where KEY is "key" if
+     the target received an API key, else "nokey".  Times are of the monotonic
      clock.  An unsafe request is one that must not run more than once.
 
      sk_record_check returns one line for each violation, which begins with:
@@ -36,6 +36,17 @@
        repeats    retries exceeded the retry budget
        recovery   a request that was sent after the recovery deadline failed,
                   other than with 401 or 429
+       lost       before its deadline, a request ended without a response,
+                  though it had reached a target, or later than loss_slack_us
+                  after it was sent; or a stopping daemon responded in place of
+                  a target that was at work on it.  Excused if the daemon, its
+                  link to the store, or all targets that the request reached
+                  had a fault from contact_us before the request to its end; if
+                  it reached none, a fault of any target excuses.  Also excused
+                  if it was sent no later than stop_sent_us after SIGTERM and
+                  the target was at work in the last sixth of stop_grace_us.
+                  Stops, reloads, changes of the configuration, faults of the
+                  store alone and slow targets excuse nothing else.
        line       a line of a target that cannot be parsed
 
    ERRORS
@@ -50,10 +61,12 @@
 typedef struct
 {
   char id[32];
+  char daemon[8];       /* to which it was sent */
   const char *customer; /* static; "-" without one */
   int key_number;       /* of the key of c1 that was sent; else 0 */
   gboolean is_unsafe;
   int64_t sent_us;
+  int64_t deadline_us;
   int64_t ended_us;          /* 0: in flight */
   int status;                /* 0: no response */
   gboolean reported_not_run; /* the response says "not_run" */
@@ -63,12 +76,16 @@
 
 typedef enum
 {
-  SK_PERIOD_KEY_REVOKED, /* subject: number of the key; never ends */
-  SK_PERIOD_DRAIN,       /* subject: target */
-  SK_PERIOD_EVACUATED,   /* subject: zone */
-  SK_PERIOD_COLD,        /* subject: target */
-  SK_PERIOD_UNSTABLE,    /* the store, a daemon or the link from the daemon to
-                            the store has a fault; any subject */
+  SK_PERIOD_KEY_REVOKED,  /* subject: number of the key; never ends */
+  SK_PERIOD_DRAIN,        /* subject: target */
+  SK_PERIOD_EVACUATED,    /* subject: zone */
+  SK_PERIOD_COLD,         /* subject: target */
+  SK_PERIOD_UNSTABLE,     /* the store, a daemon or the link from the daemon to
+                             the store has a fault; any subject */
+  SK_PERIOD_STOP,         /* subject: daemon; from SIGTERM to its exit */
+  SK_PERIOD_DAEMON_FAULT, /* subject: daemon; killed or paused */
+  SK_PERIOD_STORE_LINK_FAULT, /* subject: daemon */
+  SK_PERIOD_TARGET_FAULT,     /* subject: target; it or the link to it */
 } SkPeriodKind;
 
 /* Time during which the condition that KIND names holds for a subject.  */
@@ -94,8 +111,20 @@
   double retry_reserve_count; /* additional retries in retry_window_us */
   int64_t retry_window_us;
   int64_t recovery_deadline_us; /* requests sent later must succeed */
+  int64_t loss_slack_us;
+  int64_t contact_us; /* after this, a fault has no effect any more */
+  int64_t stop_grace_us;
+  int64_t stop_sent_us;
 } SkBounds;
 
+/* The lines of the targets.  */
+typedef struct
+{
+  const char *runs;
+  const char *arrivals;
+  const char *answers;
+} SkLogs;
+
 typedef struct
 {
   GArray *requests; /* SkRequest */
@@ -113,10 +142,8 @@
                            const char *subject, int64_t now_us);
 
 /* Returns the violations as strings, none in a correct run; free with
-   g_ptr_array_unref.  RUNS and ARRIVALS are the lines of the targets.  ZONE_OF
-   returns the zone of a target.  */
-GPtrArray *sk_record_check (SkRecord *record, const char *runs,
-                            const char *arrivals,
+   g_ptr_array_unref.  ZONE_OF returns the zone of a target.  */
+GPtrArray *sk_record_check (SkRecord *record, const SkLogs *logs,
                             const char *(*zone_of) (const char *target),
                             const SkBounds *bounds);
 
--- a/soak/site.c
+++ b/soak/site.c
@@ -93,10 +93,10 @@
 {
   return g_strdup_printf (
       "\"%s\":{\"host\":\"127.0.0.1\",\"prefix\":\"/%s/\",\"kind\":\"%s\","
-      "\"timeout_s\":2,\"target_latency_s\":0.5,\"priority\":1,"
+      "\"timeout_s\":%d,\"target_latency_s\":0.5,\"priority\":1,"
       "\"service\":\"s\",\"max_attempts\":2,\"sticky\":false,"
       "\"anonymous\":%s}",
-      name, name, kind, is_open ? "true" : "false");
+      name, name, kind, SK_TIMEOUT_MS / 1000, is_open ? "true" : "false");
 }
 
 static void
@@ -369,6 +369,15 @@
     sk_record_end_period (testbed->record, kind, subject, now_us);
 }
 
+static void
+record_daemon_period (SkTestbed *testbed, SkPeriodKind kind, uint32_t index,
+                      gboolean begins)
+{
+  g_autofree char *subject = g_strdup_printf ("vm%u", index);
+
+  record_period (testbed, kind, subject, begins);
+}
+
 static void
 record_unstable_period (SkTestbed *testbed, const SkFault *fault,
                         gboolean begins)
@@ -388,6 +397,7 @@
   record_unstable_period (testbed, fault, begins);
   if (!begins || daemon->stopping_us != 0)
     return;
+  record_daemon_period (testbed, SK_PERIOD_STOP, fault->subject_index, TRUE);
   daemon->stopping_us = g_get_monotonic_time ();
   si_process_signal (daemon->pid, SIGTERM);
 }
@@ -399,6 +409,8 @@
   g_autoptr (GError) error = NULL;
 
   record_unstable_period (testbed, fault, begins);
+  record_daemon_period (testbed, SK_PERIOD_DAEMON_FAULT, fault->subject_index,
+                        begins);
   if (begins)
     si_process_kill (daemon->pid);
   else if (!spawn_daemon (testbed, daemon, &error))
@@ -409,6 +421,8 @@
 pause_daemon (SkTestbed *testbed, const SkFault *fault, gboolean begins)
 {
   record_unstable_period (testbed, fault, begins);
+  record_daemon_period (testbed, SK_PERIOD_DAEMON_FAULT, fault->subject_index,
+                        begins);
   si_process_signal (testbed->daemons[fault->subject_index].pid,
                      begins ? SIGSTOP : SIGCONT);
 }
@@ -471,7 +485,14 @@
              : link_settings[fault->kind].end);
 
   if (sk_fault_kinds[fault->kind].subject_kind == SK_SUBJECT_STORE_LINK)
-    record_unstable_period (testbed, fault, begins);
+    {
+      record_unstable_period (testbed, fault, begins);
+      record_daemon_period (testbed, SK_PERIOD_STORE_LINK_FAULT,
+                            fault->subject_index, begins);
+    }
+  else
+    record_period (testbed, SK_PERIOD_TARGET_FAULT,
+                   testbed->targets[fault->subject_index].id, begins);
   post_control (testbed, testbed->proxy_address, path, "");
 }
 
@@ -487,6 +508,8 @@
       "/target?id=%s&fault=%s", testbed->targets[fault->subject_index].id,
       begins ? faults[fault->kind] : "none");
 
+  record_period (testbed, SK_PERIOD_TARGET_FAULT,
+                 testbed->targets[fault->subject_index].id, begins);
   post_control (testbed, testbed->control_address, path, "");
 }
 
@@ -607,12 +630,13 @@
 }
 
 static void
-restart_daemon (SkTestbed *testbed, int index, int status)
+restart_daemon (SkTestbed *testbed, uint32_t index, int status)
 {
   g_autoptr (GError) error = NULL;
 
+  record_daemon_period (testbed, SK_PERIOD_STOP, index, FALSE);
   if (status != 0)
-    add_error (testbed, "stop: vm%d exited with status %d", index, status);
+    add_error (testbed, "stop: vm%u exited with status %d", index, status);
   if (!spawn_daemon (testbed, &testbed->daemons[index], &error))
     add_error (testbed, "start: %s", error->message);
 }
@@ -622,7 +646,7 @@
 {
   int64_t now_us = g_get_monotonic_time ();
 
-  for (int i = 0; i < SK_DAEMON_COUNT; i++)
+  for (uint32_t i = 0; i < SK_DAEMON_COUNT; i++)
     {
       Daemon *daemon = &testbed->daemons[i];
       int status = 0;
@@ -633,9 +657,11 @@
       else if (now_us - daemon->stopping_us
                > (SK_STOP_GRACE_MS + STOP_SLACK_MS) * 1000)
         {
-          add_error (testbed, "stop: vm%d exceeded its grace period", i);
+          add_error (testbed, "stop: vm%u exceeded its grace period", i);
+          record_daemon_period (testbed, SK_PERIOD_DAEMON_FAULT, i, TRUE);
           si_process_kill (daemon->pid);
           restart_daemon (testbed, i, 0);
+          record_daemon_period (testbed, SK_PERIOD_DAEMON_FAULT, i, FALSE);
         }
     }
 }
@@ -664,6 +690,12 @@
   return si_get_text (testbed->control_address, "/arrivals", NULL);
 }
 
+char *
+sk_testbed_get_answers (const SkTestbed *testbed)
+{
+  return si_get_text (testbed->control_address, "/answers", NULL);
+}
+
 /* Target "tN" is in zone N modulo the number of zones.  */
 const char *
 sk_testbed_target_zone (const char *target)
--- a/soak/site.h
+++ b/soak/site.h
@@ -34,6 +34,8 @@
 /* Settings of the daemons.  */
 #define SK_STOP_GRACE_MS 4000
 #define SK_KEY_REVOCATION_MS 3000
+/* Timeout of the routes.  */
+#define SK_TIMEOUT_MS 4000
 /* Rate that a cold target can handle.  */
 #define SK_COLD_PER_S 5
 /* Rate and burst of c2.  */
@@ -58,10 +60,11 @@
                                       uint32_t daemon);
 /* Number of the current key of c1.  */
 int sk_testbed_key_number (const SkTestbed *testbed);
-/* The lines of all targets for runs and arrivals of requests, as in record.h;
-   NULL without a response.  Free with g_free.  */
+/* The lines of all targets for runs, arrivals and answers of requests, as in
+   record.h; NULL without a response.  Free with g_free.  */
 char *sk_testbed_get_runs (const SkTestbed *testbed);
 char *sk_testbed_get_arrivals (const SkTestbed *testbed);
+char *sk_testbed_get_answers (const SkTestbed *testbed);
 const char *sk_testbed_target_zone (const char *target);
 /* Strings: failures to start, stop or control a process.  */
 const GPtrArray *sk_testbed_errors (const SkTestbed *testbed);
--- a/soak/soak_test.cc
+++ b/soak/soak_test.cc
@@ -91,14 +91,35 @@
                                   sk_record_add_request (record, &request));
   }
 
+  /* A request to vm0 that ended without a response.  */
+  SkRequest *
+  AddUnanswered (const char *id, int64_t sent_us, int64_t ended_us)
+  {
+    SkRequest *request = AddRequest (id, sent_us, 0, "");
+    g_strlcpy (request->daemon, "vm0", sizeof request->daemon);
+    request->deadline_us = sent_us + 20000;
+    request->ended_us = ended_us;
+    return request;
+  }
+
+  void
+  AddPeriod (SkPeriodKind kind, const char *subject, int64_t from_us,
+             int64_t until_us)
+  {
+    sk_record_begin_period (record, kind, subject, from_us);
+    sk_record_end_period (record, kind, subject, until_us);
+  }
+
   /* Returns the first 5 characters of each violation, each with "|" after it;
      lines of RUNS are also arrivals.  */
   std::string
-  CheckRecord (const std::string &runs, const std::string &more_arrivals = "")
+  CheckRecord (const std::string &runs, const std::string &more_arrivals = "",
+               const std::string &answers = "")
   {
-    GPtrArray *violations = sk_record_check (record, runs.c_str (),
-                                             (runs + more_arrivals).c_str (),
-                                             TargetZone, &bounds);
+    std::string arrivals = runs + more_arrivals;
+    SkLogs logs = { runs.c_str (), arrivals.c_str (), answers.c_str () };
+    GPtrArray *violations
+        = sk_record_check (record, &logs, TargetZone, &bounds);
     std::string labels;
     for (guint i = 0; i < violations->len; i++)
       labels += std::string ((char *)violations->pdata[i]).substr (0, 5) + "|";
@@ -108,18 +129,22 @@
 
   SkRecord *record = sk_record_new ();
   SkBounds bounds = {
-    3000,      /* key_revocation_us */
-    3000,      /* drain_us */
-    5000,      /* evacuation_us */
-    2,         /* cold_per_s */
-    "c2",      /* limited_customer */
-    2,         /* rate_per_s */
-    1,         /* burst_count */
-    1000000,   /* rate_window_us */
-    0.1,       /* retry_ratio */
-    0,         /* retry_reserve_count */
-    10000000,  /* retry_window_us */
-    G_MAXINT64 /* recovery_deadline_us */
+    3000,       /* key_revocation_us */
+    3000,       /* drain_us */
+    5000,       /* evacuation_us */
+    2,          /* cold_per_s */
+    "c2",       /* limited_customer */
+    2,          /* rate_per_s */
+    1,          /* burst_count */
+    1000000,    /* rate_window_us */
+    0.1,        /* retry_ratio */
+    0,          /* retry_reserve_count */
+    10000000,   /* retry_window_us */
+    G_MAXINT64, /* recovery_deadline_us */
+    200,        /* loss_slack_us */
+    3000,       /* contact_us */
+    6000,       /* stop_grace_us */
+    3000        /* stop_sent_us */
   };
 };
 
@@ -215,4 +240,108 @@
   EXPECT_EQ (CheckRecord (""), "recov|");
 }
 
+TEST_F (Record, FindsRequestLostAtTarget)
+{
+  AddUnanswered ("q1", 10000, 10150);
+  EXPECT_EQ (CheckRecord ("10050 t0 q1 c1 nokey\n"), "lost:|");
+  EXPECT_EQ (
+      CheckRecord ("10050 t0 q1 c1 nokey\n", "", "10100 t0 q1 c1 nokey\n"),
+      "lost:|");
+}
+
+/* A request that crosses the close of its connection ends at once, without
+   having reached a target.  */
+TEST_F (Record, FindsRequestLostBeforeTarget)
+{
+  SkRequest *request = AddUnanswered ("q1", 10000, 10200);
+  EXPECT_EQ (CheckRecord (""), "");
+  request->ended_us = 10201;
+  EXPECT_EQ (CheckRecord (""), "lost:|");
+  AddPeriod (SK_PERIOD_TARGET_FAULT, "t5", 9000, 9500);
+  EXPECT_EQ (CheckRecord (""), "");
+}
+
+TEST_F (Record, AllowsRequestInFlightOrWithoutResponseByItsDeadline)
+{
+  SkRequest *request = AddUnanswered ("q1", 10000, 0);
+  const std::string run = "10050 t0 q1 c1 nokey\n";
+  EXPECT_EQ (CheckRecord (run), "");
+  request->ended_us = 25000;
+  EXPECT_EQ (CheckRecord (run), "");
+  request->ended_us = 24999;
+  EXPECT_EQ (CheckRecord (run), "lost:|");
+}
+
+TEST_F (Record, CountsLossDespitePlannedWorkAndFaultsOfOthers)
+{
+  AddUnanswered ("q1", 10000, 10500);
+  AddPeriod (SK_PERIOD_STOP, "vm0", 9000, 14000);
+  AddPeriod (SK_PERIOD_KEY_REVOKED, "7", 9900, 20000);
+  AddPeriod (SK_PERIOD_DRAIN, "t0", 9900, 20000);
+  AddPeriod (SK_PERIOD_UNSTABLE, "1-0", 9000, 20000);
+  AddPeriod (SK_PERIOD_DAEMON_FAULT, "vm1", 9000, 20000);
+  AddPeriod (SK_PERIOD_STORE_LINK_FAULT, "vm1", 9000, 20000);
+  AddPeriod (SK_PERIOD_TARGET_FAULT, "t1", 9000, 20000);
+  EXPECT_EQ (CheckRecord ("10050 t0 q1 c1 nokey\n"), "lost:|");
+}
+
+TEST_F (Record, ExcusesLossByFaultOfDaemonLinkOrTarget)
+{
+  struct
+  {
+    SkPeriodKind kind;
+    const char *subject;
+  } excuses[] = { { SK_PERIOD_DAEMON_FAULT, "vm0" },
+                  { SK_PERIOD_STORE_LINK_FAULT, "vm0" },
+                  { SK_PERIOD_TARGET_FAULT, "t0" } };
+  AddUnanswered ("q1", 10000, 10500);
+  for (const auto &excuse : excuses)
+    {
+      g_array_set_size (record->periods, 0);
+      AddPeriod (excuse.kind, excuse.subject, 6000, 7000);
+      EXPECT_EQ (CheckRecord ("10050 t0 q1 c1 nokey\n"), "");
+      g_array_set_size (record->periods, 0);
+      AddPeriod (excuse.kind, excuse.subject, 6000, 6999);
+      AddPeriod (excuse.kind, excuse.subject, 10501, 12000);
+      EXPECT_EQ (CheckRecord ("10050 t0 q1 c1 nokey\n"), "lost:|");
+    }
+}
+
+/* A request whose first target failed was repeated on a sound one.  */
+TEST_F (Record, FindsRequestLostAtSoundTargetAfterRetry)
+{
+  bounds.retry_reserve_count = 5;
+  AddPeriod (SK_PERIOD_TARGET_FAULT, "t0", 9000, 20000);
+  AddUnanswered ("q1", 10000, 10500);
+  EXPECT_EQ (CheckRecord ("10050 t0 q1 c1 nokey\n"), "");
+  EXPECT_EQ (CheckRecord ("10050 t0 q1 c1 nokey\n10060 t1 q1 c1 nokey\n"),
+             "lost:|");
+}
+
+TEST_F (Record, ExcusesTargetAtWorkInLastSixthOfGrace)
+{
+  AddPeriod (SK_PERIOD_STOP, "vm0", 10000, 16000);
+  SkRequest *request = AddUnanswered ("q1", 13000, 15000);
+  const std::string run = "13050 t0 q1 c1 nokey\n";
+  EXPECT_EQ (CheckRecord (run), "");
+  EXPECT_EQ (CheckRecord (run, "", "14999 t0 q1 c1 nokey\n"), "lost:|");
+  request->ended_us = 14999;
+  EXPECT_EQ (CheckRecord (run), "lost:|");
+  request->ended_us = 15000;
+  request->sent_us = 13001;
+  EXPECT_EQ (CheckRecord (run), "lost:|");
+}
+
+TEST_F (Record, FindsOwnResponseOfStoppingDaemonInPlaceOfTarget)
+{
+  SkRequest *request = AddUnanswered ("q1", 10000, 10500);
+  const std::string run = "10050 t0 q1 c1 nokey\n";
+  request->status = 502;
+  EXPECT_EQ (CheckRecord (run), "");
+  AddPeriod (SK_PERIOD_STOP, "vm0", 10100, 14000);
+  EXPECT_EQ (CheckRecord (run), "lost:|");
+  EXPECT_EQ (CheckRecord (run, "", "10400 t0 q1 c1 nokey\n"), "");
+  EXPECT_EQ (CheckRecord (""), "");
+}
+
 }
