soak: slow targets, and planned work in series

Targets responded at once, and stops, reloads and new keys met only by chance: nothing was under way when a daemon stopped. Targets now take 50 ms, and 1.5 s to 3.5 s during the new fault target-slow. In each plan a series of two or three stops, reloads and new keys overlaps with slow targets; half of the plans have nothing but planned work, so that no fault excuses a lost request. A reload may overlap with other faults of its daemon; SIGHUP is not sent in the first 500 ms of a process, which it would end. The grace period is 6 s, as on the users' sites; stops thus last longer, and faults end after 16 s in place of 10 s.

--- a/soak/main.c
+++ b/soak/main.c
@@ -22,7 +22,7 @@
 #define POST_RECOVERY_MS 2000
 /* Wait for the last responses.  */
 #define LAST_RESPONSES_MS (SK_TIMEOUT_MS + 500)
-#define FAULTS_END_DEFAULT_MS 10000
+#define FAULTS_END_DEFAULT_MS 16000
 
 /* The bounds that the users' platform sets for daemons with the settings that
    site.c writes and defaults for the others.  Rates and bursts include the
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -4,18 +4,23 @@
 #define INTERVAL_MEAN_MS 250
 #define DURATION_MIN_MS 500
 #define DURATION_MAX_MS 4500
-/* Exceeds the daemons' stop grace period of 4 s, so that no daemon is paused
+/* Exceeds the daemons' stop grace period of 6 s, so that no daemon is paused
    while it stops: a paused one would not exit in time.  */
-#define STOP_DURATION_MS 5200
+#define STOP_DURATION_MS 7200
 /* Percentage of faults that start BACK_TO_BACK_GAP_MS after the one before. */
 #define BACK_TO_BACK_PERCENT 30
 #define BACK_TO_BACK_GAP_MS 50
+#define PLANNED_ONLY_PERCENT 50
+#define SERIES_INTERVAL_MS 9000
+#define SERIES_START_MAX_MS 2500
+/* A new key comes into force at once and lasts until the next one.  */
+#define KEY_ROTATE_DURATION_MS 100
 
 const SkFaultKindInfo sk_fault_kinds[SK_FAULT_KIND_COUNT] = {
-  [SK_DAEMON_STOP] = { "daemon-stop", SK_SUBJECT_DAEMON },
+  [SK_DAEMON_STOP] = { "daemon-stop", SK_SUBJECT_DAEMON, TRUE },
   [SK_DAEMON_KILL] = { "daemon-kill", SK_SUBJECT_DAEMON },
   [SK_DAEMON_PAUSE] = { "daemon-pause", SK_SUBJECT_DAEMON },
-  [SK_DAEMON_RELOAD] = { "daemon-reload", SK_SUBJECT_DAEMON },
+  [SK_DAEMON_RELOAD] = { "daemon-reload", SK_SUBJECT_SETTINGS, TRUE },
   [SK_STORE_SILENT] = { "store-silent", SK_SUBJECT_STORE },
   [SK_STORE_BUSY] = { "store-busy", SK_SUBJECT_STORE },
   [SK_STORE_RESET] = { "store-reset", SK_SUBJECT_STORE },
@@ -34,12 +39,13 @@
   [SK_TARGET_OMIT_SIGNATURE] = { "target-omit-signature", SK_SUBJECT_TARGET },
   [SK_TARGET_HANG] = { "target-hang", SK_SUBJECT_TARGET },
   [SK_TARGET_MISDIRECT] = { "target-misdirect", SK_SUBJECT_TARGET },
-  [SK_TARGET_DRAIN] = { "target-drain", SK_SUBJECT_TARGET },
-  [SK_TARGET_REMOVE] = { "target-gone", SK_SUBJECT_TARGET },
-  [SK_TARGET_COLD] = { "target-cold", SK_SUBJECT_TARGET },
-  [SK_KEY_ROTATE] = { "key-rotate", SK_SUBJECT_CONFIG },
+  [SK_TARGET_DRAIN] = { "target-drain", SK_SUBJECT_TARGET, TRUE },
+  [SK_TARGET_REMOVE] = { "target-gone", SK_SUBJECT_TARGET, TRUE },
+  [SK_TARGET_COLD] = { "target-cold", SK_SUBJECT_TARGET, TRUE },
+  [SK_TARGET_SLOW] = { "target-slow", SK_SUBJECT_TARGET, TRUE },
+  [SK_KEY_ROTATE] = { "key-rotate", SK_SUBJECT_CONFIG, TRUE },
   [SK_CONFIG_STALE] = { "config-stale", SK_SUBJECT_CONFIG },
-  [SK_ZONE_EVACUATE] = { "zone-evacuate", SK_SUBJECT_ZONE },
+  [SK_ZONE_EVACUATE] = { "zone-evacuate", SK_SUBJECT_ZONE, TRUE },
 };
 
 typedef struct
@@ -47,14 +53,40 @@
   const SkPlanOptions *options;
   GRand *random;
   GArray *faults;
+  gboolean planned_only;
 } PlanBuilder;
 
+/* Faults of a series, with the range of their start times after its start.
+   Their subjects are random, except that one daemon is both reloaded and
+   stopped.  */
+static const struct
+{
+  SkFaultKind kind;
+  gboolean is_same_daemon;
+  int32_t min_ms;
+  int32_t max_ms;
+} series_steps[] = {
+  { SK_TARGET_SLOW, FALSE, -1500, 0 },
+  { SK_TARGET_SLOW, FALSE, -500, 1500 },
+  { SK_TARGET_SLOW, FALSE, 1500, 3500 },
+  { SK_TARGET_SLOW, FALSE, 1500, 3500 },
+  { SK_KEY_ROTATE, FALSE, -1000, -200 },
+  { SK_DAEMON_RELOAD, TRUE, -1000, 500 },
+  { SK_DAEMON_STOP, TRUE, 0, 1 },
+  { SK_KEY_ROTATE, FALSE, 0, 1000 },
+  { SK_DAEMON_RELOAD, FALSE, 0, 2000 },
+  { SK_DAEMON_STOP, FALSE, 200, 2000 },
+  { SK_KEY_ROTATE, FALSE, 1100, 3000 },
+  { SK_DAEMON_STOP, FALSE, 2000, 4000 },
+};
+
 static uint32_t
 subject_count (const SkPlanOptions *options, SkSubjectKind subject_kind)
 {
   switch (subject_kind)
     {
     case SK_SUBJECT_DAEMON:
+    case SK_SUBJECT_SETTINGS:
     case SK_SUBJECT_STORE_LINK:
       return options->daemon_count;
     case SK_SUBJECT_TARGET:
@@ -75,35 +107,90 @@
       if (sk_fault_kinds[other->kind].subject_kind
               == sk_fault_kinds[fault->kind].subject_kind
           && other->subject_index == fault->subject_index
-          && fault->from_ms <= other->until_ms + BACK_TO_BACK_GAP_MS)
+          && fault->from_ms <= other->until_ms + BACK_TO_BACK_GAP_MS
+          && other->from_ms <= fault->until_ms + BACK_TO_BACK_GAP_MS)
         return FALSE;
     }
   return TRUE;
 }
 
+static uint32_t
+choose_subject (const PlanBuilder *builder, SkFaultKind kind)
+{
+  uint32_t count
+      = subject_count (builder->options, sk_fault_kinds[kind].subject_kind);
+
+  return (uint32_t)g_rand_int_range (builder->random, 0, (gint32)count);
+}
+
 /* Adds no fault where it would end too late or another affects its subject. */
 static void
-add_random_fault (PlanBuilder *builder, int64_t at_ms)
+add_fault (PlanBuilder *builder, SkFaultKind kind, uint32_t subject_index,
+           int64_t at_ms)
 {
-  SkFault fault = { .from_ms = at_ms };
-  uint32_t count;
-
-  fault.kind = (SkFaultKind)g_rand_int_range (builder->random, 0,
-                                              SK_FAULT_KIND_COUNT);
-  count = subject_count (builder->options,
-                         sk_fault_kinds[fault.kind].subject_kind);
-  fault.subject_index
-      = (uint32_t)g_rand_int_range (builder->random, 0, (gint32)count);
+  SkFault fault
+      = { .kind = kind, .subject_index = subject_index, .from_ms = at_ms };
+
   fault.until_ms
       = at_ms
         + g_rand_int_range (builder->random, DURATION_MIN_MS, DURATION_MAX_MS);
-  if (fault.kind == SK_DAEMON_STOP)
+  if (kind == SK_DAEMON_STOP)
     fault.until_ms = at_ms + STOP_DURATION_MS;
+  if (kind == SK_KEY_ROTATE)
+    fault.until_ms = at_ms + KEY_ROTATE_DURATION_MS;
   if (fault.until_ms <= builder->options->until_ms
       && subject_is_free (builder, &fault))
     g_array_append_val (builder->faults, fault);
 }
 
+static void
+add_series (PlanBuilder *builder, int64_t at_ms)
+{
+  uint32_t daemon = choose_subject (builder, SK_DAEMON_STOP);
+
+  for (guint i = 0; i < G_N_ELEMENTS (series_steps); i++)
+    {
+      SkFaultKind kind = series_steps[i].kind;
+      uint32_t subject_index = choose_subject (builder, kind);
+      int64_t from_ms
+          = at_ms
+            + g_rand_int_range (builder->random, series_steps[i].min_ms,
+                                series_steps[i].max_ms);
+      add_fault (builder, kind,
+                 series_steps[i].is_same_daemon ? daemon : subject_index,
+                 MAX (from_ms, builder->options->from_ms));
+    }
+}
+
+static void
+add_random_faults (PlanBuilder *builder)
+{
+  int64_t at_ms = builder->options->from_ms;
+
+  while (at_ms < builder->options->until_ms)
+    {
+      SkFaultKind kind = (SkFaultKind)g_rand_int_range (builder->random, 0,
+                                                        SK_FAULT_KIND_COUNT);
+      uint32_t subject_index = choose_subject (builder, kind);
+      if (!builder->planned_only || sk_fault_kinds[kind].is_planned)
+        add_fault (builder, kind, subject_index, at_ms);
+      at_ms
+          += g_rand_int_range (builder->random, 0, 100) < BACK_TO_BACK_PERCENT
+                 ? BACK_TO_BACK_GAP_MS
+                 : g_rand_int_range (builder->random, 1, 2 * INTERVAL_MEAN_MS);
+    }
+}
+
+static int
+compare_start (gconstpointer a, gconstpointer b)
+{
+  const SkFault *fault_a = a;
+  const SkFault *fault_b = b;
+
+  return (fault_a->from_ms > fault_b->from_ms)
+         - (fault_a->from_ms < fault_b->from_ms);
+}
+
 GArray *
 sk_plan_new (uint32_t seed, const SkPlanOptions *options)
 {
@@ -111,16 +198,16 @@
       = { .options = options,
           .random = g_rand_new_with_seed (seed),
           .faults = g_array_new (FALSE, FALSE, sizeof (SkFault)) };
-  int64_t at_ms = options->from_ms;
+  int64_t at_ms;
 
-  while (at_ms < options->until_ms)
-    {
-      add_random_fault (&builder, at_ms);
-      at_ms
-          += g_rand_int_range (builder.random, 0, 100) < BACK_TO_BACK_PERCENT
-                 ? BACK_TO_BACK_GAP_MS
-                 : g_rand_int_range (builder.random, 1, 2 * INTERVAL_MEAN_MS);
-    }
+  builder.planned_only
+      = g_rand_int_range (builder.random, 0, 100) < PLANNED_ONLY_PERCENT;
+  at_ms = options->from_ms
+          + g_rand_int_range (builder.random, 0, SERIES_START_MAX_MS);
+  for (; at_ms < options->until_ms; at_ms += SERIES_INTERVAL_MS)
+    add_series (&builder, at_ms);
+  add_random_faults (&builder);
+  g_array_sort (builder.faults, compare_start);
   g_rand_free (builder.random);
   return builder.faults;
 }
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -9,7 +9,9 @@
      of the load.  The subject of a fault is the daemon, store, link, target,
      configuration or zone that it affects.  The same seed and options always
      give the same plan.  Faults of different subjects overlap, and some start
-     right after the one before; a subject has one fault at a time.
+     right after the one before; a subject has one fault at a time.  In each
+     plan, series of stops and reloads of daemons coincide with new keys and
+     slow targets.  Half of the plans have planned faults only.
 
    ERRORS
      None.  */
@@ -46,6 +48,7 @@
   SK_TARGET_DRAIN,          /* reports that it drains */
   SK_TARGET_REMOVE,         /* deletes its entry from the store */
   SK_TARGET_COLD,           /* reports that it is cold */
+  SK_TARGET_SLOW,           /* responds late */
   SK_KEY_ROTATE,            /* new key; the old one is revoked */
   SK_CONFIG_STALE,          /* the first configuration is put back */
   SK_ZONE_EVACUATE,
@@ -55,6 +58,7 @@
 typedef enum
 {
   SK_SUBJECT_DAEMON,
+  SK_SUBJECT_SETTINGS, /* of one daemon, whose own faults may overlap */
   SK_SUBJECT_STORE,
   SK_SUBJECT_STORE_LINK, /* from one daemon to the store */
   SK_SUBJECT_TARGET,     /* or the link to it */
@@ -67,6 +71,7 @@
 {
   const char *name;
   SkSubjectKind subject_kind;
+  gboolean is_planned; /* work of operators and targets: no failure */
 } SkFaultKindInfo;
 
 extern const SkFaultKindInfo sk_fault_kinds[SK_FAULT_KIND_COUNT];
--- a/soak/site.c
+++ b/soak/site.c
@@ -8,6 +8,13 @@
 #define READY_MAX_MS 10000
 /* Added to the stop grace period, as exits are slow on a loaded machine.  */
 #define STOP_SLACK_MS 1000
+#define SERVICE_MS 50
+/* Service time of slow targets, below SK_TIMEOUT_MS.  */
+#define SLOW_MIN_MS 1500
+#define SLOW_RANGE_MS 2000
+/* A process sets its signal handlers within this time after its start; SIGHUP
+   would end it before.  */
+#define START_MS 500
 
 static const char *const zones[SK_ZONE_COUNT] = { "a1", "a2", "b1" };
 static const char *const regions[SK_ZONE_COUNT] = { "a", "a", "b" };
@@ -19,6 +26,7 @@
   char *settings_path;
   char *log_path;
   pid_t pid;
+  int64_t started_us;
   int64_t stopping_us; /* 0: not stopping */
 } Daemon;
 
@@ -134,6 +142,16 @@
   put_value (testbed, key, text);
 }
 
+static void
+set_service_time (SkTestbed *testbed, uint32_t index, int64_t service_ms)
+{
+  g_autofree char *path
+      = g_strdup_printf ("/target?id=%s&service_ms=%" G_GINT64_FORMAT,
+                         testbed->targets[index].id, service_ms);
+
+  post_control (testbed, testbed->control_address, path, "");
+}
+
 static void
 remove_key (SkTestbed *testbed, const char *prefix, const char *name)
 {
@@ -246,6 +264,7 @@
       = { program, "--platform", "--settings", daemon->settings_path, NULL };
 
   daemon->stopping_us = 0;
+  daemon->started_us = g_get_monotonic_time ();
   daemon->pid = si_process_spawn (argv, daemon->log_path, error);
   return daemon->pid != 0;
 }
@@ -287,7 +306,10 @@
     {
       put_config (testbed, ++testbed->config_version, testbed->key_number);
       for (uint32_t i = 0; i < SK_TARGET_COUNT; i++)
-        put_target_report (testbed, i);
+        {
+          put_target_report (testbed, i);
+          set_service_time (testbed, i, SERVICE_MS);
+        }
       started = start_daemons (testbed, store_link_addresses, error);
     }
   for (int i = 0; i < SK_DAEMON_COUNT; i++)
@@ -431,8 +453,11 @@
 static void
 reload_daemon (SkTestbed *testbed, const SkFault *fault, gboolean begins)
 {
+  const Daemon *daemon = &testbed->daemons[fault->subject_index];
+
   (void)begins;
-  si_process_signal (testbed->daemons[fault->subject_index].pid, SIGHUP);
+  if (g_get_monotonic_time () - daemon->started_us > START_MS * 1000)
+    si_process_signal (daemon->pid, SIGHUP);
 }
 
 static void
@@ -513,6 +538,16 @@
   post_control (testbed, testbed->control_address, path, "");
 }
 
+static void
+slow_target (SkTestbed *testbed, const SkFault *fault, gboolean begins)
+{
+  int64_t duration_ms = fault->until_ms - fault->from_ms;
+
+  set_service_time (testbed, fault->subject_index,
+                    begins ? SLOW_MIN_MS + duration_ms % SLOW_RANGE_MS
+                           : SERVICE_MS);
+}
+
 static void
 drain_target (SkTestbed *testbed, const SkFault *fault, gboolean begins)
 {
@@ -612,6 +647,7 @@
   [SK_TARGET_DRAIN] = drain_target,
   [SK_TARGET_REMOVE] = remove_target,
   [SK_TARGET_COLD] = make_target_cold,
+  [SK_TARGET_SLOW] = slow_target,
   [SK_KEY_ROTATE] = rotate_key,
   [SK_CONFIG_STALE] = put_stale_config,
   [SK_ZONE_EVACUATE] = evacuate_zone,
--- a/soak/site.h
+++ b/soak/site.h
@@ -32,7 +32,7 @@
 #define SK_TARGET_COUNT 6
 #define SK_ZONE_COUNT 3
 /* Settings of the daemons.  */
-#define SK_STOP_GRACE_MS 4000
+#define SK_STOP_GRACE_MS 6000
 #define SK_KEY_REVOCATION_MS 3000
 /* Timeout of the routes.  */
 #define SK_TIMEOUT_MS 4000
--- a/soak/soak_test.cc
+++ b/soak/soak_test.cc
@@ -17,7 +17,7 @@
   6,    /* targets */
   3,    /* zones */
   2000, /* from_ms */
-  12000 /* until_ms */
+  16000 /* until_ms */
 };
 
 /* Guards against a seed whose faults cannot be reproduced.  */
@@ -63,6 +63,50 @@
     EXPECT_GT (kind_counts[kind], 0) << sk_fault_kinds[kind].name;
 }
 
+bool
+HasFaultNear (const GArray *plan, const SkFault &stop, SkFaultKind kind)
+{
+  for (guint i = 0; i < plan->len; i++)
+    {
+      const SkFault &fault = g_array_index (plan, SkFault, i);
+      if (fault.kind == kind
+          && ABS (fault.from_ms - stop.from_ms) <= G_USEC_PER_SEC / 1000)
+        return true;
+    }
+  return false;
+}
+
+/* Guards against stops that never meet a new key, a reload and slow targets at
+   once, and against plans without a fault that could excuse a lost request
+   being all or none of them.  */
+TEST (Plan, StopsCoincideWithOtherPlannedFaults)
+{
+  int coinciding_count = 0;
+  int planned_only_count = 0;
+  for (uint32_t seed = 1; seed <= 100; seed++)
+    {
+      GArray *plan = sk_plan_new (seed, &kPlanOptions);
+      bool coincides = false;
+      bool planned_only = true;
+      for (guint i = 0; i < plan->len; i++)
+        {
+          const SkFault &fault = g_array_index (plan, SkFault, i);
+          planned_only = planned_only && sk_fault_kinds[fault.kind].is_planned;
+          coincides = coincides
+                      || (fault.kind == SK_DAEMON_STOP
+                          && HasFaultNear (plan, fault, SK_KEY_ROTATE)
+                          && HasFaultNear (plan, fault, SK_DAEMON_RELOAD)
+                          && HasFaultNear (plan, fault, SK_TARGET_SLOW));
+        }
+      coinciding_count += coincides;
+      planned_only_count += planned_only;
+      g_array_unref (plan);
+    }
+  EXPECT_GT (coinciding_count, 60);
+  EXPECT_GT (planned_only_count, 30);
+  EXPECT_LT (planned_only_count, 70);
+}
+
 const char *
 TargetZone (const char *target)
 {
