standin: a store that comes back from a copy

Cause: the users' store may be away for a moment and come back from a copy some seconds old. It then lacks what was acknowledged since, leases too, assigns revisions and leases a second time, refuses a watch from a revision that it lacks, and tells so by Store-Era in every response. standin-estate could play none of it: a watch from any later revision waited, every renewal succeeded and an item never kept its lease.

Change: /save copies items, history, revision and leases; /restore puts the store back to that copy, increments Store-Era and closes the pending watches. It writes nothing. A watch from a revision above the store's gets 410. A renewal or a write with a lease that was not granted gets 404, and items keep their lease. /keys lists keys with revision and lease, for tests.

Not played: leases do not expire, and transactions ignore `expect` and `remove`, as before.

--- a/standin/estate.c
+++ b/standin/estate.c
@@ -43,6 +43,10 @@
     si_item_store_remove (platform->store, key);
   else if (strcmp (path, "/compact") == 0)
     si_item_store_compact (platform->store);
+  else if (strcmp (path, "/save") == 0)
+    si_item_store_save (platform->store);
+  else if (strcmp (path, "/restore") == 0)
+    return si_item_store_restore (platform->store);
   else if (strcmp (path, "/store") == 0 && fault != NULL)
     return si_item_store_set_fault (platform->store, fault);
   else if (strcmp (path, "/target") == 0)
@@ -52,6 +56,16 @@
   return TRUE;
 }
 
+static void
+send_keys (SiUserPlatform *platform, SiExchange *x)
+{
+  const char *prefix = si_query_param (x, "prefix");
+  g_autofree char *text = si_item_store_list_keys (
+      platform->store, prefix != NULL ? prefix : "");
+
+  si_send_text (x, 200, text);
+}
+
 static void
 handle_control (SiExchange *x, void *data)
 {
@@ -63,6 +77,8 @@
     si_send_text (x, 200, platform->logs.arrivals->str);
   else if (strcmp (si_request_path (x), "/answers") == 0)
     si_send_text (x, 200, platform->logs.answers->str);
+  else if (strcmp (si_request_path (x), "/keys") == 0)
+    send_keys (platform, x);
   else
     si_send_text (x, apply_change (platform, x) ? 200 : 404, "");
 }
--- a/standin/estate.h
+++ b/standin/estate.h
@@ -15,6 +15,10 @@
        POST /put?key=K            stores the body under K
        POST /remove?key=K         removes K
        POST /compact              compacts the history up to now
+       POST /save                 keeps a copy of the store's items, history,
+                                  revision and leases
+       POST /restore              puts the store back to the copy; 404 if there
+                                  is none
        POST /store?fault=F        sets a fault of the store
        POST /target?id=I&fault=F  sets a fault of target I
        POST /target?id=I&service_ms=N
@@ -29,6 +33,14 @@
                                   target
        GET /answers               the same for each response that a target sent
                                   to an open connection
+       GET /keys?prefix=P         one line for each key under P: key, revision,
+                                  lease (0: none)
+
+     /restore closes the connections of pending watches and increments the
+     header Store-Era of the store's responses, which starts at 1.  Revisions
+     and leases assigned since /save are assigned again.  /restore writes
+     nothing: a test in which the operator and the targets write their entries
+     again does so with /put.  Leases do not expire.
 
      The fault "none" ends a fault.  The store handles each request unless a
      fault is set:
--- a/standin/estate_internal.h
+++ b/standin/estate_internal.h
@@ -15,6 +15,13 @@
                         gsize value_bytes);
 void si_item_store_remove (SiItemStore *store, const char *key);
 void si_item_store_compact (SiItemStore *store);
+/* Copies the contents, in place of an earlier copy.  */
+void si_item_store_save (SiItemStore *store);
+/* Replaces the contents by the copy, which is kept, and starts a new era.
+   Returns FALSE if there is no copy.  */
+gboolean si_item_store_restore (SiItemStore *store);
+/* One line for each key under PREFIX, see estate.h.  Free with g_free.  */
+char *si_item_store_list_keys (const SiItemStore *store, const char *prefix);
 /* Returns FALSE for an unknown fault.  */
 gboolean si_item_store_set_fault (SiItemStore *store, const char *fault);
 
--- a/standin/items.c
+++ b/standin/items.c
@@ -20,15 +20,23 @@
   FAULT_RESET,  /* close without a response */
 } Fault;
 
-struct SiItemStore
+/* What a copy of the store holds.  */
+typedef struct
 {
-  SiServer *server;
   GTree *items;       /* key -> Item */
   GPtrArray *history; /* Item for each change, oldest first */
-  GPtrArray *watches; /* pending SiExchange */
   uint64_t revision;
   uint64_t compacted_revision; /* a watch from an older one gets 410 */
-  uint64_t next_lease;
+  uint64_t last_lease;         /* leases do not end: 1 to this are granted */
+} Contents;
+
+struct SiItemStore
+{
+  SiServer *server;
+  Contents *contents;
+  Contents *copy;     /* NULL before the first si_item_store_save */
+  GPtrArray *watches; /* pending SiExchange */
+  uint64_t era;       /* rises when the copy is restored */
   Fault fault;
 };
 
@@ -42,6 +50,17 @@
   g_free (item);
 }
 
+static Item *
+item_copy (const Item *item)
+{
+  Item *copy = g_new (Item, 1);
+
+  *copy = *item;
+  copy->key = g_strdup (item->key);
+  copy->value = g_strdup (item->value);
+  return copy;
+}
+
 static gint
 compare_keys (gconstpointer a, gconstpointer b, gpointer data)
 {
@@ -49,6 +68,51 @@
   return strcmp (a, b);
 }
 
+static Contents *
+contents_new (void)
+{
+  Contents *contents = g_new0 (Contents, 1);
+
+  contents->revision = 1;
+  contents->items = g_tree_new_full (compare_keys, NULL, NULL, item_free);
+  contents->history = g_ptr_array_new_with_free_func (item_free);
+  return contents;
+}
+
+static void
+contents_free (Contents *contents)
+{
+  if (contents == NULL)
+    return;
+  g_ptr_array_unref (contents->history);
+  g_tree_unref (contents->items);
+  g_free (contents);
+}
+
+static gboolean
+copy_to_tree (gpointer key, gpointer value, gpointer data)
+{
+  Item *item = item_copy (value);
+
+  (void)key;
+  g_tree_insert (data, item->key, item);
+  return FALSE;
+}
+
+static Contents *
+contents_copy (const Contents *contents)
+{
+  Contents *copy = contents_new ();
+
+  g_tree_foreach (contents->items, copy_to_tree, copy->items);
+  for (guint i = 0; i < contents->history->len; i++)
+    g_ptr_array_add (copy->history, item_copy (contents->history->pdata[i]));
+  copy->revision = contents->revision;
+  copy->compacted_revision = contents->compacted_revision;
+  copy->last_lease = contents->last_lease;
+  return copy;
+}
+
 static struct json_object *
 item_to_json (const Item *item)
 {
@@ -73,11 +137,20 @@
 }
 
 static void
-send_json (SiExchange *x, int status, struct json_object *object)
+send_text (const SiItemStore *store, SiExchange *x, int status,
+           const char *text)
 {
-  const char *text = json_object_to_json_string (object);
+  g_autofree char *era = g_strdup_printf ("%" G_GUINT64_FORMAT, store->era);
+
+  si_add_response_header (x, "Store-Era", era);
+  si_send_text (x, status, text);
+}
 
-  si_send_response (x, status, text, strlen (text));
+static void
+send_json (const SiItemStore *store, SiExchange *x, int status,
+           struct json_object *object)
+{
+  send_text (store, x, status, json_object_to_json_string (object));
   json_object_put (object);
 }
 
@@ -88,9 +161,9 @@
 {
   struct json_object *events = json_object_new_array ();
 
-  for (guint i = 0; i < store->history->len; i++)
+  for (guint i = 0; i < store->contents->history->len; i++)
     {
-      const Item *item = store->history->pdata[i];
+      const Item *item = store->contents->history->pdata[i];
       if (item->revision > revision && g_str_has_prefix (item->key, prefix))
         json_object_array_add (events, item_to_json (item));
     }
@@ -107,9 +180,9 @@
 
   json_object_object_add (response, "events", events);
   json_object_object_add (response, "store_revision",
-                          json_object_new_uint64 (store->revision));
+                          json_object_new_uint64 (store->contents->revision));
   g_ptr_array_remove (store->watches, x);
-  send_json (x, 200, response);
+  send_json (store, x, 200, response);
 }
 
 /* Also finds changes made during a fault, which wake_watches did not send.  */
@@ -138,9 +211,10 @@
   uint64_t after = (uint64_t)si_query_param_int (x, "after", 0);
   struct json_object *events;
 
-  if (after < store->compacted_revision)
+  if (after < store->contents->compacted_revision
+      || after > store->contents->revision)
     {
-      si_send_text (x, 410, "");
+      send_text (store, x, 410, "");
       return;
     }
   events = find_events_after (store, si_query_param (x, "prefix"), after);
@@ -172,36 +246,25 @@
     }
 }
 
-static Item *
-item_copy (const Item *item)
-{
-  Item *copy = g_new (Item, 1);
-
-  *copy = *item;
-  copy->key = g_strdup (item->key);
-  copy->value = g_strdup (item->value);
-  return copy;
-}
-
 /* Sets the value of KEY, in base64, or deletes KEY if ENCODED is NULL.  */
 static void
 set_item (SiItemStore *store, const char *key, const char *encoded,
           uint64_t lease)
 {
-  const Item *old = g_tree_lookup (store->items, key);
+  const Item *old = g_tree_lookup (store->contents->items, key);
   Item *item = g_new0 (Item, 1);
 
   item->key = g_strdup (key);
   item->value = g_strdup (encoded);
-  item->revision = ++store->revision;
+  item->revision = ++store->contents->revision;
   item->created = old != NULL ? old->created : item->revision;
   item->lease = lease;
-  g_ptr_array_add (store->history, item_copy (item));
+  g_ptr_array_add (store->contents->history, item_copy (item));
   if (encoded != NULL)
-    g_tree_replace (store->items, item->key, item);
+    g_tree_replace (store->contents->items, item->key, item);
   else
     {
-      g_tree_remove (store->items, key);
+      g_tree_remove (store->contents->items, key);
       item_free (item);
     }
   wake_watches (store);
@@ -220,18 +283,13 @@
 void
 si_item_store_remove (SiItemStore *store, const char *key)
 {
-  if (g_tree_lookup (store->items, key) != NULL)
+  if (g_tree_lookup (store->contents->items, key) != NULL)
     set_item (store, key, NULL, 0);
 }
 
-/* Drops the pending watches.  Takes a new revision, so that every watch from
-   a revision that was read before gets 410.  */
-void
-si_item_store_compact (SiItemStore *store)
+static void
+drop_watches (SiItemStore *store)
 {
-  store->compacted_revision = store->revision + 1;
-  store->revision++;
-  g_ptr_array_set_size (store->history, 0);
   while (store->watches->len > 0)
     {
       SiExchange *x = store->watches->pdata[0];
@@ -240,6 +298,64 @@
     }
 }
 
+/* Drops the pending watches.  Takes a new revision, so that every watch from
+   a revision that was read before gets 410.  */
+void
+si_item_store_compact (SiItemStore *store)
+{
+  store->contents->compacted_revision = store->contents->revision + 1;
+  store->contents->revision++;
+  g_ptr_array_set_size (store->contents->history, 0);
+  drop_watches (store);
+}
+
+void
+si_item_store_save (SiItemStore *store)
+{
+  contents_free (store->copy);
+  store->copy = contents_copy (store->contents);
+}
+
+gboolean
+si_item_store_restore (SiItemStore *store)
+{
+  if (store->copy == NULL)
+    return FALSE;
+  contents_free (store->contents);
+  store->contents = contents_copy (store->copy);
+  store->era++;
+  drop_watches (store);
+  return TRUE;
+}
+
+typedef struct
+{
+  const char *prefix;
+  GString *text;
+} KeyList;
+
+static gboolean
+add_key (gpointer key, gpointer value, gpointer data)
+{
+  const Item *item = value;
+  KeyList *list = data;
+
+  if (g_str_has_prefix (key, list->prefix))
+    g_string_append_printf (list->text,
+                            "%s %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT "\n",
+                            item->key, item->revision, item->lease);
+  return FALSE;
+}
+
+char *
+si_item_store_list_keys (const SiItemStore *store, const char *prefix)
+{
+  KeyList list = { .prefix = prefix, .text = g_string_new (NULL) };
+
+  g_tree_foreach (store->contents->items, add_key, &list);
+  return g_string_free (list.text, FALSE);
+}
+
 gboolean
 si_item_store_set_fault (SiItemStore *store, const char *fault)
 {
@@ -295,16 +411,60 @@
     .list = json_object_new_array (),
   };
 
-  g_tree_foreach (store->items, add_to_page, &page);
+  g_tree_foreach (store->contents->items, add_to_page, &page);
   json_object_object_add (response, "items", page.list);
   json_object_object_add (response, "has_more",
                           json_object_new_boolean (page.has_more));
   json_object_object_add (response, "store_revision",
-                          json_object_new_uint64 (store->revision));
-  send_json (x, 200, response);
+                          json_object_new_uint64 (store->contents->revision));
+  send_json (store, x, 200, response);
+}
+
+static uint64_t
+get_number (struct json_object *object, const char *name)
+{
+  struct json_object *number;
+
+  if (!json_object_object_get_ex (object, name, &number))
+    return 0;
+  return json_object_get_uint64 (number);
+}
+
+static const char *
+get_string (struct json_object *object, const char *name)
+{
+  struct json_object *string;
+
+  if (!json_object_object_get_ex (object, name, &string))
+    return NULL;
+  return json_object_get_string (string);
+}
+
+static gboolean
+have_granted_leases (const SiItemStore *store, struct json_object *puts)
+{
+  for (size_t i = 0; i < json_object_array_length (puts); i++)
+    if (get_number (json_object_array_get_idx (puts, i), "lease")
+        > store->contents->last_lease)
+      return FALSE;
+  return TRUE;
+}
+
+static gboolean
+apply_puts (SiItemStore *store, struct json_object *puts)
+{
+  if (!have_granted_leases (store, puts))
+    return FALSE;
+  for (size_t i = 0; i < json_object_array_length (puts); i++)
+    {
+      struct json_object *put = json_object_array_get_idx (puts, i);
+      set_item (store, get_string (put, "key"), get_string (put, "value"),
+                get_number (put, "lease"));
+    }
+  return TRUE;
 }
 
-/* Applies the puts without their leases.  */
+/* Ignores `expect` and `remove`.  */
 static void
 handle_txn (SiItemStore *store, SiExchange *x)
 {
@@ -312,31 +472,52 @@
   const char *text = si_request_body (x, &text_bytes);
   g_autofree char *copy = g_strndup (text, text_bytes);
   struct json_object *body = json_tokener_parse (copy);
-  struct json_object *response = json_object_new_object ();
+  struct json_object *response;
   struct json_object *puts;
+  gboolean applied = TRUE;
 
-  if (body != NULL && json_object_object_get_ex (body, "puts", &puts))
-    for (size_t i = 0; i < json_object_array_length (puts); i++)
-      {
-        struct json_object *put = json_object_array_get_idx (puts, i);
-        struct json_object *key;
-        struct json_object *value;
-        json_object_object_get_ex (put, "key", &key);
-        json_object_object_get_ex (put, "value", &value);
-        set_item (store, json_object_get_string (key),
-                  json_object_get_string (value), 0);
-      }
+  if (json_object_object_get_ex (body, "puts", &puts))
+    applied = apply_puts (store, puts);
   json_object_put (body);
+  if (!applied)
+    {
+      send_text (store, x, 404, "");
+      return;
+    }
+  response = json_object_new_object ();
   json_object_object_add (response, "revision",
-                          json_object_new_uint64 (store->revision));
-  send_json (x, 200, response);
+                          json_object_new_uint64 (store->contents->revision));
+  send_json (store, x, 200, response);
+}
+
+static void
+grant_lease (SiItemStore *store, SiExchange *x)
+{
+  g_autofree char *text
+      = g_strdup_printf ("{\"lease\":%" G_GUINT64_FORMAT ",\"ttl_s_time\":60}",
+                         ++store->contents->last_lease);
+
+  send_text (store, x, 200, text);
+}
+
+static void
+renew_lease (SiItemStore *store, SiExchange *x, const char *id)
+{
+  guint64 lease;
+
+  if (g_ascii_string_to_unsigned (id, 10, 1, G_MAXUINT64, &lease, NULL)
+      && lease <= store->contents->last_lease)
+    send_text (store, x, 200, "{\"ttl_s_time\":60}");
+  else
+    send_text (store, x, 404, "");
 }
 
+#define RENEWAL_PREFIX "/kv-keep/"
+
 static void
 handle_request (SiItemStore *store, SiExchange *x)
 {
   const char *path = si_request_path (x);
-  g_autofree char *text = NULL;
 
   if (strcmp (path, "/kv-range") == 0)
     handle_range (store, x);
@@ -345,16 +526,11 @@
   else if (strcmp (path, "/kv-txn") == 0)
     handle_txn (store, x);
   else if (strcmp (path, "/kv-lease") == 0)
-    {
-      text = g_strdup_printf ("{\"lease\":%" G_GUINT64_FORMAT
-                              ",\"ttl_s_time\":60}",
-                              ++store->next_lease);
-      si_send_text (x, 200, text);
-    }
-  else if (g_str_has_prefix (path, "/kv-keep/"))
-    si_send_text (x, 200, "{\"ttl_s_time\":60}");
+    grant_lease (store, x);
+  else if (g_str_has_prefix (path, RENEWAL_PREFIX))
+    renew_lease (store, x, path + strlen (RENEWAL_PREFIX));
   else
-    si_send_text (x, 404, "");
+    send_text (store, x, 404, "");
 }
 
 static void
@@ -370,7 +546,7 @@
     case FAULT_SILENT:
       break;
     case FAULT_BUSY:
-      si_send_text (x, 503, "");
+      send_text (store, x, 503, "");
       break;
     case FAULT_RESET:
       si_drop_connection (x);
@@ -384,9 +560,8 @@
 {
   SiItemStore *store = g_new0 (SiItemStore, 1);
 
-  store->revision = 1;
-  store->items = g_tree_new_full (compare_keys, NULL, NULL, item_free);
-  store->history = g_ptr_array_new_with_free_func (item_free);
+  store->contents = contents_new ();
+  store->era = 1;
   store->watches = g_ptr_array_new ();
   store->server = si_server_new (base, address, on_request, store, error);
   if (store->server == NULL)
@@ -405,7 +580,7 @@
   if (store->server != NULL)
     si_server_free (store->server);
   g_ptr_array_unref (store->watches);
-  g_ptr_array_unref (store->history);
-  g_tree_unref (store->items);
+  contents_free (store->copy);
+  contents_free (store->contents);
   g_free (store);
 }
--- a/standin/standin_test.cc
+++ b/standin/standin_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <event2/event.h>
+#include <future>
 #include <signal.h>
 #include <string>
 #include <thread>
@@ -409,6 +410,252 @@
   EXPECT_EQ (leaving_count (), 1U);
 }
 
+class Estate : public ::testing::Test
+{
+protected:
+  struct StoreResponse
+  {
+    int status = 0; /* 0: no response */
+    std::string era;
+    std::string body;
+    int64_t took_us = 0;
+  };
+
+  void
+  SetUp () override
+  {
+    store = "127.0.0.1:" + std::to_string (si_find_free_port ());
+    control = "127.0.0.1:" + std::to_string (si_find_free_port ());
+    std::string program
+        = std::string (CW_BINARY_DIR) + "/standin/standin-estate";
+    std::string log = testing::TempDir () + "estate-"
+                      + std::to_string (getpid ()) + ".log";
+    const char *argv[] = { program.c_str (), "--store",        store.c_str (),
+                           "--control",      control.c_str (), nullptr };
+    pid = si_process_spawn (argv, log.c_str (), nullptr);
+    ASSERT_NE (pid, 0);
+    for (int i = 0; i < 300 && call (control, "GET", "/keys").status != 200;
+         i++)
+      si_sleep_ms (10);
+    ASSERT_EQ (call (control, "GET", "/keys").status, 200);
+  }
+  void
+  TearDown () override
+  {
+    int status = 0;
+    si_process_signal (pid, SIGTERM);
+    EXPECT_TRUE (si_process_wait (pid, 3000, &status));
+    EXPECT_EQ (status, 0);
+  }
+  static StoreResponse
+  call (const std::string &address, const char *method,
+        const std::string &path, const char *body = nullptr)
+  {
+    StoreResponse response;
+    SiResponse si_response = {};
+    int64_t start_us = g_get_monotonic_time ();
+    si_http_request (method, address.c_str (), path.c_str (), nullptr, body,
+                     6000, &si_response, nullptr);
+    response.took_us = g_get_monotonic_time () - start_us;
+    response.status = si_response.status;
+    response.body.assign (si_response.body, si_response.length_bytes);
+    auto *era = static_cast<const char *> (
+        g_hash_table_lookup (si_response.headers, "store-era"));
+    response.era = era != nullptr ? era : "";
+    si_response_clear (&si_response);
+    return response;
+  }
+  int
+  post (const std::string &path, const char *body = "")
+  {
+    return call (control, "POST", path, body).status;
+  }
+  std::string
+  keys ()
+  {
+    return call (control, "GET", "/keys").body;
+  }
+  int
+  watch (int after, int wait_ms = 1)
+  {
+    return call (store, "GET",
+                 "/kv-watch?prefix=&after=" + std::to_string (after)
+                     + "&wait_ms=" + std::to_string (wait_ms))
+        .status;
+  }
+  std::string
+  grant_lease ()
+  {
+    return call (store, "POST", "/kv-lease", "{\"ttl_s_time\":60}").body;
+  }
+  int
+  put_with_lease (const char *key, int lease)
+  {
+    std::string body = std::string ("{\"expect\":[],\"puts\":[{\"key\":\"")
+                       + key + "\",\"value\":\"eA==\",\"lease\":"
+                       + std::to_string (lease) + "}],\"remove\":[]}";
+    return call (store, "POST", "/kv-txn", body.c_str ()).status;
+  }
+
+  std::string store, control;
+  pid_t pid = 0;
+};
+
+/* Guards against a kind of response that does not tell that the store came
+   back from a copy.  */
+TEST_F (Estate, EveryResponseHasEra)
+{
+  auto expect_era = [&] (const char *era) {
+    const struct
+    {
+      const char *method, *path, *body;
+      int status;
+    } calls[] = {
+      { "GET", "/kv-range?prefix=", nullptr, 200 },
+      { "GET", "/kv-watch?prefix=&after=0&wait_ms=1", nullptr, 200 },
+      { "GET", "/kv-watch?prefix=none&after=1&wait_ms=1", nullptr, 200 },
+      { "GET", "/kv-watch?prefix=&after=99&wait_ms=1", nullptr, 410 },
+      { "POST", "/kv-txn", "{\"puts\":[]}", 200 },
+      { "POST", "/kv-txn", "{\"puts\":[{\"lease\":99}]}", 404 },
+      { "POST", "/kv-lease", "{}", 200 },
+      { "POST", "/kv-keep/1", "{}", 200 },
+      { "POST", "/kv-keep/99", "{}", 404 },
+      { "GET", "/none", nullptr, 404 },
+    };
+    for (const auto &item : calls)
+      {
+        StoreResponse response
+            = call (store, item.method, item.path, item.body);
+        EXPECT_EQ (response.status, item.status) << item.path;
+        EXPECT_EQ (response.era, era) << item.path;
+      }
+    post ("/store?fault=busy");
+    StoreResponse busy = call (store, "GET", "/kv-range?prefix=");
+    EXPECT_EQ (busy.status, 503);
+    EXPECT_EQ (busy.era, era);
+    post ("/store?fault=none");
+  };
+  ASSERT_EQ (post ("/put?key=a", "1"), 200);
+  expect_era ("1");
+  ASSERT_EQ (post ("/save"), 200);
+  ASSERT_EQ (post ("/restore"), 200);
+  expect_era ("2");
+  ASSERT_EQ (post ("/restore"), 200);
+  expect_era ("3");
+}
+
+/* Guards against a restored store that keeps a later change, loses an item of
+   the copy, or does not assign the lost revisions again.  */
+TEST_F (Estate, RestoreBringsBackItemsAndRevision)
+{
+  post ("/put?key=kept", "1");
+  post ("/put?key=removed", "1");
+  post ("/put?key=changed", "1");
+  post ("/save");
+  const std::string saved = keys ();
+  EXPECT_EQ (saved, "changed 4 0\nkept 2 0\nremoved 3 0\n");
+  for (int round = 0; round < 2; round++)
+    {
+      post ("/put?key=changed", "2");
+      post ("/remove?key=removed");
+      post ("/put?key=added", "2");
+      EXPECT_EQ (keys (), "added 7 0\nchanged 5 0\nkept 2 0\n") << round;
+      ASSERT_EQ (post ("/restore"), 200);
+      EXPECT_EQ (keys (), saved) << round;
+    }
+  StoreResponse range = call (store, "GET", "/kv-range?prefix=changed");
+  EXPECT_NE (range.body.find ("\"value\": \"MQ==\""), std::string::npos)
+      << range.body;
+  EXPECT_NE (range.body.find ("\"store_revision\": 4"), std::string::npos)
+      << range.body;
+}
+
+/* Guards against a restored history that still holds the lost changes or lacks
+   those of the copy.  */
+TEST_F (Estate, RestoreBringsBackHistory)
+{
+  post ("/compact");
+  post ("/put?key=a", "1");
+  post ("/save");
+  post ("/put?key=b", "1");
+  post ("/compact");
+  EXPECT_EQ (watch (2), 410);
+  post ("/restore");
+  EXPECT_EQ (watch (1), 410);
+  StoreResponse events
+      = call (store, "GET", "/kv-watch?prefix=&after=2&wait_ms=5000");
+  EXPECT_EQ (events.status, 200);
+  EXPECT_NE (events.body.find ("\"key\": \"a\""), std::string::npos);
+  EXPECT_EQ (events.body.find ("\"key\": \"b\""), std::string::npos);
+}
+
+/* Guards against a test whose restore silently does nothing.  */
+TEST_F (Estate, RestoreWithoutCopyIsRefused)
+{
+  post ("/put?key=a", "1");
+  EXPECT_EQ (post ("/restore"), 404);
+  EXPECT_EQ (keys (), "a 2 0\n");
+  EXPECT_EQ (call (store, "GET", "/kv-range?prefix=").era, "1");
+}
+
+/* Guards against a pending watch that outlives the store it was sent to.  */
+TEST_F (Estate, RestoreClosesPendingWatch)
+{
+  post ("/save");
+  std::future<StoreResponse> watched = std::async (std::launch::async, [&] {
+    return call (store, "GET", "/kv-watch?prefix=&after=1&wait_ms=5000");
+  });
+  si_sleep_ms (300);
+  post ("/restore");
+  StoreResponse response = watched.get ();
+  EXPECT_EQ (response.status, 0);
+  EXPECT_LT (response.took_us, 3000000);
+}
+
+/* Guards against a watch that waits for changes after a revision that the
+   store does not have, and so misses those with lower revisions.  */
+TEST_F (Estate, WatchAfterUnknownRevisionIsRefused)
+{
+  post ("/put?key=a", "1");
+  EXPECT_EQ (watch (2), 200);
+  EXPECT_EQ (watch (3, 5000), 410);
+  post ("/save");
+  post ("/put?key=a", "2");
+  EXPECT_EQ (watch (3), 200);
+  post ("/restore");
+  EXPECT_EQ (watch (2), 200);
+  EXPECT_EQ (watch (3, 5000), 410);
+}
+
+/* Guards against accepting a lease that was never granted or that was granted
+   after the copy, and against a restore that does not grant its id again.  */
+TEST_F (Estate, RestoreLosesLaterLeases)
+{
+  auto renew = [&] (const char *id) {
+    return call (store, "POST", std::string ("/kv-keep/") + id, "{}").status;
+  };
+  EXPECT_EQ (renew ("1"), 404);
+  std::string first = grant_lease ();
+  EXPECT_NE (first.find ("\"lease\":1,"), std::string::npos) << first;
+  EXPECT_EQ (renew ("1"), 200);
+  EXPECT_EQ (renew ("2"), 404);
+  EXPECT_EQ (renew ("0"), 404);
+  EXPECT_EQ (put_with_lease ("a", 1), 200);
+  EXPECT_EQ (put_with_lease ("b", 2), 404);
+  EXPECT_EQ (keys (), "a 2 1\n");
+  post ("/save");
+  const std::string second = grant_lease ();
+  EXPECT_EQ (put_with_lease ("b", 2), 200);
+  EXPECT_EQ (renew ("2"), 200);
+  post ("/restore");
+  EXPECT_EQ (keys (), "a 2 1\n");
+  EXPECT_EQ (renew ("1"), 200);
+  EXPECT_EQ (renew ("2"), 404);
+  EXPECT_EQ (put_with_lease ("b", 2), 404);
+  EXPECT_EQ (grant_lease (), second);
+  EXPECT_EQ (renew ("2"), 200);
+}
+
 /* Guards against coordinated omission: a load generator that waits for a
    stalled server would leave out the latency of the requests due in the
    meantime.  */
