entry_test: the store comes back from a copy

Cause: after the store comes back from a copy it assigns revisions and leases a second time. Daemons compare revisions and keep their lease; no test played this.

Change: seven tests with /save and /restore of the stand-in. Six restore the store and look at the region leader (vm1) and the follower (vm2); one looks at the entry of a daemon that started after the copy. No change of the daemon.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -326,6 +326,28 @@
     return exchange;
   }
 
+  /* Revision of KEY in the store; 0 if it has no such key.  */
+  uint64_t
+  GetRevision (const std::string &key)
+  {
+    std::istringstream lines (GetControl ("/keys?prefix=" + key));
+    std::string name;
+    uint64_t revision = 0, lease = 0;
+    while (lines >> name >> revision >> lease)
+      if (name == key)
+        return revision;
+    return 0;
+  }
+
+  bool
+  AllRespond (const std::string &path, const char *key, int status)
+  {
+    for (const Vm &vm : vms)
+      if (SendRequest (vm, path, "k", key) != status)
+        return false;
+    return true;
+  }
+
   int
   CountLines (const std::string &path, const std::string &id)
   {
@@ -477,6 +499,210 @@
       2500));
 }
 
+/* Guards against missing a change whose revision had already been assigned
+   before the store came back from a copy.  */
+TEST_F (Entry, AppliesChangeMadeAfterStoreWasRestored)
+{
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PutConfig (2, "\"key-2\"");
+  for (int i = 0; i < 6; i++)
+    {
+      PutTarget ("t1", "a1");
+      PutTarget ("t2", "a2");
+    }
+  ASSERT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
+  si_sleep_ms (1500);
+  uint64_t seen = GetRevision ("servers/t2");
+  PostControl ("/restore");
+  PutTarget ("t1", "a1");
+  PutTarget ("t2", "a2");
+  PutConfig (3, "\"key-3\"");
+  ASSERT_LE (GetRevision ("op/config"), seen);
+  EXPECT_TRUE (WaitFor (
+      [&] {
+        return AllRespond ("/read/1", "key-3", 200)
+               && AllRespond ("/read/1", "key-2", 401);
+      },
+      2000));
+  for (const Vm &vm : vms)
+    {
+      EXPECT_EQ (SendRequest (vm, "/read/1", "n", "key-3"), 200) << vm.name;
+      EXPECT_EQ (SendRequest (vm, "/read/1", "o", "key-2"), 401) << vm.name;
+    }
+}
+
+/* Guards against a follower that takes the region leader's confirmations of
+   lower revisions for its own state, so that it misses a change for as long as
+   they arrive: each write of the operator causes one.  */
+TEST_F (Entry, FollowerAppliesChangeWhileOperatorWritesAfterRestore)
+{
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PutConfig (2, "\"key-2\"");
+  for (int i = 0; i < 12; i++)
+    {
+      PutTarget ("t1", "a1");
+      PutTarget ("t2", "a2");
+    }
+  ASSERT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
+  si_sleep_ms (1500);
+  uint64_t seen = GetRevision ("servers/t2");
+  PostControl ("/restore");
+  PutConfig (3, "\"key-3\"");
+  for (int i = 0; i < 8; i++)
+    {
+      PostControl ("/put?key=op/evacuate/a9");
+      si_sleep_ms (250);
+    }
+  ASSERT_LE (GetRevision ("op/evacuate/a9"), seen);
+  for (const Vm &vm : vms)
+    {
+      EXPECT_EQ (SendRequest (vm, "/read/1", "n", "key-3"), 200) << vm.name;
+      EXPECT_EQ (SendRequest (vm, "/read/1", "o", "key-2"), 401) << vm.name;
+    }
+}
+
+/* Guards against missing a change while the store was away if, by the time it
+   can be reached, its revision is again above the last one seen: no watch gets
+   410.  */
+TEST_F (Entry, AppliesChangeBelowReassignedRevision)
+{
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PutConfig (2, "\"key-2\"");
+  ASSERT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
+  si_sleep_ms (1500);
+  uint64_t seen = GetRevision ("op/config");
+  PostControl ("/store?fault=busy");
+  PostControl ("/restore");
+  PutConfig (3, "\"key-3\"");
+  ASSERT_LE (GetRevision ("op/config"), seen);
+  for (int i = 0; i < 6; i++)
+    PutTarget ("t1", "a1");
+  ASSERT_GT (GetRevision ("servers/t1"), seen);
+  si_sleep_ms (300);
+  PostControl ("/store?fault=none");
+  EXPECT_TRUE (WaitFor (
+      [&] {
+        return AllRespond ("/read/1", "key-3", 200)
+               && AllRespond ("/read/1", "key-2", 401);
+      },
+      2000));
+  for (const Vm &vm : vms)
+    {
+      EXPECT_EQ (SendRequest (vm, "/read/1", "n", "key-3"), 200) << vm.name;
+      EXPECT_EQ (SendRequest (vm, "/read/1", "o", "key-2"), 401) << vm.name;
+    }
+}
+
+/* Guards against a daemon that others no longer find after the store lost its
+   entry and lease, also if the id of the lease was granted to someone else. */
+TEST_F (Entry, RegistersAgainAfterStoreWasRestored)
+{
+  PostControl ("/save");
+  Vm vm = MakeVm ("vm3", "a1");
+  Start (vm);
+  vms.push_back (vm);
+  ASSERT_TRUE (WaitFor ([&] { return GetRevision ("cw/member/vm3") != 0; }))
+      << ReadLog (vm);
+  ASSERT_TRUE (WaitFor ([&] { return GetStatus (vm.ready, "/ready") == 200; }))
+      << ReadLog (vm);
+  PostControl ("/restore");
+  ASSERT_EQ (GetRevision ("cw/member/vm3"), 0U);
+  g_autoptr (GError) error = nullptr;
+  ASSERT_TRUE (
+      si_post (store.c_str (), "/kv-lease", "{\"ttl_s_time\":60}", &error));
+  EXPECT_TRUE (
+      WaitFor ([&] { return GetRevision ("cw/member/vm3") != 0; }, 3000))
+      << GetControl ("/keys?prefix=cw/member/");
+}
+
+/* Guards against accepting a revoked key again because the store came back
+   with the configuration from before.  */
+TEST_F (Entry, KeepsNewerConfigurationAfterStoreWasRestored)
+{
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PutConfig (2, "\"key-2\"");
+  ASSERT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-1", 401); }, 2000));
+  si_sleep_ms (1500);
+  PostControl ("/restore");
+  for (int i = 0; i < 40; i++)
+    {
+      for (const Vm &vm : vms)
+        ASSERT_NE (SendRequest (vm, "/read/1", "r", "key-1"), 200)
+            << vm.name << " " << i;
+      si_sleep_ms (100);
+    }
+  PutConfig (2, "\"key-2\"");
+  EXPECT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
+  EXPECT_TRUE (AllRespond ("/read/1", "key-1", 401));
+}
+
+/* Guards against a daemon that misses a change of a target whose revision had
+   already been assigned before the store came back from a copy.  t2 rejects
+   requests, so a daemon that does not know of the drain retries on t1.  */
+TEST_F (Entry, AppliesTargetChangeMadeAfterStoreWasRestored)
+{
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  for (int i = 0; i < 6; i++)
+    {
+      PutTarget ("t1", "a1");
+      PutTarget ("t2", "a2");
+    }
+  si_sleep_ms (1500);
+  uint64_t seen = GetRevision ("servers/t2");
+  PostControl ("/restore");
+  PutTarget ("t2", "a2");
+  PutTarget ("t1", "a1", "draining");
+  ASSERT_LE (GetRevision ("servers/t1"), seen);
+  si_sleep_ms (1500);
+  PostControl ("/target?id=t2&fault=shed");
+  for (int i = 0; i < 10; i++)
+    for (const Vm &vm : vms)
+      EXPECT_EQ (SendRequest (vm, "/read/1", "d-" + vm.name), 503);
+  for (const Vm &vm : vms)
+    EXPECT_EQ (GetControl ("/arrivals").find ("t1 d-" + vm.name),
+               std::string::npos)
+        << vm.name;
+}
+
+/* Guards against sending requests to a target that is about to exit because
+   the store came back with its entry from before it drained, and against not
+   using it after it wrote a newer entry.  t2 rejects requests, so a daemon
+   that takes t1 for ready retries there.  */
+TEST_F (Entry, SendsNothingToTargetThatWasDrainingBeforeRestore)
+{
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PutTarget ("t1", "a1", "draining");
+  si_sleep_ms (1500);
+  PostControl ("/restore");
+  PostControl ("/target?id=t2&fault=shed");
+  for (int i = 0; i < 40; i++)
+    {
+      for (const Vm &vm : vms)
+        EXPECT_EQ (SendRequest (vm, "/read/1", "d-" + vm.name), 503);
+      si_sleep_ms (100);
+    }
+  for (const Vm &vm : vms)
+    EXPECT_EQ (GetControl ("/arrivals").find ("t1 d-" + vm.name),
+               std::string::npos)
+        << vm.name;
+  PutTarget ("t1", "a1");
+  for (const Vm &vm : vms)
+    EXPECT_TRUE (WaitFor (
+        [&] { return SendRequest (vm, "/read/1", "e") == 200; }, 3000))
+        << vm.name;
+}
+
 /* Guards against an unsafe request that runs twice, and against reporting it
    as not run.  */
 TEST_F (Entry, DoesNotRetryUnsafeRequestThatMayHaveRun)
