--- a/standin/standin_test.cc
+++ b/standin/standin_test.cc
@@ -761,7 +761,7 @@
 
 /* Guards against a target of the users' platform that responds before its
    service time has passed, or that logs an answer that nobody received.  */
-TEST (Estate, TargetAnswersAfterItsServiceTime)
+TEST (StubTarget, AnswersAfterItsServiceTime)
 {
   std::string addresses[3];
   for (std::string &address : addresses)
