platform, entry: read the store again when it was restored from a copy

Cause: revisions were taken to only rise. A store that comes back from an older copy assigns them again. A watch continued after a revision that now belonged to another change, the follower of a region leader compared the leader's lower revisions with its own and took its old copy for confirmed, and the lease that kept a member's entry was lost or given to another. 410 shows a restore only while the revisions are still below those seen.

Change: the store's era is read from every response. A reply from an earlier era is dropped. Revisions are compared within an era only. Targets that the copy lacks are retained as after an outage.

--- a/entry/listing.c
+++ b/entry/listing.c
@@ -166,11 +166,22 @@
     en_outage_note_failure (&listing->outage, ck_boot_us ());
 }
 
+/* Targets write their entries again, as after an outage.  */
+static void
+on_targets_restored (uint64_t era, void *data)
+{
+  EnListing *listing = data;
+
+  (void)era;
+  en_outage_note_restored (&listing->outage, ck_boot_us ());
+}
+
 static void
 on_targets_revision (uint64_t from, uint64_t to, void *data)
 {
   EnListing *listing = data;
   GoTargetDelta delta = {
+    .store_era = pf_watcher_era (listing->watcher),
     .from_revision = from,
     .to_revision = to,
     .entries = (const TgEntry *)listing->pending_updates->data,
@@ -231,6 +242,12 @@
 
   if (revision == 0)
     return;
+  if (delta->store_era != 0
+      && delta->store_era != pf_watcher_era (listing->watcher))
+    {
+      pf_watcher_note_era (listing->watcher, delta->store_era);
+      return;
+    }
   if (delta->from_revision > revision)
     {
       listing->missed_delta = TRUE;
@@ -258,6 +275,7 @@
   .on_synced = on_targets_synced,
   .on_revision = on_targets_revision,
   .on_failure = on_targets_failure,
+  .on_restored = on_targets_restored,
 };
 
 static uint32_t
--- a/entry/outage.c
+++ b/entry/outage.c
@@ -14,6 +14,15 @@
     outage->down_since_us = now_us;
 }
 
+void
+en_outage_note_restored (EnOutage *outage, int64_t now_us)
+{
+  int64_t lasting_since_us = MAX (1, now_us - EN_OUTAGE_MIN_US);
+
+  if (outage->down_since_us == 0 || outage->down_since_us > lasting_since_us)
+    outage->down_since_us = lasting_since_us;
+}
+
 gboolean
 en_outage_note_sync (EnOutage *outage, int64_t now_us)
 {
--- a/entry/outage.h
+++ b/entry/outage.h
@@ -16,6 +16,9 @@
      a daemon that follows it makes no calls of its own, and would otherwise
      take a failure of long ago for one that lasts.
 
+     A store that was restored from an older copy lacks entries, too, however
+     short it was away.
+
      The package reads no clock and does no I/O.
 
    ERRORS
@@ -42,6 +45,8 @@
 } EnOutage;
 
 void en_outage_note_failure (EnOutage *outage, int64_t now_us);
+/* The store came back from an older copy, which may lack entries.  */
+void en_outage_note_restored (EnOutage *outage, int64_t now_us);
 /* A call of this daemon succeeded.  Returns TRUE if that ends an outage, so
    that targets are retained for EN_OUTAGE_RETAIN_US from now.  */
 gboolean en_outage_note_sync (EnOutage *outage, int64_t now_us);
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -108,6 +108,7 @@
       = g_hash_table_lookup (relay->stamps, member->gossip_address);
   GoConfirmation confirmation = {
     .stamp = { .gossip_address = relay->options.settings->gossip_listen },
+    .store_era = store_read->store_era,
     .revision = store_read->revision,
     .changed_revision = store_read->changed_revision,
   };
--- a/entry/relay.h
+++ b/entry/relay.h
@@ -50,6 +50,7 @@
 typedef struct
 {
   int64_t requested_us; /* when this daemon made the call */
+  uint64_t store_era;   /* of the revisions; 0: unknown */
   uint64_t revision;
   uint64_t changed_revision; /* no change after it is known */
 } EnStoreRead;
--- a/entry/view.c
+++ b/entry/view.c
@@ -164,6 +164,7 @@
   EnView *view = data;
   EnStoreRead store_read = {
     .requested_us = requested_us,
+    .store_era = pf_watcher_era (view->operator_watcher),
     .revision = pf_watcher_revision (view->operator_watcher),
     .changed_revision = pf_watcher_changed_revision (view->operator_watcher),
   };
@@ -178,6 +179,23 @@
   view->options.on_store_read (&store_read, view->options.data);
 }
 
+/* Revisions of different eras cannot be compared.  */
+static gboolean
+is_own_era (const EnView *view, uint64_t era)
+{
+  return era == 0 || era == pf_watcher_era (view->operator_watcher);
+}
+
+static void
+on_restored (uint64_t era, void *data)
+{
+  EnView *view = data;
+
+  tr_log (view->options.trace, EV_STORE_RESTORED,
+          "era=%" G_GUINT64_FORMAT " config=%" G_GUINT64_FORMAT, era,
+          view->config != NULL ? rt_config_version (view->config) : 0);
+}
+
 void
 en_view_apply_confirmation (EnView *view, const GoConfirmation *confirmation,
                             gboolean may_follow)
@@ -189,6 +207,11 @@
 
   if (revision == 0)
     return;
+  if (!is_own_era (view, confirmation->store_era))
+    {
+      pf_watcher_note_era (view->operator_watcher, confirmation->store_era);
+      return;
+    }
   if (revision < confirmation->changed_revision)
     {
       pf_watcher_set_paused (view->operator_watcher, FALSE);
@@ -228,6 +251,7 @@
   .on_decode_error = on_decode_error,
   .on_synced = on_operator_synced,
   .on_failure = on_operator_failure,
+  .on_restored = on_restored,
 };
 
 EnView *
--- a/event/catalogue.c
+++ b/event/catalogue.c
@@ -52,6 +52,8 @@
   { EV_STORE_UP, EV_LEVEL_INFO, "store-up", "The store replies again." },
   { EV_STORE_OUTCOME_UNKNOWN, EV_LEVEL_WARNING, "store-outcome-unknown",
     "The reply to a write was lost; the daemon reads the entry back." },
+  { EV_STORE_RESTORED, EV_LEVEL_WARNING, "store-restored",
+    "The store came back from an older copy; the daemon reads it again." },
   { EV_PEER_CONNECTED, EV_LEVEL_INFO, "peer-connected",
     "A connection to another daemon is open." },
   { EV_PEER_LOST, EV_LEVEL_INFO, "peer-lost",
--- a/gossip/gossip.c
+++ b/gossip/gossip.c
@@ -35,6 +35,7 @@
   g_autofree TgEntry *entries = g_new0 (TgEntry, message->n_targets);
   GoTargetDelta delta = {
     .gossip_address = sender_address,
+    .store_era = message->store_era,
     .from_revision = message->from_revision,
     .to_revision = message->to_revision,
     .entries = entries,
@@ -78,6 +79,7 @@
     .stamp = { .gossip_address = message->gossip_address,
                .started_ms = message->started_ms,
                .stamp_us = message->stamp_us },
+    .store_era = message->store_era,
     .revision = message->revision,
     .changed_revision = message->changed_revision,
   };
@@ -353,6 +355,7 @@
       fill_target (&targets[i], &delta->entries[i]);
       pointers[i] = &targets[i];
     }
+  message.store_era = delta->store_era;
   message.from_revision = delta->from_revision;
   message.to_revision = delta->to_revision;
   message.targets = pointers;
@@ -392,6 +395,7 @@
   message.gossip_address = (char *)confirmation->stamp.gossip_address;
   message.started_ms = confirmation->stamp.started_ms;
   message.stamp_us = confirmation->stamp.stamp_us;
+  message.store_era = confirmation->store_era;
   message.revision = confirmation->revision;
   message.changed_revision = confirmation->changed_revision;
   datagram.confirmation = &message;
--- a/gossip/gossip.h
+++ b/gossip/gossip.h
@@ -56,6 +56,7 @@
   uint32_t entry_count;
   const char *const *removed_ids;
   uint32_t removed_count;
+  uint64_t store_era; /* of the revisions; 0: unknown */
 } GoTargetDelta;
 
 /* Timestamp of a daemon's own clock.  A confirmation echoes it, which tells
@@ -73,9 +74,10 @@
    REVISION, with a call made after it received STAMP.  */
 typedef struct
 {
-  GoStamp stamp; /* stamp_us is 0 if none was received before the read */
+  GoStamp stamp;      /* stamp_us is 0 if none was received before the read */
   uint64_t revision;
   uint64_t changed_revision;
+  uint64_t store_era; /* of the revisions; 0: unknown */
 } GoConfirmation;
 
 /* Requests a rate limit token of a customer whose token bucket the receiver
--- a/wire/gossip.pb-c.c
+++ b/wire/gossip.pb-c.c
@@ -704,7 +704,7 @@
   (ProtobufCMessageInit) gossip__target__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__news__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gossip__news__field_descriptors[5] =
 {
   {
     "from_revision",
@@ -754,17 +754,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__News, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__news__field_indices_by_name[] = {
   0,   /* field[0] = from_revision */
   3,   /* field[3] = gone */
+  4,   /* field[4] = store_era */
   2,   /* field[2] = targets */
   1,   /* field[1] = to_revision */
 };
 static const ProtobufCIntRange gossip__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gossip__news__descriptor =
 {
@@ -774,7 +787,7 @@
   "Gossip__News",
   "gossip",
   sizeof(Gossip__News),
-  4,
+  5,
   gossip__news__field_descriptors,
   gossip__news__field_indices_by_name,
   1,  gossip__news__number_ranges,
@@ -845,7 +858,7 @@
   (ProtobufCMessageInit) gossip__stamp__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__confirmation__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gossip__confirmation__field_descriptors[6] =
 {
   {
     "gossip_address",
@@ -907,6 +920,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Confirmation, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__confirmation__field_indices_by_name[] = {
   2,   /* field[2] = changed_revision */
@@ -914,11 +939,12 @@
   1,   /* field[1] = revision */
   4,   /* field[4] = stamp_us */
   3,   /* field[3] = started_ms */
+  5,   /* field[5] = store_era */
 };
 static const ProtobufCIntRange gossip__confirmation__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gossip__confirmation__descriptor =
 {
@@ -928,7 +954,7 @@
   "Gossip__Confirmation",
   "gossip",
   sizeof(Gossip__Confirmation),
-  5,
+  6,
   gossip__confirmation__field_descriptors,
   gossip__confirmation__field_indices_by_name,
   1,  gossip__confirmation__number_ranges,
--- a/wire/gossip.pb-c.h
+++ b/wire/gossip.pb-c.h
@@ -123,10 +123,14 @@
   Gossip__Target **targets;
   size_t n_gone;
   char **gone;
+  /*
+   * Era of the store in which the revisions were assigned; 0 is unknown.
+   */
+  uint64_t store_era;
 };
 #define GOSSIP__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__news__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -161,10 +165,14 @@
   uint64_t changed_revision;
   int64_t started_ms;
   int64_t stamp_us;
+  /*
+   * Era of the store in which the revisions were assigned; 0 is unknown.
+   */
+  uint64_t store_era;
 };
 #define GOSSIP__CONFIRMATION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__confirmation__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
