entry: evacuations that a restored store lacks stay in force

What callers would see: requests to targets of a zone that the operator had evacuated, until the evacuation was written again.

Cause: the full read after a restore reports an evacuation that the copy lacks as removed.

Change: for 3 s after a restore such an evacuation stays in force.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -645,6 +645,38 @@
   EXPECT_TRUE (AllRespond ("/read/1", "key-1", 401));
 }
 
+/* Guards against sending requests to an evacuated zone because the store came
+   back without the evacuation, until the operator has written it again.  */
+TEST_F (Entry, KeepsEvacuationThatRestoredStoreLacks)
+{
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PostControl ("/put?key=op/evacuate/a1");
+  PostControl ("/target?id=t2&fault=shed");
+  auto t1_is_unused = [&] (const std::string &id) {
+    for (const Vm &vm : vms)
+      SendRequest (vm, "/read/1", id + vm.name);
+    return GetControl ("/arrivals").find (" t1 " + id) == std::string::npos;
+  };
+  int round = 0;
+  ASSERT_TRUE (WaitFor (
+      [&] { return t1_is_unused ("a" + std::to_string (round++) + "-"); },
+      2000));
+  si_sleep_ms (500);
+  PostControl ("/restore");
+  for (int i = 0; i < 20; i++)
+    {
+      EXPECT_TRUE (t1_is_unused ("b" + std::to_string (i) + "-")) << i;
+      si_sleep_ms (50);
+    }
+  PostControl ("/put?key=op/evacuate/a1");
+  for (int i = 0; i < 40; i++)
+    {
+      EXPECT_TRUE (t1_is_unused ("c" + std::to_string (i) + "-")) << i;
+      si_sleep_ms (100);
+    }
+}
+
 /* Guards against a daemon that misses a change of a target whose revision had
    already been assigned before the store came back from a copy.  t2 rejects
    requests, so a daemon that does not know of the drain retries on t1.  */
--- a/entry/view.c
+++ b/entry/view.c
@@ -26,6 +26,10 @@
    second, and serving a request takes a moment.  */
 #define KEY_REVOCATION_MARGIN_US 1100000
 
+/* Operators write again what a restored store has lost; until then the
+   evacuations that it lacks stay in force.  */
+#define RESTORED_KEEP_US ((int64_t)3000000)
+
 struct EnView
 {
   EnViewOptions options;
@@ -34,6 +38,9 @@
   PfWatcher *operator_watcher;
   int64_t confirmed_us; /* last confirmation; 0: none */
   gboolean store_down;
+  int64_t evacuations_kept_until_us; /* although the store lacks them */
+  GHashTable *kept_zones;            /* evacuated, but not in the store */
+  struct event *kept_zones_timer;
   struct event *stale_timer;  /* fires when the configuration gets stale */
   struct event *leader_timer; /* fires when a confirmation is overdue */
 };
@@ -70,16 +77,44 @@
 }
 
 static void
-on_evacuation (const char *zone, gboolean evacuated, void *data)
+set_evacuated (EnView *view, const char *zone, gboolean evacuated)
 {
-  EnView *view = data;
-
   tg_set_evacuated (en_listing_targets (view->listing), zone, evacuated,
                     ck_boot_us ());
   tr_log (view->options.trace,
           evacuated ? EV_ZONE_EVACUATED : EV_ZONE_RESTORED, "zone=%s", zone);
 }
 
+static void
+on_evacuation (const char *zone, gboolean evacuated, void *data)
+{
+  EnView *view = data;
+
+  if (!evacuated && ck_boot_us () < view->evacuations_kept_until_us)
+    {
+      g_hash_table_add (view->kept_zones, g_strdup (zone));
+      return;
+    }
+  if (g_hash_table_remove (view->kept_zones, zone) && evacuated)
+    return;
+  set_evacuated (view, zone, evacuated);
+}
+
+static void
+on_kept_zones_timeout (evutil_socket_t fd, short what, void *data)
+{
+  EnView *view = data;
+  GHashTableIter zones;
+  gpointer zone;
+
+  (void)fd;
+  (void)what;
+  g_hash_table_iter_init (&zones, view->kept_zones);
+  while (g_hash_table_iter_next (&zones, &zone, NULL))
+    set_evacuated (view, zone, FALSE);
+  g_hash_table_remove_all (view->kept_zones);
+}
+
 static void
 on_decode_error (const char *key, const char *problem, void *data)
 {
@@ -190,10 +225,13 @@
 on_restored (uint64_t era, void *data)
 {
   EnView *view = data;
+  int64_t now_us = ck_boot_us ();
 
   tr_log (view->options.trace, EV_STORE_RESTORED,
           "era=%" G_GUINT64_FORMAT " config=%" G_GUINT64_FORMAT, era,
           view->config != NULL ? rt_config_version (view->config) : 0);
+  view->evacuations_kept_until_us = now_us + RESTORED_KEEP_US;
+  start_timer_at (view->kept_zones_timer, view->evacuations_kept_until_us);
 }
 
 void
@@ -271,6 +309,10 @@
   view->stale_timer = event_new (options->base, -1, 0, on_config_stale, view);
   view->leader_timer
       = event_new (options->base, -1, 0, on_leader_timeout, view);
+  view->kept_zones
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  view->kept_zones_timer
+      = event_new (options->base, -1, 0, on_kept_zones_timeout, view);
   view->listing = en_listing_new (
       &(EnListingOptions){ .base = options->base,
                            .settings = options->settings,
@@ -290,6 +332,8 @@
     return;
   pf_watcher_free (view->operator_watcher);
   en_listing_free (view->listing);
+  event_free (view->kept_zones_timer);
+  g_hash_table_unref (view->kept_zones);
   event_free (view->leader_timer);
   event_free (view->stale_timer);
   rt_config_unref (view->config);
