entry: a store with an older configuration confirms none

What would go wrong: a key that the operator withdrew right before the store went away is accepted for as long as the store lacks that change.

Cause: after a restore the store's older configuration is refused, but the read that returned it counted as a confirmation of the newer one in force. The store may have lost a still newer one.

Change: until the store holds the configuration in force or a newer one, no read of it confirms the keys, so that keyed requests are refused once the last confirmation is too old.

Entry.RefusesKeysUntilRestoredStoreHasTheConfigurationAgain failed on the code before and passes.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -645,6 +645,24 @@
   EXPECT_TRUE (AllRespond ("/read/1", "key-1", 401));
 }
 
+/* Guards against accepting a key because a store that came back with an older
+   configuration seems to confirm the one in force: a later one, which withdrew
+   the key, may be lost.  */
+TEST_F (Entry, RefusesKeysUntilRestoredStoreHasTheConfigurationAgain)
+{
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PutConfig (2, "\"key-1\",\"key-2\"");
+  ASSERT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
+  PostControl ("/restore");
+  EXPECT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 503); }, 3500));
+  PutConfig (2, "\"key-1\",\"key-2\"");
+  EXPECT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
+}
+
 /* Guards against sending requests to an evacuated zone because the store came
    back without the evacuation, until the operator has written it again.  */
 TEST_F (Entry, KeepsEvacuationThatRestoredStoreLacks)
--- a/entry/view.c
+++ b/entry/view.c
@@ -38,6 +38,9 @@
   PfWatcher *operator_watcher;
   int64_t confirmed_us; /* last confirmation; 0: none */
   gboolean store_down;
+  /* The store holds an older configuration than the one in force, or none, so
+     it cannot confirm that no later one withdrew a key.  */
+  gboolean store_is_older;
   int64_t evacuations_kept_until_us; /* although the store lacks them */
   GHashTable *kept_zones;            /* evacuated, but not in the store */
   struct event *kept_zones_timer;
@@ -58,9 +61,11 @@
   EnView *view = data;
   uint64_t version = rt_config_version (config);
 
+  view->store_is_older
+      = view->config != NULL && version < rt_config_version (view->config);
   if (view->config != NULL && version <= rt_config_version (view->config))
     {
-      if (version < rt_config_version (view->config))
+      if (view->store_is_older)
         tr_log (view->options.trace, EV_CONFIG_REFUSED,
                 "config=%" G_GUINT64_FORMAT
                 " reason=older in_force=%" G_GUINT64_FORMAT,
@@ -76,6 +81,14 @@
   view->options.on_config (config, view->options.data);
 }
 
+static void
+on_config_missing (void *data)
+{
+  EnView *view = data;
+
+  view->store_is_older = view->config != NULL;
+}
+
 static void
 set_evacuated (EnView *view, const char *zone, gboolean evacuated)
 {
@@ -210,6 +223,8 @@
   /* A change that the region leader announced is read by a single call.  */
   if (event_pending (view->leader_timer, EV_TIMEOUT, NULL))
     pf_watcher_set_paused (view->operator_watcher, TRUE);
+  if (view->store_is_older)
+    return;
   set_confirmed (view, requested_us);
   view->options.on_store_read (&store_read, view->options.data);
 }
@@ -257,7 +272,7 @@
     }
   pf_watcher_advance (view->operator_watcher, confirmation->revision);
   /* Without a stamp, the age of the confirmation is unknown.  */
-  if (confirmation->stamp.stamp_us == 0)
+  if (confirmation->stamp.stamp_us == 0 || view->store_is_older)
     return;
   set_confirmed (view, confirmation->stamp.stamp_us);
   if (!may_follow)
@@ -290,6 +305,7 @@
   .on_synced = on_operator_synced,
   .on_failure = on_operator_failure,
   .on_restored = on_restored,
+  .on_config_missing = on_config_missing,
 };
 
 EnView *
