targets: entries from before a target's removal do not bring it back

What callers would see: requests sent to a target that has left, because a store that was restored from a copy lists it again.

Cause: what was known of a target was dropped with its entry, so its old entry was taken for a new target.

Change: the start and the report number of the last 4096 removed targets are remembered, and entries that are not newer are ignored. A running target reports with a higher number.

Target.IgnoresEntriesFromBeforeItsRemoval fails without the check and passes.

--- a/targets/internal.h
+++ b/targets/internal.h
@@ -49,6 +49,8 @@
 /* Least capacity of a target of the own region, so that daemons that have seen
    few of the objects place them by the rendezvous hash alone, and agree.  */
 #define TG_CAPACITY_MIN 8
+/* Removed targets that are remembered, the latest ones.  */
+#define TG_TOMBSTONES_MAX 4096
 /* An object without a request for this time loses its placement.  */
 #define TG_OBJECT_IDLE_MAX_US ((int64_t)60000000)
 /* Shortest interval between rebuilds of the placement.  */
@@ -145,6 +147,15 @@
   GList node;
 };
 
+/* The last entry of a removed target.  */
+typedef struct
+{
+  char *id;
+  int64_t started_ms;
+  uint32_t report_number;
+  GList node; /* in TgSet.tombstone_order */
+} TgTombstone;
+
 struct TgSet
 {
   char *zone;
@@ -155,6 +166,8 @@
   GHashTable *routes;      /* name to TgRoute */
   GHashTable *evacuated;   /* set of zone names */
   GHashTable *cold_shares; /* zone to double */
+  GHashTable *tombstones;  /* id to TgTombstone */
+  GQueue tombstone_order;  /* TgTombstone, oldest first */
 };
 
 /* tg_get_service, tg_get_object and tg_get_route create what does not exist
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -30,6 +30,15 @@
   g_free (service);
 }
 
+static void
+free_tombstone (gpointer data)
+{
+  TgTombstone *tombstone = data;
+
+  g_free (tombstone->id);
+  g_free (tombstone);
+}
+
 TgSet *
 tg_new (const TgOptions *options)
 {
@@ -48,6 +57,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   set->cold_shares
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  set->tombstones
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_tombstone);
   return set;
 }
 
@@ -56,6 +67,7 @@
 {
   if (set == NULL)
     return;
+  g_hash_table_unref (set->tombstones);
   g_hash_table_unref (set->cold_shares);
   g_hash_table_unref (set->evacuated);
   g_hash_table_unref (set->routes);
@@ -97,6 +109,31 @@
       ((TgObject *)value)->replica = NULL;
 }
 
+static void
+drop_tombstone (TgSet *set, TgTombstone *tombstone)
+{
+  g_queue_unlink (&set->tombstone_order, &tombstone->node);
+  g_hash_table_remove (set->tombstones, tombstone->id);
+}
+
+static void
+add_tombstone (TgSet *set, const TgTarget *target)
+{
+  TgTombstone *old = g_hash_table_lookup (set->tombstones, target->id);
+  TgTombstone *tombstone = g_new0 (TgTombstone, 1);
+
+  if (old != NULL)
+    drop_tombstone (set, old);
+  else if (set->tombstone_order.length >= TG_TOMBSTONES_MAX)
+    drop_tombstone (set, g_queue_peek_head (&set->tombstone_order));
+  tombstone->id = g_strdup (target->id);
+  tombstone->started_ms = target->started_ms;
+  tombstone->report_number = target->report_number;
+  tombstone->node.data = tombstone;
+  g_queue_push_tail_link (&set->tombstone_order, &tombstone->node);
+  g_hash_table_insert (set->tombstones, tombstone->id, tombstone);
+}
+
 gboolean
 tg_remove (TgSet *set, const char *id)
 {
@@ -105,6 +142,7 @@
 
   if (target == NULL)
     return FALSE;
+  add_tombstone (set, target);
   service = tg_get_service (set, target->service);
   target->removed = TRUE;
   g_ptr_array_remove_fast (service->targets, target);
@@ -156,13 +194,29 @@
          && entry->report_number < target->report_number;
 }
 
+/* Whether ENTRY was published before its target was removed: a store that was
+   restored from a copy lists targets that have left.  A running target
+   publishes with a higher number.  */
+static gboolean
+was_removed (const TgSet *set, const TgEntry *entry)
+{
+  const TgTombstone *tombstone
+      = g_hash_table_lookup (set->tombstones, entry->id);
+
+  if (tombstone == NULL || entry->started_ms == 0)
+    return FALSE;
+  return entry->started_ms < tombstone->started_ms
+         || (entry->started_ms == tombstone->started_ms
+             && entry->report_number <= tombstone->report_number);
+}
+
 gboolean
 tg_update (TgSet *set, const TgEntry *entry, int64_t now_us)
 {
   TgTarget *target = g_hash_table_lookup (set->targets, entry->id);
   gboolean changed;
 
-  if (target != NULL && is_outdated (target, entry))
+  if (target != NULL ? is_outdated (target, entry) : was_removed (set, entry))
     return FALSE;
   if (target != NULL && !is_same_incarnation (target, entry))
     {
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -161,6 +161,47 @@
   EXPECT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_FOUND);
 }
 
+/* Guards against requests to a target that has left, because a store that was
+   restored from a copy lists it again, and against ignoring one that runs.  */
+TEST_F (Target, IgnoresEntriesFromBeforeItsRemoval)
+{
+  TgQuery query = Query ();
+  TgChoice choice;
+  TgEntry entry = Entry ("t1", "a1", "a");
+  entry.report_number = 7;
+  tg_update (set, &entry, now_us);
+  tg_remove (set, "t1");
+  for (uint32_t number : { 6u, 7u })
+    {
+      entry.report_number = number;
+      EXPECT_FALSE (tg_update (set, &entry, now_us));
+      EXPECT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_NONE);
+    }
+  entry.report_number = 8;
+  EXPECT_TRUE (tg_update (set, &entry, now_us));
+  EXPECT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_FOUND);
+  tg_remove (set, "t1");
+  entry.started_ms += 1;
+  entry.report_number = 1;
+  EXPECT_TRUE (tg_update (set, &entry, now_us));
+  EXPECT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_FOUND);
+}
+
+/* Guards against a memory that grows with each target that ever left.  */
+TEST_F (Target, RemembersABoundedNumberOfRemovedTargets)
+{
+  TgEntry entry = Entry ("first", "a1", "a");
+  tg_update (set, &entry, now_us);
+  tg_remove (set, "first");
+  for (int i = 0; i < 5000; i++)
+    {
+      std::string id = "t" + std::to_string (i);
+      AddTarget (id.c_str ());
+      tg_remove (set, id.c_str ());
+    }
+  EXPECT_TRUE (tg_update (set, &entry, now_us));
+}
+
 /* Guards against a request being sent outside the home regions of its route or
    customer.  */
 TEST_F (Target, StaysInHomeRegions)
