--- a/entry/outage_test.cc
+++ b/entry/outage_test.cc
@@ -48,4 +48,16 @@
   EXPECT_FALSE (en_outage_note_sync (&outage, 19 * kSecond));
 }
 
+/* Guards against dropping targets that a store lacks which was away for a
+   moment only, but came back from an older copy.  */
+TEST (Outage, RetainsTargetsAfterARestore)
+{
+  EnOutage outage = {};
+  en_outage_note_restored (&outage, 10 * kSecond);
+  EXPECT_TRUE (en_outage_retains (&outage, 10 * kSecond));
+  EXPECT_TRUE (en_outage_note_sync (&outage, 10 * kSecond + kSecond / 10));
+  EXPECT_TRUE (en_outage_retains (&outage, 11 * kSecond));
+  EXPECT_FALSE (en_outage_retains (&outage, 12 * kSecond));
+}
+
 }
--- a/gossip/gossip.h
+++ b/gossip/gossip.h
@@ -74,7 +74,7 @@
    REVISION, with a call made after it received STAMP.  */
 typedef struct
 {
-  GoStamp stamp;      /* stamp_us is 0 if none was received before the read */
+  GoStamp stamp; /* stamp_us is 0 if none was received before the read */
   uint64_t revision;
   uint64_t changed_revision;
   uint64_t store_era; /* of the revisions; 0: unknown */
--- a/gossip/gossip_test.cc
+++ b/gossip/gossip_test.cc
@@ -27,6 +27,7 @@
   std::string sender_address;
   uint64_t revision = 0;
   uint64_t changed_revision = 0;
+  uint64_t store_era = 0;
   struct event_base *base;
 };
 
@@ -35,6 +36,7 @@
 {
   auto *received = static_cast<Received *> (data);
   received->revision = delta->to_revision;
+  received->store_era = delta->store_era;
   received->sender_address = delta->gossip_address;
   for (uint32_t i = 0; i < delta->entry_count; i++)
     received->targets.push_back (std::string (delta->entries[i].id) + "@"
@@ -60,6 +62,7 @@
   auto *received = static_cast<Received *> (data);
   received->revision = confirmation->revision;
   received->changed_revision = confirmation->changed_revision;
+  received->store_era = confirmation->store_era;
   OnStamp (&confirmation->stamp, data);
 }
 
@@ -206,6 +209,21 @@
   EXPECT_EQ (received.changed_revision, 11u);
 }
 
+/* Guards against revisions of a store that was restored being compared with
+   those from before, because their era was lost on the way.  */
+TEST_F (Gossip, SendsTheEraOfRevisions)
+{
+  GoConfirmation confirmation = { { "127.0.0.1:2", 7, 99 }, 12, 11, 3 };
+  GoTargetDelta delta = {};
+  delta.store_era = 4;
+  go_send_confirmation (gossip, listen.c_str (), &confirmation);
+  WaitForDatagram ();
+  EXPECT_EQ (received.store_era, 3u);
+  EXPECT_TRUE (go_send_target_delta (gossip, listen.c_str (), &delta));
+  WaitForDatagram ();
+  EXPECT_EQ (received.store_era, 4u);
+}
+
 /* Guards against a token granted to another request than the one that asked
    for it.  */
 TEST_F (Gossip, SendsTokenRequestsAndReplies)
