entry: an announced change is a sign of life of the region leader

Cause: a confirmation that announces a change did not restart the follower's timer for a lost leader. Where the change came 220 ms or more before the next confirmation, the timer ended during the follower's own read, and the follower called the store twice more.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -954,6 +954,22 @@
   EXPECT_LE (GetMetric (vms[1], "store_watches_total") - before, 1);
 }
 
+/* Guards against a change that costs a follower several calls of the store if
+   it comes late after the last confirmation: the announcement of the change is
+   a sign of life of the region leader, too.  */
+TEST_F (Entry, ChangeCostsAFollowerOneCall)
+{
+  si_sleep_ms (5000);
+  for (int i = 0; i < 8; i++)
+    {
+      si_sleep_ms (800 + 100 * i);
+      int64_t before = GetMetric (vms[1], "store_watches_total");
+      PutConfig (2 + i);
+      si_sleep_ms (1200);
+      EXPECT_LE (GetMetric (vms[1], "store_watches_total") - before, 1) << i;
+    }
+}
+
 /* Guards against daemons that stop serving or accept a revoked key after their
    region leader was suspended, and against a leader that trusts earlier
    confirmations after it resumes.  */
--- a/entry/view.c
+++ b/entry/view.c
@@ -268,6 +268,9 @@
   if (revision < confirmation->changed_revision)
     {
       pf_watcher_set_paused (view->operator_watcher, FALSE);
+      /* The region leader is alive, so a single call is enough.  */
+      if (may_follow)
+        start_timer_at (view->leader_timer, ck_boot_us () + timeout_us);
       return;
     }
   pf_watcher_advance (view->operator_watcher, confirmation->revision);
