--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -645,6 +645,21 @@
   EXPECT_TRUE (AllRespond ("/read/1", "key-1", 401));
 }
 
+/* Guards against a daemon that drops every reply of a store that was set up
+   again and counts its eras anew.  */
+TEST_F (Entry, FollowsAStoreWhoseErasStartAgain)
+{
+  PostControl ("/era?era=7");
+  PutConfig (2, "\"key-2\"");
+  EXPECT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
+  PostControl ("/era?era=1");
+  PutConfig (3, "\"key-3\"");
+  EXPECT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-3", 200); }, 3000));
+  EXPECT_TRUE (AllRespond ("/read/1", "key-2", 401));
+}
+
 /* Guards against accepting a key because a store that came back with an older
    configuration seems to confirm the one in force: a later one, which withdrew
    the key, may be lost.  */
--- a/standin/estate.c
+++ b/standin/estate.c
@@ -47,6 +47,9 @@
     si_item_store_save (platform->store);
   else if (strcmp (path, "/restore") == 0)
     return si_item_store_restore (platform->store);
+  else if (strcmp (path, "/era") == 0)
+    si_item_store_set_era (platform->store,
+                           (uint64_t)si_query_param_int (x, "era", 1));
   else if (strcmp (path, "/store") == 0 && fault != NULL)
     return si_item_store_set_fault (platform->store, fault);
   else if (strcmp (path, "/target") == 0)
--- a/standin/estate.h
+++ b/standin/estate.h
@@ -19,6 +19,7 @@
                                   revision and leases
        POST /restore              puts the store back to the copy; 404 if there
                                   is none
+       POST /era?era=N            sets the era of the store's responses
        POST /store?fault=F        sets a fault of the store
        POST /target?id=I&fault=F  sets a fault of target I
        POST /target?id=I&service_ms=N
--- a/standin/estate_internal.h
+++ b/standin/estate_internal.h
@@ -20,6 +20,7 @@
 /* Replaces the contents by the copy, which is kept, and starts a new era.
    Returns FALSE if there is no copy.  */
 gboolean si_item_store_restore (SiItemStore *store);
+void si_item_store_set_era (SiItemStore *store, uint64_t era);
 /* One line for each key under PREFIX, see estate.h.  Free with g_free.  */
 char *si_item_store_list_keys (const SiItemStore *store, const char *prefix);
 /* Returns FALSE for an unknown fault.  */
--- a/standin/items.c
+++ b/standin/items.c
@@ -328,6 +328,12 @@
   return TRUE;
 }
 
+void
+si_item_store_set_era (SiItemStore *store, uint64_t era)
+{
+  store->era = era;
+}
+
 typedef struct
 {
   const char *prefix;
