entry: messages that name no era are ignored where the store names one

What callers would see: the fault of the restored store again, in a fleet of old and new builds: a region leader of an older build names no era, and its revisions from before the restore moved its followers past later changes.

Found in review. Entry.IgnoresConfirmationsWithoutEra failed on the code before (both daemons refused the new key after 3 s).

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -18,7 +18,10 @@
 
 extern "C"
 {
+#include <event2/event.h>
+
 #include "client/client.h"
+#include "gossip/gossip.h"
 #include "standin/harness.h"
 #include "standin/process.h"
 }
@@ -348,6 +351,24 @@
     return true;
   }
 
+  /* Sends CONFIRMATION to the gossip address of VM, as a daemon does.  */
+  void
+  SendConfirmation (const Vm &vm, GoConfirmation confirmation)
+  {
+    struct event_base *base = event_base_new ();
+    std::string listen = FreeAddress ();
+    std::string to = "127.0.0.1:" + std::to_string (vm.gossip_port);
+    GoOptions options = {};
+    options.base = base;
+    options.listen = listen.c_str ();
+    GoSocket *gossip = go_new (&options, nullptr);
+    ASSERT_NE (gossip, nullptr);
+    confirmation.stamp.gossip_address = listen.c_str ();
+    go_send_confirmation (gossip, to.c_str (), &confirmation);
+    go_free (gossip);
+    event_base_free (base);
+  }
+
   int
   CountLines (const std::string &path, const std::string &id)
   {
@@ -660,6 +681,39 @@
   EXPECT_TRUE (AllRespond ("/read/1", "key-2", 401));
 }
 
+/* Guards against a daemon that knows the era and takes the revisions of a
+   daemon of an older build, which names none, for those of its own era.  */
+TEST_F (Entry, IgnoresConfirmationsWithoutEra)
+{
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  for (int i = 0; i < 6; i++)
+    {
+      PutTarget ("t1", "a1");
+      PutTarget ("t2", "a2");
+    }
+  si_sleep_ms (1500);
+  uint64_t seen = GetRevision ("servers/t2");
+  PostControl ("/restore");
+  si_sleep_ms (500);
+  GoConfirmation confirmation = {};
+  confirmation.revision = seen;
+  confirmation.changed_revision = 1;
+  for (const Vm &vm : vms)
+    SendConfirmation (vm, confirmation);
+  si_sleep_ms (20);
+  PutConfig (3, "\"key-3\"");
+  ASSERT_LE (GetRevision ("op/config"), seen);
+  for (int i = 0; i < 8; i++)
+    {
+      PutTarget ("t1", "a1");
+      PutTarget ("t2", "a2");
+    }
+  si_sleep_ms (3000);
+  for (const Vm &vm : vms)
+    EXPECT_EQ (SendRequest (vm, "/read/1", "n", "key-3"), 200) << vm.name;
+}
+
 /* Guards against accepting a key because a store that came back with an older
    configuration seems to confirm the one in force: a later one, which withdrew
    the key, may be lost.  */
--- a/entry/listing.c
+++ b/entry/listing.c
@@ -242,8 +242,7 @@
 
   if (revision == 0)
     return;
-  if (delta->store_era != 0
-      && delta->store_era != pf_watcher_era (listing->watcher))
+  if (delta->store_era != pf_watcher_era (listing->watcher))
     {
       pf_watcher_note_era (listing->watcher, delta->store_era);
       return;
--- a/entry/view.c
+++ b/entry/view.c
@@ -229,13 +229,6 @@
   view->options.on_store_read (&store_read, view->options.data);
 }
 
-/* Revisions of different eras cannot be compared.  */
-static gboolean
-is_own_era (const EnView *view, uint64_t era)
-{
-  return era == 0 || era == pf_watcher_era (view->operator_watcher);
-}
-
 static void
 on_restored (uint64_t era, void *data)
 {
@@ -260,7 +253,8 @@
 
   if (revision == 0)
     return;
-  if (!is_own_era (view, confirmation->store_era))
+  /* Revisions of different eras cannot be compared.  */
+  if (confirmation->store_era != pf_watcher_era (view->operator_watcher))
     {
       pf_watcher_note_era (view->operator_watcher, confirmation->store_era);
       return;
