--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -714,6 +714,31 @@
     EXPECT_EQ (SendRequest (vm, "/read/1", "n", "key-3"), 200) << vm.name;
 }
 
+/* Guards against an evacuation that is forgotten because the restored store
+   refuses calls until after the time for which evacuations are kept.  */
+TEST_F (Entry, KeepsEvacuationIfRestoredStoreIsBusyFirst)
+{
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PostControl ("/put?key=op/evacuate/a1");
+  si_sleep_ms (2000);
+  PostControl ("/target?id=t2&fault=shed");
+  for (const Vm &vm : vms)
+    EXPECT_EQ (SendRequest (vm, "/open/1", "b-" + vm.name), 503);
+  ASSERT_EQ (GetControl ("/arrivals").find ("t1 "), std::string::npos);
+  PostControl ("/store?fault=busy");
+  PostControl ("/restore");
+  si_sleep_ms (4000);
+  PostControl ("/store?fault=none");
+  for (int i = 0; i < 10; i++)
+    {
+      for (const Vm &vm : vms)
+        SendRequest (vm, "/open/1", "d-" + vm.name);
+      si_sleep_ms (100);
+    }
+  EXPECT_EQ (GetControl ("/arrivals").find ("t1 d-"), std::string::npos);
+}
+
 /* Guards against accepting a key because a store that came back with an older
    configuration seems to confirm the one in force: a later one, which withdrew
    the key, may be lost.  */
