--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -739,6 +739,30 @@
   EXPECT_EQ (GetControl ("/arrivals").find ("t1 d-"), std::string::npos);
 }
 
+/* Guards against a daemon that reads the store again, and keeps evacuations
+   and targets, with each message of an era that the store does not have.  */
+TEST_F (Entry, DoesNotReadAgainForAnEraThatTheStoreDoesNotHave)
+{
+  si_sleep_ms (2000);
+  PostControl ("/put?key=op/evacuate/a1");
+  si_sleep_ms (1500);
+  int64_t before = GetMetric (vms[0], "store_reads_total");
+  GoConfirmation confirmation = {};
+  confirmation.store_era = 1000;
+  confirmation.revision = 1;
+  confirmation.changed_revision = 1;
+  SendConfirmation (vms[0], confirmation);
+  si_sleep_ms (100);
+  PostControl ("/remove?key=op/evacuate/a1");
+  for (int i = 0; i < 80; i++)
+    {
+      SendConfirmation (vms[0], confirmation);
+      si_sleep_ms (100);
+    }
+  EXPECT_LE (GetMetric (vms[0], "store_reads_total") - before, 4);
+  EXPECT_NE (ReadLog (vms[0]).find ("zone-restored"), std::string::npos);
+}
+
 /* Guards against accepting a key because a store that came back with an older
    configuration seems to confirm the one in force: a later one, which withdrew
    the key, may be lost.  */
