targets: removed targets are remembered for 30 s

What would go wrong: a running target that writes its entry again with the same number, or restarts with a clock that is behind, got no requests until 4096 later removals.

Found in review. Target.UsesRemovedTargetAgainAfterAWhile failed on the code before and passes.

--- a/targets/internal.h
+++ b/targets/internal.h
@@ -51,6 +51,9 @@
 #define TG_CAPACITY_MIN 8
 /* Removed targets that are remembered, the latest ones.  */
 #define TG_TOMBSTONES_MAX 4096
+/* The store drops the entry of a target that has left after some seconds of
+   silence, also one that came back with a copy.  */
+#define TG_TOMBSTONE_TTL_US ((int64_t)30000000)
 /* An object without a request for this time loses its placement.  */
 #define TG_OBJECT_IDLE_MAX_US ((int64_t)60000000)
 /* Shortest interval between rebuilds of the placement.  */
@@ -153,6 +156,7 @@
   char *id;
   int64_t started_ms;
   uint32_t report_number;
+  int64_t removed_us;
   GList node; /* in TgSet.tombstone_order */
 } TgTombstone;
 
@@ -168,6 +172,7 @@
   GHashTable *cold_shares; /* zone to double */
   GHashTable *tombstones;  /* id to TgTombstone */
   GQueue tombstone_order;  /* TgTombstone, oldest first */
+  int64_t updated_us;      /* time of the last tg_update */
 };
 
 /* tg_get_service, tg_get_object and tg_get_route create what does not exist
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -129,6 +129,7 @@
   tombstone->id = g_strdup (target->id);
   tombstone->started_ms = target->started_ms;
   tombstone->report_number = target->report_number;
+  tombstone->removed_us = set->updated_us;
   tombstone->node.data = tombstone;
   g_queue_push_tail_link (&set->tombstone_order, &tombstone->node);
   g_hash_table_insert (set->tombstones, tombstone->id, tombstone);
@@ -198,12 +199,13 @@
    restored from a copy lists targets that have left.  A running target
    publishes with a higher number.  */
 static gboolean
-was_removed (const TgSet *set, const TgEntry *entry)
+was_removed (const TgSet *set, const TgEntry *entry, int64_t now_us)
 {
   const TgTombstone *tombstone
       = g_hash_table_lookup (set->tombstones, entry->id);
 
-  if (tombstone == NULL || entry->started_ms == 0)
+  if (tombstone == NULL || entry->started_ms == 0
+      || now_us - tombstone->removed_us > TG_TOMBSTONE_TTL_US)
     return FALSE;
   return entry->started_ms < tombstone->started_ms
          || (entry->started_ms == tombstone->started_ms
@@ -216,7 +218,9 @@
   TgTarget *target = g_hash_table_lookup (set->targets, entry->id);
   gboolean changed;
 
-  if (target != NULL ? is_outdated (target, entry) : was_removed (set, entry))
+  set->updated_us = now_us;
+  if (target != NULL ? is_outdated (target, entry)
+                     : was_removed (set, entry, now_us))
     return FALSE;
   if (target != NULL && !is_same_incarnation (target, entry))
     {
--- a/targets/targets.h
+++ b/targets/targets.h
@@ -150,7 +150,7 @@
 void tg_free (TgSet *set);
 
 /* Adds or updates a target; an entry older than the last one is ignored, also
-   after the target was removed, as is the last one itself then.
+   for 30 s after the target was removed, as is the last one itself then.
    Returns TRUE if the target is new, has restarted, or has begun or ended to
    drain.  */
 gboolean tg_update (TgSet *set, const TgEntry *entry, int64_t now_us);
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -187,6 +187,27 @@
   EXPECT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_FOUND);
 }
 
+/* Guards against a running target that is ignored for ever after its removal:
+   it writes the same entry again, or has restarted with a clock that is
+   behind.  */
+TEST_F (Target, UsesRemovedTargetAgainAfterAWhile)
+{
+  TgQuery query = Query ();
+  TgChoice choice;
+  TgEntry entry = Entry ("t1", "a1", "a");
+  entry.report_number = 7;
+  tg_update (set, &entry, now_us);
+  tg_remove (set, "t1");
+  now_us += (int64_t)600 * 1000000;
+  EXPECT_TRUE (tg_update (set, &entry, now_us)) << "same number";
+  tg_remove (set, "t1");
+  entry.started_ms -= 1;
+  entry.report_number = 1000;
+  now_us += (int64_t)600 * 1000000;
+  EXPECT_TRUE (tg_update (set, &entry, now_us)) << "started earlier";
+  EXPECT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_FOUND);
+}
+
 /* Guards against a memory that grows with each target that ever left.  */
 TEST_F (Target, RemembersABoundedNumberOfRemovedTargets)
 {
