entry, fleet: a daemon with an older configuration than others accepts no keys

What callers would see: a daemon that starts while the store lacks the newest configuration accepts a key that was withdrawn; so does one that was cut off when the key was withdrawn.

Cause: a daemon that has never seen the newer configuration takes the store's older one for the newest. Reports carry the version, but nothing read it.

Change: the newest version that a member has reported is kept. A daemon that is behind it, 1.5 s after it was first reported or right after its own start, refuses requests with a key.

Found in review.

--- a/client/explain.c
+++ b/client/explain.c
@@ -33,6 +33,9 @@
   { "reason=keys_not_confirmed",
     "refused, not run: the store had not confirmed the configuration for so "
     "long that a withdrawn key might have been accepted" },
+  { "reason=config_older_than_others",
+    "refused, not run: other daemons had a newer configuration than this one "
+    "could read from the store" },
   { "reason=no_configuration",
     "refused, not run: the daemon had no configuration yet" },
   { "reason=rate_exceeded_in_region ",
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -56,9 +56,15 @@
 is_ready (void *data)
 {
   EnEntry *entry = data;
+  int64_t now_us = ck_boot_us ();
 
-  return !entry->stopping && en_view_is_ready (entry->view, ck_boot_us ())
-         && (entry->shares == NULL || en_shares_has_members (entry->shares));
+  if (entry->stopping || !en_view_is_ready (entry->view, now_us))
+    return FALSE;
+  return entry->shares == NULL
+         || (en_shares_has_members (entry->shares)
+             && en_shares_config_is_current (
+                 entry->shares,
+                 rt_config_version (en_view_config (entry->view)), now_us));
 }
 
 static void
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -763,6 +763,30 @@
   EXPECT_NE (ReadLog (vms[0]).find ("zone-restored"), std::string::npos);
 }
 
+/* Guards against a daemon that starts while the store holds the configuration
+   from before a key was withdrawn, and accepts that key, although the other
+   daemons know of the later one.  */
+TEST_F (Entry, DaemonStartedAfterRestoreRejectsWithdrawnKey)
+{
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PutConfig (2, "\"key-2\"");
+  ASSERT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-1", 401); }, 2000));
+  si_sleep_ms (3500);
+  PostControl ("/restore");
+  Vm vm = MakeVm ("vm3", "a1");
+  Start (vm);
+  vms.push_back (vm);
+  int accepted = 0;
+  for (int i = 0; i < 40; i++)
+    {
+      accepted += SendRequest (vm, "/read/1", "r", "key-1") == 200;
+      si_sleep_ms (100);
+    }
+  EXPECT_EQ (accepted, 0);
+}
+
 /* Guards against accepting a key because a store that came back with an older
    configuration seems to confirm the one in force: a later one, which withdrew
    the key, may be lost.  */
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -311,6 +311,14 @@
                        "keys_not_confirmed");
       return FALSE;
     }
+  if (!en_shares_config_is_current (proxy->options.shares,
+                                    rt_config_version (request->config),
+                                    ck_boot_us ()))
+    {
+      en_request_fail (request, EN_OUTCOME_NOT_READY, NOT_READY_RETRY_AFTER_US,
+                       "config_older_than_others");
+      return FALSE;
+    }
   if (request->customer != NULL)
     return TRUE;
   en_request_fail (request, EN_OUTCOME_UNAUTHORIZED, 0,
--- a/entry/shares.c
+++ b/entry/shares.c
@@ -24,6 +24,11 @@
    daemons disagree on their number.  */
 #define RETRY_BUDGET_FRACTION 0.8
 
+/* A configuration reaches all daemons within this time after the first.  */
+#define CONFIG_SPREAD_US ((int64_t)1500000)
+/* A daemon that has just read the store is not behind by that.  */
+#define START_US ((int64_t)3000000)
+
 struct EnShares
 {
   EnSharesOptions options;
@@ -41,6 +46,9 @@
   gboolean has_member_list; /* read from the store */
   gboolean members_known;   /* and they had the time to reply */
   uint32_t daemon_count;
+  int64_t started_us;
+  uint64_t reported_version; /* newest configuration of another daemon */
+  int64_t reported_us;       /* when it was first reported */
 };
 
 typedef struct
@@ -161,6 +169,11 @@
   gboolean changed = fl_receive_report (shares->fleet, report, now_us);
 
   en_reports_note_address (shares->reports, report->gossip_address, now_us);
+  if (report->config_version > shares->reported_version)
+    {
+      shares->reported_version = report->config_version;
+      shares->reported_us = now_us;
+    }
   if (!changed)
     return;
   tr_log (shares->options.trace,
@@ -253,6 +266,7 @@
   int64_t started_us = ck_boot_us ();
   int64_t started_ms = ck_wall_ms ();
 
+  shares->started_us = started_us;
   shares->fleet = fl_new (&(FlOptions){ .name = settings->vm,
                                         .zone = settings->zone,
                                         .region = settings->region,
@@ -406,6 +420,16 @@
   update_shares (shares, ck_boot_us ());
 }
 
+gboolean
+en_shares_config_is_current (const EnShares *shares, uint64_t version,
+                             int64_t now_us)
+{
+  if (version >= fl_newest_config_version (shares->fleet))
+    return TRUE;
+  return now_us - shares->reported_us < CONFIG_SPREAD_US
+         && shares->reported_us - shares->started_us >= START_US;
+}
+
 gboolean
 en_shares_has_members (const EnShares *shares)
 {
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -112,6 +112,7 @@
   member->public.ready = report->ready;
   member->public.stopping = report->stopping;
   member->public.is_zone_leader = report->is_zone_leader;
+  member->public.config_version = report->config_version;
   member->public.interval_us = MAX (
       FL_REPORT_INTERVAL_US, MIN (report->interval_us, FL_EXPIRY_TIMEOUT_US));
   member->public.last_report_us = now_us;
@@ -180,6 +181,23 @@
     count->count++;
 }
 
+static void
+find_newest_config (const FlMember *member, void *data)
+{
+  uint64_t *newest = data;
+
+  *newest = MAX (*newest, member->config_version);
+}
+
+uint64_t
+fl_newest_config_version (const FlFleet *fleet)
+{
+  uint64_t newest = 0;
+
+  fl_each_member (fleet, find_newest_config, &newest);
+  return newest;
+}
+
 uint32_t
 fl_count_daemons (const FlFleet *fleet, int64_t now_us)
 {
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -98,6 +98,7 @@
   gboolean ready;
   gboolean stopping;
   gboolean is_zone_leader;
+  uint64_t config_version;
   int64_t interval_us; /* at least FL_REPORT_INTERVAL_US */
   int64_t last_report_us;
 } FlMember;
@@ -120,6 +121,9 @@
                      void (*visit) (const FlMember *member, void *data),
                      void *data);
 
+/* Newest configuration that a member has reported; 0: none.  */
+uint64_t fl_newest_config_version (const FlFleet *fleet);
+
 /* Daemons that may be using a share of the rates, including this one: suspect
    and stopping members count until they expire.  */
 uint32_t fl_count_daemons (const FlFleet *fleet, int64_t now_us);
