entry: the log counts a send that ends with its request

Cause: sends were counted when a target's response came, so the line of a request that was at a target when the daemon ended it said sends=0, which OPERATIONS.md explains as "did not run".

Entry.LogCountsTheSendOfARequestThatIsEnded failed on the code before and passes. Also passes now, and failed before: Entry.ReadsSettingsChangedJustAfterStart: the time of the settings file was first noted 2 s after the start, so that a change until then was not read.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -204,11 +204,19 @@
       || (info.st_mtim.tv_sec == entry->settings_mtime.tv_sec
           && info.st_mtim.tv_nsec == entry->settings_mtime.tv_nsec))
     return;
-  if (entry->settings_mtime.tv_sec != 0)
-    reload_settings (entry, "file");
+  reload_settings (entry, "file");
   entry->settings_mtime = info.st_mtim;
 }
 
+static void
+note_settings_time (EnEntry *entry)
+{
+  struct stat info;
+
+  if (stat (entry->settings_path, &info) == 0)
+    entry->settings_mtime = info.st_mtim;
+}
+
 static void
 stop_loop (void *data)
 {
@@ -364,6 +372,7 @@
   entry->base = event_base_new ();
   entry->settings = settings;
   entry->settings_path = g_strdup (path);
+  note_settings_time (entry);
   entry->trace = tr_new (&(TrOptions){
       .base = entry->base, .fd = STDOUT_FILENO, .vm = settings->vm });
   create_metrics (entry);
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -1253,6 +1253,24 @@
   vms[0].pid = 0;
 }
 
+/* Guards against a line that says that no target got a request which one runs
+   when the daemon ends it.  */
+TEST_F (Entry, LogCountsTheSendOfARequestThatIsEnded)
+{
+  PostControl ("/target?id=t1&fault=hang");
+  PostControl ("/target?id=t2&fault=hang");
+  si_process_signal (vms[0].pid, SIGTERM);
+  si_sleep_ms (1200);
+  Exchange exchange = SendAndReceive (vms[0].front, "e1");
+  EXPECT_EQ (CountLines ("/runs", "e1"), 1);
+  WaitForExit (vms[0]);
+  std::string log = ReadLog (vms[0]);
+  size_t at = log.find ("request=e1 outcome=unknown");
+  ASSERT_NE (at, std::string::npos) << exchange.response << log;
+  EXPECT_NE (log.substr (at, 200).find ("sends=1"), std::string::npos)
+      << log.substr (at, 200);
+}
+
 /* Guards against changed settings that take effect only after a restart.  */
 TEST_F (Entry, ReloadsChangedSettings)
 {
@@ -1270,6 +1288,23 @@
   EXPECT_EQ (SendRequest (vms[0], "/read/1", "r1"), 200);
 }
 
+/* Guards against settings that change shortly after the start, without a
+   signal, and take effect only after a restart.  */
+TEST_F (Entry, ReadsSettingsChangedJustAfterStart)
+{
+  Vm vm = MakeVm ("vm3", "a1");
+  Start (vm);
+  vms.push_back (vm);
+  ASSERT_TRUE (WaitFor ([&] {
+    return ReadLog (vm).find ("daemon-started") != std::string::npos;
+  })) << ReadLog (vm);
+  WriteSettings (vm, "changed");
+  EXPECT_TRUE (WaitFor ([&] {
+    return ReadLog (vm).find ("settings-reloaded reason=file")
+           != std::string::npos;
+  })) << ReadLog (vm);
+}
+
 /* Guards against a daemon that is ended by a reload signal during its start,
    and against settings changed at that time that take effect only after a
    restart.  */
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -140,7 +140,10 @@
   gboolean fills_cache = tg_attempt_fills_cache (request->attempt);
 
   if (bk_cancel (request->call) != BK_SENT_NONE)
-    request->may_have_run = TRUE;
+    {
+      request->send_count++;
+      request->may_have_run = TRUE;
+    }
   tg_attempt_end (en_view_targets (proxy->options.view), request->attempt,
                   &(TgResult){ .kind = TG_RESULT_CANCELLED }, now_us);
   request->attempt = NULL;
@@ -175,6 +178,7 @@
   int64_t now_us = ck_boot_us ();
 
   (void)front;
+  stop_waiting (request, now_us);
   tr_log (proxy->options.trace,
           proxy->is_ending ? EV_REQUEST_CUT : EV_REQUEST_CANCELLED,
           "request=%s outcome=%s sends=%u took_ms=%" G_GINT64_FORMAT
@@ -182,7 +186,6 @@
           request->id, outcomes[outcome].name, request->send_count,
           (now_us - request->front->arrived_us) / 1000,
           (request->deadline_us - now_us) / 1000);
-  stop_waiting (request, now_us);
   finish_request (request, outcome);
 }
 
