--- a/standin/standin_test.cc
+++ b/standin/standin_test.cc
@@ -110,7 +110,7 @@
   std::vector<int> statuses (5);
   for (size_t i = 0; i < statuses.size (); i++)
     threads.emplace_back ([&, i] {
-      statuses[i] = fetch (target, "/w", { "X-Work-Ms: 300" }).status;
+      statuses[i] = fetch (target, "/w", { "X-Work-Ms: 2000" }).status;
     });
   for (std::thread &thread : threads)
     thread.join ();
