--- a/entry/shares.c
+++ b/entry/shares.c
@@ -424,7 +424,8 @@
 en_shares_config_is_current (const EnShares *shares, uint64_t version,
                              int64_t now_us)
 {
-  if (version >= fl_newest_config_version (shares->fleet))
+  if (version >= shares->reported_version
+      || version >= fl_newest_config_version (shares->fleet))
     return TRUE;
   return now_us - shares->reported_us < CONFIG_SPREAD_US
          && shares->reported_us - shares->started_us >= START_US;
