--- a/entry/shares.c
+++ b/entry/shares.c
@@ -26,7 +26,9 @@
 
 /* A configuration reaches all daemons within this time after the first.  */
 #define CONFIG_SPREAD_US ((int64_t)1500000)
-/* A daemon that has just read the store is not behind by that.  */
+/* For this time after its start a daemon has just read the store: if others
+   report a newer configuration, the store's is older, and the newer one is not
+   merely on its way.  */
 #define START_US ((int64_t)3000000)
 
 struct EnShares
