backend: do not give up a request before its deadline

The request had 2000 ms; its target was still at work on it.

Cause: libevent adds the timeout of a timer to the time at which the current turn of its loop began.

Change: a call whose timer fires before its deadline waits for the rest. The deadline is kept in the call, and compared with the clock that the request's deadline was computed from, so it holds for any length of a turn.

Ruled out: EVENT_BASE_FLAG_NO_CACHE_TIME would not suffice alone, since libevent's default clock is the coarse one (from its documentation, not run).

--- a/backend/backend.c
+++ b/backend/backend.c
@@ -169,6 +169,15 @@
   event_active (call->timer, EV_TIMEOUT, 0);
 }
 
+static void
+start_deadline_timer (BkCall *call)
+{
+  int64_t remaining_us = MAX (0, call->deadline_us - bk_now_us ());
+  struct timeval timeout = { remaining_us / 1000000, remaining_us % 1000000 };
+
+  event_add (call->timer, &timeout);
+}
+
 /* Delivers the result, or ends the call at its deadline.  */
 static void
 on_timer (evutil_socket_t fd, short what, void *data)
@@ -180,7 +189,12 @@
   (void)what;
   if (!call->finished)
     {
-      bk_call_finish (call, BK_FAILURE_TIMEOUT, FALSE);
+      /* The timer counts from the start of the event loop's turn in which it
+         was set, so it may fire early.  */
+      if (bk_now_us () < call->deadline_us)
+        start_deadline_timer (call);
+      else
+        bk_call_finish (call, BK_FAILURE_TIMEOUT, FALSE);
       return;
     }
   if (target != NULL)
@@ -347,15 +361,6 @@
   return TRUE;
 }
 
-static void
-start_deadline_timer (BkCall *call, int64_t deadline_us)
-{
-  int64_t remaining_us = MAX (0, deadline_us - bk_now_us ());
-  struct timeval timeout = { remaining_us / 1000000, remaining_us % 1000000 };
-
-  event_add (call->timer, &timeout);
-}
-
 BkCall *
 bk_request (BkPool *pool, const BkRequest *request)
 {
@@ -395,7 +400,8 @@
       bk_call_finish (call, BK_FAILURE_TIMEOUT, FALSE);
       return call;
     }
-  start_deadline_timer (call, request->deadline_us);
+  call->deadline_us = request->deadline_us;
+  start_deadline_timer (call);
   g_queue_push_tail (&call->target->waiting, call);
   bk_target_dispatch (call->target);
   return call;
--- a/backend/backend_test.cc
+++ b/backend/backend_test.cc
@@ -295,6 +295,34 @@
   EXPECT_EQ (BK_SENT_NONE, refused.result.sent);
 }
 
+/* Guards against a request that is given up before its deadline: the timers of
+   an event loop count from the start of its turn, which may have been long. */
+TEST (Backend, WaitsUntilTheDeadlineAfterALongTurn)
+{
+  Fixture f;
+  Outcome outcome;
+  struct timeval no_delay = {};
+  struct Turn
+  {
+    Fixture *fixture;
+    Outcome *outcome;
+    int64_t deadline_us;
+  } turn = { &f, &outcome, 0 };
+
+  event_base_once (
+      f.base, -1, EV_TIMEOUT,
+      [] (evutil_socket_t, short, void *data) {
+        Turn *turn = (Turn *)data;
+        g_usleep (60000);
+        turn->deadline_us = bk_now_us () + 100000;
+        turn->fixture->start (turn->outcome, "GET", 100);
+      },
+      &turn, &no_delay);
+  ASSERT_TRUE (f.run_until ([&] { return outcome.done; }));
+  EXPECT_GE (bk_now_us (), turn.deadline_us);
+  EXPECT_EQ (BK_FAILURE_TIMEOUT, outcome.result.failure);
+}
+
 /* Guards against a request that is reported as not sent although its
    connection was closed while it was being sent.  */
 TEST (Backend, CloseWhileSendingIsSentMaybe)
