front: a lower idle limit applies to a connection from its next request on

What callers saw: when a new configuration lowered the idle timeout, the daemon closed within 100 ms all connections that had been idle for longer than the new one. A caller reuses a connection while the timeout that it knows allows that, so requests that were on the way crossed the close and got neither a response nor a refusal, many at once beside the change.

Cause: the timeout in force when a connection became idle was not kept; fr_set_limits changed it for connections whose callers rely on the old one.

Change: a connection keeps the higher one of the timeout when it became idle and the one in force.

--- a/front/conn.c
+++ b/front/conn.c
@@ -22,6 +22,7 @@
   conn->state = state;
   conn->since_us = fr_now_us ();
   conn->unwritten_bytes = 0;
+  conn->idle_timeout_ms = conn->server->options.idle_timeout_ms;
 }
 
 static struct evbuffer *
@@ -570,7 +571,9 @@
   gboolean stop_timed_out
       = server->stopping
         && age_us > (int64_t)options->stop_idle_timeout_ms * 1000;
-  gboolean timed_out = age_us > (int64_t)options->idle_timeout_ms * 1000;
+  uint32_t idle_timeout_ms
+      = MAX (conn->idle_timeout_ms, options->idle_timeout_ms);
+  gboolean timed_out = age_us > (int64_t)idle_timeout_ms * 1000;
 
   if ((!stop_timed_out && !timed_out) || fr_conn_has_next_input (conn))
     return;
--- a/front/front.h
+++ b/front/front.h
@@ -123,7 +123,9 @@
 } FrLimits;
 
 /* Replaces limits of the server's options.  Checks made from now on use the
-   new ones, also for open connections and requests in progress.  */
+   new ones, also for open connections and requests in progress, except that a
+   lower idle timeout applies to a connection from its next request on: its
+   caller may rely on the timeout that was in force when it became idle.  */
 void fr_set_limits (FrServer *server, const FrLimits *limits);
 
 /* Sends the response and ends the request.  HEADERS may be NULL; a body then
