stop: a package of its own for what a stopping daemon accepts

entry/stop.[ch] and its test move to stop/, so that the daemon's own interface can use them, too. Names change from en_stop_ to sp_; nothing else does.

stop_test passes (4 tests).

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -9,14 +9,14 @@
 #include "entry/directory.h"
 #include "entry/proxy.h"
 #include "entry/shares.h"
-#include "entry/stop.h"
 #include "entry/view.h"
 #include "platform/platform.h"
+#include "stop/stop.h"
 
 /* Interval at which the settings file is checked for changes.  */
 #define SETTINGS_POLL_S 2
 /* Time to write the responses to the requests that are ended; less than
-   EN_STOP_END_MS, so that the process exits within the grace period.  */
+   SP_END_MS, so that the process exits within the grace period.  */
 #define STOP_FLUSH_MS 200
 
 struct EnEntry
@@ -35,7 +35,7 @@
   struct event *int_event;
   struct event *hup_event;
   struct event *settings_timer;
-  EnStop stop;
+  SpStop stop;
   struct event *stop_timer; /* ends accepting connections */
   struct event *end_timer;  /* ends the requests in progress */
   struct event *exit_timer; /* ends the event loop */
@@ -274,7 +274,7 @@
   if (entry->stopping)
     return;
   entry->stopping = TRUE;
-  en_stop_begin (&entry->stop, grace_ms, now_us);
+  sp_begin (&entry->stop, grace_ms, now_us);
   tr_log (entry->trace, EV_DAEMON_DRAINING, "grace_ms=%u running=%u", grace_ms,
           en_proxy_front_counters (entry->proxy)->running_count);
   en_shares_report_stop (entry->shares);
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -424,8 +424,8 @@
   int64_t latency_target_us
       = (int64_t)request->route->latency_target_ms * CK_US_PER_MS;
 
-  if (en_stop_admits (request->proxy->options.stop, request->deadline_us,
-                      latency_target_us, ck_boot_us ()))
+  if (sp_admits (request->proxy->options.stop, request->deadline_us,
+                 latency_target_us, ck_boot_us ()))
     return TRUE;
   en_request_fail (request, EN_OUTCOME_NOT_READY, STOPPING_RETRY_AFTER_US,
                    "daemon_stopping");
--- a/entry/proxy.h
+++ b/entry/proxy.h
@@ -6,7 +6,8 @@
      and returns the response.  A request that cannot be served gets an error
      response at once.  Its body reports the outcome "not_run" only where no
      target can have begun to run the request, else "unknown".  While the
-   daemon stops, a request that it may not finish is refused, see stop.h.  */
+     daemon stops, a request that it may not finish is refused, see
+     stop/stop.h.  */
 
 #ifndef EN_PROXY_H
 #define EN_PROXY_H
@@ -16,10 +17,10 @@
 #include "entry/dialect.h"
 #include "entry/settings.h"
 #include "entry/shares.h"
-#include "entry/stop.h"
 #include "entry/view.h"
 #include "front/front.h"
 #include "metric/metric.h"
+#include "stop/stop.h"
 #include "trace/trace.h"
 
 typedef struct EnProxy EnProxy;
@@ -31,7 +32,7 @@
   const EnDialect *dialect;
   EnView *view;
   EnShares *shares;
-  const EnStop *stop;
+  const SpStop *stop;
   TrTrace *trace;
   MtRegistry *metrics;
 } EnProxyOptions;
--- /dev/null
+++ b/stop/stop.c
@@ -0,0 +1,30 @@
+#include "stop/stop.h"
+
+#define US_PER_MS ((int64_t)1000)
+
+static int64_t
+left_after_ms (uint32_t grace_ms, uint32_t reserved_ms)
+{
+  return grace_ms > reserved_ms ? grace_ms - reserved_ms : 0;
+}
+
+void
+sp_begin (SpStop *stop, uint32_t grace_ms, int64_t now_us)
+{
+  int64_t serve_ms = MIN (SP_SERVE_MS, (int64_t)grace_ms / 2);
+
+  stop->serve_until_us = now_us + serve_ms * US_PER_MS;
+  stop->accept_until_us
+      = now_us + left_after_ms (grace_ms, SP_NO_ACCEPT_MS) * US_PER_MS;
+  stop->end_us = now_us + left_after_ms (grace_ms, SP_END_MS) * US_PER_MS;
+}
+
+gboolean
+sp_admits (const SpStop *stop, int64_t deadline_us, int64_t latency_target_us,
+           int64_t now_us)
+{
+  if (stop->serve_until_us == 0 || deadline_us <= stop->end_us)
+    return TRUE;
+  return now_us < stop->serve_until_us
+         && now_us + SP_SERVICE_TARGETS * latency_target_us <= stop->end_us;
+}
--- a/entry/stop.h
+++ b/stop/stop.h
@@ -1,9 +1,9 @@
 /* stop.h - which requests a stopping daemon still accepts
 
    SYNOPSIS
-     EnStop stop = { 0 };
-     en_stop_begin (&stop, grace_ms, now_us);
-     if (!en_stop_admits (&stop, deadline_us, latency_target_us, now_us))
+     SpStop stop = { 0 };
+     sp_begin (&stop, grace_ms, now_us);
+     if (!sp_admits (&stop, deadline_us, latency_target_us, now_us))
        ... refuse the request, it has not run ...
 
    DESCRIPTION
@@ -19,35 +19,35 @@
    ERRORS
      None.  */
 
-#ifndef EN_STOP_H
-#define EN_STOP_H
+#ifndef SP_STOP_H
+#define SP_STOP_H
 
 #include <glib.h>
 #include <stdint.h>
 
 /* Last part of the grace period, in which no new connections are accepted.  */
-#define EN_STOP_NO_ACCEPT_MS 2300
+#define SP_NO_ACCEPT_MS 2300
 /* Time before the end of the grace period at which the requests in progress
    are ended, so that their responses are written and the process can exit.  */
-#define EN_STOP_END_MS 400
+#define SP_END_MS 400
 /* For this time after SIGTERM, but at most half of the grace period, requests
    whose deadline is later than the end are accepted.  Most callers have made
    a new lookup by then.  */
-#define EN_STOP_SERVE_MS 2800
+#define SP_SERVE_MS 2800
 /* Few requests take longer than this many latency targets, including a cache
    miss and the wait in a queue.  */
-#define EN_STOP_SERVICE_TARGETS 4
+#define SP_SERVICE_TARGETS 4
 
 typedef struct
 {
   int64_t serve_until_us; /* 0: the daemon is not stopping */
   int64_t accept_until_us;
   int64_t end_us; /* when the requests in progress are ended */
-} EnStop;
+} SpStop;
 
-void en_stop_begin (EnStop *stop, uint32_t grace_ms, int64_t now_us);
+void sp_begin (SpStop *stop, uint32_t grace_ms, int64_t now_us);
 
-gboolean en_stop_admits (const EnStop *stop, int64_t deadline_us,
-                         int64_t latency_target_us, int64_t now_us);
+gboolean sp_admits (const SpStop *stop, int64_t deadline_us,
+                    int64_t latency_target_us, int64_t now_us);
 
 #endif
--- a/entry/stop_test.cc
+++ b/stop/stop_test.cc
@@ -2,7 +2,7 @@
 
 extern "C"
 {
-#include "entry/stop.h"
+#include "stop/stop.h"
 }
 
 namespace
@@ -14,8 +14,8 @@
 /* Guards against refusals by a daemon that is not stopping.  */
 TEST (Stop, AdmitsEverythingBeforeTheSignal)
 {
-  EnStop stop = {};
-  EXPECT_TRUE (en_stop_admits (&stop, kTerm + 60000 * kMs, 1000 * kMs, kTerm));
+  SpStop stop = {};
+  EXPECT_TRUE (sp_admits (&stop, kTerm + 60000 * kMs, 1000 * kMs, kTerm));
 }
 
 /* Guards against a request that a stopping daemon accepts late and that is
@@ -24,16 +24,15 @@
 {
   for (uint32_t grace_ms : { 0u, 300u, 1000u, 4000u, 6000u, 10000u, 30000u })
     {
-      EnStop stop = {};
-      en_stop_begin (&stop, grace_ms, kTerm);
+      SpStop stop = {};
+      sp_begin (&stop, grace_ms, kTerm);
       for (int64_t late_ms = 3000; late_ms <= grace_ms; late_ms += 50)
         for (int64_t allowed_ms = 50; allowed_ms <= 12000; allowed_ms += 150)
           {
             int64_t now_us = kTerm + late_ms * kMs;
             int64_t deadline_us = now_us + allowed_ms * kMs;
-            EXPECT_TRUE (
-                !en_stop_admits (&stop, deadline_us, 300 * kMs, now_us)
-                || deadline_us + 400 * kMs <= kTerm + grace_ms * kMs)
+            EXPECT_TRUE (!sp_admits (&stop, deadline_us, 300 * kMs, now_us)
+                         || deadline_us + 400 * kMs <= kTerm + grace_ms * kMs)
                 << grace_ms << " " << late_ms << " " << allowed_ms;
           }
     }
@@ -43,25 +42,25 @@
    although there is time to serve them.  */
 TEST (Stop, ServesAtFirstWhatHasTimeForAUsualRequest)
 {
-  EnStop stop = {};
-  en_stop_begin (&stop, 6000, kTerm);
-  EXPECT_TRUE (en_stop_admits (&stop, kTerm + 8000 * kMs, 800 * kMs,
-                               kTerm + 500 * kMs));
-  EXPECT_FALSE (en_stop_admits (&stop, kTerm + 10500 * kMs, 800 * kMs,
-                                kTerm + 2500 * kMs));
-  EXPECT_TRUE (en_stop_admits (&stop, kTerm + 5500 * kMs, 800 * kMs,
-                               kTerm + 3500 * kMs));
+  SpStop stop = {};
+  sp_begin (&stop, 6000, kTerm);
+  EXPECT_TRUE (
+      sp_admits (&stop, kTerm + 8000 * kMs, 800 * kMs, kTerm + 500 * kMs));
+  EXPECT_FALSE (
+      sp_admits (&stop, kTerm + 10500 * kMs, 800 * kMs, kTerm + 2500 * kMs));
+  EXPECT_TRUE (
+      sp_admits (&stop, kTerm + 5500 * kMs, 800 * kMs, kTerm + 3500 * kMs));
 }
 
 /* Guards against a daemon that accepts connections until its end, and one
    with a grace period so short that times are negative.  */
 TEST (Stop, StopsAcceptingBeforeItEnds)
 {
-  EnStop stop = {};
-  en_stop_begin (&stop, 6000, kTerm);
+  SpStop stop = {};
+  sp_begin (&stop, 6000, kTerm);
   EXPECT_EQ (stop.accept_until_us, kTerm + 3700 * kMs);
   EXPECT_EQ (stop.end_us, kTerm + 5600 * kMs);
-  en_stop_begin (&stop, 100, kTerm);
+  sp_begin (&stop, 100, kTerm);
   EXPECT_EQ (stop.accept_until_us, kTerm);
   EXPECT_EQ (stop.end_us, kTerm);
 }
