daemon: respond to requests that still run at the end of a stop

What callers saw: a daemon of the project's own interface that reached drain_max_ms closed the connections of all requests that still ran, without a response.

How each request ended at drain_max_ms (read in the code: the loop breaks and dm_free closes all connections): - waiting for tokens, in the fair queue: connection closed, nothing has run; - at a target: connection closed, call cancelled; - keyed, waiting for the store: connection closed, the call of the store dropped; a create that took effect left the record started for good; - keyed, at a target: connection closed, record stays started; - keyed, writing its final record: write dropped, record stays started; - arriving, or an idle connection with input on the way: closed. A second signal has no effect while the daemon stops (dm_start_drain).

Cause: the end of the drain did not look at what still ran.

Evidence: Stop.RespondsToRequestsThatRunLongerThanTheDrain, real daemons with drain_max_ms 10000, a read and an order at a target and a request of which a part has arrived.

Change: 0.4 s before drain_max_ms, the time that entry/ uses, each request gets a response: not_run only if no target has received a byte, else unknown. A keyed request that waits for the store is refused as at its deadline (or_end): it is not sent any more, and its record is abandoned if the store replies in time. One that a target may have keeps its record started, so it never runs again. With a drain_max_ms below 0.4 s the daemon takes 0.2 s to write the responses.

Order.EndedBeforeItIsSentIsAbandoned and Order.EndLeavesTheResultOfASendToTheSender test or_end. Not run with real processes: the end while a request is in the fair queue, waits for tokens or for the store.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -8,6 +8,9 @@
 /* Until the report that this VM is leaving has reached them, other daemons
    still return it in lookups.  */
 #define LEAVING_PROPAGATION_US CK_US_PER_S
+/* Time to write the responses to the requests that are ended, also with a
+   drain_max_ms below SP_END_MS.  */
+#define RESPONSES_WRITTEN_US (200 * CK_US_PER_MS)
 #define LEASE_RELEASE_TIMEOUT_US (5 * CK_US_PER_S)
 #define STORE_DOWN_FAILURE_COUNT 2
 
@@ -104,6 +107,8 @@
     return;
   daemon->draining = TRUE;
   daemon->drain_started_us = ck_boot_us ();
+  sp_begin (&daemon->stop, daemon->settings->drain_max_ms,
+            daemon->drain_started_us);
   daemon->report_due_us = 0;
   dm_lookup_clear_cache (daemon);
   dm_record_detail (daemon, EV_DAEMON_DRAINING,
@@ -124,6 +129,12 @@
       daemon->front_stopped = TRUE;
       fr_stop (daemon->front, on_front_idle, daemon);
     }
+  if (!daemon->requests_ended && now_us >= daemon->stop.end_us)
+    {
+      daemon->requests_ended = TRUE;
+      daemon->ended_us = now_us;
+      dm_requests_end (daemon);
+    }
   if (daemon->front_idle && dm_shares_released (daemon)
       && !daemon->release_requested)
     {
@@ -134,7 +145,8 @@
       && (ls_released (daemon->lease)
           || now_us - daemon->front_idle_us > LEASE_RELEASE_TIMEOUT_US))
     daemon->stopped = TRUE;
-  if (elapsed_us > (int64_t)daemon->settings->drain_max_ms * CK_US_PER_MS)
+  if (now_us
+      >= MAX (daemon->stop.exit_us, daemon->ended_us + RESPONSES_WRITTEN_US))
     daemon->stopped = TRUE;
   if (daemon->stopped)
     event_base_loopbreak (daemon->base);
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -54,6 +54,7 @@
 #include "settings/settings.h"
 #include "slot/slot.h"
 #include "steer/steer.h"
+#include "stop/stop.h"
 #include "store/store.h"
 
 #define DM_TICK_MS 20
@@ -243,7 +244,10 @@
 
   gboolean draining; /* a graceful stop has started */
   int64_t drain_started_us;
+  SpStop stop;
   gboolean front_stopped;
+  gboolean requests_ended; /* at stop.end_us */
+  int64_t ended_us;
   gboolean front_idle; /* no connection is left after front_stopped */
   int64_t front_idle_us;
   gboolean release_requested;
@@ -429,6 +433,9 @@
    nothing else uses it.  */
 void dm_request_ref (DmRequest *request);
 void dm_request_unref (DmRequest *request);
+/* Responds to all requests, since the daemon is about to exit: not_run to
+   those of which no target has received a byte, else unknown.  */
+void dm_requests_end (DmDaemon *daemon);
 
 /* dispatch.c */
 
@@ -492,6 +499,9 @@
 void dm_order_start (DmRequest *request, const char *idempotency_key);
 /* Carries out the actions that are due for the keyed request.  */
 void dm_order_run (DmRequest *request);
+/* Ends the keyed request before it is finished, since the daemon is about to
+   exit.  Its record is still written if the store replies by then.  */
+void dm_order_end (DmRequest *request);
 /* Deletes the expired records of keyed requests once an hour.  */
 void dm_orders_tick (DmDaemon *daemon, int64_t now_us);
 /* Passes the result of sending a keyed request to its order, which decides the
--- a/daemon/orders.c
+++ b/daemon/orders.c
@@ -179,3 +179,18 @@
   or_send_done (request->order, sent, ck_boot_us ());
   dm_order_run (request);
 }
+
+void
+dm_order_end (DmRequest *request)
+{
+  if (!or_end (request->order, ck_boot_us ()))
+    {
+      dm_order_run (request);
+      return;
+    }
+  dm_dispatch_cancel (request);
+  dm_order_send_done (request, &(OrSendResult){ .kind = request->maybe_sent
+                                                            ? OR_SEND_UNKNOWN
+                                                            : OR_SEND_NOT_SENT,
+                                                .status = 502 });
+}
--- a/daemon/request.c
+++ b/daemon/request.c
@@ -5,6 +5,8 @@
 #define ADMISSION_WAIT_US (150 * CK_US_PER_MS)
 #define ADMISSION_QUEUE_MAX 1024
 #define RETRY_AFTER_MAX_MS 60000
+/* Another VM can serve the caller at once.  */
+#define STOPPING_RETRY_AFTER_MS 1
 #define OPEN_CUSTOMER "open"
 
 static gboolean
@@ -200,6 +202,37 @@
   dm_request_unref (request);
 }
 
+static void
+end_request (DmRequest *request)
+{
+  if (request->order != NULL)
+    {
+      dm_order_end (request);
+      return;
+    }
+  dm_dispatch_cancel (request);
+  if (request->maybe_sent)
+    dm_request_refuse (request, 502, "daemon_ended", "unknown", 0);
+  else
+    dm_request_refuse (request, 503, "daemon_stopping", "not_run",
+                       STOPPING_RETRY_AFTER_MS);
+}
+
+void
+dm_requests_end (DmDaemon *daemon)
+{
+  g_autoptr (GList) requests = g_hash_table_get_keys (daemon->requests);
+
+  for (GList *at = requests; at != NULL; at = at->next)
+    dm_request_ref (at->data);
+  for (GList *at = requests; at != NULL; at = at->next)
+    {
+      end_request (at->data);
+      dm_request_unref (at->data);
+    }
+  fr_reject_incomplete (daemon->front);
+}
+
 /* Time in which the customer's rate refills one token.  */
 static uint32_t
 token_wait_ms (const DmRequest *request)
--- a/order/order.c
+++ b/order/order.c
@@ -611,6 +611,20 @@
                                       : RESULT_DEADLINE_UNKNOWN;
 }
 
+gboolean
+or_end (OrRequest *request, int64_t now_us)
+{
+  if (request->phase == PHASE_SEND && request->waiting)
+    return TRUE;
+  if (request->has_result || request->cancelled)
+    return FALSE;
+  if (request->waiting)
+    set_result (request, deadline_result (request));
+  else
+    finish_with_result (request, deadline_result (request), now_us);
+  return FALSE;
+}
+
 /* Ends a request or a write that can no longer succeed.  */
 static void
 check_timeouts (OrRequest *request, int64_t now_us)
--- a/order/order.h
+++ b/order/order.h
@@ -183,6 +183,12 @@
    OR_SEND_NOT_SENT.  */
 gboolean or_cancel (OrRequest *request, int64_t now_us);
 
+/* Call when the process is about to exit.  A request without a result gets one
+   now; what is written then depends on what the store replies.  Returns TRUE
+   when a send must be ended and reported with or_send_done, which decides the
+   result.  */
+gboolean or_end (OrRequest *request, int64_t now_us);
+
 /* When or_poll is due even without a result; INT64_MAX for never.  */
 int64_t or_next_poll_us (const OrRequest *request);
 /* TRUE when there are no more actions.  */
--- a/order/order_test.cc
+++ b/order/order_test.cc
@@ -139,6 +139,58 @@
   EXPECT_TRUE (or_finished (slow_request));
 }
 
+/* Guards against an order that a stopping process leaves without a response
+   while the store delays the creation of its record, and that is sent or stays
+   started afterwards.  */
+TEST (Order, EndedBeforeItIsSentIsAbandoned)
+{
+  g_autoptr (OrRequest) request = new_request ("a", noon_ms);
+  OrAction action;
+
+  or_poll (request, 0, noon_ms, &action);
+  or_store_done (request, OR_STORE_ABSENT, 0, NULL, 0, 1);
+  ASSERT_TRUE (or_poll (request, 1, noon_ms, &action));
+  ASSERT_EQ (OR_ACTION_CAS, action.kind);
+  EXPECT_FALSE (or_end (request, 2));
+  ASSERT_TRUE (or_poll (request, 2, noon_ms, &action));
+  EXPECT_EQ (OR_ACTION_REFUSE, action.kind);
+  EXPECT_STREQ ("unknown", action.outcome);
+  or_store_done (request, OR_STORE_OK, 7, NULL, 0, 3);
+  ASSERT_TRUE (or_poll (request, 3, noon_ms, &action));
+  ASSERT_EQ (OR_ACTION_CAS, action.kind);
+  EXPECT_EQ (7u, action.expected_index);
+  EXPECT_NE (nullptr, strstr (action.value, "abandoned")) << action.value;
+  or_store_done (request, OR_STORE_OK, 8, NULL, 0, 4);
+  EXPECT_FALSE (or_poll (request, 4, noon_ms, &action));
+  EXPECT_TRUE (or_finished (request));
+}
+
+/* Guards against ending an order that waits to be sent without learning
+   whether a target has it, and against a second result of one that has one.
+   */
+TEST (Order, EndLeavesTheResultOfASendToTheSender)
+{
+  g_autoptr (OrRequest) request = new_request ("a", noon_ms);
+  OrAction action;
+  OrSendResult sent = { OR_SEND_UNKNOWN, 502 };
+
+  or_poll (request, 0, noon_ms, &action);
+  or_store_done (request, OR_STORE_ABSENT, 0, NULL, 0, 1);
+  or_poll (request, 1, noon_ms, &action);
+  or_store_done (request, OR_STORE_OK, 7, NULL, 0, 2);
+  ASSERT_TRUE (or_poll (request, 2, noon_ms, &action));
+  ASSERT_EQ (OR_ACTION_SEND, action.kind);
+  EXPECT_TRUE (or_end (request, 3));
+  EXPECT_FALSE (or_poll (request, 3, noon_ms, &action));
+  or_send_done (request, &sent, 4);
+  ASSERT_TRUE (or_poll (request, 4, noon_ms, &action));
+  EXPECT_EQ (502u, action.status);
+  EXPECT_STREQ ("unknown", action.outcome);
+  EXPECT_FALSE (or_end (request, 5));
+  EXPECT_FALSE (or_poll (request, 5, noon_ms, &action));
+  EXPECT_TRUE (or_finished (request));
+}
+
 /* Guards against a large response that is truncated in a replay.  */
 TEST (Order, LargeResponseIsNotReplayed)
 {
--- a/proof/run.cc
+++ b/proof/run.cc
@@ -79,6 +79,7 @@
   harness_options.admission = options_.admission.c_str ();
   harness_options.proxied = options_.proxied;
   harness_options.work_ms = options_.work_ms;
+  harness_options.drain_max_ms = options_.drain_max_ms;
   harness_options.log = "info";
   harness_ = si_harness_new (&harness_options, &error);
   CHECK_OR_RETURN (harness_ != NULL);
--- /dev/null
+++ b/proof/stop_test.cc
@@ -0,0 +1,186 @@
+#include <arpa/inet.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "proof/run.h"
+
+namespace
+{
+
+/* What a caller got; status 0: the connection ended without a response.  */
+struct Answer
+{
+  int status = 0;
+  std::string head;
+  std::string body;
+  int64_t sent_us = 0;
+  int64_t ended_us = 0;
+};
+
+std::string
+describe (const Answer &answer, int64_t signalled_us)
+{
+  return std::to_string (answer.status) + " " + answer.body + ", sent "
+         + std::to_string ((answer.sent_us - signalled_us) / 1000)
+         + " ms and ended "
+         + std::to_string ((answer.ended_us - signalled_us) / 1000)
+         + " ms after SIGTERM";
+}
+
+bool
+contains (const std::string &text, const std::string &part)
+{
+  return text.find (part) != std::string::npos;
+}
+
+/* A caller's connection that is kept between requests.  */
+class Caller
+{
+public:
+  explicit Caller (const std::string &address)
+  {
+    sockaddr_in peer = {};
+    timeval timeout = { 20, 0 };
+    size_t colon = address.find (':');
+
+    peer.sin_family = AF_INET;
+    peer.sin_port = htons ((uint16_t)std::stoi (address.substr (colon + 1)));
+    inet_pton (AF_INET, address.substr (0, colon).c_str (), &peer.sin_addr);
+    fd_ = socket (AF_INET, SOCK_STREAM, 0);
+    setsockopt (fd_, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+    (void)!connect (fd_, (sockaddr *)&peer, sizeof peer);
+  }
+  Caller (const Caller &) = delete;
+  ~Caller () { close (fd_); }
+  void
+  send_request (const std::string &line, const std::string &headers)
+  {
+    std::string text
+        = line + " HTTP/1.1\r\nHost: a\r\nX-Api-Key: key-c1\r\n" + headers
+          + (contains (line, "POST") ? "Content-Length: 0\r\n" : "") + "\r\n";
+
+    sent_us_ = now_us ();
+    (void)!::send (fd_, text.data (), text.size (), MSG_NOSIGNAL);
+  }
+
+  Answer
+  receive ()
+  {
+    Answer answer;
+    std::string text;
+    size_t head_bytes = std::string::npos;
+    char buffer[4096];
+
+    answer.sent_us = sent_us_;
+    for (ssize_t got; (got = recv (fd_, buffer, sizeof buffer, 0)) > 0;)
+      {
+        text.append (buffer, (size_t)got);
+        head_bytes = text.find ("\r\n\r\n");
+        if (head_bytes == std::string::npos)
+          continue;
+        size_t length = text.find ("Content-Length: ");
+        if (length < head_bytes
+            && text.size ()
+                   >= head_bytes + 4 + std::stoul (text.substr (length + 16)))
+          {
+            answer.status = std::stoi (text.substr (9));
+            answer.head = text.substr (0, head_bytes);
+            answer.body = text.substr (head_bytes + 4);
+            break;
+          }
+      }
+    answer.ended_us = now_us ();
+    return answer;
+  }
+
+  Answer
+  request (const std::string &line, const std::string &headers)
+  {
+    send_request (line, headers);
+    return receive ();
+  }
+
+private:
+  int fd_;
+  int64_t sent_us_ = 0;
+};
+
+std::string
+address_of (TestRun &run, const char *vm)
+{
+  return si_find_vm (run.harness (), vm)->http_address;
+}
+
+std::string
+read_line (TestRun &run)
+{
+  return std::string ("GET /") + si_fixture_service (run.harness (), 0)
+         + "/view/a";
+}
+
+std::string
+order_line (TestRun &run)
+{
+  return std::string ("POST /") + si_fixture_service (run.harness (), 0)
+         + "/orders";
+}
+
+TestRunOptions
+with_drain_max_ms (uint32_t drain_max_ms)
+{
+  TestRunOptions options;
+  options.drain_max_ms = drain_max_ms;
+  return options;
+}
+
+/* Sends SIGTERM to vm1; returns when.  */
+int64_t
+signal_vm1 (TestRun &run)
+{
+  si_signal_vm (run.harness (), "vm1", SIGTERM);
+  return now_us ();
+}
+
+/* Expects that vm1 exits with status 0, at the latest WAIT_MS from now.  */
+void
+expect_exit (TestRun &run, uint32_t wait_ms)
+{
+  SiVm *vm = si_find_vm (run.harness (), "vm1");
+  int status = -1;
+
+  ASSERT_TRUE (si_wait_exit (run.harness (), vm->pid, wait_ms, &status));
+  EXPECT_EQ (0, status);
+  vm->pid = 0;
+}
+
+}
+
+/* Guards against a daemon that ends with requests still running and closes
+   their connections without a response.  */
+TEST (Stop, RespondsToRequestsThatRunLongerThanTheDrain)
+{
+  TestRun run (with_drain_max_ms (10000));
+  Caller reader (address_of (run, "vm1"));
+  Caller orderer (address_of (run, "vm1"));
+  Caller arriving (address_of (run, "vm1"));
+
+  int64_t signalled_us = signal_vm1 (run);
+  g_usleep (2000000);
+  reader.send_request (read_line (run), "X-Work-Ms: 12000\r\n");
+  orderer.send_request (order_line (run),
+                        "X-Work-Ms: 12000\r\nIdempotency-Key: stop-1\r\n");
+  g_usleep (3500000);
+  arriving.send_request (read_line (run), "X-Incomplete: 1");
+  for (Caller *caller : { &reader, &orderer })
+    {
+      Answer answer = caller->receive ();
+
+      EXPECT_EQ (502, answer.status) << describe (answer, signalled_us);
+      EXPECT_TRUE (contains (answer.body, "\"outcome\":\"unknown\""))
+          << describe (answer, signalled_us);
+    }
+  Answer answer = arriving.receive ();
+  EXPECT_EQ (503, answer.status) << describe (answer, signalled_us);
+  expect_exit (run, 2000);
+}
--- a/stop/stop.c
+++ b/stop/stop.c
@@ -17,6 +17,7 @@
   stop->accept_until_us
       = now_us + left_after_ms (grace_ms, SP_NO_ACCEPT_MS) * US_PER_MS;
   stop->end_us = now_us + left_after_ms (grace_ms, SP_END_MS) * US_PER_MS;
+  stop->exit_us = now_us + grace_ms * US_PER_MS;
 }
 
 gboolean
--- a/stop/stop.h
+++ b/stop/stop.h
@@ -42,7 +42,8 @@
 {
   int64_t serve_until_us; /* 0: the daemon is not stopping */
   int64_t accept_until_us;
-  int64_t end_us; /* when the requests in progress are ended */
+  int64_t end_us;  /* when the requests in progress are ended */
+  int64_t exit_us; /* end of the grace period */
 } SpStop;
 
 void sp_begin (SpStop *stop, uint32_t grace_ms, int64_t now_us);
--- a/stop/stop_test.cc
+++ b/stop/stop_test.cc
@@ -60,6 +60,7 @@
   sp_begin (&stop, 6000, kTerm);
   EXPECT_EQ (stop.accept_until_us, kTerm + 3700 * kMs);
   EXPECT_EQ (stop.end_us, kTerm + 5600 * kMs);
+  EXPECT_EQ (stop.exit_us, kTerm + 6000 * kMs);
   sp_begin (&stop, 100, kTerm);
   EXPECT_EQ (stop.accept_until_us, kTerm);
   EXPECT_EQ (stop.end_us, kTerm);
