daemon: a stopping daemon accepts only what it can finish

With a drain_max_ms below 6 s it accepted connections until its end and never told callers on kept connections to leave.

Cause: no rule of what a stopping daemon accepts; connections were accepted for 6 s, whatever drain_max_ms is.

Change: stop/ decides, as for entry/. SpOptions has the times that differ: a caller of this interface uses a lookup for 6 s after SIGTERM. A service time is what targets of the service take on average, since routes have no latency target here. With the default drain_max_ms of 30 s, no request that a caller with a cached lookup sends is refused: deadlines are 10 s at most.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -7,7 +7,9 @@
 #define PROBE_CONNECTIONS_MAX 1
 /* Until the report that this VM is leaving has reached them, other daemons
    still return it in lookups.  */
-#define LEAVING_PROPAGATION_US CK_US_PER_S
+#define LEAVING_PROPAGATION_MS 1000
+/* Callers use lookup responses for this time after the start of a stop.  */
+#define CACHED_LOOKUPS_MS (LEAVING_PROPAGATION_MS + SR_LOOKUP_TTL_MS)
 /* Time to write the responses to the requests that are ended, also with a
    drain_max_ms below SP_END_MS.  */
 #define RESPONSES_WRITTEN_US (200 * CK_US_PER_MS)
@@ -103,12 +105,14 @@
 void
 dm_start_drain (DmDaemon *daemon)
 {
+  SpOptions stop = { .grace_ms = daemon->settings->drain_max_ms,
+                     .serve_ms = CACHED_LOOKUPS_MS,
+                     .listen_ms = CACHED_LOOKUPS_MS };
+
   if (daemon->draining)
     return;
   daemon->draining = TRUE;
-  daemon->drain_started_us = ck_boot_us ();
-  sp_begin (&daemon->stop, daemon->settings->drain_max_ms,
-            daemon->drain_started_us);
+  sp_begin (&daemon->stop, &stop, ck_boot_us ());
   daemon->report_due_us = 0;
   dm_lookup_clear_cache (daemon);
   dm_record_detail (daemon, EV_DAEMON_DRAINING,
@@ -118,13 +122,9 @@
 static void
 step_drain (DmDaemon *daemon, int64_t now_us)
 {
-  int64_t elapsed_us = now_us - daemon->drain_started_us;
-
   if (!daemon->draining || daemon->stopped)
     return;
-  if (!daemon->front_stopped
-      && elapsed_us
-             >= LEAVING_PROPAGATION_US + SR_LOOKUP_TTL_MS * CK_US_PER_MS)
+  if (!daemon->front_stopped && now_us >= daemon->stop.accept_until_us)
     {
       daemon->front_stopped = TRUE;
       fr_stop (daemon->front, on_front_idle, daemon);
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -243,7 +243,6 @@
   int64_t lookup_cache_cleared_us;
 
   gboolean draining; /* a graceful stop has started */
-  int64_t drain_started_us;
   SpStop stop;
   gboolean front_stopped;
   gboolean requests_ended; /* at stop.end_us */
--- a/daemon/request.c
+++ b/daemon/request.c
@@ -427,6 +427,39 @@
   return TRUE;
 }
 
+/* Mean over the targets of SERVICE that have responded; 0 if none has.  */
+static int64_t
+mean_latency_us (const DmService *service)
+{
+  int64_t sum_us = 0;
+  int64_t count = 0;
+
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      const DmTarget *target = g_ptr_array_index (service->targets, i);
+
+      sum_us += target->latency_us;
+      count += target->latency_us > 0;
+    }
+  return count == 0 ? 0 : sum_us / count;
+}
+
+/* Refuses the request if the daemon stops and may not finish it.  */
+static gboolean
+check_stopping (DmRequest *request, int64_t now_us)
+{
+  DmDaemon *daemon = request->daemon;
+  const DmService *service = dm_find_service (daemon, request->service);
+
+  if (!daemon->draining
+      || sp_admits (&daemon->stop, request->deadline_us,
+                    mean_latency_us (service), now_us))
+    return TRUE;
+  dm_request_refuse (request, 503, "daemon_stopping", "not_run",
+                     STOPPING_RETRY_AFTER_MS);
+  return FALSE;
+}
+
 static gboolean
 prepare_request (DmRequest *request, const CfRoute *route, int64_t now_us)
 {
@@ -436,6 +469,8 @@
   request->idempotent
       = route->idempotent || is_safe_method (request->front->method);
   request->deadline_us = request_deadline_us (request->front);
+  if (!check_stopping (request, now_us))
+    return FALSE;
   if (request->needs_key && !identify_customer (request, now_us))
     return FALSE;
   return strip_keys (request);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -274,7 +274,7 @@
   if (entry->stopping)
     return;
   entry->stopping = TRUE;
-  sp_begin (&entry->stop, grace_ms, now_us);
+  sp_begin (&entry->stop, &(SpOptions){ .grace_ms = grace_ms }, now_us);
   tr_log (entry->trace, EV_DAEMON_DRAINING, "grace_ms=%u running=%u", grace_ms,
           en_proxy_front_counters (entry->proxy)->running_count);
   en_shares_report_stop (entry->shares);
--- a/proof/stop_test.cc
+++ b/proof/stop_test.cc
@@ -1,6 +1,7 @@
 #include <arpa/inet.h>
 #include <signal.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 #include "proof/run.h"
@@ -184,3 +185,76 @@
   EXPECT_EQ (503, answer.status) << describe (answer, signalled_us);
   expect_exit (run, 2000);
 }
+
+/* Guards against a stopping daemon that accepts requests which may run longer
+   than it does, on new and on kept connections, and against one that refuses
+   those that it can finish.  */
+TEST (Stop, AcceptsLateOnlyWhatItCanFinish)
+{
+  TestRun run (with_drain_max_ms (10000));
+  std::vector<Answer> answers;
+  Caller kept (address_of (run, "vm1"));
+
+  int64_t signalled_us = signal_vm1 (run);
+  std::thread kept_caller ([&] {
+    while (now_us () < signalled_us + 5300000)
+      EXPECT_EQ (
+          200,
+          kept.request (read_line (run), "X-Deadline-Ms: 1000\r\n").status);
+    answers.push_back (kept.request (read_line (run), "X-Work-Ms: 8000\r\n"));
+  });
+  g_usleep (5300000);
+  Caller short_caller (address_of (run, "vm1"));
+  Caller order_caller (address_of (run, "vm1"));
+  order_caller.send_request (order_line (run),
+                             "X-Work-Ms: 8000\r\nIdempotency-Key: stop-2\r\n");
+  EXPECT_EQ (200,
+             short_caller.request (read_line (run), "X-Deadline-Ms: 2000\r\n")
+                 .status);
+  answers.push_back (order_caller.receive ());
+  kept_caller.join ();
+  for (const Answer &answer : answers)
+    {
+      EXPECT_EQ (503, answer.status) << describe (answer, signalled_us);
+      EXPECT_TRUE (contains (answer.body, "\"outcome\":\"not_run\""))
+          << describe (answer, signalled_us);
+      EXPECT_LT (answer.ended_us - answer.sent_us, 1000000)
+          << describe (answer, signalled_us);
+    }
+  /* The order was refused as not run, so another VM runs it.  */
+  Answer again
+      = Caller (address_of (run, "vm2"))
+            .request (order_line (run), "Idempotency-Key: stop-2\r\n");
+  EXPECT_EQ (200, again.status) << again.body;
+  expect_exit (run, 8000);
+}
+
+/* Guards against callers on kept connections that go on sending and whose
+   requests are cut when the daemon ends.  */
+TEST (Stop, CallersThatGoOnSendingLoseNoRequest)
+{
+  TestRun run (with_drain_max_ms (5000));
+  std::vector<std::thread> callers;
+  std::vector<std::vector<Answer> > answers (4);
+
+  for (std::vector<Answer> &list : answers)
+    callers.emplace_back ([&run, &list] {
+      Caller caller (address_of (run, "vm1"));
+      do
+        list.push_back (
+            caller.request (read_line (run), "X-Work-Ms: 700\r\n"));
+      while (list.back ().status != 0
+             && !contains (list.back ().head, "Connection: close"));
+    });
+  g_usleep (300000);
+  int64_t signalled_us = signal_vm1 (run);
+  for (std::thread &caller : callers)
+    caller.join ();
+  for (const std::vector<Answer> &list : answers)
+    {
+      EXPECT_GT (list.size (), 2u);
+      for (const Answer &answer : list)
+        EXPECT_NE (0, answer.status) << describe (answer, signalled_us);
+    }
+  expect_exit (run, 6000);
+}
--- a/stop/stop.c
+++ b/stop/stop.c
@@ -9,23 +9,26 @@
 }
 
 void
-sp_begin (SpStop *stop, uint32_t grace_ms, int64_t now_us)
+sp_begin (SpStop *stop, const SpOptions *options, int64_t now_us)
 {
-  int64_t serve_ms = MIN (SP_SERVE_MS, (int64_t)grace_ms / 2);
+  uint32_t grace_ms = options->grace_ms;
+  int64_t serve_ms = options->serve_ms > 0 ? options->serve_ms : SP_SERVE_MS;
+  int64_t accept_ms = left_after_ms (grace_ms, SP_NO_ACCEPT_MS);
 
-  stop->serve_until_us = now_us + serve_ms * US_PER_MS;
-  stop->accept_until_us
-      = now_us + left_after_ms (grace_ms, SP_NO_ACCEPT_MS) * US_PER_MS;
+  if (options->listen_ms > 0)
+    accept_ms = MIN (accept_ms, options->listen_ms);
+  stop->serve_until_us = now_us + MIN (serve_ms, grace_ms / 2) * US_PER_MS;
+  stop->accept_until_us = now_us + accept_ms * US_PER_MS;
   stop->end_us = now_us + left_after_ms (grace_ms, SP_END_MS) * US_PER_MS;
   stop->exit_us = now_us + grace_ms * US_PER_MS;
 }
 
 gboolean
-sp_admits (const SpStop *stop, int64_t deadline_us, int64_t latency_target_us,
+sp_admits (const SpStop *stop, int64_t deadline_us, int64_t service_us,
            int64_t now_us)
 {
   if (stop->serve_until_us == 0 || deadline_us <= stop->end_us)
     return TRUE;
   return now_us < stop->serve_until_us
-         && now_us + SP_SERVICE_TARGETS * latency_target_us <= stop->end_us;
+         && now_us + SP_SERVICE_TIMES * service_us <= stop->end_us;
 }
--- a/stop/stop.h
+++ b/stop/stop.h
@@ -2,8 +2,8 @@
 
    SYNOPSIS
      SpStop stop = { 0 };
-     sp_begin (&stop, grace_ms, now_us);
-     if (!sp_admits (&stop, deadline_us, latency_target_us, now_us))
+     sp_begin (&stop, &(SpOptions){ .grace_ms = 6000 }, now_us);
+     if (!sp_admits (&stop, deadline_us, service_us, now_us))
        ... refuse the request, it has not run ...
 
    DESCRIPTION
@@ -14,6 +14,9 @@
      later only one that has its response, at the latest at its deadline,
      before the daemon ends its requests.
 
+     A request is given with its service time: the latency target of its route,
+     or what such requests take on average; 0 if that is unknown.
+
      The package reads no clock and does no I/O.
 
    ERRORS
@@ -30,13 +33,22 @@
 /* Time before the end of the grace period at which the requests in progress
    are ended, so that their responses are written and the process can exit.  */
 #define SP_END_MS 400
-/* For this time after SIGTERM, but at most half of the grace period, requests
-   whose deadline is later than the end are accepted.  Most callers have made
-   a new lookup by then.  */
+/* Default of serve_ms.  Most callers have made a new lookup by then.  */
 #define SP_SERVE_MS 2800
-/* Few requests take longer than this many latency targets, including a cache
+/* Few requests take longer than this many service times, including a cache
    miss and the wait in a queue.  */
-#define SP_SERVICE_TARGETS 4
+#define SP_SERVICE_TIMES 4
+
+typedef struct
+{
+  uint32_t grace_ms; /* from SIGTERM to the exit */
+  /* For this time, but at most half of the grace period, requests whose
+     deadline is later than the end are accepted; default SP_SERVE_MS.  */
+  uint32_t serve_ms;
+  /* Longest time in which connections are accepted; 0: all but the last
+     SP_NO_ACCEPT_MS of the grace period.  */
+  uint32_t listen_ms;
+} SpOptions;
 
 typedef struct
 {
@@ -46,9 +58,9 @@
   int64_t exit_us; /* end of the grace period */
 } SpStop;
 
-void sp_begin (SpStop *stop, uint32_t grace_ms, int64_t now_us);
+void sp_begin (SpStop *stop, const SpOptions *options, int64_t now_us);
 
 gboolean sp_admits (const SpStop *stop, int64_t deadline_us,
-                    int64_t latency_target_us, int64_t now_us);
+                    int64_t service_us, int64_t now_us);
 
 #endif
--- a/stop/stop_test.cc
+++ b/stop/stop_test.cc
@@ -11,6 +11,13 @@
 constexpr int64_t kMs = 1000;
 constexpr int64_t kTerm = 5000000;
 
+void
+begin (SpStop *stop, uint32_t grace_ms, uint32_t listen_ms = 0)
+{
+  SpOptions options = { grace_ms, listen_ms, listen_ms };
+  sp_begin (stop, &options, kTerm);
+}
+
 /* Guards against refusals by a daemon that is not stopping.  */
 TEST (Stop, AdmitsEverythingBeforeTheSignal)
 {
@@ -25,7 +32,7 @@
   for (uint32_t grace_ms : { 0u, 300u, 1000u, 4000u, 6000u, 10000u, 30000u })
     {
       SpStop stop = {};
-      sp_begin (&stop, grace_ms, kTerm);
+      begin (&stop, grace_ms);
       for (int64_t late_ms = 3000; late_ms <= grace_ms; late_ms += 50)
         for (int64_t allowed_ms = 50; allowed_ms <= 12000; allowed_ms += 150)
           {
@@ -43,7 +50,7 @@
 TEST (Stop, ServesAtFirstWhatHasTimeForAUsualRequest)
 {
   SpStop stop = {};
-  sp_begin (&stop, 6000, kTerm);
+  begin (&stop, 6000);
   EXPECT_TRUE (
       sp_admits (&stop, kTerm + 8000 * kMs, 800 * kMs, kTerm + 500 * kMs));
   EXPECT_FALSE (
@@ -57,13 +64,29 @@
 TEST (Stop, StopsAcceptingBeforeItEnds)
 {
   SpStop stop = {};
-  sp_begin (&stop, 6000, kTerm);
+  begin (&stop, 6000);
   EXPECT_EQ (stop.accept_until_us, kTerm + 3700 * kMs);
   EXPECT_EQ (stop.end_us, kTerm + 5600 * kMs);
   EXPECT_EQ (stop.exit_us, kTerm + 6000 * kMs);
-  sp_begin (&stop, 100, kTerm);
+  begin (&stop, 100);
   EXPECT_EQ (stop.accept_until_us, kTerm);
   EXPECT_EQ (stop.end_us, kTerm);
 }
 
+/* Guards against a daemon that stops listening while callers still use lookups
+   that they cached, or refuses what it can serve by then.  */
+TEST (Stop, ServesAsLongAsCachedLookupsAreUsed)
+{
+  SpStop stop = {};
+  begin (&stop, 30000, 6000);
+  EXPECT_EQ (stop.accept_until_us, kTerm + 6000 * kMs);
+  EXPECT_TRUE (
+      sp_admits (&stop, kTerm + 40000 * kMs, 10 * kMs, kTerm + 5900 * kMs));
+  EXPECT_FALSE (
+      sp_admits (&stop, kTerm + 40000 * kMs, 10 * kMs, kTerm + 6000 * kMs));
+  begin (&stop, 5000, 6000);
+  EXPECT_EQ (stop.accept_until_us, kTerm + 2700 * kMs);
+  EXPECT_FALSE (sp_admits (&stop, kTerm + 12500 * kMs, 0, kTerm + 2500 * kMs));
+}
+
 }
