daemon: a stop waits for the records of keyed requests

What callers saw: an order had run and its caller had the response, but after a planned stop of that daemon a repeat of it got 409 order_unknown instead of the response.

Cause: the response is sent before the final record is written, and a keyed request goes on when its caller has left; a stop waited only for connections. If the store takes no write at that time, the daemon ended 5 s after the last connection, and the record stayed started.

Change: the daemon is idle once no connection and no request is left; it then gives back its lease and stops. drain_max_ms still bounds the stop.

A second execution was not at risk: a started record blocks repeats.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -98,8 +98,6 @@
   DmDaemon *daemon = data;
 
   daemon->front_idle = TRUE;
-  daemon->front_idle_us = ck_boot_us ();
-  dm_record_detail (daemon, EV_DAEMON_DRAINING, "all requests finished");
 }
 
 void
@@ -119,6 +117,19 @@
                     "serving until cached look-ups expire");
 }
 
+/* A keyed request may still run after its caller has left, and its record may
+   still have to be written after the response.  */
+static void
+update_idle (DmDaemon *daemon, int64_t now_us)
+{
+  if (daemon->idle || !daemon->front_idle
+      || g_hash_table_size (daemon->requests) > 0)
+    return;
+  daemon->idle = TRUE;
+  daemon->idle_us = now_us;
+  dm_record_detail (daemon, EV_DAEMON_DRAINING, "all requests finished");
+}
+
 static void
 step_drain (DmDaemon *daemon, int64_t now_us)
 {
@@ -135,15 +146,16 @@
       daemon->ended_us = now_us;
       dm_requests_end (daemon);
     }
-  if (daemon->front_idle && dm_shares_released (daemon)
+  update_idle (daemon, now_us);
+  if (daemon->idle && dm_shares_released (daemon)
       && !daemon->release_requested)
     {
       daemon->release_requested = TRUE;
       ls_release (daemon->lease, now_us);
     }
-  if (daemon->front_idle
+  if (daemon->idle
       && (ls_released (daemon->lease)
-          || now_us - daemon->front_idle_us > LEASE_RELEASE_TIMEOUT_US))
+          || now_us - daemon->idle_us > LEASE_RELEASE_TIMEOUT_US))
     daemon->stopped = TRUE;
   if (now_us
       >= MAX (daemon->stop.exit_us, daemon->ended_us + RESPONSES_WRITTEN_US))
@@ -346,8 +358,8 @@
 {
   event_base_dispatch (daemon->base);
   dm_record_detail (daemon, EV_DAEMON_STOPPED, "%s",
-                    daemon->front_idle ? "all requests finished"
-                                       : "drain timed out");
+                    daemon->idle ? "all requests finished"
+                                 : "drain timed out");
 }
 
 static void
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -248,7 +248,8 @@
   gboolean requests_ended; /* at stop.end_us */
   int64_t ended_us;
   gboolean front_idle; /* no connection is left after front_stopped */
-  int64_t front_idle_us;
+  gboolean idle;       /* the same, and all keyed requests are on record */
+  int64_t idle_us;
   gboolean release_requested;
   gboolean stopped;
 };
--- a/proof/stop_test.cc
+++ b/proof/stop_test.cc
@@ -258,3 +258,33 @@
     }
   expect_exit (run, 6000);
 }
+
+/* Guards against a daemon that stops while the store cannot take the record of
+   an order that has run: a repeat would never get its result.  */
+TEST (Stop, OrderThatHasRunIsRecordedAfterAnOutage)
+{
+  TestRun run ({});
+  Caller caller (address_of (run, "vm1"));
+
+  caller.send_request (order_line (run),
+                       "X-Work-Ms: 1500\r\nIdempotency-Key: stop-3\r\n");
+  g_usleep (700000);
+  run.post_control (si_platform_control (run.harness ()),
+                    "/control/outage?mode=close");
+  int64_t signalled_us = signal_vm1 (run);
+  EXPECT_EQ (200, caller.receive ().status);
+  g_usleep (14000000);
+  run.post_control (si_platform_control (run.harness ()),
+                    "/control/outage?mode=off");
+  expect_exit (run, 15000);
+  run.wait_for ("vm2 serves again", 10000, [&] {
+    return run.get_status ("vm2", read_line (run).substr (4), "key-c1") == 200;
+  });
+  Answer again
+      = Caller (address_of (run, "vm2"))
+            .request (order_line (run), "X-Work-Ms: 1500\r\n"
+                                        "Idempotency-Key: stop-3\r\n");
+  EXPECT_EQ (200, again.status) << describe (again, signalled_us);
+  EXPECT_TRUE (contains (again.head, "X-Replayed: 1"))
+      << describe (again, signalled_us);
+}
