daemon: a second signal does not end a daemon that frees its state

What callers saw: nothing; a stop looked like a failure to whoever started the daemon. With SIGTERM sent again and again it ended with signal 15.

Cause: the default action of the signals was restored when the event loop's handlers were freed, before the process exits.

Change: the signals are blocked after the loop, with the function that entry/ has for it.

Ruled out: that a second signal has an effect while the loop runs (dm_start_drain returns).

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -109,6 +109,8 @@
       return EXIT_LISTEN;
     }
   dm_run (daemon);
+  /* Without the loop, the default action of a signal would end the process. */
+  en_block_signals ();
   dm_free (daemon);
   dm_log_stop ();
   return 0;
--- a/proof/stop_test.cc
+++ b/proof/stop_test.cc
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <memory>
 #include <signal.h>
 #include <sys/socket.h>
 #include <thread>
@@ -288,3 +289,20 @@
   EXPECT_TRUE (contains (again.head, "X-Replayed: 1"))
       << describe (again, signalled_us);
 }
+
+/* Guards against a second signal that ends a stopping daemon at once, also
+   after its loop has ended.  */
+TEST (Stop, EndsWithStatusZeroUnderRepeatedSignals)
+{
+  TestRun run (with_drain_max_ms (3000));
+  SiVm *vm = si_find_vm (run.harness (), "vm1");
+  int64_t end_us = now_us () + 10000000;
+  int status = -1;
+
+  do
+    si_signal_vm (run.harness (), "vm1", SIGTERM);
+  while (!si_wait_exit (run.harness (), vm->pid, 1, &status)
+         && now_us () < end_us);
+  EXPECT_EQ (0, status);
+  vm->pid = 0;
+}
