--- a/proof/stop_test.cc
+++ b/proof/stop_test.cc
@@ -290,6 +290,49 @@
       << describe (again, signalled_us);
 }
 
+/* Guards against a refusal that says that a request has not run although a
+   target has it, when a daemon ends with requests at targets and in its queue,
+   and against any of them without a response.  */
+TEST (Stop, RefusalsAtTheEndAreTrue)
+{
+  TestRunOptions options = with_drain_max_ms (3000);
+  options.rate_per_s = 1000;
+  TestRun run (options);
+  std::vector<std::unique_ptr<Caller> > callers;
+  size_t queued_count = 0;
+  size_t sent_count = 0;
+
+  int64_t signalled_us = signal_vm1 (run);
+  g_usleep (400000);
+  for (int i = 0; i < 80; i++)
+    callers.push_back (std::make_unique<Caller> (address_of (run, "vm1")));
+  /* A request waits 2 s for a slot, longer than this daemon runs.  */
+  g_usleep (500000);
+  for (size_t i = 0; i < callers.size (); i++)
+    callers[i]->send_request (order_line (run),
+                              "X-Work-Ms: 12000\r\nX-Request-Tag: stop-tag-"
+                                  + std::to_string (i) + "\r\n");
+  std::vector<Answer> answers;
+  for (const std::unique_ptr<Caller> &caller : callers)
+    answers.push_back (caller->receive ());
+  expect_exit (run, 3000);
+  g_autofree char *records = si_get_text (si_target_control (run.harness ()),
+                                          "/control/requests", NULL);
+  ASSERT_NE (nullptr, records);
+  for (size_t i = 0; i < answers.size (); i++)
+    {
+      bool ran = contains (records, "\"stop-tag-" + std::to_string (i) + "\"");
+      bool not_run = contains (answers[i].body, "\"outcome\":\"not_run\"");
+
+      EXPECT_NE (0, answers[i].status) << describe (answers[i], signalled_us);
+      EXPECT_NE (ran, not_run) << describe (answers[i], signalled_us);
+      queued_count += contains (answers[i].body, "daemon_stopping");
+      sent_count += contains (answers[i].body, "daemon_ended");
+    }
+  EXPECT_GT (queued_count, 0u);
+  EXPECT_GT (sent_count, 0u);
+}
+
 /* Guards against a second signal that ends a stopping daemon at once, also
    after its loop has ended.  */
 TEST (Stop, EndsWithStatusZeroUnderRepeatedSignals)
@@ -306,3 +349,29 @@
   EXPECT_EQ (0, status);
   vm->pid = 0;
 }
+
+/* Guards against an order without a response when a daemon ends while the
+   store delays its record, and against sending it after the refusal.  */
+TEST (Stop, RespondsToAnOrderThatWaitsForTheStore)
+{
+  TestRun run (with_drain_max_ms (3000));
+
+  run.post_control (si_platform_control (run.harness ()),
+                    "/control/outage?mode=hang");
+  int64_t signalled_us = signal_vm1 (run);
+  g_usleep (500000);
+  Caller caller (address_of (run, "vm1"));
+  /* A call of the store ends after 2 s.  */
+  g_usleep (650000);
+  Answer answer
+      = caller.request (order_line (run), "X-Request-Tag: stop-tag\r\n"
+                                          "Idempotency-Key: stop-4\r\n");
+  EXPECT_EQ (503, answer.status) << describe (answer, signalled_us);
+  EXPECT_TRUE (contains (answer.body, "\"outcome\":\"unknown\""))
+      << describe (answer, signalled_us);
+  expect_exit (run, 3000);
+  g_autofree char *records = si_get_text (si_target_control (run.harness ()),
+                                          "/control/requests", NULL);
+  ASSERT_NE (nullptr, records);
+  EXPECT_FALSE (contains (records, "stop-tag"));
+}
