--- a/order/model_test.cc
+++ b/order/model_test.cc
@@ -34,6 +34,7 @@
   bool same_request = true;
   bool was_sent = false;
   bool daemon_crashed = false;
+  bool ended = false; /* or_end has ended its send */
   bool cancelled = false;
   std::string result; /* "response", "replay" or an error; empty before */
   std::string outcome;
@@ -218,7 +219,7 @@
                   [=, this] { send (x, send_by_us); });
         return;
       }
-    if (x->cancelled || now_us > send_by_us || fault_chance (100))
+    if (x->cancelled || x->ended || now_us > send_by_us || fault_chance (100))
       {
         on_sent (x, OR_SEND_NOT_SENT, "");
         return;
@@ -338,6 +339,12 @@
           or_cancel (x->request, now_us);
         poll_request (x);
       });
+    if (fault_chance (100))
+      schedule (now_us + random_between (0, 4 * second_us), [=, this] {
+        if (!x->daemon_crashed)
+          x->ended = or_end (x->request, now_us);
+        poll_request (x);
+      });
     poll_request (x);
   }
 
@@ -427,8 +434,8 @@
 };
 
 /* Guards against a request that runs twice, a refusal with not_run although it
-   ran, and a replay that differs from the first response.  ORDER_SEED=n runs
-   only seed n.  */
+   ran, and a replay that differs from the first response, also when daemons
+   end their requests.  ORDER_SEED=n runs only seed n.  */
 TEST (OrderModel, RunsAtMostOnce)
 {
   const char *only = getenv ("ORDER_SEED");
