--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -7,7 +7,12 @@
 #define PROBE_CONNECTIONS_MAX 1
 /* Until the report that this VM is leaving has reached them, other daemons
    still return it in lookups.  */
-#define LEAVING_PROPAGATION_US CK_US_PER_S
+#define LEAVING_PROPAGATION_MS 1000
+/* Callers use lookup responses for this time after the start of a stop.  */
+#define CACHED_LOOKUPS_MS (LEAVING_PROPAGATION_MS + SR_LOOKUP_TTL_MS)
+/* Time to write the responses to the requests that are ended, also with a
+   drain_max_ms below SP_END_MS.  */
+#define RESPONSES_WRITTEN_US (200 * CK_US_PER_MS)
 #define LEASE_RELEASE_TIMEOUT_US (5 * CK_US_PER_S)
 #define STORE_DOWN_FAILURE_COUNT 2
 
@@ -93,48 +98,67 @@
   DmDaemon *daemon = data;
 
   daemon->front_idle = TRUE;
-  daemon->front_idle_us = ck_boot_us ();
-  dm_record_detail (daemon, EV_DAEMON_DRAINING, "all requests finished");
 }
 
 void
 dm_start_drain (DmDaemon *daemon)
 {
+  SpOptions stop = { .grace_ms = daemon->settings->drain_max_ms,
+                     .serve_ms = CACHED_LOOKUPS_MS,
+                     .listen_ms = CACHED_LOOKUPS_MS };
+
   if (daemon->draining)
     return;
   daemon->draining = TRUE;
-  daemon->drain_started_us = ck_boot_us ();
+  sp_begin (&daemon->stop, &stop, ck_boot_us ());
   daemon->report_due_us = 0;
   dm_lookup_clear_cache (daemon);
   dm_record_detail (daemon, EV_DAEMON_DRAINING,
                     "serving until cached look-ups expire");
 }
 
+/* A keyed request may still run after its caller has left, and its record may
+   still have to be written after the response.  */
 static void
-step_drain (DmDaemon *daemon, int64_t now_us)
+update_idle (DmDaemon *daemon, int64_t now_us)
 {
-  int64_t elapsed_us = now_us - daemon->drain_started_us;
+  if (daemon->idle || !daemon->front_idle
+      || g_hash_table_size (daemon->requests) > 0)
+    return;
+  daemon->idle = TRUE;
+  daemon->idle_us = now_us;
+  dm_record_detail (daemon, EV_DAEMON_DRAINING, "all requests finished");
+}
 
+static void
+step_drain (DmDaemon *daemon, int64_t now_us)
+{
   if (!daemon->draining || daemon->stopped)
     return;
-  if (!daemon->front_stopped
-      && elapsed_us
-             >= LEAVING_PROPAGATION_US + SR_LOOKUP_TTL_MS * CK_US_PER_MS)
+  if (!daemon->front_stopped && now_us >= daemon->stop.accept_until_us)
     {
       daemon->front_stopped = TRUE;
       fr_stop (daemon->front, on_front_idle, daemon);
     }
-  if (daemon->front_idle && dm_shares_released (daemon)
+  if (!daemon->requests_ended && now_us >= daemon->stop.end_us)
+    {
+      daemon->requests_ended = TRUE;
+      daemon->ended_us = now_us;
+      dm_requests_end (daemon);
+    }
+  update_idle (daemon, now_us);
+  if (daemon->idle && dm_shares_released (daemon)
       && !daemon->release_requested)
     {
       daemon->release_requested = TRUE;
       ls_release (daemon->lease, now_us);
     }
-  if (daemon->front_idle
+  if (daemon->idle
       && (ls_released (daemon->lease)
-          || now_us - daemon->front_idle_us > LEASE_RELEASE_TIMEOUT_US))
+          || now_us - daemon->idle_us > LEASE_RELEASE_TIMEOUT_US))
     daemon->stopped = TRUE;
-  if (elapsed_us > (int64_t)daemon->settings->drain_max_ms * CK_US_PER_MS)
+  if (now_us
+      >= MAX (daemon->stop.exit_us, daemon->ended_us + RESPONSES_WRITTEN_US))
     daemon->stopped = TRUE;
   if (daemon->stopped)
     event_base_loopbreak (daemon->base);
@@ -334,8 +358,8 @@
 {
   event_base_dispatch (daemon->base);
   dm_record_detail (daemon, EV_DAEMON_STOPPED, "%s",
-                    daemon->front_idle ? "all requests finished"
-                                       : "drain timed out");
+                    daemon->idle ? "all requests finished"
+                                 : "drain timed out");
 }
 
 static void
