backend: do not give up a connection before its time

What callers see: a request whose target is fine gets another target, or a refusal once all its attempts are used, because the connection to the target counts as failed.

Cause: the time for a connection is a timeout of libevent. It counts from the start of the loop's turn, so after a long turn it fires early, by the length of the turn. After a pause of the process the timeout and the made connection come in the same turn, and libevent then reports the timeout only: it takes the event off the active list before it reports the timeout.

Change: a timeout looks first whether the connection was made or refused, and then whether its time is over; it waits for the rest if not.

Ruled out: the timeout of an idle connection. It may close early, but then no request is on it, and a request that takes the connection ends the timeout.

--- a/backend/backend_test.cc
+++ b/backend/backend_test.cc
@@ -323,6 +323,66 @@
   EXPECT_EQ (BK_FAILURE_TIMEOUT, outcome.result.failure);
 }
 
+/* Guards against a connection that is given up although it was made while the
+   process was not scheduled.  */
+TEST (Backend, UsesAConnectionMadeDuringAPause)
+{
+  BkOptions options = {};
+  options.connect_timeout_ms = 50;
+  Fixture f (options);
+  Outcome outcome;
+
+  f.start (&outcome);
+  g_usleep (100000);
+  int fd = f.accept_one ();
+  EXPECT_NE ("", f.receive (fd));
+  send (fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 40, 0);
+  ASSERT_TRUE (f.run_until ([&] { return outcome.done; }));
+  EXPECT_EQ (BK_FAILURE_NONE, outcome.result.failure);
+}
+
+/* Guards against a connection that gets less than its time, since the timers
+   of an event loop count from the start of its turn.  */
+TEST (Backend, WaitsForAConnectionAfterALongTurn)
+{
+  BkOptions options = {};
+  options.connect_timeout_ms = 100;
+  Fixture f (options);
+  Outcome outcome;
+  struct timeval no_delay = {};
+  struct Turn
+  {
+    Fixture *fixture;
+    Outcome *outcome;
+    int64_t start_us;
+  } turn = { &f, &outcome, 0 };
+
+  /* With a full backlog the target answers no further connection.  */
+  listen (f.target.listener, 0);
+  for (int i = 0; i < 4; i++)
+    {
+      struct sockaddr_in address = {};
+      socklen_t length = sizeof address;
+      int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      getsockname (f.target.listener, (struct sockaddr *)&address, &length);
+      connect (fd, (struct sockaddr *)&address, sizeof address);
+      f.fds.push_back (fd);
+    }
+  event_base_once (
+      f.base, -1, EV_TIMEOUT,
+      [] (evutil_socket_t, short, void *data) {
+        Turn *turn = (Turn *)data;
+        g_usleep (60000);
+        turn->start_us = bk_now_us ();
+        turn->fixture->start (turn->outcome, "GET");
+      },
+      &turn, &no_delay);
+  ASSERT_TRUE (f.run_until ([&] { return outcome.done; }));
+  EXPECT_GE (bk_now_us () - turn.start_us, 100000);
+  EXPECT_LT (bk_now_us () - turn.start_us, 1000000);
+  EXPECT_EQ (BK_FAILURE_CONNECT, outcome.result.failure);
+}
+
 /* Guards against a request that is reported as not sent although its
    connection was closed while it was being sent.  */
 TEST (Backend, CloseWhileSendingIsSentMaybe)
--- a/backend/link.c
+++ b/backend/link.c
@@ -1,6 +1,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -97,14 +98,13 @@
 }
 
 static void
-on_connected (BkConn *conn, short what)
+on_connected (BkConn *conn)
 {
   int socket_error = 0;
   socklen_t length = sizeof socket_error;
 
   getsockopt (conn->fd, SOL_SOCKET, SO_ERROR, &socket_error, &length);
-  if ((what & EV_TIMEOUT) != 0 || socket_error != 0
-      || is_self_connection (conn->fd))
+  if (socket_error != 0 || is_self_connection (conn->fd))
     {
       bk_call_finish (conn->call, BK_FAILURE_CONNECT, FALSE);
       return;
@@ -117,16 +117,41 @@
     start_sending (conn);
 }
 
+/* Whether the connection was made or refused.  When the timer fires in the
+   same turn of the event loop, libevent reports only that.  */
+static gboolean
+is_connect_done (const BkConn *conn)
+{
+  struct pollfd poll_fd = { .fd = conn->fd, .events = POLLOUT };
+
+  return poll (&poll_fd, 1, 0) > 0;
+}
+
+/* Waits for the rest of the time, if the timer fired early.  */
+static void
+on_connect_timer (BkConn *conn)
+{
+  int64_t left_us = conn->connect_deadline_us - bk_now_us ();
+  struct timeval timeout = { left_us / 1000000, left_us % 1000000 };
+
+  if (left_us > 0)
+    event_add (conn->write_event, &timeout);
+  else
+    bk_call_finish (conn->call, BK_FAILURE_CONNECT, FALSE);
+}
+
 static void
 on_writable (evutil_socket_t fd, short what, void *data)
 {
   BkConn *conn = data;
 
   (void)fd;
-  if (conn->connected_us == 0)
-    on_connected (conn, what);
-  else
+  if (conn->connected_us != 0)
     send_request_bytes (conn);
+  else if ((what & EV_TIMEOUT) != 0 && !is_connect_done (conn))
+    on_connect_timer (conn);
+  else
+    on_connected (conn);
 }
 
 /* Ends the call of a complete response.  If further bytes follow, the response
@@ -246,6 +271,9 @@
   conn->read_event
       = event_new (base, fd, EV_READ | EV_PERSIST, on_readable, conn);
   conn->write_event = event_new (base, fd, EV_WRITE, on_writable, conn);
+  conn->connect_deadline_us
+      = bk_now_us ()
+        + (int64_t)target->pool->options.connect_timeout_ms * 1000;
   target->conn_count++;
   add_event (conn->write_event, target->pool->options.connect_timeout_ms);
   return conn;
--- a/backend/link.h
+++ b/backend/link.h
@@ -40,6 +40,7 @@
   struct event *write_event;
   struct evbuffer *input;
   BkCall *call; /* NULL while idle */
+  int64_t connect_deadline_us;
   int64_t connected_us;
   int64_t idle_since_us;
   gboolean used; /* has carried a complete response */
