front: look for the rest of a request before rejecting it as too slow

Cause: libevhtp defers the read callback, so the timer of the same turn sees the request as incomplete: it does not look at what has arrived.

Evidence: without the change Front.ServesRequestsWhoseRestArrivedDuringAPause gets 408 for 8 of 8 requests, 4 with an incomplete head and 4 with an incomplete body, in 2 of 2 runs; with it all are served in 4 of 4 runs. front_test passes: 15 of 15.

Change: a connection keeps the length of its input at the last read. A request is not rejected while the input is longer or the socket has bytes; the next check, 100 ms later, decides again. A caller that sends slowly is still rejected, since its bytes are read before the check, and the length of heads and bodies is bounded.

Ruled out: the other timers of front/. They compare the clock, so they never fire early, and the write of a response makes progress before they look.

--- a/front/conn.c
+++ b/front/conn.c
@@ -357,7 +357,8 @@
 {
   gsize message_bytes;
 
-  if (evbuffer_get_length (input_buffer (conn)) == 0)
+  conn->seen_bytes = evbuffer_get_length (input_buffer (conn));
+  if (conn->seen_bytes == 0)
     return;
   if (conn->state == FR_CONN_IDLE)
     fr_conn_set_state (conn, FR_CONN_HEAD);
@@ -548,18 +549,45 @@
   fr_conn_close (conn);
 }
 
-gboolean
-fr_conn_has_next_input (const FrConn *conn)
+static gboolean
+has_unread_bytes (const FrConn *conn)
 {
   char byte;
 
+  return recv (bufferevent_getfd (conn->bev), &byte, 1,
+               MSG_PEEK | MSG_DONTWAIT)
+         > 0;
+}
+
+gboolean
+fr_conn_has_next_input (const FrConn *conn)
+{
   /* During a call of libevhtp the input is the current request.  */
   return evbuffer_get_length (conn->read_ahead) > 0
          || (!conn->in_evhtp_call
              && evbuffer_get_length (input_buffer (conn)) > 0)
-         || recv (bufferevent_getfd (conn->bev), &byte, 1,
-                  MSG_PEEK | MSG_DONTWAIT)
-                > 0;
+         || has_unread_bytes (conn);
+}
+
+/* Whether bytes of an incomplete request have arrived that on_read was not
+   called for yet.  */
+static gboolean
+has_unseen_input (const FrConn *conn)
+{
+  return evbuffer_get_length (input_buffer (conn)) != conn->seen_bytes
+         || has_unread_bytes (conn);
+}
+
+static void
+check_request_timeout (FrConn *conn, int64_t age_us)
+{
+  FrServer *server = conn->server;
+
+  if (age_us <= (int64_t)server->options.request_timeout_ms * 1000
+      || has_unseen_input (conn))
+    return;
+  server->counters.timeout_count++;
+  fr_conn_reject (conn, 408, "request_timeout");
 }
 
 static void
@@ -593,10 +621,7 @@
       break;
     case FR_CONN_HEAD:
     case FR_CONN_BODY:
-      if (age_us <= (int64_t)options->request_timeout_ms * 1000)
-        break;
-      conn->server->counters.timeout_count++;
-      fr_conn_reject (conn, 408, "request_timeout");
+      check_request_timeout (conn, age_us);
       break;
     case FR_CONN_RUNNING:
       break;
--- a/front/conn.h
+++ b/front/conn.h
@@ -57,6 +57,7 @@
   HtHead head;
   gsize head_bytes;
   gsize checked_bytes; /* of the request, by earlier reads */
+  gsize seen_bytes;    /* length of the input at the last read */
   HtChunkDecoder chunk_decoder;
 
   FrHandler cancel_handler;
--- a/front/front_test.cc
+++ b/front/front_test.cc
@@ -458,6 +458,34 @@
       [&] { return fr_counters (server.front)->connection_count == 0; }));
 }
 
+/* Guards against a request that is rejected as too slow, after the process was
+   not scheduled for a while, although the rest of it has arrived.  */
+TEST (Front, ServesRequestsWhoseRestArrivedDuringAPause)
+{
+  FrOptions options = {};
+  options.request_timeout_ms = 200;
+  Server server (options);
+  const std::string post
+      = "POST /" + version_and_host + "Content-Length: 4\r\n\r\n";
+  std::vector<std::unique_ptr<Caller> > callers;
+
+  for (int i = 0; i < 8; i++)
+    callers.push_back (std::make_unique<Caller> (server));
+  for (size_t i = 0; i < 8; i++)
+    callers[i]->send (i % 2 == 0 ? "POST" : post + "ab");
+  server.run_until ([] { return false; }, 50);
+  for (size_t i = 0; i < 8; i++)
+    callers[i]->send (i % 2 == 0 ? post.substr (4) + "abcd" : "cd");
+  usleep (300000);
+  for (auto &caller : callers)
+    {
+      server.run_until (
+          [&] { return caller->receive () || caller->response_count () > 0; });
+      EXPECT_EQ ("HTTP/1.1 200", caller->received.substr (0, 12));
+    }
+  EXPECT_EQ (8u, server.requests.size ());
+}
+
 /* Guards against a stop that aborts a request, and one that never ends because
    of a persistent connection.  */
 TEST (Front, StopCompletesRequests)
