entry: timers of requests and of the stop do not fire early

What callers see: a request that a stopping daemon accepted, since its deadline lies before the end, is ended before that deadline; and a request of a small customer is refused with 429 although the token owner would have admitted it.

The timers for the end and the exit of a stopping daemon, for a token reply and for held requests are timeouts of libevent, which count from the start of the loop's turn. If anything else wakes the loop, they fire early by the length of that turn; the 30 ms for a token reply are then over at once.

Evidence: with a timer that does not look at the clock, as before, Timer.DoesNotFireEarlyAfterALongTurn and Pool.WaitsForATokenReplyAfterALongTurn fail in 3 of 3 runs (0 to 2 ms instead of 30 ms after a turn of 60 ms); with the change they pass in 4 of 4. Without other events in the loop neither failed: libevent then computes its wait from the stale time, too.

Change: EnTimer compares the clock and waits for the rest. The stop, the pool and held requests use it.

Ruled out: timers with EV_PERSIST (settings, reports, front/). What they end is decided with the clock.

Run: timer_test, pool_test, stop_test; of entry_test *Stop*, *Held*, *PoolsTokens* and *LogCounts*: 9 of 9.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -10,6 +10,7 @@
 #include "entry/proxy.h"
 #include "entry/shares.h"
 #include "entry/stop.h"
+#include "entry/timer.h"
 #include "entry/view.h"
 #include "platform/platform.h"
 
@@ -36,9 +37,9 @@
   struct event *hup_event;
   struct event *settings_timer;
   EnStop stop;
-  struct event *stop_timer; /* ends accepting connections */
-  struct event *end_timer;  /* ends the requests in progress */
-  struct event *exit_timer; /* ends the event loop */
+  EnTimer *stop_timer; /* ends accepting connections */
+  EnTimer *end_timer;  /* ends the requests in progress */
+  EnTimer *exit_timer; /* ends the event loop */
   struct timespec settings_mtime;
   gboolean stopping;
   MtCounter *config_age;
@@ -226,40 +227,21 @@
 }
 
 static void
-on_stop_timer (evutil_socket_t fd, short what, void *data)
+on_stop_timer (void *data)
 {
   EnEntry *entry = data;
 
-  (void)fd;
-  (void)what;
   en_proxy_stop (entry->proxy, stop_loop, entry);
 }
 
 static void
-on_exit_timer (evutil_socket_t fd, short what, void *data)
-{
-  (void)fd;
-  (void)what;
-  stop_loop (data);
-}
-
-static void
-start_timer (struct event *timer, int64_t us)
-{
-  struct timeval delay = { us / CK_US_PER_S, us % CK_US_PER_S };
-
-  event_add (timer, &delay);
-}
-
-static void
-on_end_timer (evutil_socket_t fd, short what, void *data)
+on_end_timer (void *data)
 {
   EnEntry *entry = data;
 
-  (void)fd;
-  (void)what;
   en_proxy_end_requests (entry->proxy);
-  start_timer (entry->exit_timer, STOP_FLUSH_MS * CK_US_PER_MS);
+  en_timer_start (entry->exit_timer,
+                  ck_boot_us () + STOP_FLUSH_MS * CK_US_PER_MS);
 }
 
 static void
@@ -279,8 +261,8 @@
           en_proxy_front_counters (entry->proxy)->running_count);
   en_shares_report_stop (entry->shares);
   en_proxy_close_connections (entry->proxy);
-  start_timer (entry->stop_timer, entry->stop.accept_until_us - now_us);
-  start_timer (entry->end_timer, entry->stop.end_us - now_us);
+  en_timer_start (entry->stop_timer, entry->stop.accept_until_us);
+  en_timer_start (entry->end_timer, entry->stop.end_us);
 }
 
 static gboolean
@@ -386,9 +368,9 @@
     }
   entry->settings_timer
       = event_new (entry->base, -1, EV_PERSIST, on_settings_poll, entry);
-  entry->stop_timer = event_new (entry->base, -1, 0, on_stop_timer, entry);
-  entry->end_timer = event_new (entry->base, -1, 0, on_end_timer, entry);
-  entry->exit_timer = event_new (entry->base, -1, 0, on_exit_timer, entry);
+  entry->stop_timer = en_timer_new (entry->base, on_stop_timer, entry);
+  entry->end_timer = en_timer_new (entry->base, on_end_timer, entry);
+  entry->exit_timer = en_timer_new (entry->base, stop_loop, entry);
   event_add (entry->settings_timer, &poll_interval);
   tr_log (entry->trace, EV_DAEMON_STARTED,
           "zone=%s region=%s front=%s store=%s", settings->zone,
@@ -419,9 +401,9 @@
 {
   if (entry == NULL)
     return;
-  free_event (entry->exit_timer);
-  free_event (entry->end_timer);
-  free_event (entry->stop_timer);
+  en_timer_free (entry->exit_timer);
+  en_timer_free (entry->end_timer);
+  en_timer_free (entry->stop_timer);
   free_event (entry->settings_timer);
   free_event (entry->hup_event);
   free_event (entry->int_event);
--- a/entry/hold.c
+++ b/entry/hold.c
@@ -1,5 +1,3 @@
-#include <event2/event.h>
-
 #include "clock/clock.h"
 #include "entry/request.h"
 
@@ -34,18 +32,16 @@
   GQueue *queue = get_hold_queue (request->proxy, request->object_hash);
 
   g_queue_unlink (queue, &request->hold_node);
-  g_clear_pointer (&request->hold_timer, event_free);
+  g_clear_pointer (&request->hold_timer, en_timer_free);
   if (g_queue_is_empty (queue))
     g_hash_table_remove (request->proxy->held_requests, &request->object_hash);
 }
 
 static void
-on_hold_timeout (evutil_socket_t fd, short what, void *data)
+on_hold_timeout (void *data)
 {
   EnRequest *request = data;
 
-  (void)fd;
-  (void)what;
   en_request_end_hold (request);
   en_request_send (request);
 }
@@ -53,17 +49,14 @@
 void
 en_request_hold (EnRequest *request, int64_t timeout_us)
 {
-  struct timeval timeout
-      = { timeout_us / CK_US_PER_S, timeout_us % CK_US_PER_S };
-
   request->was_held = TRUE;
   request->hold_node.data = request;
   g_queue_push_tail_link (
       get_hold_queue (request->proxy, request->object_hash),
       &request->hold_node);
-  request->hold_timer = event_new (request->proxy->options.base, -1, 0,
-                                   on_hold_timeout, request);
-  event_add (request->hold_timer, &timeout);
+  request->hold_timer
+      = en_timer_new (request->proxy->options.base, on_hold_timeout, request);
+  en_timer_start (request->hold_timer, ck_boot_us () + timeout_us);
 }
 
 void
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -1,8 +1,7 @@
 #include "entry/pool.h"
 
-#include <event2/event.h>
-
 #include "clock/clock.h"
+#include "entry/timer.h"
 
 /* A customer is pooled if its rate, divided by the number of daemons, is
    lower: a bucket of this many tokens refuses few of the requests that arrive
@@ -42,7 +41,7 @@
   EnPool *pool;
   uint64_t number;
   const char *customer;
-  struct event *timer;
+  EnTimer *timer;
   EnPoolCallback on_result;
   void *data;
 };
@@ -52,7 +51,7 @@
 {
   EnTokenRequest *request = data;
 
-  event_free (request->timer);
+  en_timer_free (request->timer);
   g_free (request);
 }
 
@@ -199,16 +198,13 @@
 }
 
 static void
-on_reply_timeout (evutil_socket_t fd, short what, void *data)
+on_reply_timeout (void *data)
 {
   EnTokenRequest *request = data;
   EnTokenResult result = { 0 };
-  EnPoolVerdict verdict;
+  EnPoolVerdict verdict = take_local_token (request->pool, request->customer,
+                                            ck_boot_us (), &result);
 
-  (void)fd;
-  (void)what;
-  verdict = take_local_token (request->pool, request->customer, ck_boot_us (),
-                              &result);
   result.wait_us = MIN (result.wait_us, FALLBACK_WAIT_MAX_US);
   finish_request (request, verdict, &result);
 }
@@ -216,7 +212,6 @@
 static EnTokenRequest *
 send_request (EnPool *pool, const char *owner, const char *customer)
 {
-  struct timeval timeout = { 0, REPLY_TIMEOUT_US };
   EnTokenRequest *request = g_new0 (EnTokenRequest, 1);
   GoTokenRequest message = { .gossip_address = pool->options.gossip_address,
                              .number = ++pool->last_number,
@@ -226,8 +221,8 @@
   request->number = message.number;
   request->customer = customer;
   request->timer
-      = event_new (pool->options.base, -1, 0, on_reply_timeout, request);
-  event_add (request->timer, &timeout);
+      = en_timer_new (pool->options.base, on_reply_timeout, request);
+  en_timer_start (request->timer, ck_boot_us () + REPLY_TIMEOUT_US);
   g_hash_table_insert (pool->requests, &request->number, request);
   go_send_token_request (pool->options.gossip, owner, &message);
   return request;
--- a/entry/request.h
+++ b/entry/request.h
@@ -5,6 +5,7 @@
 
 #include "backend/backend.h"
 #include "entry/proxy.h"
+#include "entry/timer.h"
 #include "front/front.h"
 
 typedef enum
@@ -75,7 +76,7 @@
   TgAttempt *attempt;            /* current one, or NULL */
   BkCall *call;                  /* of the attempt */
   int64_t sent_us;               /* start of the attempt */
-  struct event *hold_timer;      /* NULL: not held */
+  EnTimer *hold_timer;           /* NULL: not held */
   GList hold_node;               /* in a queue of EnProxy.held_requests */
   gboolean was_held;             /* a request is held only once */
 };
