front: the time for a head does not end a body that still arrives

Cause: the limit was applied from the first byte of the head to the last byte of the body.

Change: the limit holds for the head and for each pause of a body; the whole request has body_timeout_ms, 30 s by default.

Ruled out: the route's deadline as the bound.

--- a/front/conn.c
+++ b/front/conn.c
@@ -364,6 +364,7 @@
     fr_conn_set_state (conn, FR_CONN_HEAD);
   if (conn->state == FR_CONN_HEAD && !read_head (conn))
     return;
+  conn->body_read_us = fr_now_us ();
   message_bytes = read_body (conn);
   if (message_bytes == 0)
     return;
@@ -578,15 +579,26 @@
          || has_unread_bytes (conn);
 }
 
-static void
-check_request_timeout (FrConn *conn, int64_t age_us)
+/* Whether the rest of a head, or the next byte of a body or its end, has not
+   arrived in time.  */
+static gboolean
+is_incomplete_too_long (const FrConn *conn, int64_t now_us)
 {
-  FrServer *server = conn->server;
+  const FrOptions *options = &conn->server->options;
+  int64_t timeout_us = (int64_t)options->request_timeout_ms * 1000;
 
-  if (age_us <= (int64_t)server->options.request_timeout_ms * 1000
-      || has_unseen_input (conn))
+  if (conn->state == FR_CONN_HEAD)
+    return now_us - conn->since_us > timeout_us;
+  return now_us - conn->body_read_us > timeout_us
+         || now_us - conn->since_us > (int64_t)options->body_timeout_ms * 1000;
+}
+
+static void
+check_request_timeout (FrConn *conn, int64_t now_us)
+{
+  if (!is_incomplete_too_long (conn, now_us) || has_unseen_input (conn))
     return;
-  server->counters.timeout_count++;
+  conn->server->counters.timeout_count++;
   fr_conn_reject (conn, 408, "request_timeout");
 }
 
@@ -612,16 +624,15 @@
 fr_conn_check_timeouts (FrConn *conn, int64_t now_us)
 {
   const FrOptions *options = &conn->server->options;
-  int64_t age_us = now_us - conn->since_us;
 
   switch (conn->state)
     {
     case FR_CONN_IDLE:
-      check_idle_timeout (conn, age_us);
+      check_idle_timeout (conn, now_us - conn->since_us);
       break;
     case FR_CONN_HEAD:
     case FR_CONN_BODY:
-      check_request_timeout (conn, age_us);
+      check_request_timeout (conn, now_us);
       break;
     case FR_CONN_RUNNING:
       break;
--- a/front/conn.h
+++ b/front/conn.h
@@ -50,6 +50,7 @@
      FrRequest.arrived_us.  Else when the state was entered or, if later, when
      output last made progress.  */
   int64_t since_us;
+  int64_t body_read_us;   /* in FR_CONN_BODY: when a byte was last read */
   gsize unwritten_bytes;  /* length of the output at the last timeout check */
   gboolean in_evhtp_call; /* CONN is freed only after the call returns */
   gboolean closed;        /* EVHTP is being freed or was freed */
--- a/front/front.c
+++ b/front/front.c
@@ -28,6 +28,7 @@
     .body_max_bytes = FR_BODY_MAX_BYTES,
     .connections_max = 4096,
     .request_timeout_ms = 10000,
+    .body_timeout_ms = 30000,
     .idle_timeout_ms = 60000,
     .write_timeout_ms = 30000,
     .stop_idle_timeout_ms = 1000,
@@ -39,6 +40,7 @@
   SET_DEFAULT (body_max_bytes);
   SET_DEFAULT (connections_max);
   SET_DEFAULT (request_timeout_ms);
+  SET_DEFAULT (body_timeout_ms);
   SET_DEFAULT (idle_timeout_ms);
   SET_DEFAULT (write_timeout_ms);
   SET_DEFAULT (stop_idle_timeout_ms);
--- a/front/front.h
+++ b/front/front.h
@@ -86,7 +86,10 @@
   void *data;
   uint32_t body_max_bytes;       /* default FR_BODY_MAX_BYTES */
   uint32_t connections_max;      /* default 4096; more are closed at once */
-  uint32_t request_timeout_ms;   /* first to last byte; default 10000 */
+  uint32_t request_timeout_ms;   /* for a head from its first byte, and
+                                    without a byte of a body; default 10000 */
+  uint32_t body_timeout_ms;      /* first byte of a head to last byte of its
+                                    body; default 30000 */
   uint32_t idle_timeout_ms;      /* between requests; default 60000 */
   uint32_t write_timeout_ms;     /* caller reads nothing; default 30000 */
   uint32_t stop_idle_timeout_ms; /* idle after fr_stop; default 1000 */
--- a/front/front_test.cc
+++ b/front/front_test.cc
@@ -486,6 +486,41 @@
   EXPECT_EQ (8u, server.requests.size ());
 }
 
+/* Guards against a request whose body arrives slowly and that is rejected
+   after the time for a head, and against callers that occupy a connection with
+   a body that stops or never ends.  */
+TEST (Front, ServesABodyThatArrivesSlowly)
+{
+  FrOptions options = {};
+  options.request_timeout_ms = 300;
+  options.body_timeout_ms = 1500;
+  Server server (options);
+  Caller slow (server), stopping (server), endless (server);
+  const std::string post = "POST /" + version_and_host + "Content-Length: ";
+
+  slow.send (post + "6\r\n\r\n");
+  stopping.send (post + "6\r\n\r\na");
+  endless.send (post + "1000\r\n\r\n");
+  for (int i = 0; i < 20; i++)
+    {
+      if (i < 6)
+        slow.send ("a");
+      endless.send ("a");
+      server.run_until ([] { return false; }, 100);
+      if (i == 8)
+        {
+          stopping.receive ();
+          EXPECT_EQ ("HTTP/1.1 408", stopping.received.substr (0, 12));
+          endless.receive ();
+          EXPECT_EQ ("", endless.received);
+        }
+    }
+  slow.receive ();
+  EXPECT_EQ ("HTTP/1.1 200", slow.received.substr (0, 12));
+  endless.receive ();
+  EXPECT_EQ ("HTTP/1.1 408", endless.received.substr (0, 12));
+}
+
 /* Guards against a stop that aborts a request, and one that never ends because
    of a persistent connection.  */
 TEST (Front, StopCompletesRequests)
