entry: requests are ended in the last sixth of the grace period only

Cause: the time before the end was 400 ms for any grace period.

Change: that time is at most a sixth of the grace period; the exit is at half of it, which is where it was for longer periods.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -16,9 +16,6 @@
 
 /* Interval at which the settings file is checked for changes.  */
 #define SETTINGS_POLL_S 2
-/* Time to write the responses to the requests that are ended; less than
-   EN_STOP_END_MS, so that the process exits within the grace period.  */
-#define STOP_FLUSH_MS 200
 
 struct EnEntry
 {
@@ -240,8 +237,7 @@
   EnEntry *entry = data;
 
   en_proxy_end_requests (entry->proxy);
-  en_timer_start (entry->exit_timer,
-                  ck_boot_us () + STOP_FLUSH_MS * CK_US_PER_MS);
+  en_timer_start (entry->exit_timer, entry->stop.exit_us);
 }
 
 static void
--- a/entry/stop.c
+++ b/entry/stop.c
@@ -12,11 +12,14 @@
 en_stop_begin (EnStop *stop, uint32_t grace_ms, int64_t now_us)
 {
   int64_t serve_ms = MIN (EN_STOP_SERVE_MS, (int64_t)grace_ms / 2);
+  uint32_t reserved_ms = MIN (EN_STOP_END_MS, grace_ms / EN_STOP_END_PART);
 
   stop->serve_until_us = now_us + serve_ms * US_PER_MS;
   stop->accept_until_us
       = now_us + left_after_ms (grace_ms, EN_STOP_NO_ACCEPT_MS) * US_PER_MS;
-  stop->end_us = now_us + left_after_ms (grace_ms, EN_STOP_END_MS) * US_PER_MS;
+  stop->end_us = now_us + left_after_ms (grace_ms, reserved_ms) * US_PER_MS;
+  stop->exit_us
+      = now_us + left_after_ms (grace_ms, reserved_ms / 2) * US_PER_MS;
 }
 
 gboolean
--- a/entry/stop.h
+++ b/entry/stop.h
@@ -28,8 +28,10 @@
 /* Last part of the grace period, in which no new connections are accepted.  */
 #define EN_STOP_NO_ACCEPT_MS 2300
 /* Time before the end of the grace period at which the requests in progress
-   are ended, so that their responses are written and the process can exit.  */
+   are ended, so that their responses are written and the process can exit; at
+   most this part of the grace period, in which requests may be ended.  */
 #define EN_STOP_END_MS 400
+#define EN_STOP_END_PART 6
 /* For this time after SIGTERM, but at most half of the grace period, requests
    whose deadline is later than the end are accepted.  Most callers have made
    a new lookup by then.  */
@@ -42,7 +44,8 @@
 {
   int64_t serve_until_us; /* 0: the daemon is not stopping */
   int64_t accept_until_us;
-  int64_t end_us; /* when the requests in progress are ended */
+  int64_t end_us;  /* when the requests in progress are ended */
+  int64_t exit_us; /* when the process exits */
 } EnStop;
 
 void en_stop_begin (EnStop *stop, uint32_t grace_ms, int64_t now_us);
