entry: a response that is being written delays the exit

Cause: the process exited at a fixed time and did not look at what was still to be written.

Change: from the usual time of the exit on, the process checks each 10 ms whether a part of a response is not written, and exits 0.1 s before the end of the grace period at the latest. EnStop decides it. What the socket has taken is sent by the kernel after the exit.

Ruled out: ending the requests earlier, which would cut work that may still be done; waiting to the end itself, since closing the connections takes time, too.

The stand-in's targets have a fault large: a response of 8 MB.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -16,6 +16,9 @@
 
 /* Interval at which the settings file is checked for changes.  */
 #define SETTINGS_POLL_S 2
+/* Interval at which a process that is about to exit checks whether responses
+   are still being written.  */
+#define EXIT_CHECK_MS 10
 
 struct EnEntry
 {
@@ -231,6 +234,19 @@
   en_proxy_stop (entry->proxy, stop_loop, entry);
 }
 
+static void
+on_exit_timer (void *data)
+{
+  EnEntry *entry = data;
+  int64_t now_us = ck_boot_us ();
+
+  if (en_stop_may_exit (&entry->stop, en_proxy_is_writing (entry->proxy),
+                        now_us))
+    stop_loop (entry);
+  else
+    en_timer_start (entry->exit_timer, now_us + EXIT_CHECK_MS * CK_US_PER_MS);
+}
+
 static void
 on_end_timer (void *data)
 {
@@ -366,7 +382,7 @@
       = event_new (entry->base, -1, EV_PERSIST, on_settings_poll, entry);
   entry->stop_timer = en_timer_new (entry->base, on_stop_timer, entry);
   entry->end_timer = en_timer_new (entry->base, on_end_timer, entry);
-  entry->exit_timer = en_timer_new (entry->base, stop_loop, entry);
+  entry->exit_timer = en_timer_new (entry->base, on_exit_timer, entry);
   event_add (entry->settings_timer, &poll_interval);
   tr_log (entry->trace, EV_DAEMON_STARTED,
           "zone=%s region=%s front=%s store=%s", settings->zone,
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -300,9 +300,9 @@
     int64_t took_ms;
   };
 
-  /* Sends a whole request and receives until the connection ends.  */
-  static Exchange
-  SendAndReceive (const std::string &front, const std::string &id)
+  /* Connects and sends a whole request; returns the socket.  */
+  static int
+  SendWithoutReading (const std::string &front, const std::string &id)
   {
     std::string request = "GET /read/1 HTTP/1.1\r\nHost: 127.0.0.1\r\n"
                           "X-Comfreywalk-Attempt-Id: "
@@ -310,20 +310,29 @@
                           + "\r\nX-Comfreywalk-Deadline-Ms: 3000\r\n"
                             "Authorization: Token key-1\r\n"
                             "Connection: close\r\n\r\n";
-    int64_t start_us = g_get_monotonic_time ();
-    Exchange exchange = {};
     struct sockaddr_in address = {};
     int fd = socket (AF_INET, SOCK_STREAM, 0);
-    char bytes[4096];
 
     address.sin_family = AF_INET;
     address.sin_port
         = htons ((uint16_t)std::stoi (front.substr (front.find (':') + 1)));
     address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-    if (connect (fd, (struct sockaddr *)&address, sizeof address) == 0
-        && send (fd, request.data (), request.size (), MSG_NOSIGNAL) > 0)
-      for (ssize_t n; (n = recv (fd, bytes, sizeof bytes, 0)) > 0;)
-        exchange.response.append (bytes, (size_t)n);
+    if (connect (fd, (struct sockaddr *)&address, sizeof address) == 0)
+      send (fd, request.data (), request.size (), MSG_NOSIGNAL);
+    return fd;
+  }
+
+  /* Sends a whole request and receives until the connection ends.  */
+  static Exchange
+  SendAndReceive (const std::string &front, const std::string &id)
+  {
+    int64_t start_us = g_get_monotonic_time ();
+    int fd = SendWithoutReading (front, id);
+    Exchange exchange = {};
+    char bytes[4096];
+
+    for (ssize_t n; (n = recv (fd, bytes, sizeof bytes, 0)) > 0;)
+      exchange.response.append (bytes, (size_t)n);
     close (fd);
     exchange.took_ms = (g_get_monotonic_time () - start_us) / 1000;
     return exchange;
@@ -1237,6 +1246,21 @@
   EXPECT_EQ (ReadLog (vms[0]).find ("name=request-cut"), std::string::npos);
 }
 
+/* Guards against a stopping daemon that cuts a response, although it could
+   still write the rest of it within the grace period.  */
+TEST_F (Entry, StoppingDaemonWritesResponsesUntilItsEnd)
+{
+  PostControl ("/target?id=t1&fault=large");
+  PostControl ("/target?id=t2&fault=large");
+  int64_t signal_us = g_get_monotonic_time ();
+  si_process_signal (vms[0].pid, SIGTERM);
+  int fd = SendWithoutReading (vms[0].front, "e1");
+  WaitForExit (vms[0]);
+  EXPECT_GE (g_get_monotonic_time () - signal_us, (kStopGraceMs - 100) * 1000);
+  EXPECT_EQ (CountLines ("/answers", "e1"), 1);
+  close (fd);
+}
+
 /* Guards against a second signal that ends a stopping daemon at once, while it
    writes its last responses.  */
 TEST_F (Entry, StopsGracefullyUnderRepeatedSignals)
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -541,6 +541,12 @@
   return fr_counters (proxy->front);
 }
 
+gboolean
+en_proxy_is_writing (const EnProxy *proxy)
+{
+  return fr_is_writing (proxy->front);
+}
+
 void
 en_proxy_close_connections (EnProxy *proxy)
 {
--- a/entry/proxy.h
+++ b/entry/proxy.h
@@ -50,5 +50,7 @@
 /* Cancels the requests in progress at their targets and responds to their
    callers, also to those whose request is incomplete.  */
 void en_proxy_end_requests (EnProxy *proxy);
+/* Whether a part of a response to a caller is not written yet.  */
+gboolean en_proxy_is_writing (const EnProxy *proxy);
 
 #endif
--- a/entry/stop.c
+++ b/entry/stop.c
@@ -20,6 +20,14 @@
   stop->end_us = now_us + left_after_ms (grace_ms, reserved_ms) * US_PER_MS;
   stop->exit_us
       = now_us + left_after_ms (grace_ms, reserved_ms / 2) * US_PER_MS;
+  stop->last_us
+      = now_us + left_after_ms (grace_ms, reserved_ms / 4) * US_PER_MS;
+}
+
+gboolean
+en_stop_may_exit (const EnStop *stop, gboolean is_writing, int64_t now_us)
+{
+  return now_us >= (is_writing ? stop->last_us : stop->exit_us);
 }
 
 gboolean
--- a/entry/stop.h
+++ b/entry/stop.h
@@ -46,10 +46,16 @@
   int64_t accept_until_us;
   int64_t end_us;  /* when the requests in progress are ended */
   int64_t exit_us; /* when the process exits */
+  int64_t last_us; /* the same while a response is being written */
 } EnStop;
 
 void en_stop_begin (EnStop *stop, uint32_t grace_ms, int64_t now_us);
 
+/* Whether the process, which has ended its requests, may exit.  IS_WRITING
+   says whether a part of a response is not written yet.  */
+gboolean en_stop_may_exit (const EnStop *stop, gboolean is_writing,
+                           int64_t now_us);
+
 gboolean en_stop_admits (const EnStop *stop, int64_t deadline_us,
                          int64_t latency_target_us, int64_t now_us);
 
--- a/entry/stop_test.cc
+++ b/entry/stop_test.cc
@@ -78,6 +78,13 @@
       int64_t kill_us = kTerm + grace_ms * kMs;
       int64_t reserved_us = kill_us - stop.end_us;
       EXPECT_LE (reserved_us, grace_ms * kMs / 6) << grace_ms;
+      EXPECT_FALSE (en_stop_may_exit (&stop, FALSE, stop.end_us - 1));
+      EXPECT_FALSE (
+          en_stop_may_exit (&stop, TRUE, kill_us - reserved_us / 4 - kMs));
+      EXPECT_TRUE (
+          en_stop_may_exit (&stop, FALSE, kill_us - reserved_us / 2 + kMs));
+      EXPECT_TRUE (
+          en_stop_may_exit (&stop, TRUE, kill_us - reserved_us / 4 + kMs));
       EXPECT_GE (reserved_us, MIN (400 * kMs, grace_ms * kMs / 6 - kMs))
           << grace_ms;
     }
--- a/front/front.c
+++ b/front/front.c
@@ -239,6 +239,16 @@
       fr_conn_reject (conn, 503, "daemon_stopping");
 }
 
+gboolean
+fr_is_writing (const FrServer *server)
+{
+  for (const FrConn *conn = server->connections; conn != NULL;
+       conn = conn->next)
+    if (evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
+      return TRUE;
+  return FALSE;
+}
+
 void
 fr_stop (FrServer *server, void (*on_stopped) (void *data), void *data)
 {
--- a/front/front.h
+++ b/front/front.h
@@ -148,6 +148,9 @@
 /* Rejects each request of which a part has arrived with 503.  */
 void fr_reject_incomplete (FrServer *server);
 
+/* Whether a part of a response is not written yet.  */
+gboolean fr_is_writing (const FrServer *server);
+
 /* Stops accepting connections.  Requests that arrive on open ones are served,
    the last one of each with "Connection: close".  ON_STOPPED is called once,
    from the loop, when no connection is open; it may call fr_free.  */
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -3,6 +3,7 @@
 #include "standin/estate_internal.h"
 
 #define ATTEMPT_ID_HEADER "X-Comfreywalk-Attempt-Id"
+#define LARGE_BODY_BYTES 8000000
 
 typedef enum
 {
@@ -13,6 +14,7 @@
   FAULT_INTERNAL_ERROR,
   FAULT_NO_SIGNATURE,
   FAULT_MISDIRECTED,
+  FAULT_LARGE_BODY, /* succeeds; more bytes than sockets hold unread */
 } Fault;
 
 struct SiStubTarget
@@ -71,6 +73,12 @@
   /* The daemon checks only whether the header is present.  */
   if (target->fault != FAULT_NO_SIGNATURE)
     si_add_response_header (x, "X-Comfreywalk-Upstream-Signature", "stamp");
+  if (target->fault == FAULT_LARGE_BODY)
+    {
+      g_autofree char *body = g_strnfill (LARGE_BODY_BYTES, 'x');
+      respond (target, x, 200, body);
+      return;
+    }
   respond (target, x, target->fault == FAULT_INTERNAL_ERROR ? 500 : 200,
            target->id);
 }
@@ -117,7 +125,7 @@
 {
   /* In the order of Fault.  */
   static const char *const names[]
-      = { "none", "hang", "lose", "shed", "fail", "spoil", "other" };
+      = { "none", "hang", "lose", "shed", "fail", "spoil", "other", "large" };
 
   for (guint i = 0; i < G_N_ELEMENTS (names); i++)
     if (strcmp (names[i], fault) == 0)
