backend: a response that has arrived is read before its request is given up

What callers see: 504 although the target's whole response has arrived, if the process was not scheduled around the deadline and the response is larger than 64 KB. Responses that are ready are to be delivered, also late.

Cause: a turn of the loop reads at most 64 KB of a response, and the deadline in the same turn did not look at what is left to read.

Change: at the deadline the connection is read until nothing is left, and the request is given up only if its response is still incomplete. The number of reads is bounded, for targets that send without end.

Ruled out: smaller responses; the read event comes before the timer in the same turn, so they were delivered.

--- a/backend/backend.c
+++ b/backend/backend.c
@@ -178,6 +178,23 @@
   event_add (call->timer, &timeout);
 }
 
+/* The timer counts from the start of the event loop's turn in which it was
+   set, so it may fire early.  Each turn reads a part of the response, so after
+   a pause of the process there may be more to read.  */
+static void
+on_deadline (BkCall *call)
+{
+  if (bk_now_us () < call->deadline_us)
+    {
+      start_deadline_timer (call);
+      return;
+    }
+  if (call->conn != NULL)
+    bk_conn_read_arrived (call->conn);
+  if (!call->finished)
+    bk_call_finish (call, BK_FAILURE_TIMEOUT, FALSE);
+}
+
 /* Delivers the result, or ends the call at its deadline.  */
 static void
 on_timer (evutil_socket_t fd, short what, void *data)
@@ -189,12 +206,7 @@
   (void)what;
   if (!call->finished)
     {
-      /* The timer counts from the start of the event loop's turn in which it
-         was set, so it may fire early.  */
-      if (bk_now_us () < call->deadline_us)
-        start_deadline_timer (call);
-      else
-        bk_call_finish (call, BK_FAILURE_TIMEOUT, FALSE);
+      on_deadline (call);
       return;
     }
   if (target != NULL)
--- a/backend/backend_test.cc
+++ b/backend/backend_test.cc
@@ -341,6 +341,34 @@
   EXPECT_EQ (BK_FAILURE_NONE, outcome.result.failure);
 }
 
+/* Guards against a response that is given up at its deadline although all of
+   it arrived while the process was not scheduled.  */
+TEST (Backend, DeliversALargeResponseThatArrivedDuringAPause)
+{
+  Fixture f;
+  Outcome outcome;
+  const std::string response
+      = "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n"
+        + std::string (300000, 'x');
+  size_t sent = 0;
+
+  f.start (&outcome, "POST", 200);
+  int fd = f.accept_one ();
+  EXPECT_NE ("", f.receive (fd));
+  for (int i = 0; i < 100 && sent < response.size (); i++)
+    {
+      ssize_t length
+          = send (fd, response.data () + sent, response.size () - sent, 0);
+      sent += length > 0 ? (size_t)length : 0;
+      g_usleep (1000);
+    }
+  ASSERT_EQ (response.size (), sent);
+  g_usleep (300000);
+  ASSERT_TRUE (f.run_until ([&] { return outcome.done; }));
+  EXPECT_EQ (BK_FAILURE_NONE, outcome.result.failure);
+  EXPECT_EQ (300000u, outcome.body.size ());
+}
+
 /* Guards against a connection that gets less than its time, since the timers
    of an event loop count from the start of its turn.  */
 TEST (Backend, WaitsForAConnectionAfterALongTurn)
--- a/backend/link.c
+++ b/backend/link.c
@@ -8,6 +8,8 @@
 #include "backend/link.h"
 
 #define READ_MAX_BYTES (64 * 1024)
+/* Covers the largest response, and bounds bytes that arrive without end.  */
+#define READS_MAX (2 * BK_RESPONSE_MAX_BYTES / READ_MAX_BYTES)
 
 /* A TIMEOUT_MS of 0 means no timeout.  */
 static void
@@ -191,7 +193,8 @@
   return received;
 }
 
-static void
+/* Returns whether bytes, or the end of the connection, were received.  */
+static gboolean
 read_response (BkConn *conn)
 {
   BkCall *call = conn->call;
@@ -199,17 +202,30 @@
   gboolean failed = received < 0;
 
   if (failed && (errno == EAGAIN || errno == EINTR))
-    return;
+    return FALSE;
   /* After a reset it is unknown whether all bytes arrived, so a reset never
      completes a response without a length.  */
   if (failed)
     bk_call_finish (call, BK_FAILURE_CLOSED, FALSE);
   else if (!bk_response_parse (conn, received == 0))
-    return;
+    return TRUE;
   else if (call->result.failure != BK_FAILURE_NONE)
     bk_call_finish (call, call->result.failure, FALSE);
   else
     complete_response (conn);
+  return TRUE;
+}
+
+void
+bk_conn_read_arrived (BkConn *conn)
+{
+  const BkCall *call = conn->call;
+
+  if (conn->connected_us == 0)
+    return;
+  for (int i = 0; i < READS_MAX && !call->finished; i++)
+    if (!read_response (conn))
+      return;
 }
 
 /* An idle connection is closed when its idle timeout expires, when the target
--- a/backend/link.h
+++ b/backend/link.h
@@ -88,6 +88,9 @@
 /* Whether CONN is open and has no unread bytes.  */
 gboolean bk_conn_is_usable (const BkConn *conn);
 void bk_conn_close (BkConn *conn);
+/* Reads what has arrived of the response of CONN's call, which may finish the
+   call and close the connection.  */
+void bk_conn_read_arrived (BkConn *conn);
 
 /* Whether the response echoes the id of its request.  */
 gboolean bk_response_echoes_id (const BkCall *call);
