--- a/front/front_test.cc
+++ b/front/front_test.cc
@@ -521,6 +521,32 @@
   EXPECT_EQ ("HTTP/1.1 408", endless.received.substr (0, 12));
 }
 
+/* Guards against a response that is cut as not read although its caller read
+   on while the process was not scheduled.  */
+TEST (Front, WritesOnAfterAPause)
+{
+  FrOptions options = {};
+  options.write_timeout_ms = 200;
+  Server server (options);
+  Caller caller (server);
+  const std::string body (20000000, 'x');
+  server.handler = [&] (FrRequest *request) {
+    fr_respond (request, 200, NULL, body.data (), body.size ());
+  };
+
+  caller.send ("GET /" + version_and_host + "\r\n");
+  ASSERT_TRUE (server.run_until ([&] { return !server.requests.empty (); }));
+  server.run_until ([] { return false; }, 150);
+  usleep (300000);
+  for (int i = 0; i < 500; i++)
+    caller.receive ();
+  EXPECT_TRUE (server.run_until ([&] {
+    caller.receive ();
+    return caller.closed || caller.received.size () > body.size ();
+  }));
+  EXPECT_GT (caller.received.size (), body.size ());
+}
+
 /* Guards against a stop that aborts a request, and one that never ends because
    of a persistent connection.  */
 TEST (Front, StopCompletesRequests)
