--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -158,7 +158,7 @@
           || now_us - daemon->idle_us > LEASE_RELEASE_TIMEOUT_US))
     daemon->stopped = TRUE;
   if (now_us
-      >= MAX (daemon->stop.exit_us, daemon->ended_us + RESPONSES_WRITTEN_US))
+      >= MAX (daemon->stop.over_us, daemon->ended_us + RESPONSES_WRITTEN_US))
     daemon->stopped = TRUE;
   if (daemon->stopped)
     event_base_loopbreak (daemon->base);
--- a/front/conn.c
+++ b/front/conn.c
@@ -358,12 +358,14 @@
 {
   gsize message_bytes;
 
-  if (evbuffer_get_length (input_buffer (conn)) == 0)
+  conn->seen_bytes = evbuffer_get_length (input_buffer (conn));
+  if (conn->seen_bytes == 0)
     return;
   if (conn->state == FR_CONN_IDLE)
     fr_conn_set_state (conn, FR_CONN_HEAD);
   if (conn->state == FR_CONN_HEAD && !read_head (conn))
     return;
+  conn->body_read_us = fr_now_us ();
   message_bytes = read_body (conn);
   if (message_bytes == 0)
     return;
@@ -549,18 +551,56 @@
   fr_conn_close (conn);
 }
 
-gboolean
-fr_conn_has_next_input (const FrConn *conn)
+static gboolean
+has_unread_bytes (const FrConn *conn)
 {
   char byte;
 
+  return recv (bufferevent_getfd (conn->bev), &byte, 1,
+               MSG_PEEK | MSG_DONTWAIT)
+         > 0;
+}
+
+gboolean
+fr_conn_has_next_input (const FrConn *conn)
+{
   /* During a call of libevhtp the input is the current request.  */
   return evbuffer_get_length (conn->read_ahead) > 0
          || (!conn->in_evhtp_call
              && evbuffer_get_length (input_buffer (conn)) > 0)
-         || recv (bufferevent_getfd (conn->bev), &byte, 1,
-                  MSG_PEEK | MSG_DONTWAIT)
-                > 0;
+         || has_unread_bytes (conn);
+}
+
+/* Whether bytes of an incomplete request have arrived that on_read was not
+   called for yet.  */
+static gboolean
+has_unseen_input (const FrConn *conn)
+{
+  return evbuffer_get_length (input_buffer (conn)) != conn->seen_bytes
+         || has_unread_bytes (conn);
+}
+
+/* Whether the rest of a head, or the next byte of a body or its end, has not
+   arrived in time.  */
+static gboolean
+is_incomplete_too_long (const FrConn *conn, int64_t now_us)
+{
+  const FrOptions *options = &conn->server->options;
+  int64_t timeout_us = (int64_t)options->request_timeout_ms * 1000;
+
+  if (conn->state == FR_CONN_HEAD)
+    return now_us - conn->since_us > timeout_us;
+  return now_us - conn->body_read_us > timeout_us
+         || now_us - conn->since_us > (int64_t)options->body_timeout_ms * 1000;
+}
+
+static void
+check_request_timeout (FrConn *conn, int64_t now_us)
+{
+  if (!is_incomplete_too_long (conn, now_us) || has_unseen_input (conn))
+    return;
+  conn->server->counters.timeout_count++;
+  fr_conn_reject (conn, 408, "request_timeout");
 }
 
 static void
@@ -587,19 +627,15 @@
 fr_conn_check_timeouts (FrConn *conn, int64_t now_us)
 {
   const FrOptions *options = &conn->server->options;
-  int64_t age_us = now_us - conn->since_us;
 
   switch (conn->state)
     {
     case FR_CONN_IDLE:
-      check_idle_timeout (conn, age_us);
+      check_idle_timeout (conn, now_us - conn->since_us);
       break;
     case FR_CONN_HEAD:
     case FR_CONN_BODY:
-      if (age_us <= (int64_t)options->request_timeout_ms * 1000)
-        break;
-      conn->server->counters.timeout_count++;
-      fr_conn_reject (conn, 408, "request_timeout");
+      check_request_timeout (conn, now_us);
       break;
     case FR_CONN_RUNNING:
       break;
--- a/front/conn.h
+++ b/front/conn.h
@@ -51,6 +51,7 @@
      output last made progress.  */
   int64_t since_us;
   uint32_t idle_timeout_ms; /* of the server when the state was entered */
+  int64_t body_read_us;     /* in FR_CONN_BODY: when a byte was last read */
   gsize unwritten_bytes;  /* length of the output at the last timeout check */
   gboolean in_evhtp_call; /* CONN is freed only after the call returns */
   gboolean closed;        /* EVHTP is being freed or was freed */
@@ -58,6 +59,7 @@
   HtHead head;
   gsize head_bytes;
   gsize checked_bytes; /* of the request, by earlier reads */
+  gsize seen_bytes;    /* length of the input at the last read */
   HtChunkDecoder chunk_decoder;
 
   FrHandler cancel_handler;
--- a/front/front_test.cc
+++ b/front/front_test.cc
@@ -476,6 +476,95 @@
   EXPECT_EQ (1, caller.response_count ());
 }
 
+/* Guards against a request that is rejected as too slow, after the process was
+   not scheduled for a while, although the rest of it has arrived.  */
+TEST (Front, ServesRequestsWhoseRestArrivedDuringAPause)
+{
+  FrOptions options = {};
+  options.request_timeout_ms = 200;
+  Server server (options);
+  const std::string post
+      = "POST /" + version_and_host + "Content-Length: 4\r\n\r\n";
+  std::vector<std::unique_ptr<Caller> > callers;
+
+  for (int i = 0; i < 8; i++)
+    callers.push_back (std::make_unique<Caller> (server));
+  for (size_t i = 0; i < 8; i++)
+    callers[i]->send (i % 2 == 0 ? "POST" : post + "ab");
+  server.run_until ([] { return false; }, 50);
+  for (size_t i = 0; i < 8; i++)
+    callers[i]->send (i % 2 == 0 ? post.substr (4) + "abcd" : "cd");
+  usleep (300000);
+  for (auto &caller : callers)
+    {
+      server.run_until (
+          [&] { return caller->receive () || caller->response_count () > 0; });
+      EXPECT_EQ ("HTTP/1.1 200", caller->received.substr (0, 12));
+    }
+  EXPECT_EQ (8u, server.requests.size ());
+}
+
+/* Guards against a request whose body arrives slowly and that is rejected
+   after the time for a head, and against callers that occupy a connection with
+   a body that stops or never ends.  */
+TEST (Front, ServesABodyThatArrivesSlowly)
+{
+  FrOptions options = {};
+  options.request_timeout_ms = 300;
+  options.body_timeout_ms = 1500;
+  Server server (options);
+  Caller slow (server), stopping (server), endless (server);
+  const std::string post = "POST /" + version_and_host + "Content-Length: ";
+
+  slow.send (post + "6\r\n\r\n");
+  stopping.send (post + "6\r\n\r\na");
+  endless.send (post + "1000\r\n\r\n");
+  for (int i = 0; i < 20; i++)
+    {
+      if (i < 6)
+        slow.send ("a");
+      endless.send ("a");
+      server.run_until ([] { return false; }, 100);
+      if (i == 8)
+        {
+          stopping.receive ();
+          EXPECT_EQ ("HTTP/1.1 408", stopping.received.substr (0, 12));
+          endless.receive ();
+          EXPECT_EQ ("", endless.received);
+        }
+    }
+  slow.receive ();
+  EXPECT_EQ ("HTTP/1.1 200", slow.received.substr (0, 12));
+  endless.receive ();
+  EXPECT_EQ ("HTTP/1.1 408", endless.received.substr (0, 12));
+}
+
+/* Guards against a response that is cut as not read although its caller read
+   on while the process was not scheduled.  */
+TEST (Front, WritesOnAfterAPause)
+{
+  FrOptions options = {};
+  options.write_timeout_ms = 200;
+  Server server (options);
+  Caller caller (server);
+  const std::string body (20000000, 'x');
+  server.handler = [&] (FrRequest *request) {
+    fr_respond (request, 200, NULL, body.data (), body.size ());
+  };
+
+  caller.send ("GET /" + version_and_host + "\r\n");
+  ASSERT_TRUE (server.run_until ([&] { return !server.requests.empty (); }));
+  server.run_until ([] { return false; }, 150);
+  usleep (300000);
+  for (int i = 0; i < 500; i++)
+    caller.receive ();
+  EXPECT_TRUE (server.run_until ([&] {
+    caller.receive ();
+    return caller.closed || caller.received.size () > body.size ();
+  }));
+  EXPECT_GT (caller.received.size (), body.size ());
+}
+
 /* Guards against a stop that aborts a request, and one that never ends because
    of a persistent connection.  */
 TEST (Front, StopCompletesRequests)
--- a/stop/stop.c
+++ b/stop/stop.c
@@ -14,13 +14,22 @@
   uint32_t grace_ms = options->grace_ms;
   int64_t serve_ms = options->serve_ms > 0 ? options->serve_ms : SP_SERVE_MS;
   int64_t accept_ms = left_after_ms (grace_ms, SP_NO_ACCEPT_MS);
+  uint32_t reserved_ms = MIN (SP_END_MS, grace_ms / SP_END_PART);
 
   if (options->listen_ms > 0)
     accept_ms = MIN (accept_ms, options->listen_ms);
   stop->serve_until_us = now_us + MIN (serve_ms, grace_ms / 2) * US_PER_MS;
   stop->accept_until_us = now_us + accept_ms * US_PER_MS;
-  stop->end_us = now_us + left_after_ms (grace_ms, SP_END_MS) * US_PER_MS;
-  stop->exit_us = now_us + grace_ms * US_PER_MS;
+  stop->end_us = now_us + (grace_ms - reserved_ms) * US_PER_MS;
+  stop->exit_us = now_us + (grace_ms - reserved_ms / 2) * US_PER_MS;
+  stop->last_us = now_us + (grace_ms - reserved_ms / 4) * US_PER_MS;
+  stop->over_us = now_us + grace_ms * US_PER_MS;
+}
+
+gboolean
+sp_may_exit (const SpStop *stop, gboolean is_writing, int64_t now_us)
+{
+  return now_us >= (is_writing ? stop->last_us : stop->exit_us);
 }
 
 gboolean
--- a/stop/stop.h
+++ b/stop/stop.h
@@ -31,8 +31,10 @@
 /* Last part of the grace period, in which no new connections are accepted.  */
 #define SP_NO_ACCEPT_MS 2300
 /* Time before the end of the grace period at which the requests in progress
-   are ended, so that their responses are written and the process can exit.  */
+   are ended, so that their responses are written and the process can exit; at
+   most this part of the grace period, in which requests may be ended.  */
 #define SP_END_MS 400
+#define SP_END_PART 6
 /* Default of serve_ms.  Most callers have made a new lookup by then.  */
 #define SP_SERVE_MS 2800
 /* Few requests take longer than this many service times, including a cache
@@ -55,11 +57,17 @@
   int64_t serve_until_us; /* 0: the daemon is not stopping */
   int64_t accept_until_us;
   int64_t end_us;  /* when the requests in progress are ended */
-  int64_t exit_us; /* end of the grace period */
+  int64_t exit_us; /* when the process exits */
+  int64_t last_us; /* the same while a response is being written */
+  int64_t over_us; /* end of the grace period */
 } SpStop;
 
 void sp_begin (SpStop *stop, const SpOptions *options, int64_t now_us);
 
+/* Whether the process, which has ended its requests, may exit.  IS_WRITING
+   says whether a part of a response is not written yet.  */
+gboolean sp_may_exit (const SpStop *stop, gboolean is_writing, int64_t now_us);
+
 gboolean sp_admits (const SpStop *stop, int64_t deadline_us,
                     int64_t service_us, int64_t now_us);
 
