entry: a restored store whose configuration is unreadable confirms no keys

What callers would see: a key that the operator withdrew right before the store went away is accepted for as long as the store holds a configuration that cannot be read.

Cause: whether the store is older than the configuration in force was decided when a configuration was read. One that cannot be decoded is only logged, so the read that returned it confirmed the one in force.

Ruled out: refusing keys whenever a configuration cannot be decoded. Without a restore nothing that was acknowledged is lost, and one malformed write would close the whole system (Entry.AppliesNewerConfiguration checks this).

Change: from the first page that is read after a restore the store counts as older, until a configuration that is read shows the opposite.

Entry.RefusesKeysIfRestoredConfigurationIsUnreadable failed on the code before (keys accepted 3.5 s after the restore) and passes; three tests of refused and older configurations pass, too.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -805,6 +805,26 @@
       WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
 }
 
+/* Guards against accepting a key that a lost configuration withdrew because
+   the one in the copy cannot be read, so that nothing shows that it is older.
+ */
+TEST_F (Entry, RefusesKeysIfRestoredConfigurationIsUnreadable)
+{
+  si_sleep_ms (2000);
+  PostControl ("/put?key=op/config", "{");
+  PostControl ("/save");
+  PutConfig (2, "\"key-1\",\"key-2\"");
+  ASSERT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
+  PostControl ("/restore");
+  EXPECT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 503); }, 3500));
+  EXPECT_EQ (SendRequest (vms[0], "/open/1", "o"), 200);
+  PutConfig (2, "\"key-1\",\"key-2\"");
+  EXPECT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
+}
+
 /* Guards against sending requests to an evacuated zone because the store came
    back without the evacuation, until the operator has written it again.  */
 TEST_F (Entry, KeepsEvacuationThatRestoredStoreLacks)
--- a/entry/view.c
+++ b/entry/view.c
@@ -38,8 +38,8 @@
   PfWatcher *operator_watcher;
   int64_t confirmed_us; /* last confirmation; 0: none */
   gboolean store_down;
-  /* The store holds an older configuration than the one in force, or none, so
-     it cannot confirm that no later one withdrew a key.  */
+  /* The store holds an older configuration than the one in force, or none that
+     can be read, so it cannot confirm that no later one withdrew a key.  */
   gboolean store_is_older;
   int64_t evacuations_kept_until_us; /* although the store lacks them */
   GHashTable *kept_zones;            /* evacuated, but not in the store */
@@ -238,6 +238,7 @@
   tr_log (view->options.trace, EV_STORE_RESTORED,
           "era=%" G_GUINT64_FORMAT " config=%" G_GUINT64_FORMAT, era,
           view->config != NULL ? rt_config_version (view->config) : 0);
+  view->store_is_older = view->config != NULL; /* until on_config */
   view->evacuations_kept_until_us = now_us + RESTORED_KEEP_US;
   start_timer_at (view->kept_zones_timer, view->evacuations_kept_until_us);
 }
