entry, route: another configuration of the version in force is applied

What callers would see: after a restore that lost an operator's change, the operator makes another one that gets the same version. Daemons that knew the lost one keep it and confirm its keys, while those that did not, and all that start later, apply the new one.

Cause: the class of this incident: a name that another system assigns is compared across its reset. A configuration whose version was not higher than that in force was taken for it.

Ruled out: to apply a lower version, too.

Change: a configuration keeps a hash of the text from which it was read. Of the version in force, the one with another text is applied; the same text changes nothing.

Entry.AppliesOtherConfigurationOfTheSameVersionAfterRestore failed on the code before (the new key was refused for 2 s and the lost one accepted) and passes; Entry.KeepsNewerConfigurationAfterStoreWasRestored, Entry.AppliesNewerConfiguration, route_test and platform_test pass, too.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -825,6 +825,24 @@
       WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
 }
 
+/* Guards against a daemon that keeps a lost configuration although the
+   operator has given its version to another one.  */
+TEST_F (Entry, AppliesOtherConfigurationOfTheSameVersionAfterRestore)
+{
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PutConfig (2, "\"key-2\"");
+  ASSERT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
+  si_sleep_ms (1500);
+  PostControl ("/restore");
+  si_sleep_ms (500);
+  PutConfig (2, "\"key-3\"");
+  EXPECT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-3", 200); }, 2000));
+  EXPECT_TRUE (AllRespond ("/read/1", "key-2", 401));
+}
+
 /* Guards against sending requests to an evacuated zone because the store came
    back without the evacuation, until the operator has written it again.  */
 TEST_F (Entry, KeepsEvacuationThatRestoredStoreLacks)
--- a/entry/view.c
+++ b/entry/view.c
@@ -55,6 +55,17 @@
     view->options.on_readiness_change (view->options.data);
 }
 
+/* Whether CONFIG is the one in force, or older.  Where the store has lost a
+   configuration, another one may be given its version.  */
+static gboolean
+is_known (const EnView *view, const RtConfig *config)
+{
+  return view->config != NULL
+         && (rt_config_version (config) < rt_config_version (view->config)
+             || (rt_config_version (config) == rt_config_version (view->config)
+                 && rt_text_hash (config) == rt_text_hash (view->config)));
+}
+
 static void
 on_config (RtConfig *config, void *data)
 {
@@ -63,7 +74,7 @@
 
   view->store_is_older
       = view->config != NULL && version < rt_config_version (view->config);
-  if (view->config != NULL && version <= rt_config_version (view->config))
+  if (is_known (view, config))
     {
       if (view->store_is_older)
         tr_log (view->options.trace, EV_CONFIG_REFUSED,
--- a/route/route.c
+++ b/route/route.c
@@ -8,6 +8,7 @@
 {
   gatomicrefcount references;
   uint64_t version;
+  uint64_t text_hash;
   RtLimits limits;
   GHashTable *hosts;     /* name to its RtRoutes, longest prefix first */
   GHashTable *services;  /* name to RtService */
@@ -93,6 +94,18 @@
   return config->version;
 }
 
+void
+rt_set_text_hash (RtConfig *config, uint64_t text_hash)
+{
+  config->text_hash = text_hash;
+}
+
+uint64_t
+rt_text_hash (const RtConfig *config)
+{
+  return config->text_hash;
+}
+
 void
 rt_set_limits (RtConfig *config, const RtLimits *limits)
 {
--- a/route/route.h
+++ b/route/route.h
@@ -97,6 +97,10 @@
 void rt_config_unref (RtConfig *config);
 
 uint64_t rt_config_version (const RtConfig *config);
+/* Hash of the text from which the configuration was read: the same version may
+   have been given to two of them.  0 unless set.  */
+void rt_set_text_hash (RtConfig *config, uint64_t text_hash);
+uint64_t rt_text_hash (const RtConfig *config);
 void rt_set_limits (RtConfig *config, const RtLimits *limits);
 const RtLimits *rt_limits (const RtConfig *config);
 
