entry: a daemon that reads an older configuration than others serves nothing by it

What callers would see: a daemon that starts while the restored store lacks the newest configuration answers 404 for a route that was added, which callers take for final, and serves open routes as they were before.

Cause: that a daemon is behind others was asked for requests with a key only, and unknown routes were rejected before it.

Ruled out: to refuse open routes also where the daemon does not reach the store. There the others' configuration is no sign of an older store, and cut off daemons go on serving what they can.

Change: while the store replies and others report a newer configuration, all requests are refused (503), so that callers go to another daemon. An unknown route is refused in the same way while the daemon is behind, or has not heard from the others since its start.

Entry.DaemonStartedAfterRestoreServesNoRouteByOlderConfiguration failed on the code before (the added route rejected 39 times of 40, an open one served 25 times of 25) and passes; four tests of keys, outages and 404 pass, too.

--- a/client/explain.c
+++ b/client/explain.c
@@ -36,6 +36,9 @@
   { "reason=config_older_than_others",
     "refused, not run: other daemons had a newer configuration than this one "
     "could read from the store" },
+  { "reason=members_unknown",
+    "refused, not run: the daemon had just started, had no such route and had "
+    "not yet heard whether others have a newer configuration" },
   { "reason=no_configuration",
     "refused, not run: the daemon had no configuration yet" },
   { "reason=rate_exceeded_in_region ",
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -223,12 +223,14 @@
 
   void
   PutConfig (int version, const std::string &keys = "\"key-1\"",
-             const std::string &limit = "\"rate_per_s\":0,\"burst\":0")
+             const std::string &limit = "\"rate_per_s\":0,\"burst\":0",
+             const std::string &routes = "")
   {
     PostControl ("/put?key=op/config",
                  "{\"version\":\"r" + std::to_string (version)
-                     + "\",\"routes\":{" + RouteJson ("read", "safe", false)
-                     + "," + RouteJson ("order", "unsafe", false) + ","
+                     + "\",\"routes\":{" + routes
+                     + RouteJson ("read", "safe", false) + ","
+                     + RouteJson ("order", "unsafe", false) + ","
                      + RouteJson ("open", "safe", true) + ","
                      + RouteJson ("object", "safe", false)
                      + "},\"services\":{\"s\":{\"max_connections\":100,"
@@ -825,6 +827,40 @@
       WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
 }
 
+/* Guards against a daemon that starts while the store holds an older
+   configuration than other daemons, and rejects a route that was added, or
+   serves one as it was before.  */
+TEST_F (Entry, DaemonStartedAfterRestoreServesNoRouteByOlderConfiguration)
+{
+  std::string added = RouteJson ("added", "safe", true) + ",";
+  std::string limit = "\"rate_per_s\":0,\"burst\":0";
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PutConfig (2, "\"key-1\"", limit, added);
+  ASSERT_TRUE (
+      WaitFor ([&] { return AllRespond ("/added/1", "key-1", 200); }, 2000));
+  si_sleep_ms (3500);
+  PostControl ("/restore");
+  Vm vm = MakeVm ("vm3", "a1");
+  Start (vm);
+  vms.push_back (vm);
+  int rejected = 0, served = 0;
+  for (int i = 0; i < 40; i++)
+    {
+      rejected += SendRequest (vm, "/added/1", "r") == 404;
+      if (i >= 15)
+        served += SendRequest (vm, "/open/1", "s") == 200;
+      si_sleep_ms (100);
+    }
+  EXPECT_EQ (rejected, 0);
+  EXPECT_EQ (served, 0);
+  PutConfig (2, "\"key-1\"", limit, added);
+  EXPECT_TRUE (
+      WaitFor ([&] { return AllRespond ("/added/1", "key-1", 200); }, 2000));
+  EXPECT_TRUE (AllRespond ("/open/1", "key-1", 200));
+  EXPECT_TRUE (AllRespond ("/none/1", "key-1", 404));
+}
+
 /* Guards against a daemon that keeps a lost configuration although the
    operator has given its version to another one.  */
 TEST_F (Entry, AppliesOtherConfigurationOfTheSameVersionAfterRestore)
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -293,6 +293,23 @@
   request->headers = headers;
 }
 
+/* Whether the configuration with which REQUEST was admitted is older than that
+   of other daemons.  */
+static gboolean
+is_behind (const EnRequest *request)
+{
+  return !en_shares_config_is_current (request->proxy->options.shares,
+                                       rt_config_version (request->config),
+                                       ck_boot_us ());
+}
+
+static void
+refuse_as_behind (EnRequest *request)
+{
+  en_request_fail (request, EN_OUTCOME_NOT_READY, NOT_READY_RETRY_AFTER_US,
+                   "config_older_than_others");
+}
+
 /* Finds the customer by the key.  Returns FALSE if it refused the request,
    which is then freed.  */
 static gboolean
@@ -314,12 +331,9 @@
                        "keys_not_confirmed");
       return FALSE;
     }
-  if (!en_shares_config_is_current (proxy->options.shares,
-                                    rt_config_version (request->config),
-                                    ck_boot_us ()))
+  if (is_behind (request))
     {
-      en_request_fail (request, EN_OUTCOME_NOT_READY, NOT_READY_RETRY_AFTER_US,
-                       "config_older_than_others");
+      refuse_as_behind (request);
       return FALSE;
     }
   if (request->customer != NULL)
@@ -389,7 +403,26 @@
     on_admission (verdict, &result, request);
 }
 
-/* Returns FALSE if it refused the request, which is then freed.  */
+/* Refuses a request whose route may exist in the configuration of another
+   daemon, so that its caller asks there: one that has just started has not
+   heard yet which one that is.  */
+static void
+reject_without_route (EnRequest *request)
+{
+  if (is_behind (request))
+    refuse_as_behind (request);
+  else if (!en_shares_has_members (request->proxy->options.shares))
+    en_request_fail (request, EN_OUTCOME_NOT_READY, NOT_READY_RETRY_AFTER_US,
+                     "members_unknown");
+  else
+    en_request_fail (request, EN_OUTCOME_NO_ROUTE, 0, "no_route");
+}
+
+/* A daemon that reads an older configuration than others have from the store,
+   as after a restore, serves nothing by it.  One that does not reach the store
+   goes on with what it has.
+
+   Returns FALSE if it refused the request, which is then freed.  */
 static gboolean
 find_route (EnRequest *request)
 {
@@ -410,10 +443,16 @@
       return FALSE;
     }
   request->id = g_strdup (id);
+  if (is_behind (request)
+      && en_view_reaches_store (request->proxy->options.view))
+    {
+      refuse_as_behind (request);
+      return FALSE;
+    }
   request->route = rt_match (request->config, host, front->path);
   if (request->route != NULL)
     return TRUE;
-  en_request_fail (request, EN_OUTCOME_NO_ROUTE, 0, "no_route");
+  reject_without_route (request);
   return FALSE;
 }
 
--- a/entry/view.c
+++ b/entry/view.c
@@ -397,6 +397,12 @@
                 <= config_age_max_us (view->options.settings);
 }
 
+gboolean
+en_view_reaches_store (const EnView *view)
+{
+  return !view->store_down;
+}
+
 gboolean
 en_view_is_ready (const EnView *view, int64_t now_us)
 {
--- a/entry/view.h
+++ b/entry/view.h
@@ -60,6 +60,8 @@
 /* Whether the configuration is confirmed recently enough to reject every key
    whose revocation must have taken effect.  */
 gboolean en_view_has_fresh_keys (const EnView *view, int64_t now_us);
+/* Whether the last call of the store for the configuration succeeded.  */
+gboolean en_view_reaches_store (const EnView *view);
 /* Whether the target list is loaded and the configuration is fresh, so that
    requests can be served.  */
 gboolean en_view_is_ready (const EnView *view, int64_t now_us);
