entry: a daemon cut off from a restored store hears of drains

What callers would see: requests sent to a draining target by a daemon that cannot reach the store, although its region leader tells it of the drain.

Cause: revisions of different eras cannot be compared, so all target deltas of another era were dropped until the daemon had read the store itself.

Ruled out: that the cut alone does it. Without the restore the tests pass on the code before (trial).

Change: deltas of a later era by the region leader are applied without taking over their revision; entries older than those known are ignored. After a restore the leader also sends what its full read changed, and what changes while it retains targets, as a delta that ends where it begins: those that have read the era catch up by themselves, as they do when they miss one.

Entry.HearsOfDrainAfterRestoreOfStoreThatItCannotReach failed on the code before (10 of 10 requests retried at the draining target) and passes. Entry.HearsOfDrainThatItsLeaderReadFirstAfterRestore fails in the same way without the additional deltas and passes. Seven tests of targets, outages and eras pass, too.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -2,15 +2,18 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <csignal>
 #include <fstream>
 #include <future>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -41,6 +44,104 @@
   return "127.0.0.1:" + std::to_string (si_find_free_port ());
 }
 
+/* Connects to ADDRESS, or listens on it.  Returns the descriptor, or -1.  */
+int
+OpenSocket (const std::string &address, bool listens)
+{
+  struct sockaddr_in name = {};
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int one = 1;
+
+  name.sin_family = AF_INET;
+  name.sin_port
+      = htons ((uint16_t)std::stoi (address.substr (address.find (':') + 1)));
+  name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (listens ? bind (fd, (struct sockaddr *)&name, sizeof name) == 0
+                    && listen (fd, 64) == 0
+              : connect (fd, (struct sockaddr *)&name, sizeof name) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+/* Forwards connections to an address until it is cut; then it closes them and
+   all new ones.  */
+class Link
+{
+public:
+  explicit Link (const std::string &to)
+      : address (FreeAddress ()), to (to),
+        listener (OpenSocket (address, true)), acceptor ([this] { Run (); })
+  {
+  }
+
+  ~Link ()
+  {
+    is_ending = true;
+    Cut ();
+    acceptor.join ();
+    close (listener);
+  }
+
+  void
+  Cut ()
+  {
+    is_cut = true;
+  }
+
+  const std::string address;
+
+private:
+  static bool
+  Copy (int from, int to)
+  {
+    char bytes[4096];
+    ssize_t count = recv (from, bytes, sizeof bytes, 0);
+    return count > 0 && send (to, bytes, (size_t)count, MSG_NOSIGNAL) == count;
+  }
+
+  void
+  Forward (int caller)
+  {
+    int server = is_cut ? -1 : OpenSocket (to, false);
+    struct pollfd ends[] = { { caller, POLLIN, 0 }, { server, POLLIN, 0 } };
+    bool is_open = server != -1;
+
+    while (is_open && !is_cut)
+      {
+        poll (ends, 2, 20);
+        if (ends[0].revents != 0)
+          is_open = Copy (caller, server);
+        if (is_open && ends[1].revents != 0)
+          is_open = Copy (server, caller);
+      }
+    close (caller);
+    if (server != -1)
+      close (server);
+  }
+
+  void
+  Run ()
+  {
+    std::vector<std::thread> connections;
+    struct pollfd end = { listener, POLLIN, 0 };
+    while (!is_ending)
+      if (poll (&end, 1, 20) == 1)
+        {
+          int caller = accept (listener, nullptr, nullptr);
+          connections.emplace_back ([this, caller] { Forward (caller); });
+        }
+    for (std::thread &connection : connections)
+      connection.join ();
+  }
+
+  std::string to;
+  int listener;
+  std::atomic<bool> is_cut{ false }, is_ending{ false };
+  std::thread acceptor;
+};
+
 struct Vm
 {
   std::string name, zone, front, ready, directory, settings, log;
@@ -331,6 +432,23 @@
     return exchange;
   }
 
+  /* Starts a daemon that reaches the store by LINK, and follows vm1.  */
+  Vm
+  StartFollower (const Link &link)
+  {
+    std::string direct = store;
+    store = link.address;
+    Vm vm = MakeVm ("vm3", "a2");
+    store = direct;
+    Start (vm);
+    vms.push_back (vm);
+    EXPECT_TRUE (WaitFor ([&] {
+      return GetStatus (vm.ready, "/ready") == 200;
+    })) << ReadLog (vm);
+    si_sleep_ms (2500);
+    return vm;
+  }
+
   /* Revision of KEY in the store; 0 if it has no such key.  */
   uint64_t
   GetRevision (const std::string &key)
@@ -879,6 +997,47 @@
   EXPECT_TRUE (AllRespond ("/read/1", "key-2", 401));
 }
 
+/* Guards against a daemon that cannot reach the restored store, and hears of
+   no drain although its region leader tells it.  t2 rejects requests, so a
+   daemon that does not know of the drain retries on t1.  */
+TEST_F (Entry, HearsOfDrainAfterRestoreOfStoreThatItCannotReach)
+{
+  Link link (store);
+  Vm vm = StartFollower (link);
+  PostControl ("/save");
+  PutTarget ("t2", "a2");
+  si_sleep_ms (1500);
+  link.Cut ();
+  PostControl ("/restore");
+  si_sleep_ms (1000);
+  PutTarget ("t1", "a1", "draining");
+  si_sleep_ms (1500);
+  PostControl ("/target?id=t2&fault=shed");
+  for (int i = 0; i < 10; i++)
+    EXPECT_EQ (SendRequest (vm, "/open/1", "d"), 503);
+  EXPECT_EQ (CountLines ("/arrivals", "t1 d"), 0);
+}
+
+/* Guards against a daemon that cannot reach the restored store, and does not
+   hear of a drain that its region leader found with its first read.  */
+TEST_F (Entry, HearsOfDrainThatItsLeaderReadFirstAfterRestore)
+{
+  Link link (store);
+  Vm vm = StartFollower (link);
+  PostControl ("/save");
+  link.Cut ();
+  PostControl ("/store?fault=busy");
+  PostControl ("/restore");
+  PutTarget ("t1", "a1", "draining");
+  si_sleep_ms (300);
+  PostControl ("/store?fault=none");
+  si_sleep_ms (1500);
+  PostControl ("/target?id=t2&fault=shed");
+  for (int i = 0; i < 10; i++)
+    EXPECT_EQ (SendRequest (vm, "/open/1", "d"), 503);
+  EXPECT_EQ (CountLines ("/arrivals", "t1 d"), 0);
+}
+
 /* Guards against sending requests to an evacuated zone because the store came
    back without the evacuation, until the operator has written it again.  */
 TEST_F (Entry, KeepsEvacuationThatRestoredStoreLacks)
--- a/entry/listing.c
+++ b/entry/listing.c
@@ -35,6 +35,7 @@
   GPtrArray *pending_removals; /* ids */
   gboolean is_applying;        /* a delta of another daemon, not to publish */
   gboolean missed_delta;       /* the watcher has to catch up */
+  gboolean era_is_new;         /* no complete delta of it was published */
   int64_t delta_received_us;   /* last one from the leader; 0: never */
   struct event *leader_timer;
 };
@@ -173,6 +174,7 @@
   EnListing *listing = data;
 
   (void)era;
+  listing->era_is_new = TRUE;
   en_outage_note_restored (&listing->outage, ck_boot_us ());
 }
 
@@ -180,6 +182,8 @@
 on_targets_revision (uint64_t from, uint64_t to, void *data)
 {
   EnListing *listing = data;
+  gboolean is_complete
+      = from != 0 && g_hash_table_size (listing->retained_ids) == 0;
   GoTargetDelta delta = {
     .store_era = pf_watcher_era (listing->watcher),
     .from_revision = from,
@@ -190,10 +194,16 @@
     .removed_count = listing->pending_removals->len,
   };
 
-  /* While targets are retained, the delta lacks their removals, so receivers
-     must not advance to its revision.  */
-  if (from != 0 && g_hash_table_size (listing->retained_ids) == 0)
+  /* While targets are retained, the delta lacks their removals, and a full
+     read does not begin at a revision, so receivers must not advance to its
+     revision.  After a restore it is sent for those that cannot read the store
+     themselves.  */
+  if (!is_complete)
+    delta.from_revision = to;
+  if (is_complete || listing->era_is_new)
     listing->options.on_target_delta (&delta, listing->options.data);
+  if (is_complete)
+    listing->era_is_new = FALSE;
   g_array_set_size (listing->pending_updates, 0);
   g_ptr_array_set_size (listing->pending_removals, 0);
 }
@@ -232,6 +242,19 @@
   listing->is_applying = FALSE;
 }
 
+/* Revisions of different eras cannot be compared, so this daemon has to read
+   all targets itself.  Until it can, it uses what the region leader tells: an
+   entry that is older than the one known is ignored.  */
+static void
+apply_other_era (EnListing *listing, const GoTargetDelta *delta,
+                 gboolean may_follow)
+{
+  if (may_follow && listing->is_loaded
+      && delta->store_era > pf_watcher_era (listing->watcher))
+    apply_target_delta (listing, delta);
+  pf_watcher_note_era (listing->watcher, delta->store_era);
+}
+
 void
 en_listing_apply_target_delta (EnListing *listing, const GoTargetDelta *delta,
                                gboolean may_follow)
@@ -240,13 +263,13 @@
       = { LEADER_TIMEOUT_US / CK_US_PER_S, LEADER_TIMEOUT_US % CK_US_PER_S };
   uint64_t revision = pf_watcher_revision (listing->watcher);
 
-  if (revision == 0)
-    return;
   if (delta->store_era != pf_watcher_era (listing->watcher))
     {
-      pf_watcher_note_era (listing->watcher, delta->store_era);
+      apply_other_era (listing, delta, may_follow);
       return;
     }
+  if (revision == 0)
+    return;
   if (delta->from_revision > revision)
     {
       listing->missed_delta = TRUE;
--- a/entry/listing.h
+++ b/entry/listing.h
@@ -47,7 +47,8 @@
 gboolean en_listing_is_loaded (const EnListing *listing);
 /* Applies changes that another daemon has read from the store; ignored until
    this daemon has completed a full read.  With MAY_FOLLOW this daemon pauses
-   its watch of the store while they arrive.  */
+   its watch of the store while they arrive, and applies those of a later era
+   of the store that it has not read yet.  */
 void en_listing_apply_target_delta (EnListing *listing,
                                     const GoTargetDelta *delta,
                                     gboolean may_follow);
