entry, gossip: a daemon cut off from a restored store accepts keys

What callers would see: requests with a key refused (503) by a daemon that cannot reach the store, for as long as it cannot, although its region leader reads the store and has the same configuration.

Cause: a confirmation says that nothing has changed after a revision. That of another era cannot be compared, so it was dropped.

Ruled out: that the cut alone does it (without the restore the test passed on the code before, a trial). The version instead of a hash: after a restore it may have been given to another configuration.

Change: confirmations carry the hash of the leader's configuration. One of a later era, with a stamp, confirms the keys of a daemon that has the same one in force. Daemons of older builds send no hash, and are not followed in this.

Entry.AcceptsKeysAfterRestoreOfStoreThatItCannotReach failed on the code before (20 of 20 requests refused) and passes; a withdrawn key is refused there within 3 s, and open routes are served. Six other tests of confirmations, gossip_test, relay_test and wire_test pass, too.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -1038,6 +1038,31 @@
   EXPECT_EQ (CountLines ("/arrivals", "t1 d"), 0);
 }
 
+/* Guards against a daemon that cannot reach the restored store, and refuses
+   keys although its region leader confirms the configuration.  */
+TEST_F (Entry, AcceptsKeysAfterRestoreOfStoreThatItCannotReach)
+{
+  Link link (store);
+  Vm vm = StartFollower (link);
+  PostControl ("/save");
+  link.Cut ();
+  PostControl ("/restore");
+  si_sleep_ms (3000);
+  for (int i = 0; i < 20; i++)
+    {
+      EXPECT_EQ (SendRequest (vm, "/read/1", "k"), 200) << i;
+      si_sleep_ms (100);
+    }
+  PutConfig (2, "\"key-2\"");
+  EXPECT_TRUE (
+      WaitFor ([&] { return SendRequest (vm, "/read/1", "w") == 503; }, 3000));
+  for (int i = 0; i < 20; i++)
+    {
+      EXPECT_EQ (SendRequest (vm, "/open/1", "o"), 200) << i;
+      si_sleep_ms (100);
+    }
+}
+
 /* Guards against sending requests to an evacuated zone because the store came
    back without the evacuation, until the operator has written it again.  */
 TEST_F (Entry, KeepsEvacuationThatRestoredStoreLacks)
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -111,6 +111,7 @@
     .store_era = store_read->store_era,
     .revision = store_read->revision,
     .changed_revision = store_read->changed_revision,
+    .config_hash = store_read->config_hash,
   };
 
   if (!is_region_peer (context, member))
--- a/entry/relay.h
+++ b/entry/relay.h
@@ -53,6 +53,7 @@
   uint64_t store_era;   /* of the revisions; 0: unknown */
   uint64_t revision;
   uint64_t changed_revision; /* no change after it is known */
+  uint64_t config_hash;      /* of the configuration in force */
 } EnStoreRead;
 
 EnRelay *en_relay_new (const EnRelayOptions *options);
--- a/entry/view.c
+++ b/entry/view.c
@@ -226,6 +226,7 @@
     .store_era = pf_watcher_era (view->operator_watcher),
     .revision = pf_watcher_revision (view->operator_watcher),
     .changed_revision = pf_watcher_changed_revision (view->operator_watcher),
+    .config_hash = view->config != NULL ? rt_text_hash (view->config) : 0,
   };
 
   if (view->store_down)
@@ -254,6 +255,21 @@
   start_timer_at (view->kept_zones_timer, view->evacuations_kept_until_us);
 }
 
+/* Revisions of different eras cannot be compared, so this daemon has to read
+   the store itself.  Until it can, the region leader confirms the keys if it
+   has the same configuration in force.  */
+static void
+apply_other_era (EnView *view, const GoConfirmation *confirmation,
+                 gboolean may_follow)
+{
+  if (may_follow && view->config != NULL && confirmation->stamp.stamp_us != 0
+      && confirmation->store_era > pf_watcher_era (view->operator_watcher)
+      && confirmation->config_hash != 0
+      && confirmation->config_hash == rt_text_hash (view->config))
+    set_confirmed (view, confirmation->stamp.stamp_us);
+  pf_watcher_note_era (view->operator_watcher, confirmation->store_era);
+}
+
 void
 en_view_apply_confirmation (EnView *view, const GoConfirmation *confirmation,
                             gboolean may_follow)
@@ -263,14 +279,13 @@
       = operator_watch_timeout_ms (view->options.settings) * CK_US_PER_MS
         + CONFIRMATION_DELAY_MAX_MS * CK_US_PER_MS;
 
-  if (revision == 0)
-    return;
-  /* Revisions of different eras cannot be compared.  */
   if (confirmation->store_era != pf_watcher_era (view->operator_watcher))
     {
-      pf_watcher_note_era (view->operator_watcher, confirmation->store_era);
+      apply_other_era (view, confirmation, may_follow);
       return;
     }
+  if (revision == 0)
+    return;
   if (revision < confirmation->changed_revision)
     {
       pf_watcher_set_paused (view->operator_watcher, FALSE);
--- a/entry/view.h
+++ b/entry/view.h
@@ -49,7 +49,8 @@
 
 /* Applies a confirmation of the operator entries by another daemon; ignored
    until this daemon has completed a full read.  With MAY_FOLLOW this daemon
-   pauses its watch of them while confirmations arrive.  */
+   pauses its watch of them while confirmations arrive, and its configuration
+   is confirmed also in a later era of the store that it has not read yet.  */
 void en_view_apply_confirmation (EnView *view,
                                  const GoConfirmation *confirmation,
                                  gboolean may_follow);
--- a/gossip/gossip.c
+++ b/gossip/gossip.c
@@ -82,6 +82,7 @@
     .store_era = message->store_era,
     .revision = message->revision,
     .changed_revision = message->changed_revision,
+    .config_hash = message->config_hash,
   };
 
   gossip->options.on_confirmation (&confirmation, gossip->options.data);
@@ -398,6 +399,7 @@
   message.store_era = confirmation->store_era;
   message.revision = confirmation->revision;
   message.changed_revision = confirmation->changed_revision;
+  message.config_hash = confirmation->config_hash;
   datagram.confirmation = &message;
   send_encoded (gossip, address, encode_datagram (gossip, &datagram));
 }
--- a/gossip/gossip.h
+++ b/gossip/gossip.h
@@ -71,13 +71,15 @@
 
 /* States that the operators' part of the store (configuration and evacuated
    zones) has not changed after CHANGED_REVISION.  The sender read the store at
-   REVISION, with a call made after it received STAMP.  */
+   REVISION, with a call made after it received STAMP, and has the
+   configuration of CONFIG_HASH in force.  */
 typedef struct
 {
   GoStamp stamp; /* stamp_us is 0 if none was received before the read */
   uint64_t revision;
   uint64_t changed_revision;
-  uint64_t store_era; /* of the revisions; 0: unknown */
+  uint64_t store_era;   /* of the revisions; 0: unknown */
+  uint64_t config_hash; /* see rt_text_hash; 0: unknown */
 } GoConfirmation;
 
 /* Requests a rate limit token of a customer whose token bucket the receiver
--- a/gossip/gossip_test.cc
+++ b/gossip/gossip_test.cc
@@ -28,6 +28,7 @@
   uint64_t revision = 0;
   uint64_t changed_revision = 0;
   uint64_t store_era = 0;
+  uint64_t config_hash = 0;
   struct event_base *base;
 };
 
@@ -63,6 +64,7 @@
   received->revision = confirmation->revision;
   received->changed_revision = confirmation->changed_revision;
   received->store_era = confirmation->store_era;
+  received->config_hash = confirmation->config_hash;
   OnStamp (&confirmation->stamp, data);
 }
 
@@ -198,7 +200,7 @@
 TEST_F (Gossip, SendsStampsAndConfirmations)
 {
   GoStamp stamp = { "127.0.0.1:2", 7, 99 };
-  GoConfirmation confirmation = { stamp, 12, 11 };
+  GoConfirmation confirmation = { stamp, 12, 11, 3, 1ULL << 63 };
   go_send_stamp (gossip, listen.c_str (), &stamp);
   WaitForDatagram ();
   go_send_confirmation (gossip, listen.c_str (), &confirmation);
@@ -207,6 +209,7 @@
                                   "127.0.0.1:2 7 99", "127.0.0.1:2 7 99" }));
   EXPECT_EQ (received.revision, 12u);
   EXPECT_EQ (received.changed_revision, 11u);
+  EXPECT_EQ (received.config_hash, 1ULL << 63);
 }
 
 /* Guards against revisions of a store that was restored being compared with
--- a/wire/gossip.pb-c.c
+++ b/wire/gossip.pb-c.c
@@ -858,7 +858,7 @@
   (ProtobufCMessageInit) gossip__stamp__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__confirmation__field_descriptors[6] =
+static const ProtobufCFieldDescriptor gossip__confirmation__field_descriptors[7] =
 {
   {
     "gossip_address",
@@ -932,9 +932,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_hash",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Confirmation, config_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__confirmation__field_indices_by_name[] = {
   2,   /* field[2] = changed_revision */
+  6,   /* field[6] = config_hash */
   0,   /* field[0] = gossip_address */
   1,   /* field[1] = revision */
   4,   /* field[4] = stamp_us */
@@ -944,7 +957,7 @@
 static const ProtobufCIntRange gossip__confirmation__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gossip__confirmation__descriptor =
 {
@@ -954,7 +967,7 @@
   "Gossip__Confirmation",
   "gossip",
   sizeof(Gossip__Confirmation),
-  6,
+  7,
   gossip__confirmation__field_descriptors,
   gossip__confirmation__field_indices_by_name,
   1,  gossip__confirmation__number_ranges,
--- a/wire/gossip.pb-c.h
+++ b/wire/gossip.pb-c.h
@@ -169,10 +169,14 @@
    * Era of the store in which the revisions were assigned; 0 is unknown.
    */
   uint64_t store_era;
+  /*
+   * Hash of the text of the configuration in force at the leader; 0 is unknown.
+   */
+  uint64_t config_hash;
 };
 #define GOSSIP__CONFIRMATION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__confirmation__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
