entry: a test of several restores in quick succession

The region leader is stopped meanwhile, and restores come 3 ms to 1.3 s apart, so that some fall into the read of an earlier one.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -997,6 +997,40 @@
   EXPECT_TRUE (AllRespond ("/read/1", "key-2", 401));
 }
 
+/* Guards against a daemon that misses the last of several restores, or one
+   during its read of an earlier one, also if it was stopped meanwhile.  */
+TEST_F (Entry, AppliesChangeAfterSeveralRestoresWhileLeaderIsStopped)
+{
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PutConfig (2, "\"key-2\"");
+  for (int i = 0; i < 6; i++)
+    PutTarget ("t2", "a2");
+  ASSERT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
+  si_sleep_ms (1500);
+  si_process_signal (vms[0].pid, SIGSTOP);
+  for (uint32_t wait_ms : { 10U, 1300U, 3U, 40U })
+    {
+      PostControl ("/restore");
+      PutConfig (2, "\"key-2\"");
+      si_sleep_ms (wait_ms);
+    }
+  PostControl ("/restore");
+  for (int i = 0; i < 6; i++)
+    PutTarget ("t2", "a2");
+  PutConfig (3, "\"key-3\"");
+  si_process_signal (vms[0].pid, SIGCONT);
+  EXPECT_TRUE (WaitFor (
+      [&] {
+        return AllRespond ("/read/1", "key-3", 200)
+               && AllRespond ("/read/1", "key-2", 401);
+      },
+      2000));
+  for (const Vm &vm : vms)
+    EXPECT_EQ (SendRequest (vm, "/read/1", "o", "key-2"), 401) << vm.name;
+}
+
 /* Guards against a daemon that cannot reach the restored store, and hears of
    no drain although its region leader tells it.  t2 rejects requests, so a
    daemon that does not know of the drain retries on t1.  */
