--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -2,15 +2,18 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <csignal>
 #include <fstream>
 #include <future>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -41,6 +44,104 @@
   return "127.0.0.1:" + std::to_string (si_find_free_port ());
 }
 
+/* Connects to ADDRESS, or listens on it.  Returns the descriptor, or -1.  */
+int
+OpenSocket (const std::string &address, bool listens)
+{
+  struct sockaddr_in name = {};
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int one = 1;
+
+  name.sin_family = AF_INET;
+  name.sin_port
+      = htons ((uint16_t)std::stoi (address.substr (address.find (':') + 1)));
+  name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (listens ? bind (fd, (struct sockaddr *)&name, sizeof name) == 0
+                    && listen (fd, 64) == 0
+              : connect (fd, (struct sockaddr *)&name, sizeof name) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+/* Forwards connections to an address until it is cut; then it closes them and
+   all new ones.  */
+class Link
+{
+public:
+  explicit Link (const std::string &to)
+      : address (FreeAddress ()), to (to),
+        listener (OpenSocket (address, true)), acceptor ([this] { Run (); })
+  {
+  }
+
+  ~Link ()
+  {
+    is_ending = true;
+    Cut ();
+    acceptor.join ();
+    close (listener);
+  }
+
+  void
+  Cut ()
+  {
+    is_cut = true;
+  }
+
+  const std::string address;
+
+private:
+  static bool
+  Copy (int from, int to)
+  {
+    char bytes[4096];
+    ssize_t count = recv (from, bytes, sizeof bytes, 0);
+    return count > 0 && send (to, bytes, (size_t)count, MSG_NOSIGNAL) == count;
+  }
+
+  void
+  Forward (int caller)
+  {
+    int server = is_cut ? -1 : OpenSocket (to, false);
+    struct pollfd ends[] = { { caller, POLLIN, 0 }, { server, POLLIN, 0 } };
+    bool is_open = server != -1;
+
+    while (is_open && !is_cut)
+      {
+        poll (ends, 2, 20);
+        if (ends[0].revents != 0)
+          is_open = Copy (caller, server);
+        if (is_open && ends[1].revents != 0)
+          is_open = Copy (server, caller);
+      }
+    close (caller);
+    if (server != -1)
+      close (server);
+  }
+
+  void
+  Run ()
+  {
+    std::vector<std::thread> connections;
+    struct pollfd end = { listener, POLLIN, 0 };
+    while (!is_ending)
+      if (poll (&end, 1, 20) == 1)
+        {
+          int caller = accept (listener, nullptr, nullptr);
+          connections.emplace_back ([this, caller] { Forward (caller); });
+        }
+    for (std::thread &connection : connections)
+      connection.join ();
+  }
+
+  std::string to;
+  int listener;
+  std::atomic<bool> is_cut{ false }, is_ending{ false };
+  std::thread acceptor;
+};
+
 struct Vm
 {
   std::string name, zone, front, ready, directory, settings, log;
@@ -223,12 +324,14 @@
 
   void
   PutConfig (int version, const std::string &keys = "\"key-1\"",
-             const std::string &limit = "\"rate_per_s\":0,\"burst\":0")
+             const std::string &limit = "\"rate_per_s\":0,\"burst\":0",
+             const std::string &routes = "")
   {
     PostControl ("/put?key=op/config",
                  "{\"version\":\"r" + std::to_string (version)
-                     + "\",\"routes\":{" + RouteJson ("read", "safe", false)
-                     + "," + RouteJson ("order", "unsafe", false) + ","
+                     + "\",\"routes\":{" + routes
+                     + RouteJson ("read", "safe", false) + ","
+                     + RouteJson ("order", "unsafe", false) + ","
                      + RouteJson ("open", "safe", true) + ","
                      + RouteJson ("object", "safe", false)
                      + "},\"services\":{\"s\":{\"max_connections\":100,"
@@ -338,6 +441,23 @@
     return exchange;
   }
 
+  /* Starts a daemon that reaches the store by LINK, and follows vm1.  */
+  Vm
+  StartFollower (const Link &link)
+  {
+    std::string direct = store;
+    store = link.address;
+    Vm vm = MakeVm ("vm3", "a2");
+    store = direct;
+    Start (vm);
+    vms.push_back (vm);
+    EXPECT_TRUE (WaitFor ([&] {
+      return GetStatus (vm.ready, "/ready") == 200;
+    })) << ReadLog (vm);
+    si_sleep_ms (2500);
+    return vm;
+  }
+
   /* Revision of KEY in the store; 0 if it has no such key.  */
   uint64_t
   GetRevision (const std::string &key)
@@ -814,6 +934,178 @@
       WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
 }
 
+/* Guards against accepting a key that a lost configuration withdrew because
+   the one in the copy cannot be read, so that nothing shows that it is older.
+ */
+TEST_F (Entry, RefusesKeysIfRestoredConfigurationIsUnreadable)
+{
+  si_sleep_ms (2000);
+  PostControl ("/put?key=op/config", "{");
+  PostControl ("/save");
+  PutConfig (2, "\"key-1\",\"key-2\"");
+  ASSERT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
+  PostControl ("/restore");
+  EXPECT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 503); }, 3500));
+  EXPECT_EQ (SendRequest (vms[0], "/open/1", "o"), 200);
+  PutConfig (2, "\"key-1\",\"key-2\"");
+  EXPECT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
+}
+
+/* Guards against a daemon that starts while the store holds an older
+   configuration than other daemons, and rejects a route that was added, or
+   serves one as it was before.  */
+TEST_F (Entry, DaemonStartedAfterRestoreServesNoRouteByOlderConfiguration)
+{
+  std::string added = RouteJson ("added", "safe", true) + ",";
+  std::string limit = "\"rate_per_s\":0,\"burst\":0";
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PutConfig (2, "\"key-1\"", limit, added);
+  ASSERT_TRUE (
+      WaitFor ([&] { return AllRespond ("/added/1", "key-1", 200); }, 2000));
+  si_sleep_ms (3500);
+  PostControl ("/restore");
+  Vm vm = MakeVm ("vm3", "a1");
+  Start (vm);
+  vms.push_back (vm);
+  int rejected = 0, served = 0;
+  for (int i = 0; i < 40; i++)
+    {
+      rejected += SendRequest (vm, "/added/1", "r") == 404;
+      if (i >= 15)
+        served += SendRequest (vm, "/open/1", "s") == 200;
+      si_sleep_ms (100);
+    }
+  EXPECT_EQ (rejected, 0);
+  EXPECT_EQ (served, 0);
+  PutConfig (2, "\"key-1\"", limit, added);
+  EXPECT_TRUE (
+      WaitFor ([&] { return AllRespond ("/added/1", "key-1", 200); }, 2000));
+  EXPECT_TRUE (AllRespond ("/open/1", "key-1", 200));
+  EXPECT_TRUE (AllRespond ("/none/1", "key-1", 404));
+}
+
+/* Guards against a daemon that keeps a lost configuration although the
+   operator has given its version to another one.  */
+TEST_F (Entry, AppliesOtherConfigurationOfTheSameVersionAfterRestore)
+{
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PutConfig (2, "\"key-2\"");
+  ASSERT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
+  si_sleep_ms (1500);
+  PostControl ("/restore");
+  si_sleep_ms (500);
+  PutConfig (2, "\"key-3\"");
+  EXPECT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-3", 200); }, 2000));
+  EXPECT_TRUE (AllRespond ("/read/1", "key-2", 401));
+}
+
+/* Guards against a daemon that misses the last of several restores, or one
+   during its read of an earlier one, also if it was stopped meanwhile.  */
+TEST_F (Entry, AppliesChangeAfterSeveralRestoresWhileLeaderIsStopped)
+{
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PutConfig (2, "\"key-2\"");
+  for (int i = 0; i < 6; i++)
+    PutTarget ("t2", "a2");
+  ASSERT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
+  si_sleep_ms (1500);
+  si_process_signal (vms[0].pid, SIGSTOP);
+  for (uint32_t wait_ms : { 10U, 1300U, 3U, 40U })
+    {
+      PostControl ("/restore");
+      PutConfig (2, "\"key-2\"");
+      si_sleep_ms (wait_ms);
+    }
+  PostControl ("/restore");
+  for (int i = 0; i < 6; i++)
+    PutTarget ("t2", "a2");
+  PutConfig (3, "\"key-3\"");
+  si_process_signal (vms[0].pid, SIGCONT);
+  EXPECT_TRUE (WaitFor (
+      [&] {
+        return AllRespond ("/read/1", "key-3", 200)
+               && AllRespond ("/read/1", "key-2", 401);
+      },
+      2000));
+  for (const Vm &vm : vms)
+    EXPECT_EQ (SendRequest (vm, "/read/1", "o", "key-2"), 401) << vm.name;
+}
+
+/* Guards against a daemon that cannot reach the restored store, and hears of
+   no drain although its region leader tells it.  t2 rejects requests, so a
+   daemon that does not know of the drain retries on t1.  */
+TEST_F (Entry, HearsOfDrainAfterRestoreOfStoreThatItCannotReach)
+{
+  Link link (store);
+  Vm vm = StartFollower (link);
+  PostControl ("/save");
+  PutTarget ("t2", "a2");
+  si_sleep_ms (1500);
+  link.Cut ();
+  PostControl ("/restore");
+  si_sleep_ms (1000);
+  PutTarget ("t1", "a1", "draining");
+  si_sleep_ms (1500);
+  PostControl ("/target?id=t2&fault=shed");
+  for (int i = 0; i < 10; i++)
+    EXPECT_EQ (SendRequest (vm, "/open/1", "d"), 503);
+  EXPECT_EQ (CountLines ("/arrivals", "t1 d"), 0);
+}
+
+/* Guards against a daemon that cannot reach the restored store, and does not
+   hear of a drain that its region leader found with its first read.  */
+TEST_F (Entry, HearsOfDrainThatItsLeaderReadFirstAfterRestore)
+{
+  Link link (store);
+  Vm vm = StartFollower (link);
+  PostControl ("/save");
+  link.Cut ();
+  PostControl ("/store?fault=busy");
+  PostControl ("/restore");
+  PutTarget ("t1", "a1", "draining");
+  si_sleep_ms (300);
+  PostControl ("/store?fault=none");
+  si_sleep_ms (1500);
+  PostControl ("/target?id=t2&fault=shed");
+  for (int i = 0; i < 10; i++)
+    EXPECT_EQ (SendRequest (vm, "/open/1", "d"), 503);
+  EXPECT_EQ (CountLines ("/arrivals", "t1 d"), 0);
+}
+
+/* Guards against a daemon that cannot reach the restored store, and refuses
+   keys although its region leader confirms the configuration.  */
+TEST_F (Entry, AcceptsKeysAfterRestoreOfStoreThatItCannotReach)
+{
+  Link link (store);
+  Vm vm = StartFollower (link);
+  PostControl ("/save");
+  link.Cut ();
+  PostControl ("/restore");
+  si_sleep_ms (3000);
+  for (int i = 0; i < 20; i++)
+    {
+      EXPECT_EQ (SendRequest (vm, "/read/1", "k"), 200) << i;
+      si_sleep_ms (100);
+    }
+  PutConfig (2, "\"key-2\"");
+  EXPECT_TRUE (
+      WaitFor ([&] { return SendRequest (vm, "/read/1", "w") == 503; }, 3000));
+  for (int i = 0; i < 20; i++)
+    {
+      EXPECT_EQ (SendRequest (vm, "/open/1", "o"), 200) << i;
+      si_sleep_ms (100);
+    }
+}
+
 /* Guards against sending requests to an evacuated zone because the store came
    back without the evacuation, until the operator has written it again.  */
 TEST_F (Entry, KeepsEvacuationThatRestoredStoreLacks)
--- a/entry/view.c
+++ b/entry/view.c
@@ -38,8 +38,8 @@
   PfWatcher *operator_watcher;
   int64_t confirmed_us; /* last confirmation; 0: none */
   gboolean store_down;
-  /* The store holds an older configuration than the one in force, or none, so
-     it cannot confirm that no later one withdrew a key.  */
+  /* The store holds an older configuration than the one in force, or none that
+     can be read, so it cannot confirm that no later one withdrew a key.  */
   gboolean store_is_older;
   int64_t evacuations_kept_until_us; /* although the store lacks them */
   GHashTable *kept_zones;            /* evacuated, but not in the store */
@@ -55,6 +55,17 @@
     view->options.on_readiness_change (view->options.data);
 }
 
+/* Whether CONFIG is the one in force, or older.  Where the store has lost a
+   configuration, another one may be given its version.  */
+static gboolean
+is_known (const EnView *view, const RtConfig *config)
+{
+  return view->config != NULL
+         && (rt_config_version (config) < rt_config_version (view->config)
+             || (rt_config_version (config) == rt_config_version (view->config)
+                 && rt_text_hash (config) == rt_text_hash (view->config)));
+}
+
 static void
 on_config (RtConfig *config, void *data)
 {
@@ -63,7 +74,7 @@
 
   view->store_is_older
       = view->config != NULL && version < rt_config_version (view->config);
-  if (view->config != NULL && version <= rt_config_version (view->config))
+  if (is_known (view, config))
     {
       if (view->store_is_older)
         tr_log (view->options.trace, EV_CONFIG_REFUSED,
@@ -215,6 +226,7 @@
     .store_era = pf_watcher_era (view->operator_watcher),
     .revision = pf_watcher_revision (view->operator_watcher),
     .changed_revision = pf_watcher_changed_revision (view->operator_watcher),
+    .config_hash = view->config != NULL ? rt_text_hash (view->config) : 0,
   };
 
   if (view->store_down)
@@ -238,10 +250,26 @@
   tr_log (view->options.trace, EV_STORE_RESTORED,
           "era=%" G_GUINT64_FORMAT " config=%" G_GUINT64_FORMAT, era,
           view->config != NULL ? rt_config_version (view->config) : 0);
+  view->store_is_older = view->config != NULL; /* until on_config */
   view->evacuations_kept_until_us = now_us + RESTORED_KEEP_US;
   start_timer_at (view->kept_zones_timer, view->evacuations_kept_until_us);
 }
 
+/* Revisions of different eras cannot be compared, so this daemon has to read
+   the store itself.  Until it can, the region leader confirms the keys if it
+   has the same configuration in force.  */
+static void
+apply_other_era (EnView *view, const GoConfirmation *confirmation,
+                 gboolean may_follow)
+{
+  if (may_follow && view->config != NULL && confirmation->stamp.stamp_us != 0
+      && confirmation->store_era > pf_watcher_era (view->operator_watcher)
+      && confirmation->config_hash != 0
+      && confirmation->config_hash == rt_text_hash (view->config))
+    set_confirmed (view, confirmation->stamp.stamp_us);
+  pf_watcher_note_era (view->operator_watcher, confirmation->store_era);
+}
+
 void
 en_view_apply_confirmation (EnView *view, const GoConfirmation *confirmation,
                             gboolean may_follow)
@@ -251,14 +279,13 @@
       = operator_watch_timeout_ms (view->options.settings) * CK_US_PER_MS
         + CONFIRMATION_DELAY_MAX_MS * CK_US_PER_MS;
 
-  if (revision == 0)
-    return;
-  /* Revisions of different eras cannot be compared.  */
   if (confirmation->store_era != pf_watcher_era (view->operator_watcher))
     {
-      pf_watcher_note_era (view->operator_watcher, confirmation->store_era);
+      apply_other_era (view, confirmation, may_follow);
       return;
     }
+  if (revision == 0)
+    return;
   if (revision < confirmation->changed_revision)
     {
       pf_watcher_set_paused (view->operator_watcher, FALSE);
@@ -385,6 +412,12 @@
                 <= config_age_max_us (view->options.settings);
 }
 
+gboolean
+en_view_reaches_store (const EnView *view)
+{
+  return !view->store_down;
+}
+
 gboolean
 en_view_is_ready (const EnView *view, int64_t now_us)
 {
--- a/entry/view.h
+++ b/entry/view.h
@@ -49,7 +49,8 @@
 
 /* Applies a confirmation of the operator entries by another daemon; ignored
    until this daemon has completed a full read.  With MAY_FOLLOW this daemon
-   pauses its watch of them while confirmations arrive.  */
+   pauses its watch of them while confirmations arrive, and its configuration
+   is confirmed also in a later era of the store that it has not read yet.  */
 void en_view_apply_confirmation (EnView *view,
                                  const GoConfirmation *confirmation,
                                  gboolean may_follow);
@@ -60,6 +61,8 @@
 /* Whether the configuration is confirmed recently enough to reject every key
    whose revocation must have taken effect.  */
 gboolean en_view_has_fresh_keys (const EnView *view, int64_t now_us);
+/* Whether the last call of the store for the configuration succeeded.  */
+gboolean en_view_reaches_store (const EnView *view);
 /* Whether the target list is loaded and the configuration is fresh, so that
    requests can be served.  */
 gboolean en_view_is_ready (const EnView *view, int64_t now_us);
