--- a/soak/callers.c
+++ b/soak/callers.c
@@ -6,7 +6,9 @@
 #include <string.h>
 
 /* For each of 3 daemons one caller of each of 5 kinds.  */
-#define CALLER_COUNT 15
+#define KIND_CALLER_COUNT 15
+#define PROBE_CALLER_COUNT 6
+#define CALLER_COUNT (KIND_CALLER_COUNT + PROBE_CALLER_COUNT)
 /* Mean pause between a response and the next request of the caller.  */
 #define PAUSE_MEAN_MS 60
 /* Longer than the deadlines: a daemon may still deliver a response after. */
@@ -17,14 +19,16 @@
 
 /* Caller N sends requests of kind N modulo the number of kinds.  The paths
    belong to the routes that site.c configures.  */
-static const struct
+typedef struct
 {
   const char *path;
   const char *customer; /* "-": none; sends no key */
   enum evhttp_cmd_type method;
   gboolean is_unsafe; /* must not run more than once */
   int64_t deadline_ms;
-} request_kinds[] = {
+} RequestKind;
+
+static const RequestKind request_kinds[] = {
   { "/read/1", "c1", EVHTTP_REQ_GET, FALSE, 2000 },
   { "/order/1", "c1", EVHTTP_REQ_POST, TRUE, SK_TIMEOUT_MS },
   { "/open/1", "-", EVHTTP_REQ_GET, FALSE, SK_TIMEOUT_MS },
@@ -32,6 +36,19 @@
   { "/read/2", "c2", EVHTTP_REQ_GET, FALSE, 2000 },
 };
 
+/* Probes choose their paths.  */
+static const RequestKind probe_kind
+    = { NULL, "-", EVHTTP_REQ_GET, FALSE, 2000 };
+
+typedef enum
+{
+  PROBE_NEWEST,
+  PROBE_ADDED,
+  PROBE_MOVED,
+  PROBE_NEVER,
+  PROBE_INVALID,
+} Probe;
+
 typedef struct
 {
   SkCallers *callers;
@@ -49,6 +66,8 @@
   const SkTestbed *testbed;
   SkRecord *record;
   GRand *random;
+  GRand *probe_random;
+  uint32_t caller_count;
   Caller callers[CALLER_COUNT];
   uint32_t request_count;
   gboolean stopped;
@@ -146,21 +165,62 @@
   return use_previous && key_number > 1 ? key_number - 1 : key_number;
 }
 
+static char *
+choose_probe_path (SkCallers *callers)
+{
+  static const Probe probes[] = { PROBE_NEWEST, PROBE_NEWEST, PROBE_NEWEST,
+                                  PROBE_ADDED,  PROBE_ADDED,  PROBE_ADDED,
+                                  PROBE_MOVED,  PROBE_MOVED,  PROBE_NEVER,
+                                  PROBE_INVALID };
+  Probe probe = probes[g_rand_int_range (callers->probe_random, 0,
+                                         G_N_ELEMENTS (probes))];
+  int newest = sk_testbed_route_number (callers->testbed);
+
+  switch (probe)
+    {
+    case PROBE_MOVED:
+      return g_strdup ("/move/1");
+    case PROBE_INVALID:
+      return g_strdup ("/bad/1");
+    case PROBE_NEWEST:
+      return g_strdup_printf ("/x%d/1", newest);
+    case PROBE_ADDED:
+      return g_strdup_printf (
+          "/x%d/1", g_rand_int_range (callers->probe_random, 0, newest + 1));
+    default:
+      return g_strdup ("/x0/1");
+    }
+}
+
+/* The route of a path is its first part.  */
+static void
+set_route (SkRequest *request, const char *path)
+{
+  g_auto (GStrv) parts = g_strsplit (path, "/", 3);
+
+  g_strlcpy (request->route, parts[1], sizeof request->route);
+}
+
 static void
 send_next_request (evutil_socket_t fd, short event, void *data)
 {
   Caller *caller = data;
   SkCallers *callers = caller->callers;
-  uint32_t kind = caller->number % G_N_ELEMENTS (request_kinds);
+  const RequestKind *kind
+      = caller->number < KIND_CALLER_COUNT
+            ? &request_kinds[caller->number % G_N_ELEMENTS (request_kinds)]
+            : &probe_kind;
+  g_autofree char *path = kind->path != NULL ? g_strdup (kind->path)
+                                             : choose_probe_path (callers);
   struct evhttp_request *http = evhttp_request_new (on_response, caller);
-  SkRequest request = { .customer = request_kinds[kind].customer,
-                        .is_unsafe = request_kinds[kind].is_unsafe,
+  SkRequest request = { .customer = kind->customer,
+                        .is_unsafe = kind->is_unsafe,
                         .sent_us = g_get_monotonic_time () };
 
   (void)fd;
   (void)event;
-  request.deadline_us
-      = request.sent_us + request_kinds[kind].deadline_ms * 1000;
+  request.deadline_us = request.sent_us + kind->deadline_ms * 1000;
+  set_route (&request, path);
   if (caller->connection_failed || caller->connection == NULL)
     connect_to_next_daemon (caller);
   caller->connection_failed = FALSE;
@@ -171,15 +231,14 @@
   caller->request_index = sk_record_add_request (callers->record, &request);
   evhttp_request_set_error_cb (http, on_error);
   add_headers (&request, http);
-  if (request_kinds[kind].method == EVHTTP_REQ_POST)
+  if (kind->method == EVHTTP_REQ_POST)
     evbuffer_add (evhttp_request_get_output_buffer (http), "order", 5);
-  evhttp_make_request (caller->connection, http, request_kinds[kind].method,
-                       request_kinds[kind].path);
+  evhttp_make_request (caller->connection, http, kind->method, path);
 }
 
 SkCallers *
 sk_callers_new (struct event_base *base, const SkTestbed *testbed,
-                SkRecord *record, uint32_t seed)
+                SkRecord *record, uint32_t seed, gboolean with_probes)
 {
   SkCallers *callers = g_new0 (SkCallers, 1);
 
@@ -187,7 +246,9 @@
   callers->testbed = testbed;
   callers->record = record;
   callers->random = g_rand_new_with_seed (seed);
-  for (uint32_t i = 0; i < CALLER_COUNT; i++)
+  callers->probe_random = g_rand_new_with_seed (seed);
+  callers->caller_count = with_probes ? CALLER_COUNT : KIND_CALLER_COUNT;
+  for (uint32_t i = 0; i < callers->caller_count; i++)
     {
       Caller *caller = &callers->callers[i];
       caller->callers = callers;
@@ -209,12 +270,13 @@
 void
 sk_callers_free (SkCallers *callers)
 {
-  for (uint32_t i = 0; i < CALLER_COUNT; i++)
+  for (uint32_t i = 0; i < callers->caller_count; i++)
     {
       event_free (callers->callers[i].timer);
       if (callers->callers[i].connection != NULL)
         evhttp_connection_free (callers->callers[i].connection);
     }
+  g_rand_free (callers->probe_random);
   g_rand_free (callers->random);
   g_free (callers);
 }
--- a/soak/main.c
+++ b/soak/main.c
@@ -43,6 +43,8 @@
   .contact_us = 3000000,
   .stop_grace_us = SK_STOP_GRACE_MS * 1000,
   .stop_sent_us = 3000000,
+  .config_apply_us = 2000000,
+  .rollback_slack_us = 250000,
 };
 
 typedef struct
@@ -53,6 +55,7 @@
   GArray *plan;
   guint next_index; /* in plan, of the first fault that has not begun */
   gboolean verbose;
+  uint32_t edition;
   int64_t started_us;
   int64_t faults_end_ms; /* after started_us */
 } Soak;
@@ -80,6 +83,7 @@
   (void)fd;
   (void)event;
   sk_testbed_restart_stopped (soak->testbed);
+  sk_testbed_rewrite_lost (soak->testbed);
   for (guint i = 0; i < soak->next_index; i++)
     {
       SkFault *fault = &g_array_index (soak->plan, SkFault, i);
@@ -112,7 +116,8 @@
   struct event *timer = event_new (soak->base, -1, EV_PERSIST, on_tick, soak);
 
   soak->started_us = g_get_monotonic_time ();
-  soak->callers = sk_callers_new (soak->base, soak->testbed, record, seed);
+  soak->callers = sk_callers_new (soak->base, soak->testbed, record, seed,
+                                  soak->edition >= 2);
   event_add (timer, &tick);
   event_base_dispatch (soak->base);
   event_free (timer);
@@ -146,7 +151,9 @@
   violations = sk_record_check (
       record,
       &(SkLogs){ .runs = runs, .arrivals = arrivals, .answers = answers },
-      sk_testbed_target_zone, &bounds);
+      &(SkTargetNames){ .zone_of = sk_testbed_target_zone,
+                        .service_of = sk_testbed_target_service },
+      &bounds);
   return print_lines (sk_testbed_errors (soak->testbed))
          + print_lines (violations);
 }
@@ -165,13 +172,15 @@
 }
 
 static guint
-run_seed (const char *build_dir, uint32_t seed, int64_t faults_end_ms,
-          const char *keep_dir, gboolean verbose)
+run_seed (const char *build_dir, uint32_t seed, uint32_t edition,
+          int64_t faults_end_ms, const char *keep_dir, gboolean verbose)
 {
   g_autoptr (SkRecord) record = sk_record_new ();
   g_autofree char *log_dir = make_log_dir (keep_dir, seed);
   g_autoptr (GError) error = NULL;
-  Soak soak = { .faults_end_ms = faults_end_ms, .verbose = verbose };
+  Soak soak = { .faults_end_ms = faults_end_ms,
+                .verbose = verbose,
+                .edition = edition };
   guint violation_count = 1;
 
   soak.testbed = sk_testbed_new (build_dir, log_dir, record, &error);
@@ -185,7 +194,8 @@
                                              .target_count = SK_TARGET_COUNT,
                                              .zone_count = SK_ZONE_COUNT,
                                              .from_ms = FAULTS_BEGIN_MS,
-                                             .until_ms = faults_end_ms });
+                                             .until_ms = faults_end_ms,
+                                             .edition = edition });
   soak.base = event_base_new ();
   run_event_loop (&soak, record, seed);
   violation_count = check_results (&soak, record);
@@ -210,6 +220,7 @@
   g_autofree char *keep_dir = NULL;
   int seed = 1;
   int count = 1;
+  int edition = 2;
   int faults_end_ms = FAULTS_END_DEFAULT_MS;
   gboolean verbose = FALSE;
   const GOptionEntry entries[] = {
@@ -217,6 +228,8 @@
       "DIR" },
     { "seed", 's', 0, G_OPTION_ARG_INT, &seed, "First seed", "N" },
     { "count", 'n', 0, G_OPTION_ARG_INT, &count, "Seeds to run", "N" },
+    { "edition", 'e', 0, G_OPTION_ARG_INT, &edition,
+      "Edition of the plan, see plan.h; 2 by default", "N" },
     { "faults-ms", 'f', 0, G_OPTION_ARG_INT, &faults_end_ms,
       "Time until all faults have ended", "MS" },
     { "keep", 'k', 0, G_OPTION_ARG_FILENAME, &keep_dir,
@@ -240,9 +253,10 @@
     }
   signal (SIGPIPE, SIG_IGN);
   for (int i = 0; i < count; i++)
-    failed_count += run_seed (build_dir, (uint32_t)(seed + i), faults_end_ms,
-                              keep_dir, verbose)
-                    > 0;
+    failed_count
+        += run_seed (build_dir, (uint32_t)(seed + i), (uint32_t)edition,
+                     faults_end_ms, keep_dir, verbose)
+           > 0;
   printf ("%d seeds, %u failed\n", count, failed_count);
   return failed_count > 0 ? 1 : 0;
 }
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -15,6 +15,26 @@
 #define SERIES_START_MAX_MS 2500
 /* A new key comes into force at once and lasts until the next one.  */
 #define KEY_ROTATE_DURATION_MS 100
+#define COPY_DURATION_MS 100
+/* Kinds of edition 1.  */
+#define FIRST_KIND_COUNT (SK_ZONE_EVACUATE + 1)
+/* Makes the random numbers of edition 2 differ from those of edition 1.  */
+#define SECOND_STREAM 0x5eed0000
+/* Percentage of plans with planned faults only that have restores, too.  */
+#define DRILL_PERCENT 30
+#define RESTORES_MAX_COUNT 3
+#define RESTORE_MIN_MS 200
+#define RESTORE_MAX_MS 2500
+#define RESTORE_STEP_MS 250
+#define RESTORE_GAP_MAX_MS 2000
+#define FIRST_RESTORE_MAX_MS 5000
+#define COPY_AGE_MIN_MS 500
+#define COPY_AGE_MAX_MS 5000
+/* Long enough for a change to be in force everywhere before it is taken
+   back.  */
+#define ROUTE_MIN_MS 3000
+#define ROUTE_MAX_MS 8000
+#define ROUTE_CHANGE_GAP_MAX_MS 2000
 
 const SkFaultKindInfo sk_fault_kinds[SK_FAULT_KIND_COUNT] = {
   [SK_DAEMON_STOP] = { "daemon-stop", SK_SUBJECT_DAEMON, TRUE },
@@ -46,6 +66,22 @@
   [SK_KEY_ROTATE] = { "key-rotate", SK_SUBJECT_CONFIG, TRUE },
   [SK_CONFIG_STALE] = { "config-stale", SK_SUBJECT_CONFIG },
   [SK_ZONE_EVACUATE] = { "zone-evacuate", SK_SUBJECT_ZONE, TRUE },
+  [SK_STORE_COPY] = { "store-copy", SK_SUBJECT_COPY, TRUE },
+  [SK_STORE_RESTORE] = { "store-restore", SK_SUBJECT_STORE },
+  [SK_ROUTE_ADD] = { "route-add", SK_SUBJECT_ADDED_ROUTE, TRUE },
+  [SK_ROUTE_MOVE] = { "route-move", SK_SUBJECT_MOVED_ROUTE, TRUE },
+  [SK_CONFIG_INVALID] = { "config-invalid", SK_SUBJECT_CONFIG, TRUE },
+};
+
+/* Duration of kinds for which it is not DURATION_MIN_MS to DURATION_MAX_MS. */
+static const struct
+{
+  int32_t min_ms;
+  int32_t max_ms;
+} durations[SK_FAULT_KIND_COUNT] = {
+  [SK_STORE_RESTORE] = { RESTORE_MIN_MS, RESTORE_MAX_MS },
+  [SK_ROUTE_ADD] = { ROUTE_MIN_MS, ROUTE_MAX_MS },
+  [SK_ROUTE_MOVE] = { ROUTE_MIN_MS, ROUTE_MAX_MS },
 };
 
 typedef struct
@@ -93,6 +129,8 @@
       return options->target_count;
     case SK_SUBJECT_ZONE:
       return options->zone_count;
+    case SK_SUBJECT_ADDED_ROUTE:
+      return SK_ADDED_ROUTE_COUNT;
     default:
       return 1;
     }
@@ -133,11 +171,17 @@
 
   fault.until_ms
       = at_ms
-        + g_rand_int_range (builder->random, DURATION_MIN_MS, DURATION_MAX_MS);
+        + (durations[kind].max_ms > 0
+               ? g_rand_int_range (builder->random, durations[kind].min_ms,
+                                   durations[kind].max_ms)
+               : g_rand_int_range (builder->random, DURATION_MIN_MS,
+                                   DURATION_MAX_MS));
   if (kind == SK_DAEMON_STOP)
     fault.until_ms = at_ms + STOP_DURATION_MS;
   if (kind == SK_KEY_ROTATE)
     fault.until_ms = at_ms + KEY_ROTATE_DURATION_MS;
+  if (kind == SK_STORE_COPY)
+    fault.until_ms = at_ms + COPY_DURATION_MS;
   if (fault.until_ms <= builder->options->until_ms
       && subject_is_free (builder, &fault))
     g_array_append_val (builder->faults, fault);
@@ -170,7 +214,7 @@
   while (at_ms < builder->options->until_ms)
     {
       SkFaultKind kind = (SkFaultKind)g_rand_int_range (builder->random, 0,
-                                                        SK_FAULT_KIND_COUNT);
+                                                        FIRST_KIND_COUNT);
       uint32_t subject_index = choose_subject (builder, kind);
       if (!builder->planned_only || sk_fault_kinds[kind].is_planned)
         add_fault (builder, kind, subject_index, at_ms);
@@ -181,6 +225,79 @@
     }
 }
 
+/* Adds a restore at AT_MS or as soon after it as the store has no other fault.
+   Returns its start, or -1 if there is no time for it.  */
+static int64_t
+add_restore (PlanBuilder *builder, int64_t at_ms)
+{
+  guint count = builder->faults->len;
+  int64_t last_ms
+      = builder->options->until_ms - SK_REWRITE_MAX_MS - RESTORE_MAX_MS;
+
+  for (; at_ms <= last_ms; at_ms += RESTORE_STEP_MS)
+    {
+      add_fault (builder, SK_STORE_RESTORE, 0, at_ms);
+      if (builder->faults->len > count)
+        return at_ms;
+    }
+  return -1;
+}
+
+/* The second of a series may come from the copy of the first.  */
+static void
+add_restores (PlanBuilder *builder)
+{
+  int32_t count
+      = g_rand_int_range (builder->random, 1, RESTORES_MAX_COUNT + 1);
+  int64_t at_ms = builder->options->from_ms
+                  + g_rand_int_range (builder->random, COPY_AGE_MIN_MS,
+                                      FIRST_RESTORE_MAX_MS);
+
+  for (int32_t i = 0; i < count; i++)
+    {
+      int64_t copy_ms;
+      at_ms = add_restore (builder, at_ms);
+      if (at_ms < 0)
+        return;
+      copy_ms = at_ms
+                - g_rand_int_range (builder->random, COPY_AGE_MIN_MS,
+                                    COPY_AGE_MAX_MS);
+      if (i != 1 || g_rand_boolean (builder->random))
+        add_fault (builder, SK_STORE_COPY, 0,
+                   MAX (copy_ms, builder->options->from_ms));
+      at_ms += g_rand_int_range (builder->random, RESTORE_MIN_MS,
+                                 RESTORE_MAX_MS + RESTORE_GAP_MAX_MS);
+    }
+}
+
+static void
+add_route_changes (PlanBuilder *builder)
+{
+  static const SkFaultKind kinds[]
+      = { SK_ROUTE_ADD, SK_ROUTE_ADD, SK_ROUTE_MOVE, SK_CONFIG_INVALID };
+  int64_t at_ms = builder->options->from_ms;
+
+  while (at_ms < builder->options->until_ms)
+    {
+      SkFaultKind kind
+          = kinds[g_rand_int_range (builder->random, 0, G_N_ELEMENTS (kinds))];
+      add_fault (builder, kind, choose_subject (builder, kind), at_ms);
+      at_ms += g_rand_int_range (builder->random, BACK_TO_BACK_GAP_MS,
+                                 ROUTE_CHANGE_GAP_MAX_MS);
+    }
+}
+
+static void
+add_second_edition (PlanBuilder *builder, uint32_t seed)
+{
+  g_rand_free (builder->random);
+  builder->random = g_rand_new_with_seed (seed ^ SECOND_STREAM);
+  if (g_rand_int_range (builder->random, 0, 100) < DRILL_PERCENT
+      || !builder->planned_only)
+    add_restores (builder);
+  add_route_changes (builder);
+}
+
 static int
 compare_start (gconstpointer a, gconstpointer b)
 {
@@ -207,6 +324,8 @@
   for (; at_ms < options->until_ms; at_ms += SERIES_INTERVAL_MS)
     add_series (&builder, at_ms);
   add_random_faults (&builder);
+  if (options->edition >= 2)
+    add_second_edition (&builder, seed);
   g_array_sort (builder.faults, compare_start);
   g_rand_free (builder.random);
   return builder.faults;
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -1,7 +1,7 @@
 /* plan.h - random faults of a soak test
 
    SYNOPSIS
-     SkPlanOptions options = { .daemon_count = 3, .target_count = 6, ... };
+     SkPlanOptions options = { .edition = 2, .daemon_count = 3, ... };
      GArray *plan = sk_plan_new (seed, &options);
 
    DESCRIPTION
@@ -11,7 +11,13 @@
      give the same plan.  Faults of different subjects overlap, and some start
      right after the one before; a subject has one fault at a time.  In each
      plan, series of stops and reloads of daemons coincide with new keys and
-     slow targets.  Half of the plans have planned faults only.
+     slow targets.  Half of the plans of edition 1 have planned faults only.
+
+     Edition 2 has the same faults as edition 1 with the same seed, and adds
+     from random numbers of their own: restores of the store, single or in
+     series, to plans that have other faults than planned ones and to some that
+     have not; and changes of the routes and invalid configurations to all
+     plans.  A restore puts the store back to the last copy.
 
    ERRORS
      None.  */
@@ -52,6 +58,12 @@
   SK_KEY_ROTATE,            /* new key; the old one is revoked */
   SK_CONFIG_STALE,          /* the first configuration is put back */
   SK_ZONE_EVACUATE,
+  /* Of edition 2.  */
+  SK_STORE_COPY,     /* copies the store's contents */
+  SK_STORE_RESTORE,  /* away, then back from the last copy */
+  SK_ROUTE_ADD,      /* added when it begins, removed when it ends */
+  SK_ROUTE_MOVE,     /* to another service and back */
+  SK_CONFIG_INVALID, /* an invalid configuration, then a valid one */
   SK_FAULT_KIND_COUNT,
 } SkFaultKind;
 
@@ -64,6 +76,9 @@
   SK_SUBJECT_TARGET,     /* or the link to it */
   SK_SUBJECT_CONFIG,
   SK_SUBJECT_ZONE,
+  SK_SUBJECT_COPY,
+  SK_SUBJECT_ADDED_ROUTE,
+  SK_SUBJECT_MOVED_ROUTE,
   SK_SUBJECT_COUNT,
 } SkSubjectKind;
 
@@ -84,6 +99,12 @@
   int64_t until_ms;
 } SkFault;
 
+/* Routes of SK_ROUTE_ADD that exist at the same time, at most.  */
+#define SK_ADDED_ROUTE_COUNT 3
+/* After a restore, everything that was lost is written again within this
+   time.  */
+#define SK_REWRITE_MAX_MS 2000
+
 typedef struct
 {
   uint32_t daemon_count;
@@ -91,6 +112,7 @@
   uint32_t zone_count;
   int64_t from_ms;  /* no fault starts earlier */
   int64_t until_ms; /* all faults have ended by then */
+  uint32_t edition; /* 1 or 2 */
 } SkPlanOptions;
 
 /* Returns SkFault ordered by from_ms.  Free with g_array_unref.  */
--- a/soak/record.c
+++ b/soak/record.c
@@ -8,6 +8,8 @@
 /* Timers of a daemon round to ms and start from the cached time of its event
    loop.  */
 #define TIMER_TOLERANCE_US 5000
+#define CONFIG_LATER_COUNT_MIN 20
+#define SLOWED_ROLLBACK_FACTOR 8
 
 SkRecord *
 sk_record_new (void)
@@ -16,6 +18,7 @@
 
   record->requests = g_array_new (FALSE, TRUE, sizeof (SkRequest));
   record->periods = g_array_new (FALSE, TRUE, sizeof (SkPeriod));
+  record->configs = g_array_new (FALSE, TRUE, sizeof (SkConfig));
   return record;
 }
 
@@ -26,6 +29,7 @@
     return;
   g_array_unref (record->requests);
   g_array_unref (record->periods);
+  g_array_unref (record->configs);
   g_free (record);
 }
 
@@ -42,6 +46,12 @@
   return &g_array_index (record->requests, SkRequest, index);
 }
 
+void
+sk_record_add_config (SkRecord *record, const SkConfig *config)
+{
+  g_array_append_val (record->configs, *config);
+}
+
 void
 sk_record_begin_period (SkRecord *record, SkPeriodKind kind,
                         const char *subject, int64_t now_us)
@@ -88,7 +98,7 @@
 {
   const SkBounds *bounds;
   SkRecord *record;
-  const char *(*zone_of) (const char *target);
+  const SkTargetNames *names;
   GPtrArray *violations;
   GArray *runs;                /* LogEntry */
   GArray *arrivals;            /* LogEntry */
@@ -214,7 +224,8 @@
             request->id, request->body);
       if (request->sent_us >= check->bounds->recovery_deadline_us
           && request->status != 200 && request->status != 429
-          && request->status != 401)
+          && request->status != 401
+          && (request->status != 404 || request->route[0] == '\0'))
         add_violation (check,
                        "recovery: %s got %d, %" G_GINT64_FORMAT
                        " ms after the recovery deadline",
@@ -248,7 +259,7 @@
                 const LogEntry *entry)
 {
   const char *subject = period->kind == SK_PERIOD_EVACUATED
-                            ? check->zone_of (entry->target)
+                            ? check->names->zone_of (entry->target)
                             : entry->target;
 
   return strcmp (subject, period->subject) == 0;
@@ -527,6 +538,255 @@
     }
 }
 
+/* Indexes in record->configs of the oldest and the newest configuration that
+   allow how a request was handled.  */
+typedef struct
+{
+  const SkRequest *request;
+  const char *target; /* NULL: refused by the daemon */
+  int64_t at_us;      /* of its arrival there or of the refusal */
+  int oldest;
+  int newest; /* -1: none allows it */
+} Handling;
+
+/* SERVICE may be NULL for any.  */
+static gboolean
+has_route (const SkConfig *config, const char *name, const char *service)
+{
+  g_auto (GStrv) routes = g_strsplit (config->routes, " ", -1);
+
+  for (char **route = routes; *route != NULL; route++)
+    {
+      g_auto (GStrv) parts = g_strsplit (*route, "=", 2);
+      if (g_strcmp0 (parts[0], name) == 0)
+        return service == NULL || g_strcmp0 (parts[1], service) == 0;
+    }
+  return FALSE;
+}
+
+static gboolean
+allows (const Check *check, const SkConfig *config, const Handling *handling)
+{
+  const SkRequest *request = handling->request;
+  gboolean has_key
+      = request->key_number == 0 || request->key_number == config->key_number;
+
+  if (handling->target != NULL)
+    return has_key
+           && has_route (config, request->route,
+                         check->names->service_of (handling->target));
+  return request->status == 404 ? !has_route (config, request->route, NULL)
+                                : request->status == 401 && !has_key;
+}
+
+static void
+add_handling (Check *check, GArray *handlings, Handling handling)
+{
+  handling.oldest = -1;
+  handling.newest = -1;
+  for (guint i = 0; i < check->record->configs->len; i++)
+    {
+      const SkConfig *config
+          = &g_array_index (check->record->configs, SkConfig, i);
+      if (!allows (check, config, &handling))
+        continue;
+      handling.newest = (int)i;
+      if (handling.oldest < 0)
+        handling.oldest = (int)i;
+    }
+  g_array_append_val (handlings, handling);
+}
+
+static GArray *
+find_handlings (Check *check)
+{
+  GArray *handlings = g_array_new (FALSE, FALSE, sizeof (Handling));
+
+  for (guint i = 0; i < check->record->requests->len; i++)
+    {
+      const SkRequest *request = sk_record_get_request (check->record, i);
+      if (request->route[0] != '\0'
+          && (request->status == 401 || request->status == 403
+              || request->status == 404))
+        add_handling (
+            check, handlings,
+            (Handling){ .request = request, .at_us = request->ended_us });
+    }
+  for (guint i = 0; i < check->arrivals->len; i++)
+    {
+      const LogEntry *entry = &g_array_index (check->arrivals, LogEntry, i);
+      const SkRequest *request = find_request (check, entry->id);
+      if (request != NULL && request->route[0] != '\0')
+        add_handling (check, handlings,
+                      (Handling){ .request = request,
+                                  .target = entry->target,
+                                  .at_us = entry->at_us });
+    }
+  return handlings;
+}
+
+static gboolean
+was_in_touch (const Check *check, const SkRequest *request)
+{
+  return !has_fault (check, SK_PERIOD_DAEMON_FAULT, request->daemon, request)
+         && !has_fault (check, SK_PERIOD_STOP, request->daemon, request)
+         && !has_fault (check, SK_PERIOD_STORE_LINK_FAULT, request->daemon,
+                        request)
+         && !has_fault (check, SK_PERIOD_STORE_FAULT, NULL, request);
+}
+
+/* Returns the index of the newest configuration that was acknowledged before
+   AT_US, or -1.  */
+static int
+find_config_at (const Check *check, int64_t at_us)
+{
+  int index = -1;
+
+  for (guint i = 0; i < check->record->configs->len; i++)
+    if (g_array_index (check->record->configs, SkConfig, i).acked_us < at_us)
+      index = (int)i;
+  return index;
+}
+
+static void
+add_config_violation (Check *check, const Handling *handling,
+                      const char *reason, int64_t late_us)
+{
+  const SkRequest *request = handling->request;
+
+  add_violation (check,
+                 "config: %s to %s on route %s with key %d got %d%s%s, "
+                 "%s (by %" G_GINT64_FORMAT " ms)",
+                 request->id, request->daemon, request->route,
+                 request->key_number, request->status,
+                 handling->target != NULL ? " from " : "",
+                 handling->target != NULL ? handling->target : "", reason,
+                 late_us / 1000);
+}
+
+/* Returns whether the daemon of REQUEST started a process after FROM_US and
+   before the end of REQUEST.  */
+static gboolean
+has_started_since (const Check *check, const SkRequest *request,
+                   int64_t from_us)
+{
+  for (guint i = 0; i < check->record->periods->len; i++)
+    {
+      const SkPeriod *period
+          = &g_array_index (check->record->periods, SkPeriod, i);
+      if (period->kind == SK_PERIOD_PROCESS
+          && strcmp (period->subject, request->daemon) == 0
+          && period->from_us > from_us && period->from_us <= request->ended_us)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+check_config_regress (Check *check, const GArray *handlings,
+                      const Handling *handling)
+{
+  const SkRequest *request = handling->request;
+  int64_t slack_us
+      = check->bounds->rollback_slack_us
+        * (has_fault (check, SK_PERIOD_DAEMON_FAULT, request->daemon, request)
+               ? SLOWED_ROLLBACK_FACTOR
+               : 1);
+
+  for (guint i = 0; i < handlings->len; i++)
+    {
+      const Handling *other = &g_array_index (handlings, Handling, i);
+      if (other->target == NULL || other->oldest <= handling->newest
+          || other->at_us + slack_us >= request->sent_us
+          || strcmp (other->request->daemon, request->daemon) != 0
+          || has_started_since (check, request, other->request->sent_us))
+        continue;
+      add_config_violation (check, handling,
+                            "after a target saw a newer configuration",
+                            request->sent_us - other->at_us);
+      return;
+    }
+}
+
+/* Whether REQUEST is owed by all configurations that may be in force.  */
+static gboolean
+is_owed (const Check *check, const SkRequest *request)
+{
+  int first = find_config_at (check, request->sent_us
+                                         - check->bounds->config_apply_us);
+
+  if (request->route[0] == '\0' || request->key_number != 0 || first < 0
+      || strcmp (request->customer, check->bounds->limited_customer) == 0)
+    return FALSE;
+  for (guint i = (guint)first; i < check->record->configs->len; i++)
+    {
+      const SkConfig *config
+          = &g_array_index (check->record->configs, SkConfig, i);
+      if (config->put_us <= request->ended_us
+          && !has_route (config, request->route, NULL))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static void
+check_config_later_routes (Check *check)
+{
+  guint sent_counts[2] = { 0 }; /* to the first routes, to later ones */
+  guint served_counts[2] = { 0 };
+
+  for (guint i = 0; i < check->record->requests->len; i++)
+    {
+      const SkRequest *request = sk_record_get_request (check->record, i);
+      int is_later;
+      if (request->ended_us == 0 || !is_owed (check, request)
+          || !was_in_touch (check, request))
+        continue;
+      is_later
+          = !has_route (&g_array_index (check->record->configs, SkConfig, 0),
+                        request->route, NULL);
+      sent_counts[is_later]++;
+      served_counts[is_later] += request->status == 200;
+    }
+  if (sent_counts[1] >= CONFIG_LATER_COUNT_MIN
+      && (uint64_t)served_counts[1] * 4 * sent_counts[0]
+             < (uint64_t)served_counts[0] * sent_counts[1])
+    add_violation (check,
+                   "config: %u of %u requests served on routes added later, "
+                   "%u of %u on others",
+                   served_counts[1], sent_counts[1], served_counts[0],
+                   sent_counts[0]);
+}
+
+static void
+check_config (Check *check)
+{
+  g_autoptr (GArray) handlings = NULL;
+
+  if (check->record->configs->len == 0)
+    return;
+  handlings = find_handlings (check);
+  for (guint i = 0; i < handlings->len; i++)
+    {
+      const Handling *handling = &g_array_index (handlings, Handling, i);
+      const SkRequest *request = handling->request;
+      int due = find_config_at (check, request->sent_us
+                                           - check->bounds->config_apply_us);
+      if (handling->newest < 0)
+        add_config_violation (check, handling, "which none allows", 0);
+      else if (handling->newest < due && was_in_touch (check, request))
+        add_config_violation (
+            check, handling, "which only an older one allows",
+            request->sent_us - check->bounds->config_apply_us
+                - g_array_index (check->record->configs, SkConfig,
+                                 handling->newest + 1)
+                      .acked_us);
+      else
+        check_config_regress (check, handlings, handling);
+    }
+  check_config_later_routes (check);
+}
+
 static void
 check_periods (Check *check)
 {
@@ -557,12 +817,11 @@
 
 GPtrArray *
 sk_record_check (SkRecord *record, const SkLogs *logs,
-                 const char *(*zone_of) (const char *target),
-                 const SkBounds *bounds)
+                 const SkTargetNames *names, const SkBounds *bounds)
 {
   Check check = { .bounds = bounds,
                   .record = record,
-                  .zone_of = zone_of,
+                  .names = names,
                   .violations = g_ptr_array_new_with_free_func (g_free) };
 
   check.request_indexes = g_hash_table_new (g_str_hash, g_str_equal);
@@ -581,6 +840,7 @@
   check_customer_rate (&check);
   check_retries (&check);
   check_lost (&check);
+  check_config (&check);
   g_hash_table_unref (check.run_counts);
   g_hash_table_unref (check.request_indexes);
   g_array_unref (check.runs);
--- a/soak/record.h
+++ b/soak/record.h
@@ -6,7 +6,7 @@
      sk_record_begin_period (record, SK_PERIOD_DRAIN, "t1", now_us);
      sk_record_end_period (record, SK_PERIOD_DRAIN, "t1", now_us);
      GPtrArray *violations
-         = sk_record_check (record, &logs, zone_of, &bounds);
+         = sk_record_check (record, &logs, &names, &bounds);
 
    DESCRIPTION
      The checks use only what is visible outside the daemons: responses to
@@ -47,6 +47,22 @@
                   the target was at work in the last sixth of stop_grace_us.
                   Stops, reloads, changes of the configuration, faults of the
                   store alone and slow targets excuse nothing else.
+       config     a request was handled (status 401, 403 or 404, or arrival at
+                  a target) as none of the configurations allows; or as only
+                  older ones than that acknowledged config_apply_us before it
+                  was sent, at a daemon in touch; or as only older ones than
+                  that of which a target saw the effect rollback_slack_us
+                  before, in one lifetime of the daemon's process, eight times
+                  that after a fault of the daemon; or, at daemons in touch,
+                  CONFIG_LATER_COUNT_MIN requests or more to routes that were
+                  added later were served less than a quarter as often as
+                  others.  A daemon is in touch if neither it, its link to the
+                  store nor the store had a fault, and it did not stop, from
+                  contact_us before the request to its end.  Configurations
+                  that the store lost, and that are written again, stay
+                  acknowledged.  max_skew_s, which excuses a core that is
+                  unstable but neither away nor slow, does not apply to the
+                  store faults of a plan.
        line       a line of a target that cannot be parsed
 
    ERRORS
@@ -62,6 +78,7 @@
 {
   char id[32];
   char daemon[8];       /* to which it was sent */
+  char route[8];        /* empty: not checked against configurations */
   const char *customer; /* static; "-" without one */
   int key_number;       /* of the key of c1 that was sent; else 0 */
   gboolean is_unsafe;
@@ -86,8 +103,19 @@
   SK_PERIOD_DAEMON_FAULT, /* subject: daemon; killed or paused */
   SK_PERIOD_STORE_LINK_FAULT, /* subject: daemon */
   SK_PERIOD_TARGET_FAULT,     /* subject: target; it or the link to it */
+  SK_PERIOD_STORE_FAULT,      /* any subject */
+  SK_PERIOD_PROCESS, /* subject: daemon; from the start of a process on */
 } SkPeriodKind;
 
+/* A valid configuration that the store acknowledged.  */
+typedef struct
+{
+  int64_t put_us;
+  int64_t acked_us;
+  int key_number;   /* of c1 */
+  char routes[128]; /* "NAME=SERVICE " for each */
+} SkConfig;
+
 /* Time during which the condition that KIND names holds for a subject.  */
 typedef struct
 {
@@ -115,8 +143,17 @@
   int64_t contact_us; /* after this, a fault has no effect any more */
   int64_t stop_grace_us;
   int64_t stop_sent_us;
+  int64_t config_apply_us;
+  int64_t rollback_slack_us;
 } SkBounds;
 
+/* Zone and service of a target.  */
+typedef struct
+{
+  const char *(*zone_of) (const char *target);
+  const char *(*service_of) (const char *target);
+} SkTargetNames;
+
 /* The lines of the targets.  */
 typedef struct
 {
@@ -129,6 +166,7 @@
 {
   GArray *requests; /* SkRequest */
   GArray *periods;  /* SkPeriod */
+  GArray *configs;  /* SkConfig, oldest first */
 } SkRecord;
 
 SkRecord *sk_record_new (void);
@@ -136,15 +174,16 @@
 /* Returns the index of the copy in RECORD->requests.  */
 guint sk_record_add_request (SkRecord *record, const SkRequest *request);
 SkRequest *sk_record_get_request (SkRecord *record, guint index);
+void sk_record_add_config (SkRecord *record, const SkConfig *config);
 void sk_record_begin_period (SkRecord *record, SkPeriodKind kind,
                              const char *subject, int64_t now_us);
 void sk_record_end_period (SkRecord *record, SkPeriodKind kind,
                            const char *subject, int64_t now_us);
 
 /* Returns the violations as strings, none in a correct run; free with
-   g_ptr_array_unref.  ZONE_OF returns the zone of a target.  */
+   g_ptr_array_unref.  */
 GPtrArray *sk_record_check (SkRecord *record, const SkLogs *logs,
-                            const char *(*zone_of) (const char *target),
+                            const SkTargetNames *names,
                             const SkBounds *bounds);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (SkRecord, sk_record_free)
--- a/soak/site.c
+++ b/soak/site.c
@@ -36,7 +36,9 @@
   char *address;
   char *link_address;
   gboolean is_draining;
+  gboolean is_removed;
   int cold_remaining_s;
+  int64_t rewrite_us; /* 0: nothing to write again */
 } Target;
 
 struct SkTestbed
@@ -50,9 +52,18 @@
   pid_t platform_pid;
   pid_t proxy_pid;
   Daemon daemons[SK_DAEMON_COUNT];
-  Target targets[SK_TARGET_COUNT];
+  Target targets[SK_ALL_TARGET_COUNT];
   int config_version;
+  char *first_config;
+  int written_version; /* newest that the store has acknowledged */
   int key_number;
+  int written_key_number;
+  int route_number;
+  int route_numbers[SK_ADDED_ROUTE_COUNT]; /* 0: none */
+  gboolean route_is_moved;
+  gboolean zone_is_evacuated[SK_ZONE_COUNT];
+  gboolean store_is_away;
+  int64_t operator_rewrite_us; /* 0: nothing to write again */
   int report_number;
   GPtrArray *errors;
 };
@@ -96,33 +107,117 @@
   post_control (testbed, testbed->control_address, path, value);
 }
 
+/* The store loses what is written while it is away; it is written after its
+   return.  */
+static void
+put_unless_away (SkTestbed *testbed, const char *key, const char *value)
+{
+  if (!testbed->store_is_away)
+    put_value (testbed, key, value);
+}
+
 static char *
-format_route (const char *name, const char *kind, gboolean is_open)
+format_route (const char *name, const char *service, const char *kind,
+              gboolean is_open)
 {
   return g_strdup_printf (
       "\"%s\":{\"host\":\"127.0.0.1\",\"prefix\":\"/%s/\",\"kind\":\"%s\","
       "\"timeout_s\":%d,\"target_latency_s\":0.5,\"priority\":1,"
-      "\"service\":\"s\",\"max_attempts\":2,\"sticky\":false,"
+      "\"service\":\"%s\",\"max_attempts\":2,\"sticky\":false,"
       "\"anonymous\":%s}",
-      name, name, kind, SK_TIMEOUT_MS / 1000, is_open ? "true" : "false");
+      name, name, kind, SK_TIMEOUT_MS / 1000, service,
+      is_open ? "true" : "false");
 }
 
+/* Adds a route to the documents and to the list that record.h describes.  */
 static void
-put_config (SkTestbed *testbed, int version, int key_number)
+add_route (GString *documents, GString *list, const char *name,
+           const char *service, const char *kind, gboolean is_open)
 {
-  g_autofree char *read = format_route ("read", "safe", FALSE);
-  g_autofree char *order = format_route ("order", "unsafe", FALSE);
-  g_autofree char *open = format_route ("open", "safe", TRUE);
-  g_autofree char *text = g_strdup_printf (
-      "{\"version\":\"r%d\",\"routes\":{%s,%s,%s},"
-      "\"services\":{\"s\":{\"max_connections\":100,\"cold_start_s\":3,"
-      "\"cold_per_s\":%d}},\"tenants\":{"
+  g_autofree char *document = format_route (name, service, kind, is_open);
+
+  g_string_append_printf (documents, "%s%s", documents->len > 0 ? "," : "",
+                          document);
+  g_string_append_printf (list, "%s=%s ", name, service);
+}
+
+static char *
+format_config (const char *version, const char *routes, int key_number)
+{
+  g_autofree char *service = g_strdup_printf (
+      "{\"max_connections\":100,\"cold_start_s\":3,\"cold_per_s\":%d}",
+      SK_COLD_PER_S);
+
+  return g_strdup_printf (
+      "{\"version\":\"%s\",\"routes\":%s,"
+      "\"services\":{\"s\":%s,\"s2\":%s},\"tenants\":{"
       "\"c1\":{\"api_keys\":[\"key-%d\"],\"rate_per_s\":0,\"burst\":0},"
       "\"c2\":{\"api_keys\":[\"limited\"],\"rate_per_s\":%d,\"burst\":%d}}}",
-      version, read, order, open, SK_COLD_PER_S, key_number, SK_LIMITED_PER_S,
+      version, routes, service, service, key_number, SK_LIMITED_PER_S,
       SK_LIMITED_PER_S);
+}
+
+static void
+record_config (SkTestbed *testbed, const char *routes, int64_t put_us)
+{
+  SkConfig config = { .put_us = put_us,
+                      .acked_us = g_get_monotonic_time (),
+                      .key_number = testbed->key_number };
+
+  if (testbed->written_version == testbed->config_version)
+    return;
+  g_strlcpy (config.routes, routes, sizeof config.routes);
+  sk_record_add_config (testbed->record, &config);
+  testbed->written_version = testbed->config_version;
+  for (int key = MAX (testbed->written_key_number, 1);
+       key < testbed->key_number; key++)
+    {
+      g_autofree char *subject = g_strdup_printf ("%d", key);
+      sk_record_begin_period (testbed->record, SK_PERIOD_KEY_REVOKED, subject,
+                              config.acked_us);
+    }
+  testbed->written_key_number = testbed->key_number;
+}
 
+/* Writes the newest configuration, which is not acknowledged while the store
+   is away.  */
+static void
+write_config (SkTestbed *testbed)
+{
+  g_autoptr (GString) routes = g_string_new (NULL);
+  g_autoptr (GString) list = g_string_new (NULL);
+  g_autofree char *version = g_strdup_printf ("r%d", testbed->config_version);
+  g_autofree char *documents = NULL;
+  g_autofree char *text = NULL;
+  int64_t put_us = g_get_monotonic_time ();
+
+  if (testbed->store_is_away)
+    return;
+  add_route (routes, list, "read", "s", "safe", FALSE);
+  add_route (routes, list, "order", "s", "unsafe", FALSE);
+  add_route (routes, list, "open", "s", "safe", TRUE);
+  add_route (routes, list, "move", testbed->route_is_moved ? "s2" : "s",
+             "safe", TRUE);
+  for (int i = 0; i < SK_ADDED_ROUTE_COUNT; i++)
+    if (testbed->route_numbers[i] != 0)
+      {
+        g_autofree char *name
+            = g_strdup_printf ("x%d", testbed->route_numbers[i]);
+        add_route (routes, list, name, "s", "safe", TRUE);
+      }
+  documents = g_strdup_printf ("{%s}", routes->str);
+  text = format_config (version, documents, testbed->key_number);
   put_value (testbed, "op/config", text);
+  record_config (testbed, list->str, put_us);
+  if (testbed->first_config == NULL)
+    testbed->first_config = g_steal_pointer (&text);
+}
+
+static void
+change_config (SkTestbed *testbed)
+{
+  testbed->config_version++;
+  write_config (testbed);
 }
 
 /* Writes the store entry in which target INDEX reports its state.  */
@@ -132,14 +227,15 @@
   const Target *target = &testbed->targets[index];
   g_autofree char *key = g_strconcat ("servers/", target->id, NULL);
   g_autofree char *text = g_strdup_printf (
-      "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"%s\",\"slots\":3,"
+      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"slots\":3,"
       "\"state\":\"%s\",\"cold_remaining_s\":%d,\"sequence\":%d,"
       "\"born\":1000}",
-      target->link_address, sk_testbed_target_zone (target->id),
+      sk_testbed_target_service (target->id), target->link_address,
+      sk_testbed_target_zone (target->id),
       target->is_draining ? "draining" : "ready", target->cold_remaining_s,
       ++testbed->report_number);
 
-  put_value (testbed, key, text);
+  put_unless_away (testbed, key, text);
 }
 
 static void
@@ -158,7 +254,28 @@
   g_autofree char *path
       = g_strconcat ("/remove?key=", prefix, "/", name, NULL);
 
-  post_control (testbed, testbed->control_address, path, "");
+  if (!testbed->store_is_away)
+    post_control (testbed, testbed->control_address, path, "");
+}
+
+static void
+write_target (SkTestbed *testbed, uint32_t index)
+{
+  if (testbed->targets[index].is_removed)
+    remove_key (testbed, "servers", testbed->targets[index].id);
+  else
+    put_target_report (testbed, index);
+}
+
+static void
+write_evacuation (SkTestbed *testbed, uint32_t index)
+{
+  g_autofree char *key = g_strconcat ("op/evacuate/", zones[index], NULL);
+
+  if (testbed->zone_is_evacuated[index])
+    put_unless_away (testbed, key, "{}");
+  else
+    remove_key (testbed, "op/evacuate", zones[index]);
 }
 
 /* Processes.  */
@@ -198,7 +315,7 @@
                    g_strdup_printf ("--store=%s", testbed->store_address));
   g_ptr_array_add (argv,
                    g_strdup_printf ("--control=%s", testbed->control_address));
-  for (int i = 0; i < SK_TARGET_COUNT; i++)
+  for (int i = 0; i < SK_ALL_TARGET_COUNT; i++)
     g_ptr_array_add (argv, g_strdup_printf ("%s=%s", testbed->targets[i].id,
                                             testbed->targets[i].address));
   g_ptr_array_add (argv, NULL);
@@ -228,7 +345,7 @@
   for (int i = 0; i < SK_DAEMON_COUNT; i++)
     g_string_append_printf (links, "store-%d %s %s\n", i,
                             store_link_addresses[i], testbed->store_address);
-  for (int i = 0; i < SK_TARGET_COUNT; i++)
+  for (int i = 0; i < SK_ALL_TARGET_COUNT; i++)
     g_string_append_printf (links, "target-%d %s %s\n", i,
                             testbed->targets[i].link_address,
                             testbed->targets[i].address);
@@ -255,6 +372,16 @@
     add_error (testbed, "cannot write %s", daemon->settings_path);
 }
 
+static void
+record_daemon_start (SkTestbed *testbed, const Daemon *daemon)
+{
+  g_autofree char *subject
+      = g_strdup_printf ("vm%d", (int)(daemon - testbed->daemons));
+
+  sk_record_begin_period (testbed->record, SK_PERIOD_PROCESS, subject,
+                          daemon->started_us);
+}
+
 static gboolean
 spawn_daemon (SkTestbed *testbed, Daemon *daemon, GError **error)
 {
@@ -266,6 +393,7 @@
   daemon->stopping_us = 0;
   daemon->started_us = g_get_monotonic_time ();
   daemon->pid = si_process_spawn (argv, daemon->log_path, error);
+  record_daemon_start (testbed, daemon);
   return daemon->pid != 0;
 }
 
@@ -304,8 +432,8 @@
             && start_proxy (testbed, store_link_addresses, error);
   if (started)
     {
-      put_config (testbed, ++testbed->config_version, testbed->key_number);
-      for (uint32_t i = 0; i < SK_TARGET_COUNT; i++)
+      change_config (testbed);
+      for (uint32_t i = 0; i < SK_ALL_TARGET_COUNT; i++)
         {
           put_target_report (testbed, i);
           set_service_time (testbed, i, SERVICE_MS);
@@ -331,7 +459,7 @@
   testbed->proxy_address = find_free_address ();
   testbed->key_number = 1;
   testbed->errors = g_ptr_array_new_with_free_func (g_free);
-  for (int i = 0; i < SK_TARGET_COUNT; i++)
+  for (int i = 0; i < SK_ALL_TARGET_COUNT; i++)
     {
       testbed->targets[i].id = g_strdup_printf ("t%d", i);
       testbed->targets[i].address = find_free_address ();
@@ -359,13 +487,14 @@
     }
   si_process_kill (testbed->proxy_pid);
   si_process_kill (testbed->platform_pid);
-  for (int i = 0; i < SK_TARGET_COUNT; i++)
+  for (int i = 0; i < SK_ALL_TARGET_COUNT; i++)
     {
       g_free (testbed->targets[i].id);
       g_free (testbed->targets[i].address);
       g_free (testbed->targets[i].link_address);
     }
   g_ptr_array_unref (testbed->errors);
+  g_free (testbed->first_config);
   g_free (testbed->proxy_address);
   g_free (testbed->control_address);
   g_free (testbed->store_address);
@@ -471,9 +600,86 @@
       "/store?fault=", begins ? faults[fault->kind] : "none", NULL);
 
   record_unstable_period (testbed, fault, begins);
+  record_period (testbed, SK_PERIOD_STORE_FAULT, "store", begins);
   post_control (testbed, testbed->control_address, path, "");
 }
 
+static void
+copy_store (SkTestbed *testbed, const SkFault *fault, gboolean begins)
+{
+  (void)fault;
+  if (begins)
+    post_control (testbed, testbed->control_address, "/save", "");
+}
+
+/* Draws the times at which operator and targets write again.  */
+static void
+schedule_rewrites (SkTestbed *testbed, const SkFault *fault)
+{
+  GRand *random = g_rand_new_with_seed ((guint32)fault->from_ms);
+  int64_t now_us = g_get_monotonic_time ();
+
+  testbed->operator_rewrite_us
+      = now_us + g_rand_int_range (random, 1, SK_REWRITE_MAX_MS) * 1000;
+  for (int i = 0; i < SK_ALL_TARGET_COUNT; i++)
+    testbed->targets[i].rewrite_us
+        = now_us + g_rand_int_range (random, 1, SK_REWRITE_MAX_MS) * 1000;
+  g_rand_free (random);
+}
+
+/* The store is unstable until everything has been written again.  */
+static void
+restore_store (SkTestbed *testbed, const SkFault *fault, gboolean begins)
+{
+  const char *away
+      = fault->from_ms % 2 == 0 ? "/store?fault=silent" : "/store?fault=reset";
+
+  testbed->store_is_away = begins;
+  record_period (testbed, SK_PERIOD_STORE_FAULT, "restore", begins);
+  if (begins)
+    {
+      record_period (testbed, SK_PERIOD_UNSTABLE, "restore", TRUE);
+      post_control (testbed, testbed->control_address, away, "");
+      return;
+    }
+  post_control (testbed, testbed->control_address, "/restore", "");
+  post_control (testbed, testbed->control_address, "/store?fault=none", "");
+  schedule_rewrites (testbed, fault);
+}
+
+void
+sk_testbed_rewrite_lost (SkTestbed *testbed)
+{
+  int64_t now_us = g_get_monotonic_time ();
+  gboolean all_written = TRUE;
+
+  if (testbed->store_is_away)
+    return;
+  for (uint32_t i = 0; i < SK_ALL_TARGET_COUNT; i++)
+    {
+      Target *target = &testbed->targets[i];
+      if (target->rewrite_us != 0 && now_us >= target->rewrite_us)
+        {
+          target->rewrite_us = 0;
+          write_target (testbed, i);
+        }
+      all_written = all_written && target->rewrite_us == 0;
+    }
+  if (testbed->operator_rewrite_us != 0
+      && now_us >= testbed->operator_rewrite_us)
+    {
+      testbed->operator_rewrite_us = 0;
+      /* The last version may be that of an invalid configuration.  */
+      if (testbed->written_version != testbed->config_version)
+        testbed->config_version++;
+      write_config (testbed);
+      for (uint32_t i = 0; i < SK_ZONE_COUNT; i++)
+        write_evacuation (testbed, i);
+    }
+  if (all_written && testbed->operator_rewrite_us == 0)
+    record_period (testbed, SK_PERIOD_UNSTABLE, "restore", FALSE);
+}
+
 static void
 compact_store (SkTestbed *testbed, const SkFault *fault, gboolean begins)
 {
@@ -565,10 +771,8 @@
 static void
 remove_target (SkTestbed *testbed, const SkFault *fault, gboolean begins)
 {
-  if (begins)
-    remove_key (testbed, "servers", testbed->targets[fault->subject_index].id);
-  else
-    put_target_report (testbed, fault->subject_index);
+  testbed->targets[fault->subject_index].is_removed = begins;
+  write_target (testbed, fault->subject_index);
 }
 
 static void
@@ -581,20 +785,86 @@
   if (!begins)
     record_period (testbed, SK_PERIOD_COLD, target->id, FALSE);
   put_target_report (testbed, fault->subject_index);
-  if (begins)
+  /* A report that the store has not accepted binds nobody.  */
+  if (begins && !testbed->store_is_away)
     record_period (testbed, SK_PERIOD_COLD, target->id, TRUE);
 }
 
 static void
 rotate_key (SkTestbed *testbed, const SkFault *fault, gboolean begins)
 {
-  g_autofree char *old = g_strdup_printf ("%d", testbed->key_number);
-
   (void)fault;
   if (!begins)
     return;
-  put_config (testbed, ++testbed->config_version, ++testbed->key_number);
-  record_period (testbed, SK_PERIOD_KEY_REVOKED, old, TRUE);
+  testbed->key_number++;
+  change_config (testbed);
+}
+
+/* Later ones have numbers of their own, so that a request shows which versions
+   its daemon may have.  */
+static void
+add_numbered_route (SkTestbed *testbed, const SkFault *fault, gboolean begins)
+{
+  testbed->route_numbers[fault->subject_index]
+      = begins ? ++testbed->route_number : 0;
+  change_config (testbed);
+}
+
+static void
+move_route (SkTestbed *testbed, const SkFault *fault, gboolean begins)
+{
+  (void)fault;
+  testbed->route_is_moved = begins;
+  change_config (testbed);
+}
+
+/* Documents that no daemon may apply: each has the route /bad/ and lacks the
+   others.  */
+static char *
+format_invalid_config (const SkTestbed *testbed, int64_t variant)
+{
+  static const struct
+  {
+    const char *version; /* NULL: the next one */
+    const char *service;
+    const char *kind;
+    const char *routes; /* NULL: the route /bad/ */
+    gboolean is_cut;
+  } variants[] = {
+    { NULL, "s", "safe", NULL, TRUE },
+    { NULL, "s", "safe", "[]", FALSE },
+    { "x", "s", "safe", NULL, FALSE },
+    { NULL, "none", "safe", NULL, FALSE },
+    { NULL, "s", "sometimes", NULL, FALSE },
+  };
+  guint index = (guint)(variant % (int64_t)G_N_ELEMENTS (variants));
+  g_autofree char *next = g_strdup_printf ("r%d", testbed->config_version);
+  g_autofree char *route = format_route ("bad", variants[index].service,
+                                         variants[index].kind, TRUE);
+  g_autofree char *routes = g_strdup_printf ("{%s}", route);
+  char *text = format_config (
+      variants[index].version != NULL ? variants[index].version : next,
+      variants[index].routes != NULL ? variants[index].routes : routes,
+      testbed->key_number);
+
+  if (variants[index].is_cut)
+    text[strlen (text) - 1] = '\0';
+  return text;
+}
+
+static void
+put_invalid_config (SkTestbed *testbed, const SkFault *fault, gboolean begins)
+{
+  g_autofree char *text = NULL;
+
+  testbed->config_version++;
+  if (!begins)
+    {
+      write_config (testbed);
+      return;
+    }
+  text = format_invalid_config (testbed, fault->from_ms);
+  put_unless_away (testbed, "op/config", text);
 }
 
 /* Puts back the first configuration with its revoked key, which a correct
@@ -603,23 +873,20 @@
 put_stale_config (SkTestbed *testbed, const SkFault *fault, gboolean begins)
 {
   (void)fault;
-  if (begins && testbed->key_number > 1)
-    put_config (testbed, 1, 1);
-  else if (!begins)
-    put_config (testbed, ++testbed->config_version, testbed->key_number);
+  record_period (testbed, SK_PERIOD_STORE_FAULT, "stale", begins);
+  if (!begins)
+    change_config (testbed);
+  else if (testbed->key_number > 1)
+    put_unless_away (testbed, "op/config", testbed->first_config);
 }
 
 static void
 evacuate_zone (SkTestbed *testbed, const SkFault *fault, gboolean begins)
 {
-  const char *zone = zones[fault->subject_index];
-  g_autofree char *key = g_strconcat ("op/evacuate/", zone, NULL);
-
-  if (begins)
-    put_value (testbed, key, "{}");
-  else
-    remove_key (testbed, "op/evacuate", zone);
-  record_period (testbed, SK_PERIOD_EVACUATED, zone, begins);
+  testbed->zone_is_evacuated[fault->subject_index] = begins;
+  write_evacuation (testbed, fault->subject_index);
+  record_period (testbed, SK_PERIOD_EVACUATED, zones[fault->subject_index],
+                 begins);
 }
 
 static const FaultAction fault_actions[SK_FAULT_KIND_COUNT] = {
@@ -651,6 +918,11 @@
   [SK_KEY_ROTATE] = rotate_key,
   [SK_CONFIG_STALE] = put_stale_config,
   [SK_ZONE_EVACUATE] = evacuate_zone,
+  [SK_STORE_COPY] = copy_store,
+  [SK_STORE_RESTORE] = restore_store,
+  [SK_ROUTE_ADD] = add_numbered_route,
+  [SK_ROUTE_MOVE] = move_route,
+  [SK_CONFIG_INVALID] = put_invalid_config,
 };
 
 void
@@ -714,6 +986,12 @@
   return testbed->key_number;
 }
 
+int
+sk_testbed_route_number (const SkTestbed *testbed)
+{
+  return testbed->route_number;
+}
+
 char *
 sk_testbed_get_runs (const SkTestbed *testbed)
 {
@@ -739,6 +1017,12 @@
   return zones[(target[1] - '0') % SK_ZONE_COUNT];
 }
 
+const char *
+sk_testbed_target_service (const char *target)
+{
+  return target[1] - '0' < SK_TARGET_COUNT ? "s" : "s2";
+}
+
 const GPtrArray *
 sk_testbed_errors (const SkTestbed *testbed)
 {
--- a/soak/soak_test.cc
+++ b/soak/soak_test.cc
@@ -13,11 +13,12 @@
 {
 
 const SkPlanOptions kPlanOptions = {
-  3,    /* daemons */
-  6,    /* targets */
-  3,    /* zones */
-  2000, /* from_ms */
-  16000 /* until_ms */
+  3,     /* daemons */
+  6,     /* targets */
+  3,     /* zones */
+  2000,  /* from_ms */
+  16000, /* until_ms */
+  2      /* edition */
 };
 
 /* Guards against a seed whose faults cannot be reproduced.  */
@@ -107,12 +108,109 @@
   EXPECT_LT (planned_only_count, 70);
 }
 
+/* Guards against plans of edition 1 that change, so that the seeds that failed
+   in it no longer play the faults with which they failed.  */
+TEST (Plan, FirstEditionKeepsItsFaults)
+{
+  const struct
+  {
+    uint32_t seed;
+    const char *checksum;
+  } plans[] = { { 1, "cbd1129f" }, { 2, "b73b692d" }, { 3, "b3a84c7e" },
+                { 5, "6b0b8922" }, { 8, "d1b35971" }, { 10, "04605cbd" },
+                { 13, "b2d12344" } };
+  SkPlanOptions options = kPlanOptions;
+  options.from_ms = 2500;
+  options.edition = 1;
+  for (const auto &expected : plans)
+    {
+      GArray *plan = sk_plan_new (expected.seed, &options);
+      std::string text;
+      for (guint i = 0; i < plan->len; i++)
+        {
+          const SkFault &fault = g_array_index (plan, SkFault, i);
+          text += std::to_string (fault.kind) + " "
+                  + std::to_string (fault.subject_index) + " "
+                  + std::to_string (fault.from_ms) + " "
+                  + std::to_string (fault.until_ms) + "\n";
+        }
+      char *checksum
+          = g_compute_checksum_for_string (G_CHECKSUM_MD5, text.c_str (), -1);
+      EXPECT_EQ (std::string (checksum).substr (0, 8), expected.checksum)
+          << expected.seed;
+      g_free (checksum);
+      g_array_unref (plan);
+    }
+}
+
+/* Guards against a second edition without the faults of the first.  */
+TEST (Plan, SecondEditionAddsToFirst)
+{
+  SkPlanOptions first = kPlanOptions;
+  first.edition = 1;
+  for (uint32_t seed = 1; seed <= 20; seed++)
+    {
+      GArray *a = sk_plan_new (seed, &first);
+      GArray *b = sk_plan_new (seed, &kPlanOptions);
+      guint found_count = 0;
+      for (guint i = 0; i < b->len && found_count < a->len; i++)
+        found_count
+            += memcmp (&g_array_index (a, SkFault, found_count),
+                       &g_array_index (b, SkFault, i), sizeof (SkFault))
+               == 0;
+      EXPECT_EQ (found_count, a->len) << seed;
+      EXPECT_GT (b->len, a->len) << seed;
+      g_array_unref (a);
+      g_array_unref (b);
+    }
+}
+
+/* Guards against restores without a copy some seconds old, and against ones
+   after which there is no time to write again what was lost.  */
+TEST (Plan, RestoresComeFromCopiesOfSomeSeconds)
+{
+  int restore_count = 0;
+  int series_count = 0;
+  for (uint32_t seed = 1; seed <= 100; seed++)
+    {
+      GArray *plan = sk_plan_new (seed, &kPlanOptions);
+      int64_t copy_ms = -1;
+      int plan_count = 0;
+      for (guint i = 0; i < plan->len; i++)
+        {
+          const SkFault &fault = g_array_index (plan, SkFault, i);
+          if (fault.kind == SK_STORE_COPY)
+            copy_ms = fault.from_ms;
+          if (fault.kind != SK_STORE_RESTORE)
+            continue;
+          plan_count++;
+          EXPECT_GE (copy_ms, 0) << seed;
+          EXPECT_LE (fault.until_ms - copy_ms, 15000) << seed;
+          EXPECT_LE (fault.until_ms, kPlanOptions.until_ms - SK_REWRITE_MAX_MS)
+              << seed;
+        }
+      restore_count += plan_count;
+      series_count += plan_count > 1;
+      g_array_unref (plan);
+    }
+  EXPECT_GT (restore_count, 60);
+  EXPECT_GT (series_count, 20);
+}
+
 const char *
 TargetZone (const char *target)
 {
   return target[1] == '0' ? "a1" : "b1";
 }
 
+const char *
+TargetService (const char *target)
+{
+  return target[1] == '2' ? "s2" : "s";
+}
+
+const SkTargetNames names = { TargetZone, TargetService };
+
 /* Guards against checks that detect nothing, or too much: each check gets a
    record that violates it and one that does not.  */
 class Record : public testing::Test
@@ -162,8 +260,7 @@
   {
     std::string arrivals = runs + more_arrivals;
     SkLogs logs = { runs.c_str (), arrivals.c_str (), answers.c_str () };
-    GPtrArray *violations
-        = sk_record_check (record, &logs, TargetZone, &bounds);
+    GPtrArray *violations = sk_record_check (record, &logs, &names, &bounds);
     std::string labels;
     for (guint i = 0; i < violations->len; i++)
       labels += std::string ((char *)violations->pdata[i]).substr (0, 5) + "|";
@@ -188,7 +285,9 @@
     200,        /* loss_slack_us */
     3000,       /* contact_us */
     6000,       /* stop_grace_us */
-    3000        /* stop_sent_us */
+    3000,       /* stop_sent_us */
+    2000,       /* config_apply_us */
+    250         /* rollback_slack_us */
   };
 };
 
@@ -388,4 +487,189 @@
   EXPECT_EQ (CheckRecord (""), "");
 }
 
+class Config : public Record
+{
+protected:
+  Config () { bounds.retry_reserve_count = 100; }
+
+  void
+  AddConfig (int64_t acked_us, const char *routes, int key_number = 1)
+  {
+    SkConfig config = {};
+    config.put_us = acked_us - 10;
+    config.acked_us = acked_us;
+    config.key_number = key_number;
+    g_strlcpy (config.routes, routes, sizeof config.routes);
+    sk_record_add_config (record, &config);
+  }
+
+  /* To vm0; ends after 100 us.  */
+  SkRequest *
+  AddRouted (const char *id, const char *route, int64_t sent_us, int status)
+  {
+    SkRequest *request = AddRequest (id, sent_us, status);
+    g_strlcpy (request->daemon, "vm0", sizeof request->daemon);
+    g_strlcpy (request->route, route, sizeof request->route);
+    request->deadline_us = sent_us + 20000;
+    request->ended_us = sent_us + 100;
+    return request;
+  }
+};
+
+/* Guards against an added route that is not served in time.  */
+TEST_F (Config, FindsAddedRouteThatIsRefused)
+{
+  AddConfig (100, "read=s ");
+  AddConfig (10000, "read=s x1=s ");
+  AddRouted ("q1", "x1", 11900, 404);
+  EXPECT_EQ (CheckRecord (""), "");
+  AddRouted ("q2", "x1", 12100, 404);
+  EXPECT_EQ (CheckRecord (""), "confi|");
+}
+
+/* Guards against a removed route that is served.  */
+TEST_F (Config, FindsRemovedRouteThatIsServed)
+{
+  AddConfig (100, "read=s x1=s ");
+  AddConfig (10000, "read=s ");
+  AddRouted ("q1", "x1", 11900, 200);
+  EXPECT_EQ (CheckRecord ("11950 t0 q1 c1 nokey\n"), "");
+  AddRouted ("q2", "x1", 12100, 200);
+  EXPECT_EQ (CheckRecord ("11950 t0 q1 c1 nokey\n12150 t0 q2 c1 nokey\n"),
+             "confi|");
+}
+
+/* Guards against a moved route that runs at its old service.  */
+TEST_F (Config, FindsMovedRouteAtItsOldService)
+{
+  AddConfig (100, "move=s ");
+  AddConfig (10000, "move=s2 ");
+  AddRouted ("q1", "move", 12100, 503);
+  EXPECT_EQ (CheckRecord ("", "12150 t2 q1 c1 nokey\n"), "");
+  EXPECT_EQ (CheckRecord ("", "12150 t0 q1 c1 nokey\n"), "confi|");
+}
+
+/* Guards against a key that is in force and refused, and a withdrawn one that
+   runs.  */
+TEST_F (Config, FindsKeyOfOlderConfiguration)
+{
+  AddConfig (100, "read=s ", 1);
+  AddConfig (10000, "read=s ", 2);
+  AddRouted ("q1", "read", 12100, 401);
+  EXPECT_EQ (CheckRecord (""), "");
+  AddRouted ("q2", "read", 12100, 401)->key_number = 2;
+  EXPECT_EQ (CheckRecord (""), "confi|");
+  AddRouted ("q3", "read", 12100, 503);
+  EXPECT_EQ (CheckRecord ("", "12150 t0 q3 c1 nokey\n"), "confi|confi|");
+}
+
+/* Guards against faults that do not excuse a late change, and against faults
+   of others, or longer ago, that do.  */
+TEST_F (Config, ExcusesDaemonsOutOfTouch)
+{
+  struct
+  {
+    SkPeriodKind kind;
+    const char *subject;
+    bool excuses;
+  } periods[] = { { SK_PERIOD_DAEMON_FAULT, "vm0", true },
+                  { SK_PERIOD_STOP, "vm0", true },
+                  { SK_PERIOD_STORE_LINK_FAULT, "vm0", true },
+                  { SK_PERIOD_STORE_FAULT, "restore", true },
+                  { SK_PERIOD_UNSTABLE, "restore", false },
+                  { SK_PERIOD_DAEMON_FAULT, "vm1", false },
+                  { SK_PERIOD_STORE_LINK_FAULT, "vm1", false },
+                  { SK_PERIOD_TARGET_FAULT, "t0", false } };
+  AddConfig (100, "read=s ");
+  AddConfig (10000, "read=s x1=s ");
+  AddRouted ("q1", "x1", 20000, 404);
+  for (const auto &period : periods)
+    {
+      g_array_set_size (record->periods, 0);
+      AddPeriod (period.kind, period.subject, 15000, 17000);
+      EXPECT_EQ (CheckRecord (""), period.excuses ? "" : "confi|");
+      g_array_set_size (record->periods, 0);
+      AddPeriod (period.kind, period.subject, 15000, 16999);
+      EXPECT_EQ (CheckRecord (""), "confi|");
+    }
+}
+
+/* Guards against an invalid configuration that is taken: it alone has the
+   route, or it lacks a route that all others have.  */
+TEST_F (Config, FindsHandlingThatNoConfigurationAllows)
+{
+  AddConfig (100, "read=s ");
+  AddPeriod (SK_PERIOD_DAEMON_FAULT, "vm0", 0, 30000);
+  AddRouted ("q1", "bad", 10000, 404);
+  AddRouted ("q2", "read", 10000, 503);
+  EXPECT_EQ (CheckRecord (""), "");
+  AddRouted ("q3", "bad", 10000, 200);
+  AddRouted ("q4", "read", 10000, 404);
+  AddRouted ("q5", "read", 10000, 403);
+  EXPECT_EQ (CheckRecord ("10050 t0 q3 c1 nokey\n"), "confi|confi|confi|");
+}
+
+/* Guards against an older configuration that comes back within the lifetime of
+   a process, also out of touch and before a change must be in force.  */
+TEST_F (Config, FindsOlderConfigurationThatComesBack)
+{
+  AddPeriod (SK_PERIOD_PROCESS, "vm0", 50, G_MAXINT64);
+  AddPeriod (SK_PERIOD_STORE_FAULT, "restore", 10000, 20000);
+  AddConfig (100, "read=s ");
+  AddConfig (10000, "read=s x1=s ");
+  AddRouted ("q1", "x1", 10100, 200);
+  const std::string run = "10150 t0 q1 c1 nokey\n";
+  SkRequest *request = AddRouted ("q2", "x1", 10400, 404);
+  EXPECT_EQ (CheckRecord (run), "");
+  request->sent_us = 10401;
+  EXPECT_EQ (CheckRecord (run), "confi|");
+  g_strlcpy (request->daemon, "vm1", sizeof request->daemon);
+  EXPECT_EQ (CheckRecord (run), "");
+  g_strlcpy (request->daemon, "vm0", sizeof request->daemon);
+  AddPeriod (SK_PERIOD_PROCESS, "vm0", 10300, G_MAXINT64);
+  EXPECT_EQ (CheckRecord (run), "");
+}
+
+/* Guards against a daemon that was paused and has eight times the slack, or no
+   bound.  */
+TEST_F (Config, AllowsPausedDaemonLongerToReturnToItsConfiguration)
+{
+  AddPeriod (SK_PERIOD_DAEMON_FAULT, "vm0", 10200, 10300);
+  AddConfig (100, "read=s ");
+  AddConfig (10000, "read=s x1=s ");
+  AddRouted ("q1", "x1", 10100, 200);
+  const std::string run = "10150 t0 q1 c1 nokey\n";
+  SkRequest *request = AddRouted ("q2", "x1", 12150, 404);
+  EXPECT_EQ (CheckRecord (run), "");
+  request->sent_us = 12151;
+  EXPECT_EQ (CheckRecord (run), "confi|");
+}
+
+/* Guards against routes that were added later and get refusals that promise
+   nothing about the configuration, while others are served.  */
+TEST_F (Config, FindsLaterRoutesServedLessThanOthers)
+{
+  AddConfig (100, "open=s ");
+  AddConfig (10000, "open=s x1=s ");
+  std::string runs;
+  for (int i = 0; i < 40; i++)
+    {
+      std::string id = "q" + std::to_string (i);
+      bool is_later = i % 2 != 0;
+      bool is_served = !is_later || i < 10;
+      AddRouted (id.c_str (), is_later ? "x1" : "open", 20000 + i,
+                 is_served ? 200 : 503)
+          ->key_number
+          = 0;
+      if (is_served)
+        runs += std::to_string (20050 + i) + " t0 " + id + " c1 nokey\n";
+    }
+  EXPECT_EQ (CheckRecord (runs), "");
+  SkRequest *request = sk_record_get_request (record, 9);
+  request->status = 503;
+  EXPECT_EQ (CheckRecord (runs), "confi|");
+  request->route[0] = '\0';
+  EXPECT_EQ (CheckRecord (runs), "");
+}
+
 }
