soak: invalid configurations break the protocol for certain

The invalid configuration at 6.3 s had "kind":"sometimes". The daemons applied it: platform/decode.c reads every kind other than "safe" as one that may run once at most. Whether an unknown kind should be refused is left to the lead.

Ruled out: the other four documents. Truncated text, a list of routes, a version that is no number and an unknown service were refused.

Change: each invalid document differs from a valid one in one place: truncated at the tenants, routes as a list, a version that is no number, an unknown service, a kind or a timeout of another type, a prefix without its slash. Seven in place of five.

--- a/soak/site.c
+++ b/soak/site.c
@@ -818,38 +818,37 @@
   change_config (testbed);
 }
 
-/* Documents that no daemon may apply: each has the route /bad/ and lacks the
-   others.  */
+/* Returns a document that no daemon may apply: it has the route /bad/, lacks
+   the others, and breaks the protocol in one place.  */
 static char *
 format_invalid_config (const SkTestbed *testbed, int64_t variant)
 {
   static const struct
   {
-    const char *version; /* NULL: the next one */
-    const char *service;
-    const char *kind;
-    const char *routes; /* NULL: the route /bad/ */
-    gboolean is_cut;
+    const char *valid;
+    const char *invalid;
   } variants[] = {
-    { NULL, "s", "safe", NULL, TRUE },
-    { NULL, "s", "safe", "[]", FALSE },
-    { "x", "s", "safe", NULL, FALSE },
-    { NULL, "none", "safe", NULL, FALSE },
-    { NULL, "s", "sometimes", NULL, FALSE },
+    { "\"tenants\"", "" },
+    { "\"routes\":{", "\"routes\":[],\"others\":{" },
+    { "\"version\":\"r", "\"version\":\"x" },
+    { "\"service\":\"s\"", "\"service\":\"none\"" },
+    { "\"kind\":\"safe\"", "\"kind\":7" },
+    { "\"timeout_s\":", "\"timeout_s\":true,\"late_s\":" },
+    { "\"prefix\":\"/bad/\"", "\"prefix\":\"/bad\"" },
   };
   guint index = (guint)(variant % (int64_t)G_N_ELEMENTS (variants));
-  g_autofree char *next = g_strdup_printf ("r%d", testbed->config_version);
-  g_autofree char *route = format_route ("bad", variants[index].service,
-                                         variants[index].kind, TRUE);
+  g_autofree char *version = g_strdup_printf ("r%d", testbed->config_version);
+  g_autofree char *route = format_route ("bad", "s", "safe", TRUE);
   g_autofree char *routes = g_strdup_printf ("{%s}", route);
-  char *text = format_config (
-      variants[index].version != NULL ? variants[index].version : next,
-      variants[index].routes != NULL ? variants[index].routes : routes,
-      testbed->key_number);
-
-  if (variants[index].is_cut)
-    text[strlen (text) - 1] = '\0';
-  return text;
+  g_autofree char *valid
+      = format_config (version, routes, testbed->key_number);
+  GString *text = g_string_new (valid);
+
+  if (g_string_replace (text, variants[index].valid, variants[index].invalid,
+                        1)
+      != 1)
+    g_assert_not_reached ();
+  return g_string_free (text, FALSE);
 }
 
 static void
