soak: a restore loses routes that were added since its copy

Cause: with the guard against older configurations removed from entry/view.c, seeds 2013, 2028 and 2053 reported nothing, though the log of 2053 shows that a daemon went back from configuration 12 to 11. What the copy lacked there was a key only; requests with a key get 503 while the store is older, which no check can tell from a correct refusal.

Ruled out: the check. Config.FindsOlderConfigurationThatComesBack reports such a record.

Change: edition 2 adds routes between each copy and its restore, drawn last, so that the other faults of a seed stay. Plan.RestoresLoseAddedRoutes.

--- a/soak/plan.c
+++ b/soak/plan.c
@@ -287,6 +287,31 @@
     }
 }
 
+/* Adds a route between each copy and the restore from it, which loses it.  */
+static void
+add_lost_routes (PlanBuilder *builder)
+{
+  guint count = builder->faults->len;
+
+  for (guint i = 0; i < count; i++)
+    {
+      const SkFault restore = g_array_index (builder->faults, SkFault, i);
+      int64_t copy_ms = builder->options->from_ms;
+      if (restore.kind != SK_STORE_RESTORE)
+        continue;
+      for (guint j = 0; j < count; j++)
+        {
+          const SkFault *copy = &g_array_index (builder->faults, SkFault, j);
+          if (copy->kind == SK_STORE_COPY && copy->from_ms < restore.from_ms)
+            copy_ms = MAX (copy_ms, copy->from_ms);
+        }
+      for (uint32_t route = 0; route < SK_ADDED_ROUTE_COUNT; route++)
+        add_fault (builder, SK_ROUTE_ADD, route,
+                   g_rand_int_range (builder->random, (gint32)copy_ms,
+                                     (gint32)restore.from_ms));
+    }
+}
+
 static void
 add_second_edition (PlanBuilder *builder, uint32_t seed)
 {
@@ -296,6 +321,7 @@
       || !builder->planned_only)
     add_restores (builder);
   add_route_changes (builder);
+  add_lost_routes (builder);
 }
 
 static int
--- a/soak/soak_test.cc
+++ b/soak/soak_test.cc
@@ -197,6 +197,30 @@
   EXPECT_GT (series_count, 20);
 }
 
+/* Guards against restores that lose no added route, after which an older
+   configuration would not be noticed.  */
+TEST (Plan, RestoresLoseAddedRoutes)
+{
+  int restore_count = 0;
+  int losing_count = 0;
+  for (uint32_t seed = 1; seed <= 100; seed++)
+    {
+      GArray *plan = sk_plan_new (seed, &kPlanOptions);
+      bool added_since_copy = false;
+      for (guint i = 0; i < plan->len; i++)
+        {
+          const SkFault &fault = g_array_index (plan, SkFault, i);
+          added_since_copy
+              = fault.kind == SK_ROUTE_ADD
+                || (added_since_copy && fault.kind != SK_STORE_COPY);
+          restore_count += fault.kind == SK_STORE_RESTORE;
+          losing_count += fault.kind == SK_STORE_RESTORE && added_since_copy;
+        }
+      g_array_unref (plan);
+    }
+  EXPECT_GT (losing_count * 2, restore_count);
+}
+
 const char *
 TargetZone (const char *target)
 {
