peer, daemon: logs tell why a connection was lost and that the loop was late

The logs of the daemon's own interface carry no time and no reason, so a peer that closed, a socket error, missing replies and a process that was not scheduled look the same.

Change: a line of the log has the time of its event. peer-lost names the reason, the age of the last message on the connection and the bytes that were not sent. Event 106, loop-late, records 200 ms or more between two ticks (of 20 ms) with the processor time used in them: little of it means that the process was not scheduled or waited in a system call, much of it a long turn.

Peer.LostConnectionTellsItsReason checks the reason.

Ruled out: a slow call in the loop, which would have used processor time.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -10,6 +10,8 @@
 #define LEAVING_PROPAGATION_US CK_US_PER_S
 #define LEASE_RELEASE_TIMEOUT_US (5 * CK_US_PER_S)
 #define STORE_DOWN_FAILURE_COUNT 2
+/* Shorter than any timeout of a request to another daemon.  */
+#define LOOP_LATE_US (200 * CK_US_PER_MS)
 
 G_DEFINE_QUARK (dm_error, dm_error)
 
@@ -148,6 +150,24 @@
   dm_start_drain (data);
 }
 
+/* A process that was not scheduled, or waited in a system call, has used
+   little of the time between two ticks.  */
+static void
+record_late_tick (DmDaemon *daemon, int64_t now_us, int64_t cpu_us)
+{
+  int64_t elapsed_us = now_us - daemon->last_tick_us;
+
+  if (daemon->last_tick_us != 0 && elapsed_us >= LOOP_LATE_US)
+    dm_record_detail (daemon, EV_LOOP_LATE,
+                      "%" G_GINT64_FORMAT
+                      " ms since the last tick, %" G_GINT64_FORMAT
+                      " ms of processor time",
+                      elapsed_us / CK_US_PER_MS,
+                      (cpu_us - daemon->last_tick_cpu_us) / CK_US_PER_MS);
+  daemon->last_tick_us = now_us;
+  daemon->last_tick_cpu_us = cpu_us;
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *data)
 {
@@ -157,6 +177,7 @@
 
   (void)fd;
   (void)what;
+  record_late_tick (daemon, now_us, cpu_us);
   dm_lease_tick (daemon, now_us);
   dm_exchange_tick (daemon, now_us);
   dm_config_tick (daemon, now_us);
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -159,6 +159,8 @@
   SeSettings *settings;
   struct event_base *base;
   struct event *tick;
+  int64_t last_tick_us;
+  int64_t last_tick_cpu_us; /* processor time used until then */
   struct event *sigterm;
   struct event *sigint;
   uint64_t random_state; /* of dm_random */
--- a/daemon/log.c
+++ b/daemon/log.c
@@ -35,7 +35,8 @@
   (void)data;
   if (category == NULL)
     return;
-  g_string_printf (line, "event=%d %s", (int)kind->number, kind->name);
+  g_string_printf (line, "event=%d %s at_ms=%" G_GUINT64_FORMAT,
+                   (int)kind->number, kind->name, event->stamp.wall_ms);
   append_field (line, "customer", event->customer);
   append_field (line, "target", event->target);
   append_field (line, "request", event->request_id);
--- a/event/catalogue.c
+++ b/event/catalogue.c
@@ -15,6 +15,9 @@
     "The settings file was read again." },
   { EV_LINES_DROPPED, EV_LEVEL_INFO, "lines-dropped",
     "Log lines were dropped to limit the volume of the log." },
+  { EV_LOOP_LATE, EV_LEVEL_INFO, "loop-late",
+    "The event loop did not run for a time; the processor time used in it "
+    "tells a long turn from a process that was not scheduled." },
   { EV_CONFIG_IN_FORCE, EV_LEVEL_INFO, "config-in-force",
     "A new configuration version is in force on this daemon." },
   { EV_CONFIG_REFUSED, EV_LEVEL_WARNING, "config-refused",
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -24,6 +24,7 @@
   struct bufferevent *bev;
   char *vm;                  /* NULL until the first message is received */
   uint32_t unanswered_count; /* timeouts since the last message received */
+  int64_t received_us;       /* time of that message */
 };
 
 /* Where a VM is dialled.  */
@@ -158,6 +159,24 @@
       ((Endpoint *)value)->connection = NULL;
 }
 
+/* Why a connection is closed.  */
+typedef enum
+{
+  CLOSE_LOCAL,
+  CLOSE_INVALID_FRAME,
+  CLOSE_END_OF_INPUT,
+  CLOSE_SOCKET_ERROR,
+  CLOSE_UNANSWERED,
+} CloseReason;
+
+static const char *const close_reasons[] = {
+  [CLOSE_LOCAL] = "closed here",
+  [CLOSE_INVALID_FRAME] = "malformed frame",
+  [CLOSE_END_OF_INPUT] = "closed by the peer",
+  [CLOSE_SOCKET_ERROR] = "socket error",
+  [CLOSE_UNANSWERED] = "requests not answered",
+};
+
 static void
 record_peer_event (const PrNet *net, EvNumber number, const char *detail)
 {
@@ -166,14 +185,28 @@
 }
 
 static void
-connection_close (PrConnection *connection)
+record_lost (const PrConnection *connection, CloseReason reason)
+{
+  int64_t silent_us = ck_boot_us () - connection->received_us;
+  size_t unsent_bytes
+      = evbuffer_get_length (bufferevent_get_output (connection->bev));
+  g_autofree char *detail = g_strdup_printf (
+      "%s: %s, last message %" G_GINT64_FORMAT " ms ago, %zu bytes not sent",
+      connection->vm, close_reasons[reason], silent_us / CK_US_PER_MS,
+      unsent_bytes);
+
+  record_peer_event (connection->net, EV_PEER_LOST, detail);
+}
+
+static void
+connection_close (PrConnection *connection, CloseReason reason)
 {
   PrNet *net = connection->net;
 
   if (!g_hash_table_remove (net->connections, connection))
     return;
   if (connection->vm != NULL)
-    record_peer_event (net, EV_PEER_LOST, connection->vm);
+    record_lost (connection, reason);
   clear_endpoint_connection (net, connection);
   fail_requests (net, connection);
   bufferevent_free (connection->bev);
@@ -203,6 +236,7 @@
         net->options.ring, (uint64_t)ck_wall_ms (),
         (EvStamp){ envelope->stamp->wall_ms, envelope->stamp->count });
   connection->unanswered_count = 0;
+  connection->received_us = ck_boot_us ();
   if (envelope->id != 0)
     pending = g_hash_table_lookup (net->pending, &envelope->id);
   if (pending != NULL && pending->connection == connection)
@@ -234,7 +268,7 @@
         {
           mt_add (net->invalid_frames, 1);
           record_peer_event (net, EV_PEER_FRAME_INVALID, error->message);
-          connection_close (connection);
+          connection_close (connection, CLOSE_INVALID_FRAME);
           return;
         }
       mt_add (net->bytes_received, (int64_t)used_bytes);
@@ -250,8 +284,10 @@
 on_event (struct bufferevent *bev, short what, void *data)
 {
   (void)bev;
-  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0)
-    connection_close (data);
+  if ((what & BEV_EVENT_EOF) != 0)
+    connection_close (data, CLOSE_END_OF_INPUT);
+  else if ((what & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0)
+    connection_close (data, CLOSE_SOCKET_ERROR);
 }
 
 static PrConnection *
@@ -260,6 +296,7 @@
   PrConnection *connection = g_new0 (PrConnection, 1);
 
   connection->net = net;
+  connection->received_us = ck_boot_us ();
   connection->bev = bufferevent_socket_new (
       net->options.base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb (connection->bev, on_read, NULL, on_event, connection);
@@ -291,7 +328,7 @@
                                   length)
       != 0)
     {
-      connection_close (connection);
+      connection_close (connection, CLOSE_SOCKET_ERROR);
       return NULL;
     }
   set_no_delay (bufferevent_getfd (connection->bev));
@@ -380,7 +417,7 @@
       = g_hash_table_get_keys (net->connections);
 
   for (GList *link = open_connections; link != NULL; link = link->next)
-    connection_close (link->data);
+    connection_close (link->data, CLOSE_LOCAL);
 }
 
 void
@@ -513,7 +550,7 @@
   (void)fd;
   (void)what;
   if (++connection->unanswered_count >= UNANSWERED_MAX)
-    connection_close (connection);
+    connection_close (connection, CLOSE_UNANSWERED);
   else
     complete_request (pending, NULL);
 }
--- a/peer/peer_test.cc
+++ b/peer/peer_test.cc
@@ -45,6 +45,7 @@
   int received_count = 0;
   std::vector<std::string> replies;
   std::vector<int64_t> sent_us;
+  std::string last_detail; /* of the events that were counted */
 
   Node (event_base *b, const char *vm) : base (b), port (free_port ())
   {
@@ -74,6 +75,20 @@
     ev_ring_free (ring);
   }
 
+  int
+  count_events (EvNumber number)
+  {
+    int count = 0;
+
+    for (guint i = 0; i < ev_ring_count (ring); i++)
+      if (ev_ring_at (ring, i)->number == number)
+        {
+          last_detail = ev_ring_at (ring, i)->detail;
+          count++;
+        }
+    return count;
+  }
+
   static void
   on_message (PrConnection *connection, const Peer__Envelope *envelope,
               void *data)
@@ -204,6 +219,23 @@
   });
 }
 
+/* Guards against an event of a lost connection that doesn't tell whether it
+   was closed here, by the peer or for lack of replies.  */
+TEST_F (Peer, LostConnectionTellsItsReason)
+{
+  Node a (base, "vm1"), b (base, "vm2");
+
+  pr_set_address (a.net, "vm2", "127.0.0.1", b.port);
+  a.send_request ("vm2", 1000);
+  run_until (base, [&] { return a.replies.size () == 1; });
+  pr_net_free (b.net);
+  b.net = NULL;
+  run_until (base, [&] { return a.count_events (EV_PEER_LOST) == 1; });
+  EXPECT_NE (std::string::npos,
+             a.last_detail.find ("vm2: closed by the peer, last message "))
+      << a.last_detail;
+}
+
 /* Guards against a malformed frame being passed to a handler or ignored
    without being counted.  */
 TEST_F (Peer, MalformedFrameClosesTheConnection)
--- a/proof/loss_test.cc
+++ b/proof/loss_test.cc
@@ -60,6 +60,10 @@
   si_signal_vm (run.harness (), "vm4", SIGSTOP);
   run.sleep_until_ms (11000);
   si_signal_vm (run.harness (), "vm4", SIGCONT);
+  run.wait_for ("an event of the pause", 2000, [&] {
+    return run.admin_page ("vm4", "/v1/events").find ("loop-late")
+           != std::string::npos;
+  });
   run.finish_load ();
   run.expect_invariants ();
 }
