peer: do not give up a request before its timeout

What was seen: Peer.WaitsForTheWholeTimeoutAfterALongTurn, new here, got the result of a request 61 to 64 ms before its timeout of 100 ms.

Change: the request keeps its deadline; a timer that fires before it waits for the rest.

--- a/peer/peer.c
+++ b/peer/peer.c
@@ -44,6 +44,7 @@
   PrConnection *connection;
   struct event *timer;
   int64_t sent_us;
+  int64_t deadline_us;
   PrOnReply on_reply;
   void *data;
 } PendingRequest;
@@ -539,6 +540,16 @@
   return connection != NULL && write_envelope (connection, envelope);
 }
 
+static void
+start_timer (const PendingRequest *pending)
+{
+  int64_t remaining_us = MAX (0, pending->deadline_us - ck_boot_us ());
+  struct timeval timeout
+      = { remaining_us / CK_US_PER_S, remaining_us % CK_US_PER_S };
+
+  evtimer_add (pending->timer, &timeout);
+}
+
 /* Closing the connection completes PENDING without a reply, together with the
    other requests on it.  */
 static void
@@ -549,7 +560,11 @@
 
   (void)fd;
   (void)what;
-  if (++connection->unanswered_count >= UNANSWERED_MAX)
+  /* The timer counts from the start of the event loop's turn in which it was
+     set, so it may fire early.  */
+  if (ck_boot_us () < pending->deadline_us)
+    start_timer (pending);
+  else if (++connection->unanswered_count >= UNANSWERED_MAX)
     connection_close (connection, CLOSE_UNANSWERED);
   else
     complete_request (pending, NULL);
@@ -560,8 +575,6 @@
             uint32_t timeout_ms, PrOnReply on_reply, void *data)
 {
   PrConnection *connection = get_connection (net, vm);
-  struct timeval timeout
-      = { timeout_ms / 1000, (timeout_ms % 1000) * CK_US_PER_MS };
   int64_t now_us = ck_boot_us ();
   PendingRequest *pending;
 
@@ -577,11 +590,12 @@
   pending->vm = g_strdup (vm);
   pending->connection = connection;
   pending->sent_us = now_us;
+  pending->deadline_us = now_us + (int64_t)timeout_ms * CK_US_PER_MS;
   pending->on_reply = on_reply;
   pending->data = data;
   pending->timer
       = evtimer_new (net->options.base, on_request_timeout, pending);
-  evtimer_add (pending->timer, &timeout);
+  start_timer (pending);
   g_hash_table_insert (net->pending, &pending->id, pending);
   return TRUE;
 }
--- a/peer/peer_test.cc
+++ b/peer/peer_test.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -219,6 +220,40 @@
   });
 }
 
+/* Calls FUNCTION at the start of a turn of the loop.  */
+void
+run_in_loop (event_base *base, std::function<void ()> function)
+{
+  struct timeval no_delay = {};
+
+  event_base_once (
+      base, -1, EV_TIMEOUT,
+      [] (evutil_socket_t, short, void *data) {
+        auto *called = static_cast<std::function<void ()> *> (data);
+        (*called) ();
+        delete called;
+      },
+      new std::function<void ()> (function), &no_delay);
+}
+
+/* Guards against a request that is given up before its timeout: the timers of
+   an event loop count from the start of its turn, which may have been long. */
+TEST_F (Peer, WaitsForTheWholeTimeoutAfterALongTurn)
+{
+  Node a (base, "vm1"), b (base, "vm2");
+  int64_t due_us = 0;
+
+  b.sends_replies = false;
+  pr_set_address (a.net, "vm2", "127.0.0.1", b.port);
+  run_in_loop (base, [&] {
+    usleep (60000);
+    due_us = ck_boot_us () + 100 * CK_US_PER_MS;
+    a.send_request ("vm2", 100);
+  });
+  run_until (base, [&] { return a.replies.size () == 1; });
+  EXPECT_GE (ck_boot_us (), due_us);
+}
+
 /* Guards against an event of a lost connection that doesn't tell whether it
    was closed here, by the peer or for lack of replies.  */
 TEST_F (Peer, LostConnectionTellsItsReason)
