peer: a reply that arrived while the daemon was paused is in time

What was seen: Peer.ReplyThatArrivedDuringAPauseCounts, new here: a daemon that does not run for 160 ms while 400 replies arrive loses the replies of requests with a timeout of 100 ms, and with the second of them its connection.

Cause: after a pause, a turn of libevent's loop runs the timers of requests before the input that it has read is handled, since the callbacks of a bufferevent are deferred behind them; and a turn reads only a part of what waits in the socket. A decision that a request has no reply was taken without a look at the replies.

Change: a timer that fires notes up to which byte input has arrived, and the request waits until that has been handled. Input that arrives later is not waited for, so the wait ends.

Ruled out: reading the socket in the timer, since handling a message may close the connection or complete the request whose timer it is. Acting on an older reply: users of promises and grants pass on when the request was sent, and count the validity from then (read in daemon/leases.c, lending.c, slots.c).

--- a/peer/peer.c
+++ b/peer/peer.c
@@ -9,6 +9,7 @@
 #include <event2/util.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 
 #include "clock/clock.h"
 
@@ -25,6 +26,8 @@
   char *vm;                  /* NULL until the first message is received */
   uint32_t unanswered_count; /* timeouts since the last message received */
   int64_t received_us;       /* time of that message */
+  uint64_t drained_bytes;    /* of input, in whole frames */
+  uint64_t examined_bytes;   /* the same, and the part of the next frame */
 };
 
 /* Where a VM is dialled.  */
@@ -45,6 +48,8 @@
   struct event *timer;
   int64_t sent_us;
   int64_t deadline_us;
+  uint64_t input_end_bytes; /* input that had arrived at the deadline; 0 before
+                               it or if there was none */
   PrOnReply on_reply;
   void *data;
 } PendingRequest;
@@ -264,7 +269,11 @@
                              &used_bytes, &envelope, &error);
 
       if (result == WR_INCOMPLETE)
-        return;
+        {
+          connection->examined_bytes
+              = connection->drained_bytes + length_bytes;
+          return;
+        }
       if (result == WR_INVALID)
         {
           mt_add (net->invalid_frames, 1);
@@ -274,6 +283,7 @@
         }
       mt_add (net->bytes_received, (int64_t)used_bytes);
       evbuffer_drain (input, used_bytes);
+      connection->drained_bytes += used_bytes;
       dispatch (connection, envelope);
       wr_envelope_free (envelope);
       if (!g_hash_table_contains (net->connections, connection))
@@ -550,6 +560,31 @@
   evtimer_add (pending->timer, &timeout);
 }
 
+/* All input of CONNECTION so far, also what waits in the socket.  */
+static uint64_t
+arrived_bytes (const PrConnection *connection)
+{
+  int waiting_bytes = 0;
+
+  if (ioctl (bufferevent_getfd (connection->bev), FIONREAD, &waiting_bytes)
+      != 0)
+    waiting_bytes = 0;
+  return connection->drained_bytes
+         + evbuffer_get_length (bufferevent_get_input (connection->bev))
+         + (uint64_t)waiting_bytes;
+}
+
+/* Whether the reply may be in input that arrived before the deadline.  A turn
+   of the event loop reads only a part of the input, and runs timers before it
+   handles that.  */
+static gboolean
+may_have_reply (PendingRequest *pending)
+{
+  if (pending->input_end_bytes == 0)
+    pending->input_end_bytes = arrived_bytes (pending->connection);
+  return pending->connection->examined_bytes < pending->input_end_bytes;
+}
+
 /* Closing the connection completes PENDING without a reply, together with the
    other requests on it.  */
 static void
@@ -562,7 +597,7 @@
   (void)what;
   /* The timer counts from the start of the event loop's turn in which it was
      set, so it may fire early.  */
-  if (ck_boot_us () < pending->deadline_us)
+  if (ck_boot_us () < pending->deadline_us || may_have_reply (pending))
     start_timer (pending);
   else if (++connection->unanswered_count >= UNANSWERED_MAX)
     connection_close (connection, CLOSE_UNANSWERED);
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -55,8 +55,9 @@
 typedef void (*PrOnMessage) (PrConnection *connection,
                              const Peer__Envelope *envelope, void *data);
 /* ENVELOPE is NULL when no reply arrived in time, the connection was closed or
-   the request could not be sent.  SENT_US is when the request was sent, on
-   CLOCK_BOOTTIME.  */
+   the request could not be sent.  A reply that had arrived when the timeout
+   was noticed is in time, since the daemon may have been paused.  SENT_US is
+   when the request was sent, on CLOCK_BOOTTIME.  */
 typedef void (*PrOnReply) (const char *vm, const Peer__Envelope *envelope,
                            int64_t sent_us, void *data);
 
--- a/peer/peer_test.cc
+++ b/peer/peer_test.cc
@@ -236,6 +236,41 @@
       new std::function<void ()> (function), &no_delay);
 }
 
+/* Guards against a reply that counts as lost although it waits in the socket
+   of a daemon that was paused past the timeout.  */
+TEST_F (Peer, ReplyThatArrivedDuringAPauseCounts)
+{
+  event_base *other = event_base_new ();
+  {
+    Node a (base, "vm1"), b (other, "vm2");
+
+    pr_set_address (a.net, "vm2", "127.0.0.1", b.port);
+    a.send_request ("vm2", 1000);
+    for (int i = 0; i < 200 && a.replies.empty (); i++)
+      {
+        event_base_loop (base, EVLOOP_NONBLOCK);
+        event_base_loop (other, EVLOOP_NONBLOCK);
+        usleep (2000);
+      }
+    ASSERT_EQ (1u, a.replies.size ());
+    for (int i = 0; i < 400; i++)
+      a.send_request ("vm2", 100);
+    event_base_loop (base, EVLOOP_NONBLOCK);
+    event_base_loop (base, EVLOOP_NONBLOCK);
+    for (int i = 0; i < 80; i++)
+      {
+        event_base_loop (other, EVLOOP_NONBLOCK);
+        usleep (2000);
+      }
+    EXPECT_EQ (401, b.received_count);
+    run_until (base, [&] { return a.replies.size () == 401; });
+    for (size_t i = 0; i < a.replies.size (); i++)
+      ASSERT_EQ ("vm2:promise_reply", a.replies[i]) << i;
+    EXPECT_EQ (0, a.count_events (EV_PEER_LOST));
+  }
+  pr_event_base_free (other);
+}
+
 /* Guards against a request that is given up before its timeout: the timers of
    an event loop count from the start of its turn, which may have been long. */
 TEST_F (Peer, WaitsForTheWholeTimeoutAfterALongTurn)
