peer: keep the connection of a peer that is silent for a short time

Cause: a connection was closed at the second request that timed out without a message between. Requests for tokens wait for 300 ms and are sent with every tick of 20 ms, so a peer that did not run for some 320 ms lost all its connections. With each, the promises, reports and grants under way were lost; the VM is not dialled again for 500 ms, and requests fail at once until then. So a delay of a third of a second cost promises that allow for 3 s.

Change: a connection is closed when a request times out and nothing has been received on it for 1.3 s since the first request that is not answered. That is what two timeouts of a promise request, of 700 ms each, amounted to before requests for tokens counted as well. Peer.SilentPeerIsDialledAgain checks that the connection is still closed then.

--- a/peer/peer.c
+++ b/peer/peer.c
@@ -15,19 +15,18 @@
 
 /* Minimum time between two dials of the same VM.  */
 #define DIAL_INTERVAL_MIN_US (500 * CK_US_PER_MS)
-/* Timeouts without a message received between, after which the connection is
-   closed.  */
-#define UNANSWERED_MAX 2
+#define NEVER INT64_MAX
 
 struct PrConnection
 {
   PrNet *net;
   struct bufferevent *bev;
-  char *vm;                  /* NULL until the first message is received */
-  uint32_t unanswered_count; /* timeouts since the last message received */
-  int64_t received_us;       /* time of that message */
-  uint64_t drained_bytes;    /* of input, in whole frames */
-  uint64_t examined_bytes;   /* the same, and the part of the next frame */
+  char *vm;            /* NULL until the first message is received */
+  int64_t received_us; /* time of the last message received */
+  /* When the first request was sent since that message, or NEVER.  */
+  int64_t waiting_since_us;
+  uint64_t drained_bytes;  /* of input, in whole frames */
+  uint64_t examined_bytes; /* the same, and the part of the next frame */
 };
 
 /* Where a VM is dialled.  */
@@ -241,8 +240,8 @@
     ev_merge_stamp (
         net->options.ring, (uint64_t)ck_wall_ms (),
         (EvStamp){ envelope->stamp->wall_ms, envelope->stamp->count });
-  connection->unanswered_count = 0;
   connection->received_us = ck_boot_us ();
+  connection->waiting_since_us = NEVER;
   if (envelope->id != 0)
     pending = g_hash_table_lookup (net->pending, &envelope->id);
   if (pending != NULL && pending->connection == connection)
@@ -308,6 +307,7 @@
 
   connection->net = net;
   connection->received_us = ck_boot_us ();
+  connection->waiting_since_us = NEVER;
   connection->bev = bufferevent_socket_new (
       net->options.base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb (connection->bev, on_read, NULL, on_event, connection);
@@ -592,14 +592,15 @@
 {
   PendingRequest *pending = data;
   PrConnection *connection = pending->connection;
+  int64_t now_us = ck_boot_us ();
 
   (void)fd;
   (void)what;
   /* The timer counts from the start of the event loop's turn in which it was
      set, so it may fire early.  */
-  if (ck_boot_us () < pending->deadline_us || may_have_reply (pending))
+  if (now_us < pending->deadline_us || may_have_reply (pending))
     start_timer (pending);
-  else if (++connection->unanswered_count >= UNANSWERED_MAX)
+  else if (now_us - connection->waiting_since_us >= PR_SILENCE_MAX_US)
     connection_close (connection, CLOSE_UNANSWERED);
   else
     complete_request (pending, NULL);
@@ -624,6 +625,7 @@
   pending->id = envelope->id;
   pending->vm = g_strdup (vm);
   pending->connection = connection;
+  connection->waiting_since_us = MIN (connection->waiting_since_us, now_us);
   pending->sent_us = now_us;
   pending->deadline_us = now_us + (int64_t)timeout_ms * CK_US_PER_MS;
   pending->on_reply = on_reply;
--- a/peer/peer_test.cc
+++ b/peer/peer_test.cc
@@ -289,6 +289,59 @@
   EXPECT_GE (ck_boot_us (), due_us);
 }
 
+/* Sends requests from A to vm2 every 20 ms for DURATION_MS.  */
+void
+send_requests (event_base *base, Node *a, int duration_ms, uint32_t timeout_ms)
+{
+  int64_t end_us = ck_boot_us () + (int64_t)duration_ms * CK_US_PER_MS;
+
+  while (ck_boot_us () < end_us)
+    {
+      timeval tick = { 0, 20000 };
+
+      a->send_request ("vm2", timeout_ms);
+      event_base_loopexit (base, &tick);
+      event_base_dispatch (base);
+    }
+}
+
+/* Guards against closing the connection with a peer that doesn't run for half
+   a second: its requests and messages are then lost for longer than that.  */
+TEST_F (Peer, ShortPauseOfAPeerKeepsTheConnection)
+{
+  Node a (base, "vm1"), b (base, "vm2");
+
+  b.sends_replies = false;
+  pr_set_address (a.net, "vm2", "127.0.0.1", b.port);
+  a.send_request ("vm2", 2000);
+  send_requests (base, &a, 600, 100);
+  EXPECT_EQ (0, a.count_events (EV_PEER_LOST) + b.count_events (EV_PEER_LOST));
+  b.sends_replies = true;
+  send_requests (base, &a, 600, 100);
+  EXPECT_EQ ("vm2:promise_reply", a.replies.back ());
+  EXPECT_EQ (0, a.count_events (EV_PEER_LOST) + b.count_events (EV_PEER_LOST));
+}
+
+/* Guards against a connection that stays in use although its peer has sent
+   nothing for seconds, as after a network partition.  */
+TEST_F (Peer, SilentPeerIsDialledAgain)
+{
+  Node a (base, "vm1"), b (base, "vm2");
+
+  pr_set_address (a.net, "vm2", "127.0.0.1", b.port);
+  a.send_request ("vm2", 1000);
+  run_until (base, [&] { return a.replies.size () == 1; });
+  b.sends_replies = false;
+  send_requests (base, &a, PR_SILENCE_MAX_US / 1000 + 300, 100);
+  EXPECT_EQ (1, a.count_events (EV_PEER_LOST));
+  EXPECT_NE (std::string::npos, a.last_detail.find ("requests not answered"))
+      << a.last_detail;
+  b.sends_replies = true;
+  send_requests (base, &a, 1000, 100);
+  EXPECT_EQ ("vm2:promise_reply", a.replies.back ());
+  EXPECT_EQ (2, a.count_events (EV_PEER_CONNECTED));
+}
+
 /* Guards against an event of a lost connection that doesn't tell whether it
    was closed here, by the peer or for lack of replies.  */
 TEST_F (Peer, LostConnectionTellsItsReason)
