peer: a daemon's own pause is no silence of its peers

What was seen: Peer.OwnPauseIsNoSilenceOfThePeer, new here: a daemon that does not run for 2 s just after it has made two requests closes its connection when it runs again, although its peer replies to all it receives.

Cause: the requests were in the output of the connection when the daemon stopped. Their timers ran out in the pause, and the time without a message was taken as silence of the peer, which had not received them.

Change: a timer that fires 0.5 s late shows that the daemon itself did not run; the wait for a message on that connection starts anew. The request itself is given up as before.

--- a/peer/peer.c
+++ b/peer/peer.c
@@ -15,6 +15,8 @@
 
 /* Minimum time between two dials of the same VM.  */
 #define DIAL_INTERVAL_MIN_US (500 * CK_US_PER_MS)
+/* A timer that is so late shows that the daemon was paused.  */
+#define OWN_PAUSE_MIN_US (500 * CK_US_PER_MS)
 #define NEVER INT64_MAX
 
 struct PrConnection
@@ -599,8 +601,16 @@
   /* The timer counts from the start of the event loop's turn in which it was
      set, so it may fire early.  */
   if (now_us < pending->deadline_us || may_have_reply (pending))
-    start_timer (pending);
-  else if (now_us - connection->waiting_since_us >= PR_SILENCE_MAX_US)
+    {
+      start_timer (pending);
+      return;
+    }
+  /* The daemon itself did not run.  What it had to send may still be unsent,
+     so the wait for the peer starts anew.  */
+  if (now_us - pending->deadline_us >= OWN_PAUSE_MIN_US
+      && connection->waiting_since_us != NEVER)
+    connection->waiting_since_us = now_us;
+  if (now_us - connection->waiting_since_us >= PR_SILENCE_MAX_US)
     connection_close (connection, CLOSE_UNANSWERED);
   else
     complete_request (pending, NULL);
--- a/peer/peer_test.cc
+++ b/peer/peer_test.cc
@@ -342,6 +342,26 @@
   EXPECT_EQ (2, a.count_events (EV_PEER_CONNECTED));
 }
 
+/* Guards against a daemon that was paused itself and then closes a connection
+   for lack of replies to requests that it hadn't sent yet.  */
+TEST_F (Peer, OwnPauseIsNoSilenceOfThePeer)
+{
+  Node a (base, "vm1"), b (base, "vm2");
+
+  pr_set_address (a.net, "vm2", "127.0.0.1", b.port);
+  a.send_request ("vm2", 1000);
+  run_until (base, [&] { return a.replies.size () == 1; });
+  run_in_loop (base, [&] {
+    for (int i = 0; i < 2; i++)
+      a.send_request ("vm2", 100);
+    usleep (2000000);
+  });
+  run_until (base, [&] { return a.replies.size () == 3; });
+  send_requests (base, &a, 200, 1000);
+  EXPECT_EQ ("vm2:promise_reply", a.replies.back ());
+  EXPECT_EQ (0, a.count_events (EV_PEER_LOST) + b.count_events (EV_PEER_LOST));
+}
+
 /* Guards against an event of a lost connection that doesn't tell whether it
    was closed here, by the peer or for lack of replies.  */
 TEST_F (Peer, LostConnectionTellsItsReason)
