--- a/peer/peer.c
+++ b/peer/peer.c
@@ -9,21 +9,26 @@
 #include <event2/util.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 
 #include "clock/clock.h"
 
 /* Minimum time between two dials of the same VM.  */
 #define DIAL_INTERVAL_MIN_US (500 * CK_US_PER_MS)
-/* Timeouts without a message received between, after which the connection is
-   closed.  */
-#define UNANSWERED_MAX 2
+/* A timer that is so late shows that the daemon was paused.  */
+#define OWN_PAUSE_MIN_US (500 * CK_US_PER_MS)
+#define NEVER INT64_MAX
 
 struct PrConnection
 {
   PrNet *net;
   struct bufferevent *bev;
-  char *vm;                  /* NULL until the first message is received */
-  uint32_t unanswered_count; /* timeouts since the last message received */
+  char *vm;            /* NULL until the first message is received */
+  int64_t received_us; /* time of the last message received */
+  /* When the first request was sent since that message, or NEVER.  */
+  int64_t waiting_since_us;
+  uint64_t drained_bytes;  /* of input, in whole frames */
+  uint64_t examined_bytes; /* the same, and the part of the next frame */
 };
 
 /* Where a VM is dialled.  */
@@ -43,6 +48,9 @@
   PrConnection *connection;
   struct event *timer;
   int64_t sent_us;
+  int64_t deadline_us;
+  uint64_t input_end_bytes; /* input that had arrived at the deadline; 0 before
+                               it or if there was none */
   PrOnReply on_reply;
   void *data;
 } PendingRequest;
@@ -158,6 +166,24 @@
       ((Endpoint *)value)->connection = NULL;
 }
 
+/* Why a connection is closed.  */
+typedef enum
+{
+  CLOSE_LOCAL,
+  CLOSE_INVALID_FRAME,
+  CLOSE_END_OF_INPUT,
+  CLOSE_SOCKET_ERROR,
+  CLOSE_UNANSWERED,
+} CloseReason;
+
+static const char *const close_reasons[] = {
+  [CLOSE_LOCAL] = "closed here",
+  [CLOSE_INVALID_FRAME] = "malformed frame",
+  [CLOSE_END_OF_INPUT] = "closed by the peer",
+  [CLOSE_SOCKET_ERROR] = "socket error",
+  [CLOSE_UNANSWERED] = "requests not answered",
+};
+
 static void
 record_peer_event (const PrNet *net, EvNumber number, const char *detail)
 {
@@ -166,14 +192,28 @@
 }
 
 static void
-connection_close (PrConnection *connection)
+record_lost (const PrConnection *connection, CloseReason reason)
+{
+  int64_t silent_us = ck_boot_us () - connection->received_us;
+  size_t unsent_bytes
+      = evbuffer_get_length (bufferevent_get_output (connection->bev));
+  g_autofree char *detail = g_strdup_printf (
+      "%s: %s, last message %" G_GINT64_FORMAT " ms ago, %zu bytes not sent",
+      connection->vm, close_reasons[reason], silent_us / CK_US_PER_MS,
+      unsent_bytes);
+
+  record_peer_event (connection->net, EV_PEER_LOST, detail);
+}
+
+static void
+connection_close (PrConnection *connection, CloseReason reason)
 {
   PrNet *net = connection->net;
 
   if (!g_hash_table_remove (net->connections, connection))
     return;
   if (connection->vm != NULL)
-    record_peer_event (net, EV_PEER_LOST, connection->vm);
+    record_lost (connection, reason);
   clear_endpoint_connection (net, connection);
   fail_requests (net, connection);
   bufferevent_free (connection->bev);
@@ -202,7 +242,8 @@
     ev_merge_stamp (
         net->options.ring, (uint64_t)ck_wall_ms (),
         (EvStamp){ envelope->stamp->wall_ms, envelope->stamp->count });
-  connection->unanswered_count = 0;
+  connection->received_us = ck_boot_us ();
+  connection->waiting_since_us = NEVER;
   if (envelope->id != 0)
     pending = g_hash_table_lookup (net->pending, &envelope->id);
   if (pending != NULL && pending->connection == connection)
@@ -229,16 +270,21 @@
                              &used_bytes, &envelope, &error);
 
       if (result == WR_INCOMPLETE)
-        return;
+        {
+          connection->examined_bytes
+              = connection->drained_bytes + length_bytes;
+          return;
+        }
       if (result == WR_INVALID)
         {
           mt_add (net->invalid_frames, 1);
           record_peer_event (net, EV_PEER_FRAME_INVALID, error->message);
-          connection_close (connection);
+          connection_close (connection, CLOSE_INVALID_FRAME);
           return;
         }
       mt_add (net->bytes_received, (int64_t)used_bytes);
       evbuffer_drain (input, used_bytes);
+      connection->drained_bytes += used_bytes;
       dispatch (connection, envelope);
       wr_envelope_free (envelope);
       if (!g_hash_table_contains (net->connections, connection))
@@ -250,8 +296,10 @@
 on_event (struct bufferevent *bev, short what, void *data)
 {
   (void)bev;
-  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0)
-    connection_close (data);
+  if ((what & BEV_EVENT_EOF) != 0)
+    connection_close (data, CLOSE_END_OF_INPUT);
+  else if ((what & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0)
+    connection_close (data, CLOSE_SOCKET_ERROR);
 }
 
 static PrConnection *
@@ -260,6 +308,8 @@
   PrConnection *connection = g_new0 (PrConnection, 1);
 
   connection->net = net;
+  connection->received_us = ck_boot_us ();
+  connection->waiting_since_us = NEVER;
   connection->bev = bufferevent_socket_new (
       net->options.base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb (connection->bev, on_read, NULL, on_event, connection);
@@ -291,7 +341,7 @@
                                   length)
       != 0)
     {
-      connection_close (connection);
+      connection_close (connection, CLOSE_SOCKET_ERROR);
       return NULL;
     }
   set_no_delay (bufferevent_getfd (connection->bev));
@@ -380,7 +430,7 @@
       = g_hash_table_get_keys (net->connections);
 
   for (GList *link = open_connections; link != NULL; link = link->next)
-    connection_close (link->data);
+    connection_close (link->data, CLOSE_LOCAL);
 }
 
 void
@@ -502,6 +552,41 @@
   return connection != NULL && write_envelope (connection, envelope);
 }
 
+static void
+start_timer (const PendingRequest *pending)
+{
+  int64_t remaining_us = MAX (0, pending->deadline_us - ck_boot_us ());
+  struct timeval timeout
+      = { remaining_us / CK_US_PER_S, remaining_us % CK_US_PER_S };
+
+  evtimer_add (pending->timer, &timeout);
+}
+
+/* All input of CONNECTION so far, also what waits in the socket.  */
+static uint64_t
+arrived_bytes (const PrConnection *connection)
+{
+  int waiting_bytes = 0;
+
+  if (ioctl (bufferevent_getfd (connection->bev), FIONREAD, &waiting_bytes)
+      != 0)
+    waiting_bytes = 0;
+  return connection->drained_bytes
+         + evbuffer_get_length (bufferevent_get_input (connection->bev))
+         + (uint64_t)waiting_bytes;
+}
+
+/* Whether the reply may be in input that arrived before the deadline.  A turn
+   of the event loop reads only a part of the input, and runs timers before it
+   handles that.  */
+static gboolean
+may_have_reply (PendingRequest *pending)
+{
+  if (pending->input_end_bytes == 0)
+    pending->input_end_bytes = arrived_bytes (pending->connection);
+  return pending->connection->examined_bytes < pending->input_end_bytes;
+}
+
 /* Closing the connection completes PENDING without a reply, together with the
    other requests on it.  */
 static void
@@ -509,11 +594,24 @@
 {
   PendingRequest *pending = data;
   PrConnection *connection = pending->connection;
+  int64_t now_us = ck_boot_us ();
 
   (void)fd;
   (void)what;
-  if (++connection->unanswered_count >= UNANSWERED_MAX)
-    connection_close (connection);
+  /* The timer counts from the start of the event loop's turn in which it was
+     set, so it may fire early.  */
+  if (now_us < pending->deadline_us || may_have_reply (pending))
+    {
+      start_timer (pending);
+      return;
+    }
+  /* The daemon itself did not run.  What it had to send may still be unsent,
+     so the wait for the peer starts anew.  */
+  if (now_us - pending->deadline_us >= OWN_PAUSE_MIN_US
+      && connection->waiting_since_us != NEVER)
+    connection->waiting_since_us = now_us;
+  if (now_us - connection->waiting_since_us >= PR_SILENCE_MAX_US)
+    connection_close (connection, CLOSE_UNANSWERED);
   else
     complete_request (pending, NULL);
 }
@@ -523,8 +621,6 @@
             uint32_t timeout_ms, PrOnReply on_reply, void *data)
 {
   PrConnection *connection = get_connection (net, vm);
-  struct timeval timeout
-      = { timeout_ms / 1000, (timeout_ms % 1000) * CK_US_PER_MS };
   int64_t now_us = ck_boot_us ();
   PendingRequest *pending;
 
@@ -539,12 +635,14 @@
   pending->id = envelope->id;
   pending->vm = g_strdup (vm);
   pending->connection = connection;
+  connection->waiting_since_us = MIN (connection->waiting_since_us, now_us);
   pending->sent_us = now_us;
+  pending->deadline_us = now_us + (int64_t)timeout_ms * CK_US_PER_MS;
   pending->on_reply = on_reply;
   pending->data = data;
   pending->timer
       = evtimer_new (net->options.base, on_request_timeout, pending);
-  evtimer_add (pending->timer, &timeout);
+  start_timer (pending);
   g_hash_table_insert (net->pending, &pending->id, pending);
   return TRUE;
 }
--- a/peer/peer_test.cc
+++ b/peer/peer_test.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,7 @@
   int received_count = 0;
   std::vector<std::string> replies;
   std::vector<int64_t> sent_us;
+  std::string last_detail; /* of the events that were counted */
 
   Node (event_base *b, const char *vm) : base (b), port (free_port ())
   {
@@ -74,6 +76,20 @@
     ev_ring_free (ring);
   }
 
+  int
+  count_events (EvNumber number)
+  {
+    int count = 0;
+
+    for (guint i = 0; i < ev_ring_count (ring); i++)
+      if (ev_ring_at (ring, i)->number == number)
+        {
+          last_detail = ev_ring_at (ring, i)->detail;
+          count++;
+        }
+    return count;
+  }
+
   static void
   on_message (PrConnection *connection, const Peer__Envelope *envelope,
               void *data)
@@ -204,6 +220,165 @@
   });
 }
 
+/* Calls FUNCTION at the start of a turn of the loop.  */
+void
+run_in_loop (event_base *base, std::function<void ()> function)
+{
+  struct timeval no_delay = {};
+
+  event_base_once (
+      base, -1, EV_TIMEOUT,
+      [] (evutil_socket_t, short, void *data) {
+        auto *called = static_cast<std::function<void ()> *> (data);
+        (*called) ();
+        delete called;
+      },
+      new std::function<void ()> (function), &no_delay);
+}
+
+/* Guards against a reply that counts as lost although it waits in the socket
+   of a daemon that was paused past the timeout.  */
+TEST_F (Peer, ReplyThatArrivedDuringAPauseCounts)
+{
+  event_base *other = event_base_new ();
+  {
+    Node a (base, "vm1"), b (other, "vm2");
+
+    pr_set_address (a.net, "vm2", "127.0.0.1", b.port);
+    a.send_request ("vm2", 1000);
+    for (int i = 0; i < 200 && a.replies.empty (); i++)
+      {
+        event_base_loop (base, EVLOOP_NONBLOCK);
+        event_base_loop (other, EVLOOP_NONBLOCK);
+        usleep (2000);
+      }
+    ASSERT_EQ (1u, a.replies.size ());
+    for (int i = 0; i < 400; i++)
+      a.send_request ("vm2", 100);
+    event_base_loop (base, EVLOOP_NONBLOCK);
+    event_base_loop (base, EVLOOP_NONBLOCK);
+    for (int i = 0; i < 80; i++)
+      {
+        event_base_loop (other, EVLOOP_NONBLOCK);
+        usleep (2000);
+      }
+    EXPECT_EQ (401, b.received_count);
+    run_until (base, [&] { return a.replies.size () == 401; });
+    for (size_t i = 0; i < a.replies.size (); i++)
+      ASSERT_EQ ("vm2:promise_reply", a.replies[i]) << i;
+    EXPECT_EQ (0, a.count_events (EV_PEER_LOST));
+  }
+  pr_event_base_free (other);
+}
+
+/* Guards against a request that is given up before its timeout: the timers of
+   an event loop count from the start of its turn, which may have been long. */
+TEST_F (Peer, WaitsForTheWholeTimeoutAfterALongTurn)
+{
+  Node a (base, "vm1"), b (base, "vm2");
+  int64_t due_us = 0;
+
+  b.sends_replies = false;
+  pr_set_address (a.net, "vm2", "127.0.0.1", b.port);
+  run_in_loop (base, [&] {
+    usleep (60000);
+    due_us = ck_boot_us () + 100 * CK_US_PER_MS;
+    a.send_request ("vm2", 100);
+  });
+  run_until (base, [&] { return a.replies.size () == 1; });
+  EXPECT_GE (ck_boot_us (), due_us);
+}
+
+/* Sends requests from A to vm2 every 20 ms for DURATION_MS.  */
+void
+send_requests (event_base *base, Node *a, int duration_ms, uint32_t timeout_ms)
+{
+  int64_t end_us = ck_boot_us () + (int64_t)duration_ms * CK_US_PER_MS;
+
+  while (ck_boot_us () < end_us)
+    {
+      timeval tick = { 0, 20000 };
+
+      a->send_request ("vm2", timeout_ms);
+      event_base_loopexit (base, &tick);
+      event_base_dispatch (base);
+    }
+}
+
+/* Guards against closing the connection with a peer that doesn't run for half
+   a second: its requests and messages are then lost for longer than that.  */
+TEST_F (Peer, ShortPauseOfAPeerKeepsTheConnection)
+{
+  Node a (base, "vm1"), b (base, "vm2");
+
+  b.sends_replies = false;
+  pr_set_address (a.net, "vm2", "127.0.0.1", b.port);
+  a.send_request ("vm2", 2000);
+  send_requests (base, &a, 600, 100);
+  EXPECT_EQ (0, a.count_events (EV_PEER_LOST) + b.count_events (EV_PEER_LOST));
+  b.sends_replies = true;
+  send_requests (base, &a, 600, 100);
+  EXPECT_EQ ("vm2:promise_reply", a.replies.back ());
+  EXPECT_EQ (0, a.count_events (EV_PEER_LOST) + b.count_events (EV_PEER_LOST));
+}
+
+/* Guards against a connection that stays in use although its peer has sent
+   nothing for seconds, as after a network partition.  */
+TEST_F (Peer, SilentPeerIsDialledAgain)
+{
+  Node a (base, "vm1"), b (base, "vm2");
+
+  pr_set_address (a.net, "vm2", "127.0.0.1", b.port);
+  a.send_request ("vm2", 1000);
+  run_until (base, [&] { return a.replies.size () == 1; });
+  b.sends_replies = false;
+  send_requests (base, &a, PR_SILENCE_MAX_US / 1000 + 300, 100);
+  EXPECT_EQ (1, a.count_events (EV_PEER_LOST));
+  EXPECT_NE (std::string::npos, a.last_detail.find ("requests not answered"))
+      << a.last_detail;
+  b.sends_replies = true;
+  send_requests (base, &a, 1000, 100);
+  EXPECT_EQ ("vm2:promise_reply", a.replies.back ());
+  EXPECT_EQ (2, a.count_events (EV_PEER_CONNECTED));
+}
+
+/* Guards against a daemon that was paused itself and then closes a connection
+   for lack of replies to requests that it hadn't sent yet.  */
+TEST_F (Peer, OwnPauseIsNoSilenceOfThePeer)
+{
+  Node a (base, "vm1"), b (base, "vm2");
+
+  pr_set_address (a.net, "vm2", "127.0.0.1", b.port);
+  a.send_request ("vm2", 1000);
+  run_until (base, [&] { return a.replies.size () == 1; });
+  run_in_loop (base, [&] {
+    for (int i = 0; i < 2; i++)
+      a.send_request ("vm2", 100);
+    usleep (2000000);
+  });
+  run_until (base, [&] { return a.replies.size () == 3; });
+  send_requests (base, &a, 200, 1000);
+  EXPECT_EQ ("vm2:promise_reply", a.replies.back ());
+  EXPECT_EQ (0, a.count_events (EV_PEER_LOST) + b.count_events (EV_PEER_LOST));
+}
+
+/* Guards against an event of a lost connection that doesn't tell whether it
+   was closed here, by the peer or for lack of replies.  */
+TEST_F (Peer, LostConnectionTellsItsReason)
+{
+  Node a (base, "vm1"), b (base, "vm2");
+
+  pr_set_address (a.net, "vm2", "127.0.0.1", b.port);
+  a.send_request ("vm2", 1000);
+  run_until (base, [&] { return a.replies.size () == 1; });
+  pr_net_free (b.net);
+  b.net = NULL;
+  run_until (base, [&] { return a.count_events (EV_PEER_LOST) == 1; });
+  EXPECT_NE (std::string::npos,
+             a.last_detail.find ("vm2: closed by the peer, last message "))
+      << a.last_detail;
+}
+
 /* Guards against a malformed frame being passed to a handler or ignored
    without being counted.  */
 TEST_F (Peer, MalformedFrameClosesTheConnection)
