targets: reports of a long queue pause a target for longer and longer

What callers saw: where few targets alone may run some requests (home regions), and were sent more than they could handle, requests waited there until their deadline, and few were served.

Cause: each of 25 daemons sends to a target every 2.5 s. The load of its last report was that old, and taken to have ended after 0.6 s, so that the estimated wait was 0 at nearly all sends while 20 to 45 requests waited there (logs of all daemons, reports of 26 to 58 requests, 2 to 12 s old).

Change: a report of a queue that is longer than the request could wait pauses the target for a service time, each further one for twice as long, up to eight; after a pause one request at a time is sent until a report shows a short queue.

With timeouts as reports of a queue a target with one slow request would be left.

--- a/targets/internal.h
+++ b/targets/internal.h
@@ -31,6 +31,9 @@
    maximum.  */
 #define TG_BACKOFF_MIN_US 200000
 #define TG_BACKOFF_MAX_US 3000000
+/* The pause after a report of a long queue is one service time and doubles
+   with each further one, at most so often.  */
+#define TG_QUEUE_PAUSE_DOUBLINGS_MAX 3
 /* A target that shed a request is avoided for about one service time.  */
 #define TG_SHED_BACKOFF_US 100000
 /* Cost of sending a request to another zone or region, added to the estimated
@@ -124,6 +127,11 @@
                                 other_load_updated_us */
   int64_t other_load_updated_us;
   int64_t shed_until_us;
+  int64_t service_us; /* EWMA of the service times that this daemon's
+                         requests to it were expected to take; 0: none */
+  uint32_t
+      long_queue_count; /* pauses since the last report of a short queue */
+  int64_t queue_pause_until_us;
   uint32_t no_response_count; /* attempts since its last success */
   int64_t backoff_until_us;
   int64_t last_success_us; /* 0: never */
@@ -146,7 +154,8 @@
   gboolean fills_cache; /* see tg_attempt_fills_cache */
   gboolean was_queued;  /* it was expected to wait in the target's queue */
   int64_t started_us;
-  int64_t cold_us; /* cold_ms of the query */
+  int64_t cold_us;     /* cold_ms of the query */
+  int64_t wait_max_us; /* of the query */
   GList node;
 };
 
@@ -193,6 +202,9 @@
    a response, and its target has responded to no other one since it began.  */
 gboolean tg_is_unanswered (const TgAttempt *attempt, uint32_t miss_count,
                            int64_t now_us);
+/* Whether the last report showed a long queue and is not older than the
+   longest pause.  */
+gboolean tg_has_long_queue (const TgTarget *target, int64_t now_us);
 /* Decayed to NOW_US.  */
 double tg_error_fraction (const TgTarget *target, int64_t now_us);
 uint64_t tg_hash (const char *text);
--- a/targets/pick.c
+++ b/targets/pick.c
@@ -74,6 +74,14 @@
          * decay_factor (now_us - target->error_updated_us);
 }
 
+gboolean
+tg_has_long_queue (const TgTarget *target, int64_t now_us)
+{
+  return target->long_queue_count > 0
+         && now_us - target->queue_pause_until_us
+                < target->service_us << TG_QUEUE_PAUSE_DOUBLINGS_MAX;
+}
+
 static double
 current_slowness (const TgTarget *target, const TgRoute *route, int64_t now_us)
 {
@@ -179,6 +187,20 @@
   return target->backoff_until_us > now_us || target->in_flight_count > 0;
 }
 
+/* Each of many daemons sends to a target less often than its queue advances,
+   so none can tell from its own requests how the load of a report develops.
+   After one of a long queue it pauses, and then sends one request at a time
+   until a report shows a short queue.  The pauses become longer while the
+   reports do not improve, so that together the daemons send less than the
+   target can handle.  */
+static gboolean
+is_in_queue_pause (const TgTarget *target, int64_t now_us)
+{
+  if (!tg_has_long_queue (target, now_us))
+    return FALSE;
+  return target->queue_pause_until_us > now_us || target->in_flight_count > 0;
+}
+
 static void
 estimate_cost (const TgTarget *target, const TgQuery *query,
                const TgRoute *route, int64_t queue_service_us, int64_t now_us,
@@ -195,11 +217,10 @@
   uint64_t key
       = query->object_hash != 0 ? query->object_hash : query->request_hash;
   uint64_t weight = tg_rendezvous_weight (target, key);
-  int64_t service_us;
 
   choice->target = (TgTarget *)target;
   choice->cached = tg_is_cached (target, query->object_hash);
-  service_us
+  choice->service_us
       = choice->cached
             ? route->hit_us
                   + (int64_t)(target->miss_fraction
@@ -212,7 +233,7 @@
   if (target->shed_until_us > now_us)
     choice->wait_us = MAX (choice->wait_us, target->shed_until_us - now_us);
   choice->cost_us
-      = choice->wait_us + (int64_t)(slowness * (double)service_us)
+      = choice->wait_us + (int64_t)(slowness * (double)choice->service_us)
         + distance_costs_us[target->distance]
         + (int64_t)(tg_error_fraction (target, now_us)
                     * (double)(route->miss_us + query->latency_target_us))
@@ -239,7 +260,8 @@
   if (!is_allowed (search->set, target, search->query, search->now_us))
     return;
   search->any_allowed = TRUE;
-  if (is_in_backoff (target, search->now_us))
+  if (is_in_backoff (target, search->now_us)
+      || is_in_queue_pause (target, search->now_us))
     return;
   estimate_cost (target, search->query, search->route,
                  search->queue_service_us, search->now_us, &candidate);
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -311,6 +311,12 @@
   return route;
 }
 
+static int64_t
+moving_average (int64_t old_us, int64_t new_us)
+{
+  return old_us + (new_us - old_us) / TG_EWMA_DIVISOR;
+}
+
 TgAttempt *
 tg_attempt_begin (TgSet *set, const TgQuery *query, const TgChoice *choice,
                   int64_t now_us)
@@ -327,7 +333,12 @@
   attempt->was_queued = choice->wait_us > 0;
   attempt->started_us = now_us;
   attempt->cold_us = query->cold_ms * 1000;
+  attempt->wait_max_us = query->wait_max_us;
   attempt->node.data = attempt;
+  target->service_us
+      = target->service_us == 0
+            ? choice->service_us
+            : moving_average (target->service_us, choice->service_us);
   target->ref_count++;
   target->in_flight_count++;
   g_queue_push_tail_link (&target->in_flight, &attempt->node);
@@ -336,21 +347,37 @@
   return attempt;
 }
 
+/* Reports on requests that were sent before a pause do not extend it.  */
 static void
-update_load (TgTarget *target, const TgResult *result, int64_t now_us)
+start_queue_pause (TgTarget *target, int64_t now_us)
 {
+  if (now_us < target->queue_pause_until_us)
+    return;
+  if (!tg_has_long_queue (target, now_us))
+    target->long_queue_count = 0;
+  target->queue_pause_until_us
+      = now_us
+        + (target->service_us
+           << MIN (target->long_queue_count, TG_QUEUE_PAUSE_DOUBLINGS_MAX));
+  target->long_queue_count++;
+}
+
+static void
+update_load (const TgAttempt *attempt, const TgResult *result, int64_t now_us)
+{
+  TgTarget *target = attempt->target;
   uint32_t reported = result->running_count + result->waiting_count;
+  int64_t wait_us
+      = result->waiting_count * target->service_us / target->slot_count;
 
   target->other_load_count = reported > target->in_flight_count
                                  ? reported - target->in_flight_count
                                  : 0;
   target->other_load_updated_us = now_us;
-}
-
-static int64_t
-moving_average (int64_t old_us, int64_t new_us)
-{
-  return old_us + (new_us - old_us) / TG_EWMA_DIVISOR;
+  if (wait_us > attempt->wait_max_us)
+    start_queue_pause (target, now_us);
+  else
+    target->long_queue_count = 0;
 }
 
 /* A request that was expected to hit but took as long as a miss shows that the
@@ -428,7 +455,7 @@
   g_queue_unlink (&target->in_flight, &attempt->node);
   target->in_flight_count--;
   if (result->has_load)
-    update_load (target, result, now_us);
+    update_load (attempt, result, now_us);
   switch (result->kind)
     {
     case TG_RESULT_SUCCESS:
--- a/targets/targets.h
+++ b/targets/targets.h
@@ -123,6 +123,7 @@
   TgTarget *target;
   gboolean cached;     /* the target is expected to have the object cached */
   gboolean is_replica; /* the object is placed on the target */
+  int64_t service_us;  /* estimated, without the queue */
   int64_t wait_us;     /* estimated queueing time */
   int64_t cost_us;     /* estimated time to a response */
 } TgChoice;
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -566,6 +567,186 @@
   EXPECT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_FULL);
 }
 
+/* Guards against a target that stays overloaded because its last report of a
+   long queue is soon taken for outdated.  */
+TEST_F (Target, PausesWhileReportsShowALongQueue)
+{
+  TgResult long_queue = { .kind = TG_RESULT_SUCCESS,
+                          .has_load = TRUE,
+                          .running_count = 3,
+                          .waiting_count = 6 };
+  TgResult short_queue
+      = { .kind = TG_RESULT_SUCCESS, .has_load = TRUE, .running_count = 1 };
+  TgAttempt *attempt;
+  AddTarget ("t1");
+  /* Requests are expected to take 250 ms.  */
+  for (int64_t pause_ms : { 250, 500, 1000, 2000, 2000 })
+    {
+      ASSERT_NE (attempt = BeginAttempt (Query ()), nullptr) << pause_ms;
+      tg_attempt_end (set, attempt, &long_queue, now_us);
+      now_us += (pause_ms - 10) * kMs;
+      EXPECT_EQ (BeginAttempt (Query ()), nullptr) << pause_ms;
+      now_us += 700 * kMs; /* the reported load has ended by then */
+    }
+  attempt = BeginAttempt (Query ());
+  ASSERT_NE (attempt, nullptr);
+  EXPECT_EQ (BeginAttempt (Query ()), nullptr);
+  tg_attempt_end (set, attempt, &short_queue, now_us);
+  attempt = BeginAttempt (Query ());
+  TgAttempt *second = BeginAttempt (Query ());
+  ASSERT_NE (attempt, nullptr);
+  ASSERT_NE (second, nullptr);
+  EndAttempt (attempt, TG_RESULT_SUCCESS);
+  EndAttempt (second, TG_RESULT_SUCCESS);
+}
+
+/* One target to which many daemons send.  It handles SLOTS requests at once,
+   each for SERVICE, queues some more and sheds the others.  */
+class CrowdedTarget
+{
+public:
+  static constexpr int kDaemons = 25;
+  static constexpr size_t kSlots = 9;
+  static constexpr size_t kQueueMax = 36;
+  static constexpr int64_t kServiceUs = 1300 * kMs;
+  static constexpr int64_t kDeadlineUs = 4 * kSecond;
+
+  int sent = 0;
+  int served = 0;
+  int timed_out = 0;
+  int refused = 0;
+
+  CrowdedTarget ()
+  {
+    TgOptions options = { "a1", "a", 1 };
+    TgEntry entry = {};
+    entry.id = "t1";
+    entry.address = "10.0.0.1:80";
+    entry.service = "boards";
+    entry.zone = "a1";
+    entry.region = "a";
+    entry.slot_count = kSlots;
+    for (int i = 0; i < kDaemons; i++)
+      {
+        sets.push_back (tg_new (&options));
+        tg_update (sets.back (), &entry, now_us);
+      }
+  }
+  ~CrowdedTarget ()
+  {
+    while (!queue.empty ())
+      end (0, TG_RESULT_CANCELLED);
+    for (TgSet *set : sets)
+      tg_free (set);
+  }
+
+  void
+  run (int seconds, double requests_per_s)
+  {
+    for (int step = 0; step < seconds * 100; step++)
+      {
+        now_us += 10 * kMs;
+        finish_requests ();
+        for (int daemon = 0; daemon < kDaemons; daemon++)
+          if (g_rand_double (random.get ()) < requests_per_s / kDaemons / 100)
+            send (daemon);
+      }
+  }
+
+private:
+  struct Pending
+  {
+    int daemon;
+    TgAttempt *attempt;
+    int64_t sent_us;
+    int64_t started_us; /* 0: waits */
+  };
+
+  std::vector<TgSet *> sets;
+  std::vector<Pending> queue; /* oldest first; those in slots are in front */
+  int64_t now_us = 100 * kSecond;
+  std::unique_ptr<GRand, void (*) (GRand *)> random{ g_rand_new_with_seed (7),
+                                                     g_rand_free };
+
+  void
+  end (size_t index, TgResultKind kind)
+  {
+    Pending ended = queue[index];
+    TgResult result = { .kind = kind };
+    queue.erase (queue.begin () + (long)index);
+    result.has_load = kind == TG_RESULT_SUCCESS || kind == TG_RESULT_SHED;
+    result.running_count = (uint32_t)MIN (queue.size (), kSlots);
+    result.waiting_count = (uint32_t)queue.size () - result.running_count;
+    tg_attempt_end (sets[(size_t)ended.daemon], ended.attempt, &result,
+                    now_us);
+  }
+
+  void
+  finish_requests ()
+  {
+    for (size_t i = 0; i < queue.size ();)
+      if (now_us - queue[i].sent_us >= kDeadlineUs)
+        timed_out++, end (i, TG_RESULT_TIMEOUT);
+      else if (queue[i].started_us != 0
+               && now_us - queue[i].started_us >= kServiceUs)
+        served++, end (i, TG_RESULT_SUCCESS);
+      else
+        i++;
+    for (size_t i = 0; i < MIN (queue.size (), kSlots); i++)
+      if (queue[i].started_us == 0)
+        queue[i].started_us = now_us;
+  }
+
+  void
+  send (int daemon)
+  {
+    TgQuery query = {};
+    TgChoice choice;
+    query.route = "view";
+    query.service = "boards";
+    query.request_hash = g_rand_int (random.get ());
+    query.latency_target_us = 1000 * kMs;
+    query.wait_max_us = 450 * kMs;
+    query.in_flight_max = 16;
+    if (tg_pick (sets[(size_t)daemon], &query, now_us, &choice)
+        != TG_PICK_FOUND)
+      {
+        refused++;
+        return;
+      }
+    sent++;
+    queue.push_back (
+        { daemon,
+          tg_attempt_begin (sets[(size_t)daemon], &query, &choice, now_us),
+          now_us, 0 });
+    if (queue.size () > kSlots + kQueueMax)
+      end (queue.size () - 1, TG_RESULT_SHED);
+  }
+};
+
+/* Load: requests that only the targets of one region may run, three times as
+   many as these can handle, from the daemons of all regions
+   (emcd-manizales-grown, target-crash).  Guards against requests that wait at
+   the targets until their deadline instead of being refused at once, which
+   leaves few that are served.  */
+TEST (Crowd, ManyDaemonsKeepTheQueueOfATargetShort)
+{
+  CrowdedTarget target;
+  double capacity_per_s
+      = CrowdedTarget::kSlots * 1e6 / CrowdedTarget::kServiceUs;
+
+  target.run (20, 3 * capacity_per_s);
+  target.sent = target.served = target.timed_out = 0;
+  target.run (100, 3 * capacity_per_s);
+  EXPECT_LE (target.timed_out, target.sent / 20);
+  EXPECT_GE (target.served, 0.8 * 100 * capacity_per_s);
+  /* A crowd that has left leaves no pause behind.  */
+  target.run (25, capacity_per_s / 4);
+  target.refused = 0;
+  target.run (20, capacity_per_s / 4);
+  EXPECT_EQ (target.refused, 0);
+}
+
 /* Guards against all requests being sent to a target that does not respond. */
 TEST_F (Target, ProbesAnUnresponsiveTargetOneAtATime)
 {
