backend: a response is read before a failed send ends its request

Callers saw 502 (unknown), or their request was sent to a second target, where a target had responded and closed the connection before it had read the whole request. The close resets the connection; the next send fails, and the call ended without a look at what had arrived.

What has arrived is read first. After a failed send the kernel reports the reset as the end of input, so a response without a length stays incomplete.

Backend.ResetWhileSendingCompletesNoResponseWithoutLength fails in 20 of 20 exchanges without the check for the failed send.

--- a/backend/backend_test.cc
+++ b/backend/backend_test.cc
@@ -369,6 +369,50 @@
   EXPECT_EQ (300000u, outcome.body.size ());
 }
 
+/* Guards against a response that is dropped because its target closes the
+   connection before it has read the whole body of the request.  */
+TEST (Backend, DeliversAResponseToARequestThatIsOnlyPartlySent)
+{
+  for (int i = 0; i < 20; i++)
+    {
+      Fixture f;
+      Outcome outcome;
+      char bytes[1000];
+
+      f.start (&outcome, "POST", 5000, std::string (8000000, 'x'));
+      int fd = f.accept_one ();
+      ASSERT_TRUE (
+          f.run_until ([&] { return recv (fd, bytes, sizeof bytes, 0) > 0; }));
+      send_text (fd, status_line
+                         + "Content-Length: 2\r\nConnection: close\r\n\r\nok");
+      f.close_fd (fd);
+      ASSERT_TRUE (f.run_until ([&] { return outcome.done; }));
+      EXPECT_EQ (BK_FAILURE_NONE, outcome.result.failure);
+      EXPECT_EQ ("ok", outcome.body);
+    }
+}
+
+/* Guards against a response without a length that is reported as complete
+   although its connection was reset while the request was being sent.  */
+TEST (Backend, ResetWhileSendingCompletesNoResponseWithoutLength)
+{
+  for (int i = 0; i < 20; i++)
+    {
+      Fixture f;
+      Outcome outcome;
+      char bytes[1000];
+
+      f.start (&outcome, "POST", 5000, std::string (8000000, 'x'));
+      int fd = f.accept_one ();
+      ASSERT_TRUE (
+          f.run_until ([&] { return recv (fd, bytes, sizeof bytes, 0) > 0; }));
+      send_text (fd, status_line + "Connection: close\r\n\r\nok");
+      f.close_fd (fd);
+      ASSERT_TRUE (f.run_until ([&] { return outcome.done; }));
+      EXPECT_EQ (BK_FAILURE_CLOSED, outcome.result.failure);
+    }
+}
+
 /* Guards against a connection that gets less than its time, since the timers
    of an event loop count from the start of its turn.  */
 TEST (Backend, WaitsForAConnectionAfterALongTurn)
--- a/backend/link.c
+++ b/backend/link.c
@@ -44,6 +44,20 @@
          && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/* A target may respond and close the connection before it has read the whole
+   request, so a response may have arrived.  */
+static void
+end_sending (BkConn *conn)
+{
+  BkCall *call = conn->call;
+
+  conn->send_failed = TRUE;
+  if (call->result.sent == BK_SENT_MAYBE)
+    bk_conn_read_arrived (conn);
+  if (!call->finished)
+    bk_call_finish (call, BK_FAILURE_CLOSED, FALSE);
+}
+
 /* Sends as much of the request as the socket accepts.  A call whose first send
    fails counts as not sent; on a reused connection it is requeued.  */
 static void
@@ -64,7 +78,7 @@
       if (call->result.sent == BK_SENT_NONE && conn->used)
         bk_call_requeue (call);
       else
-        bk_call_finish (call, BK_FAILURE_CLOSED, FALSE);
+        end_sending (conn);
       return;
     }
   if (call->sent_bytes < call->encoded_request->len)
@@ -199,9 +213,10 @@
 {
   BkCall *call = conn->call;
   ssize_t received = receive_bytes (conn);
-  gboolean failed = received < 0;
+  /* After a failed send the kernel reports a reset as the end of input.  */
+  gboolean failed = received < 0 || (received == 0 && conn->send_failed);
 
-  if (failed && (errno == EAGAIN || errno == EINTR))
+  if (received < 0 && (errno == EAGAIN || errno == EINTR))
     return FALSE;
   /* After a reset it is unknown whether all bytes arrived, so a reset never
      completes a response without a length.  */
--- a/backend/link.h
+++ b/backend/link.h
@@ -43,7 +43,8 @@
   int64_t connect_deadline_us;
   int64_t connected_us;
   int64_t idle_since_us;
-  gboolean used; /* has carried a complete response */
+  gboolean used;        /* has carried a complete response */
+  gboolean send_failed; /* the rest of the request cannot be sent */
 };
 
 typedef enum
