backend: keep the connection of a target that reads a long request late

Callers saw 502 (unknown), or an idempotent request was sent to a second target, where a target that was up read nothing of a long body for 0.6 s. TCP_USER_TIMEOUT, set to find hosts that have failed, also counts the time for which the window of the target is closed, so the kernel ended the connection while the target was at work. On the loopback the window closes after 127,973 bytes.

The pool now looks at the connection itself, four times in that time: it closes one that has unacknowledged bytes in flight and has got no acknowledgement for unacked_timeout_ms. With a closed window nothing is in flight. The time counts from the start of the request, since a connection that was idle has got no acknowledgement for a while.

--- a/backend/backend.h
+++ b/backend/backend.h
@@ -125,7 +125,8 @@
   uint32_t connections_max;    /* per target; default 3 */
   uint32_t idle_timeout_ms;    /* of connections; default 5000 */
   uint32_t connect_timeout_ms; /* default 1000 */
-  uint32_t unacked_timeout_ms; /* TCP_USER_TIMEOUT; 0: none */
+  uint32_t unacked_timeout_ms; /* for sent bytes that the target's host does
+                                  not acknowledge; 0: none */
   gsize response_max_bytes;    /* of the body; default and maximum 16 MB */
   gsize buffered_max_bytes;    /* of all bodies; default 48 MB */
 } BkOptions;
--- a/backend/backend_test.cc
+++ b/backend/backend_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -413,6 +414,91 @@
     }
 }
 
+/* Guards against a target whose connection is closed as that of a failed host
+   because it reads the body of a request late.  */
+TEST (Backend, WaitsForATargetThatReadsABodyLate)
+{
+  BkOptions options = {};
+  options.unacked_timeout_ms = 300;
+  Fixture f (options);
+  Outcome outcome;
+  std::string received;
+
+  f.start (&outcome, "POST", 10000, std::string (8000000, 'x') + "body");
+  int fd = f.accept_one ();
+  f.run_until ([&] { return outcome.done; }, 3000);
+  EXPECT_FALSE (outcome.done);
+  EXPECT_GT (f.receive (fd).size (), 8000000u);
+  send (fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 40,
+        MSG_NOSIGNAL);
+  ASSERT_TRUE (f.run_until ([&] { return outcome.done; }));
+  EXPECT_EQ (BK_FAILURE_NONE, outcome.result.failure);
+  EXPECT_EQ ("ok", outcome.body);
+}
+
+/* Guards against a request that waits for its deadline at a target whose host
+   has failed: it acknowledges nothing.  */
+TEST (Backend, GivesUpATargetThatAcknowledgesNothing)
+{
+  for (size_t body_bytes : { (size_t)4, (size_t)8000000 })
+    {
+      BkOptions options = {};
+      options.unacked_timeout_ms = 300;
+      Fixture f (options);
+      Outcome first, second;
+      struct sock_filter drop_all = BPF_STMT (BPF_RET | BPF_K, 0);
+      struct sock_fprog filter = { 1, &drop_all };
+      int64_t start_us;
+
+      f.start (&first);
+      int fd = f.accept_one ();
+      EXPECT_NE ("", f.receive (fd));
+      send (fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 40, 0);
+      ASSERT_TRUE (f.run_until ([&] { return first.done; }));
+      ASSERT_EQ (0, setsockopt (fd, SOL_SOCKET, SO_ATTACH_FILTER, &filter,
+                                sizeof filter));
+      start_us = bk_now_us ();
+      f.start (&second, "POST", 5000, std::string (body_bytes, 'x'));
+      ASSERT_TRUE (f.run_until ([&] { return second.done; }));
+      EXPECT_GE (bk_now_us () - start_us, 290000);
+      EXPECT_LT (bk_now_us () - start_us, 1000000);
+      EXPECT_EQ (BK_FAILURE_CLOSED, second.result.failure);
+      EXPECT_EQ (BK_SENT_MAYBE, second.result.sent);
+      EXPECT_TRUE (second.result.reused);
+    }
+}
+
+/* Guards against a reused connection whose idle time counts as time without an
+   acknowledgement: a packet may be lost and sent again.  */
+TEST (Backend, WaitsForAnAcknowledgementAfterAnIdleTime)
+{
+  BkOptions options = {};
+  options.unacked_timeout_ms = 600;
+  Fixture f (options);
+  Outcome first, second;
+  struct sock_filter drop_all = BPF_STMT (BPF_RET | BPF_K, 0);
+  struct sock_fprog filter = { 1, &drop_all };
+  int off = 0;
+
+  f.start (&first);
+  int fd = f.accept_one ();
+  EXPECT_NE ("", f.receive (fd));
+  send (fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 40, 0);
+  ASSERT_TRUE (f.run_until ([&] { return first.done; }));
+  f.run_until ([] { return false; }, 800);
+  ASSERT_EQ (0, setsockopt (fd, SOL_SOCKET, SO_ATTACH_FILTER, &filter,
+                            sizeof filter));
+  f.start (&second);
+  f.run_until ([] { return false; }, 300);
+  setsockopt (fd, SOL_SOCKET, SO_DETACH_FILTER, &off, sizeof off);
+  EXPECT_NE ("", f.receive (fd));
+  send (fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 40,
+        MSG_NOSIGNAL);
+  ASSERT_TRUE (f.run_until ([&] { return second.done; }));
+  EXPECT_EQ (BK_FAILURE_NONE, second.result.failure);
+  EXPECT_TRUE (second.result.reused);
+}
+
 /* Guards against a connection that gets less than its time, since the timers
    of an event loop count from the start of its turn.  */
 TEST (Backend, WaitsForAConnectionAfterALongTurn)
--- a/backend/link.c
+++ b/backend/link.c
@@ -10,6 +10,8 @@
 #define READ_MAX_BYTES (64 * 1024)
 /* Covers the largest response, and bounds bytes that arrive without end.  */
 #define READS_MAX (2 * BK_RESPONSE_MAX_BYTES / READ_MAX_BYTES)
+/* How often a connection is checked within its unacked_timeout_ms.  */
+#define UNACKED_CHECKS 4
 
 /* A TIMEOUT_MS of 0 means no timeout.  */
 static void
@@ -90,10 +92,13 @@
 {
   BkCall *call = conn->call;
 
+  conn->send_start_us = bk_now_us ();
   call->sent_bytes = 0;
   call->result.connected_us = conn->connected_us;
   call->result.reused = conn->used;
-  add_event (conn->read_event, 0);
+  add_event (conn->read_event, (conn->target->pool->options.unacked_timeout_ms
+                                + UNACKED_CHECKS - 1)
+                                   / UNACKED_CHECKS);
   send_request_bytes (conn);
 }
 
@@ -243,6 +248,23 @@
       return;
 }
 
+/* Whether the host of the target has not acknowledged what was sent in time.
+   TCP_USER_TIMEOUT would also close the connection of a target that reads a
+   long request late, since its window is closed meanwhile.  */
+static gboolean
+is_unacknowledged (const BkConn *conn)
+{
+  uint32_t timeout_ms = conn->target->pool->options.unacked_timeout_ms;
+  struct tcp_info info = { 0 };
+  socklen_t length = sizeof info;
+
+  if (timeout_ms == 0
+      || bk_now_us () - conn->send_start_us < (int64_t)timeout_ms * 1000)
+    return FALSE;
+  return getsockopt (conn->fd, IPPROTO_TCP, TCP_INFO, &info, &length) == 0
+         && info.tcpi_unacked > 0 && info.tcpi_last_ack_recv >= timeout_ms;
+}
+
 /* An idle connection is closed when its idle timeout expires, when the target
    closes it and when the target sends unsolicited bytes.  */
 static void
@@ -252,10 +274,12 @@
   BkTarget *target = conn->target;
 
   (void)fd;
-  (void)what;
   if (conn->call != NULL)
     {
-      read_response (conn);
+      if ((what & EV_READ) != 0)
+        read_response (conn);
+      else if (is_unacknowledged (conn))
+        bk_call_finish (conn->call, BK_FAILURE_CLOSED, FALSE);
       return;
     }
   bk_conn_close (conn);
@@ -266,16 +290,12 @@
 open_socket (const BkTarget *target)
 {
   int on = 1;
-  unsigned int unacked_ms = target->pool->options.unacked_timeout_ms;
   int fd = socket (target->sockaddr.ss_family,
                    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
   if (fd < 0)
     return -1;
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  if (unacked_ms > 0)
-    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
-                sizeof unacked_ms);
   if (connect (fd, (const struct sockaddr *)&target->sockaddr,
                target->sockaddr_bytes)
           == 0
