entry, daemon: the end of a stop forwards responses that have arrived

A stopping daemon ends what is left of its requests 0.4 s before its grace period is over. Callers got 502 (unknown) also where the target's response had arrived: in the same turn of the event loop, or while the process was paused, the timer runs before the result is delivered.

bk_deliver_arrived reads what has arrived of a response and delivers it; both daemons call it before they end a request at a target. Nothing is sent again then. The daemon of the own interface ends its queue first, since a response frees a slot for it.

--- a/backend/backend.c
+++ b/backend/backend.c
@@ -195,20 +195,12 @@
     bk_call_finish (call, BK_FAILURE_TIMEOUT, FALSE);
 }
 
-/* Delivers the result, or ends the call at its deadline.  */
+/* Calls the callback of CALL and frees CALL.  */
 static void
-on_timer (evutil_socket_t fd, short what, void *data)
+deliver (BkCall *call)
 {
-  BkCall *call = data;
   BkTarget *target = call->target;
 
-  (void)fd;
-  (void)what;
-  if (!call->finished)
-    {
-      on_deadline (call);
-      return;
-    }
   if (target != NULL)
     bk_target_dispatch (target);
   call->delivering = TRUE;
@@ -218,6 +210,20 @@
     bk_target_free_if_unused (target);
 }
 
+/* Delivers the result, or ends the call at its deadline.  */
+static void
+on_timer (evutil_socket_t fd, short what, void *data)
+{
+  BkCall *call = data;
+
+  (void)fd;
+  (void)what;
+  if (call->finished)
+    deliver (call);
+  else
+    on_deadline (call);
+}
+
 static gboolean
 is_recently_used (const BkConn *conn, const BkCall *call)
 {
@@ -419,6 +425,18 @@
   return call;
 }
 
+gboolean
+bk_deliver_arrived (BkCall *call)
+{
+  g_assert (!call->delivering);
+  if (call->conn != NULL)
+    bk_conn_read_arrived (call->conn);
+  if (!call->finished)
+    return FALSE;
+  deliver (call);
+  return TRUE;
+}
+
 BkSent
 bk_cancel (BkCall *call)
 {
--- a/backend/backend.h
+++ b/backend/backend.h
@@ -140,10 +140,16 @@
    a callback of the pool.  */
 void bk_pool_free (BkPool *pool);
 
-/* Copies REQUEST.  The callback is called once, from the event loop and never
-   from within this function; then the call is freed.  */
+/* Copies REQUEST.  The callback is called once, from the event loop or
+   bk_deliver_arrived and never from within this function; then the call is
+   freed.  */
 BkCall *bk_request (BkPool *pool, const BkRequest *request);
 
+/* For a user that is about to cancel CALL: if the rest of its response has
+   arrived, or CALL has failed, calls the callback and frees CALL.  Returns
+   whether it did.  Must not be called in or after the callback.  */
+gboolean bk_deliver_arrived (BkCall *call);
+
 /* Closes the connection of CALL and frees CALL without calling its callback.
    Must not be called in or after the callback.  Returns whether the target may
    have received a byte of the request.  */
--- a/backend/backend_test.cc
+++ b/backend/backend_test.cc
@@ -370,6 +370,32 @@
   EXPECT_EQ (300000u, outcome.body.size ());
 }
 
+/* Guards against a response that is dropped by a cancellation although all of
+   it has arrived, and against a result for one that is incomplete.  */
+TEST (Backend, DeliversWhatHasArrivedBeforeACancellation)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n";
+  for (size_t body_bytes : { (size_t)99999, (size_t)100000 })
+    {
+      Fixture f;
+      Outcome outcome;
+      BkCall *call = f.start (&outcome);
+
+      EXPECT_FALSE (bk_deliver_arrived (call));
+      int fd = f.accept_one ();
+      EXPECT_NE ("", f.receive (fd));
+      send_text (fd, head + std::string (body_bytes, 'x'));
+      EXPECT_EQ (body_bytes == 100000, bk_deliver_arrived (call));
+      EXPECT_EQ (body_bytes == 100000, outcome.done);
+      EXPECT_EQ (body_bytes == 100000, outcome.result.complete);
+      if (!outcome.done)
+        {
+          EXPECT_EQ (BK_SENT_MAYBE, bk_cancel (call));
+        }
+      f.run_until ([] { return false; }, 20);
+    }
+}
+
 /* Guards against a response that is dropped because its target closes the
    connection before it has read the whole body of the request.  */
 TEST (Backend, DeliversAResponseToARequestThatIsOnlyPartlySent)
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -92,7 +92,8 @@
 {
   gboolean shed = result->complete && result->status == 503;
 
-  if (request->front == NULL || request->attempt_count >= DM_ATTEMPTS_MAX
+  if (request->daemon->requests_ended || request->front == NULL
+      || request->attempt_count >= DM_ATTEMPTS_MAX
       || ck_boot_us () >= request->deadline_us || (result->complete && !shed))
     return FALSE;
   if (result->sent == BK_SENT_NONE)
--- a/daemon/request.c
+++ b/daemon/request.c
@@ -205,6 +205,9 @@
 static void
 end_request (DmRequest *request)
 {
+  if (request->call != NULL && bk_deliver_arrived (request->call)
+      && request->front == NULL)
+    return;
   if (request->order != NULL)
     {
       dm_order_end (request);
@@ -225,9 +228,14 @@
 
   for (GList *at = requests; at != NULL; at = at->next)
     dm_request_ref (at->data);
+  /* The end of a request at a target sends those in the queue.  */
   for (GList *at = requests; at != NULL; at = at->next)
-    {
+    if (((DmRequest *)at->data)->call == NULL)
       end_request (at->data);
+  for (GList *at = requests; at != NULL; at = at->next)
+    {
+      if (((DmRequest *)at->data)->call != NULL)
+        end_request (at->data);
       dm_request_unref (at->data);
     }
   fr_reject_incomplete (daemon->front);
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <fstream>
@@ -1553,6 +1554,32 @@
   close (fd);
 }
 
+/* Guards against a response that has arrived at a stopping daemon and is
+   replaced by a refusal when the daemon ends its requests.  */
+TEST_F (Entry, EndOfAStopForwardsResponsesThatHaveArrived)
+{
+  std::vector<std::future<Exchange> > exchanges;
+  PostControl ("/target?id=t1&service_ms=1000");
+  PostControl ("/target?id=t2&service_ms=1000");
+  int64_t signal_us = g_get_monotonic_time ();
+  si_process_signal (vms[0].pid, SIGTERM);
+  si_sleep_ms (1000);
+  for (int i = 0; i < 2; i++)
+    exchanges.push_back (std::async (std::launch::async, SendAndReceive,
+                                     vms[0].front, "e" + std::to_string (i)));
+  EXPECT_TRUE (WaitFor ([&] {
+    return CountLines ("/runs", "e0") + CountLines ("/runs", "e1") == 2;
+  }));
+  si_process_signal (vms[0].pid, SIGSTOP);
+  /* Between the end of the requests and that of the grace period.  */
+  si_sleep_ms ((uint32_t)std::max<int64_t> (
+      0, kStopGraceMs - 300 - (g_get_monotonic_time () - signal_us) / 1000));
+  si_process_signal (vms[0].pid, SIGCONT);
+  for (std::future<Exchange> &exchange : exchanges)
+    EXPECT_EQ (exchange.get ().response.substr (0, 12), "HTTP/1.1 200")
+        << ReadLog (vms[0]);
+}
+
 /* Guards against a second signal that ends a stopping daemon at once, while it
    writes its last responses.  */
 TEST_F (Entry, StopsGracefullyUnderRepeatedSignals)
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -598,9 +598,17 @@
   fr_stop (proxy->front, on_idle, data);
 }
 
+static gboolean
+is_at_target (const EnRequest *request)
+{
+  return request->token_request == NULL && request->hold_timer == NULL;
+}
+
 static void
 end_request (EnRequest *request)
 {
+  if (is_at_target (request) && bk_deliver_arrived (request->call))
+    return;
   stop_waiting (request, ck_boot_us ());
   if (request->may_have_run)
     en_request_fail (request, EN_OUTCOME_UNKNOWN, 0, "daemon_ended");
@@ -609,17 +617,12 @@
                      "daemon_stopping");
 }
 
-static gboolean
-is_at_target (const EnRequest *request)
-{
-  return request->token_request == NULL && request->hold_timer == NULL;
-}
-
 void
 en_proxy_end_requests (EnProxy *proxy)
 {
   GList *next;
 
+  proxy->requests_ended = TRUE;
   /* The end of a request at a target sends those that are held for it.  */
   for (GList *node = proxy->requests.head; node != NULL; node = next)
     {
--- a/entry/request.h
+++ b/entry/request.h
@@ -36,6 +36,7 @@
   GHashTable *splits;        /* route name to EnSplit */
   GQueue requests;           /* EnRequest */
   GHashTable *held_requests; /* object hash to GQueue of EnRequest */
+  gboolean requests_ended;   /* nothing more is sent to targets */
   gboolean is_ending;        /* connections are closed by this daemon */
   MtCounter *outcome_counts[EN_OUTCOME_COUNT];
   MtCounter *attempt_count;
--- a/entry/send.c
+++ b/entry/send.c
@@ -261,7 +261,7 @@
   /* Attempts of which no byte was sent are not counted.  */
   uint32_t sends_max = request->route->attempts_max;
 
-  if (request->attempt_count >= ATTEMPTS_MAX
+  if (proxy->requests_ended || request->attempt_count >= ATTEMPTS_MAX
       || request->deadline_us - ck_boot_us () < SEND_TIME_LEFT_MIN_US)
     return FALSE;
   if (verdict == VERDICT_NOT_SENT)
--- a/proof/stop_test.cc
+++ b/proof/stop_test.cc
@@ -187,6 +187,36 @@
   expect_exit (run, 2000);
 }
 
+/* Guards against a response that has arrived at a stopping daemon and is
+   replaced by a refusal when the daemon ends its requests.  */
+TEST (Stop, EndForwardsResponsesThatHaveArrived)
+{
+  TestRun run (with_drain_max_ms (3000));
+  Caller reader (address_of (run, "vm1"));
+  Caller orderer (address_of (run, "vm1"));
+  Caller keyed (address_of (run, "vm1"));
+  pid_t pid = si_find_vm (run.harness (), "vm1")->pid;
+
+  reader.send_request (read_line (run), "X-Work-Ms: 1500\r\n");
+  orderer.send_request (order_line (run), "X-Work-Ms: 1500\r\n");
+  keyed.send_request (order_line (run),
+                      "X-Work-Ms: 1500\r\nIdempotency-Key: stop-5\r\n");
+  g_usleep (500000);
+  int64_t signalled_us = signal_vm1 (run);
+  g_usleep (200000);
+  kill (pid, SIGSTOP);
+  /* Between the end of the requests and that of the drain.  */
+  g_usleep (2550000);
+  kill (pid, SIGCONT);
+  for (Caller *caller : { &reader, &orderer, &keyed })
+    {
+      Answer answer = caller->receive ();
+
+      EXPECT_EQ (200, answer.status) << describe (answer, signalled_us);
+    }
+  expect_exit (run, 3000);
+}
+
 /* Guards against a stopping daemon that accepts requests which may run longer
    than it does, on new and on kept connections, and against one that refuses
    those that it can finish.  */
