--- a/backend/backend.h
+++ b/backend/backend.h
@@ -125,7 +125,8 @@
   uint32_t connections_max;    /* per target; default 3 */
   uint32_t idle_timeout_ms;    /* of connections; default 5000 */
   uint32_t connect_timeout_ms; /* default 1000 */
-  uint32_t unacked_timeout_ms; /* TCP_USER_TIMEOUT; 0: none */
+  uint32_t unacked_timeout_ms; /* for sent bytes that the target's host does
+                                  not acknowledge; 0: none */
   gsize response_max_bytes;    /* of the body; default and maximum 16 MB */
   gsize buffered_max_bytes;    /* of all bodies; default 48 MB */
 } BkOptions;
@@ -139,10 +140,16 @@
    a callback of the pool.  */
 void bk_pool_free (BkPool *pool);
 
-/* Copies REQUEST.  The callback is called once, from the event loop and never
-   from within this function; then the call is freed.  */
+/* Copies REQUEST.  The callback is called once, from the event loop or
+   bk_deliver_arrived and never from within this function; then the call is
+   freed.  */
 BkCall *bk_request (BkPool *pool, const BkRequest *request);
 
+/* For a user that is about to cancel CALL: if the rest of its response has
+   arrived, or CALL has failed, calls the callback and frees CALL.  Returns
+   whether it did.  Must not be called in or after the callback.  */
+gboolean bk_deliver_arrived (BkCall *call);
+
 /* Closes the connection of CALL and frees CALL without calling its callback.
    Must not be called in or after the callback.  Returns whether the target may
    have received a byte of the request.  */
