backend: the kernel finds failed hosts for short requests

Only a request that does not fit into the receive window can meet a closed one, so shorter ones get TCP_USER_TIMEOUT again, and the others the check.

--- a/backend/link.c
+++ b/backend/link.c
@@ -10,6 +10,9 @@
 #define READ_MAX_BYTES (64 * 1024)
 /* Covers the largest response, and bounds bytes that arrive without end.  */
 #define READS_MAX (2 * BK_RESPONSE_MAX_BYTES / READ_MAX_BYTES)
+/* The receive window with which hosts begin holds a request of this length, so
+   it is acknowledged also where the target reads it late.  */
+#define SHORT_REQUEST_BYTES (32 * 1024)
 /* How often a connection is checked within its unacked_timeout_ms.  */
 #define UNACKED_CHECKS 4
 
@@ -22,6 +25,15 @@
   event_add (event, timeout_ms > 0 ? &timeout : NULL);
 }
 
+/* A TIMEOUT_MS of 0 means no timeout.  */
+static void
+set_user_timeout (int fd, uint32_t timeout_ms)
+{
+  unsigned int value_ms = timeout_ms;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &value_ms, sizeof value_ms);
+}
+
 void
 bk_conn_close (BkConn *conn)
 {
@@ -87,18 +99,27 @@
     add_event (conn->write_event, 0);
 }
 
+/* The kernel finds a host that acknowledges nothing.  Its timeout also counts
+   the time for which a target that reads a long request late has closed its
+   window, so such a request is checked by is_unacknowledged.  */
 static void
 start_sending (BkConn *conn)
 {
   BkCall *call = conn->call;
+  uint32_t unacked_timeout_ms = conn->target->pool->options.unacked_timeout_ms;
+  gboolean is_short = call->encoded_request->len <= SHORT_REQUEST_BYTES;
 
   conn->send_start_us = bk_now_us ();
   call->sent_bytes = 0;
   call->result.connected_us = conn->connected_us;
   call->result.reused = conn->used;
-  add_event (conn->read_event, (conn->target->pool->options.unacked_timeout_ms
-                                + UNACKED_CHECKS - 1)
-                                   / UNACKED_CHECKS);
+  if (conn->is_short != is_short)
+    set_user_timeout (conn->fd, is_short ? unacked_timeout_ms : 0);
+  conn->is_short = is_short;
+  add_event (conn->read_event,
+             is_short
+                 ? 0
+                 : (unacked_timeout_ms + UNACKED_CHECKS - 1) / UNACKED_CHECKS);
   send_request_bytes (conn);
 }
 
@@ -249,8 +270,7 @@
 }
 
 /* Whether the host of the target has not acknowledged what was sent in time.
-   TCP_USER_TIMEOUT would also close the connection of a target that reads a
-   long request late, since its window is closed meanwhile.  */
+   With a closed window nothing is unacknowledged.  */
 static gboolean
 is_unacknowledged (const BkConn *conn)
 {
@@ -296,6 +316,7 @@
   if (fd < 0)
     return -1;
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  set_user_timeout (fd, target->pool->options.unacked_timeout_ms);
   if (connect (fd, (const struct sockaddr *)&target->sockaddr,
                target->sockaddr_bytes)
           == 0
@@ -318,6 +339,7 @@
   conn->target = target;
   conn->fd = fd;
   conn->call = call;
+  conn->is_short = TRUE;
   conn->input = evbuffer_new ();
   conn->read_event
       = event_new (base, fd, EV_READ | EV_PERSIST, on_readable, conn);
--- a/backend/link.h
+++ b/backend/link.h
@@ -44,6 +44,7 @@
   int64_t connected_us;
   int64_t idle_since_us;
   int64_t send_start_us; /* of the current request */
+  gboolean is_short;     /* the current request */
   gboolean used;         /* has carried a complete response */
   gboolean send_failed;  /* the rest of the request cannot be sent */
 };
