entry: followers use a target that left and came back within one delta

What callers saw: a target whose entry was removed and written again before the region leader read both got no requests from the other daemons of the region; later entries did not bring it back, since the leader relays an entry only if it changes something.

Cause: a target delta holds entries and removals in two lists, and receivers apply the removals last, whatever the order of the changes was.

Why it works: the leader drops a removal that it has not published yet when the target is listed again, so no id is in both lists with its entry as the final state.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -598,6 +598,25 @@
   EXPECT_EQ (GetControl ("/arrivals").find ("t2 e1"), std::string::npos);
 }
 
+/* Guards against a target that is missing at followers because it left and
+   came back within one target delta.  t2 writes first, so that the region
+   leader waits before it reads the rest.  */
+TEST_F (Entry, FollowerUsesTargetThatLeftAndCameBack)
+{
+  si_sleep_ms (2500);
+  for (int i = 0; i < 3; i++)
+    {
+      PutTarget ("t2", "a2");
+      si_sleep_ms (50);
+      PostControl ("/remove?key=servers/t1");
+      PutTarget ("t1", "a1");
+      si_sleep_ms (1000);
+    }
+  PostControl ("/target?id=t2&fault=shed");
+  for (const Vm &vm : vms)
+    EXPECT_EQ (SendRequest (vm, "/open/1", "b"), 200) << vm.name;
+}
+
 /* Guards against missing a change that the store's compaction removed from its
    history.  */
 TEST_F (Entry, RereadsStoreAfterCompaction)
--- a/entry/listing.c
+++ b/entry/listing.c
@@ -78,6 +78,17 @@
   g_array_append_val (listing->pending_updates, copy);
 }
 
+/* Receivers apply the entries of a delta before its removals.  */
+static void
+drop_pending_removal (EnListing *listing, const char *id)
+{
+  guint index;
+
+  if (g_ptr_array_find_with_equal_func (listing->pending_removals, id,
+                                        g_str_equal, &index))
+    g_ptr_array_remove_index_fast (listing->pending_removals, index);
+}
+
 static void
 on_target (const TgEntry *entry, void *data)
 {
@@ -85,6 +96,8 @@
   gboolean changed = tg_update (listing->targets, entry, ck_boot_us ());
 
   g_hash_table_remove (listing->retained_ids, entry->id);
+  if (changed)
+    drop_pending_removal (listing, entry->id);
   /* Each entry of a cold target updates the time that it remains cold.  */
   if (!listing->is_applying && (changed || entry->cold_left_ms > 0))
     queue_update (listing, entry);
