targets: a removal is remembered from when it happens

What callers would see (CONFIG, DRAIN): after a restore, daemons that follow a region leader send to a target that had left, since the store lists it again.

Cause: the time of a removal was that of the last tg_update. A follower hears of changes only, so that time was often more than 30 s ago, and the removal was forgotten at once.

Evidence: Target.RemembersARemovalFromWhenItHappens failed on (it depends on no timing) and passes; so do the other tests of targets_test.

Why it works: tg_remove gets the time. The calls in the other tests name the time that they meant before.

--- a/entry/listing.c
+++ b/entry/listing.c
@@ -111,7 +111,7 @@
 static void
 remove_target (EnListing *listing, const char *id, const char *reason)
 {
-  if (!tg_remove (listing->targets, id))
+  if (!tg_remove (listing->targets, id, ck_boot_us ()))
     return;
   tr_log (listing->options.trace, EV_TARGET_GONE, "target=%s reason=%s", id,
           reason);
--- a/targets/internal.h
+++ b/targets/internal.h
@@ -181,7 +181,6 @@
   GHashTable *cold_shares; /* zone to double */
   GHashTable *tombstones;  /* id to TgTombstone */
   GQueue tombstone_order;  /* TgTombstone, oldest first */
-  int64_t updated_us;      /* time of the last tg_update */
 };
 
 /* tg_get_service, tg_get_object and tg_get_route create what does not exist
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -117,7 +117,7 @@
 }
 
 static void
-add_tombstone (TgSet *set, const TgTarget *target)
+add_tombstone (TgSet *set, const TgTarget *target, int64_t now_us)
 {
   TgTombstone *old = g_hash_table_lookup (set->tombstones, target->id);
   TgTombstone *tombstone = g_new0 (TgTombstone, 1);
@@ -129,21 +129,21 @@
   tombstone->id = g_strdup (target->id);
   tombstone->started_ms = target->started_ms;
   tombstone->report_number = target->report_number;
-  tombstone->removed_us = set->updated_us;
+  tombstone->removed_us = now_us;
   tombstone->node.data = tombstone;
   g_queue_push_tail_link (&set->tombstone_order, &tombstone->node);
   g_hash_table_insert (set->tombstones, tombstone->id, tombstone);
 }
 
 gboolean
-tg_remove (TgSet *set, const char *id)
+tg_remove (TgSet *set, const char *id, int64_t now_us)
 {
   TgTarget *target = g_hash_table_lookup (set->targets, id);
   TgService *service;
 
   if (target == NULL)
     return FALSE;
-  add_tombstone (set, target);
+  add_tombstone (set, target, now_us);
   service = tg_get_service (set, target->service);
   target->removed = TRUE;
   g_ptr_array_remove_fast (service->targets, target);
@@ -218,13 +218,12 @@
   TgTarget *target = g_hash_table_lookup (set->targets, entry->id);
   gboolean changed;
 
-  set->updated_us = now_us;
   if (target != NULL ? is_outdated (target, entry)
                      : was_removed (set, entry, now_us))
     return FALSE;
   if (target != NULL && !is_same_incarnation (target, entry))
     {
-      tg_remove (set, entry->id);
+      tg_remove (set, entry->id, now_us);
       target = NULL;
     }
   changed = target == NULL || target->draining != entry->draining;
--- a/targets/targets.h
+++ b/targets/targets.h
@@ -156,7 +156,7 @@
    drain.  */
 gboolean tg_update (TgSet *set, const TgEntry *entry, int64_t now_us);
 /* Returns FALSE if the target is unknown.  */
-gboolean tg_remove (TgSet *set, const char *id);
+gboolean tg_remove (TgSet *set, const char *id, int64_t now_us);
 uint32_t tg_count_targets (const TgSet *set, const char *service);
 
 /* While ZONE is evacuated, none of its targets is picked.  */
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -134,7 +134,7 @@
   entry.report_number = ++last_report_number;
   EXPECT_TRUE (tg_update (set, &entry, now_us));
   EXPECT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_NONE);
-  EXPECT_TRUE (tg_remove (set, "t1"));
+  EXPECT_TRUE (tg_remove (set, "t1", now_us));
   EXPECT_EQ (tg_count_targets (set, "boards"), 0u);
 }
 
@@ -171,7 +171,7 @@
   TgEntry entry = Entry ("t1", "a1", "a");
   entry.report_number = 7;
   tg_update (set, &entry, now_us);
-  tg_remove (set, "t1");
+  tg_remove (set, "t1", now_us);
   for (uint32_t number : { 6u, 7u })
     {
       entry.report_number = number;
@@ -181,13 +181,25 @@
   entry.report_number = 8;
   EXPECT_TRUE (tg_update (set, &entry, now_us));
   EXPECT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_FOUND);
-  tg_remove (set, "t1");
+  tg_remove (set, "t1", now_us);
   entry.started_ms += 1;
   entry.report_number = 1;
   EXPECT_TRUE (tg_update (set, &entry, now_us));
   EXPECT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_FOUND);
 }
 
+/* Guards against forgetting a removal at once where no entry was read for a
+   while, as at a daemon that is told the changes only.  */
+TEST_F (Target, RemembersARemovalFromWhenItHappens)
+{
+  TgEntry entry = Entry ("t1", "a1", "a");
+  tg_update (set, &entry, now_us);
+  now_us += 60 * kSecond;
+  tg_remove (set, "t1", now_us);
+  now_us += 2 * kSecond;
+  EXPECT_FALSE (tg_update (set, &entry, now_us));
+}
+
 /* Guards against a running target that is ignored for ever after its removal:
    it writes the same entry again, or has restarted with a clock that is
    behind.  */
@@ -198,10 +210,10 @@
   TgEntry entry = Entry ("t1", "a1", "a");
   entry.report_number = 7;
   tg_update (set, &entry, now_us);
-  tg_remove (set, "t1");
+  tg_remove (set, "t1", now_us);
   now_us += (int64_t)600 * 1000000;
   EXPECT_TRUE (tg_update (set, &entry, now_us)) << "same number";
-  tg_remove (set, "t1");
+  tg_remove (set, "t1", now_us);
   entry.started_ms -= 1;
   entry.report_number = 1000;
   now_us += (int64_t)600 * 1000000;
@@ -214,12 +226,12 @@
 {
   TgEntry entry = Entry ("first", "a1", "a");
   tg_update (set, &entry, now_us);
-  tg_remove (set, "first");
+  tg_remove (set, "first", now_us);
   for (int i = 0; i < 5000; i++)
     {
       std::string id = "t" + std::to_string (i);
       AddTarget (id.c_str ());
-      tg_remove (set, id.c_str ());
+      tg_remove (set, id.c_str (), now_us);
     }
   EXPECT_TRUE (tg_update (set, &entry, now_us));
 }
@@ -236,7 +248,7 @@
   query.home_regions = home_regions;
   ASSERT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_FOUND);
   EXPECT_STREQ (tg_id (choice.target), "far");
-  tg_remove (set, "far");
+  tg_remove (set, "far", now_us);
   EXPECT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_NONE);
   query.home_regions = nullptr;
   query.customer_home_regions = home_regions;
@@ -522,7 +534,7 @@
   AddTarget ("t2", "a2");
   for (uint64_t object = 1; object <= 40; object++)
     EndAttempt (BeginAttempt (Query (object)), TG_RESULT_SUCCESS);
-  tg_remove (set, "t1");
+  tg_remove (set, "t1", now_us);
   now_us += kSecond;
   for (uint64_t object = 1; object <= 40; object++)
     {
