entry: followers know the last entry of a target that has left

What callers saw (CONFIG, DRAIN): a target had left, the store came back with an entry of it from shortly before, and the daemons that follow the region leader sent requests to it.

Cause: entries from before a target's removal are told by their numbers. The leader relays entries only if they change something, so the last number that a follower knew was lower than that of the entry in the copy.

Ruled out: relaying all entries, which costs a message for each report of each target.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -1215,6 +1215,33 @@
         << vm.name;
 }
 
+/* Guards against a follower that uses a target which has left, because the
+   store came back with an entry that is later than the last one that the
+   region leader relayed.  t2 rejects requests, so a daemon that knows t1
+   retries there.  */
+TEST_F (Entry, SendsNothingToTargetThatHadLeftBeforeRestore)
+{
+  si_sleep_ms (2500);
+  for (int i = 0; i < 3; i++)
+    PutTarget ("t1", "a1");
+  si_sleep_ms (500);
+  PostControl ("/save");
+  PostControl ("/remove?key=servers/t1");
+  si_sleep_ms (1500);
+  PostControl ("/restore");
+  PostControl ("/target?id=t2&fault=shed");
+  for (int i = 0; i < 30; i++)
+    {
+      for (const Vm &vm : vms)
+        EXPECT_EQ (SendRequest (vm, "/open/1", "l-" + vm.name), 503);
+      si_sleep_ms (100);
+    }
+  for (const Vm &vm : vms)
+    EXPECT_EQ (GetControl ("/arrivals").find ("t1 l-" + vm.name),
+               std::string::npos)
+        << vm.name;
+}
+
 /* Guards against an unsafe request that runs twice, and against reporting it
    as not run.  */
 TEST_F (Entry, DoesNotRetryUnsafeRequestThatMayHaveRun)
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -135,6 +135,25 @@
   g_hash_table_insert (set->tombstones, tombstone->id, tombstone);
 }
 
+gboolean
+tg_get_entry (const TgSet *set, const char *id, TgEntry *entry)
+{
+  const TgTarget *target = g_hash_table_lookup (set->targets, id);
+
+  if (target == NULL)
+    return FALSE;
+  *entry = (TgEntry){ .id = target->id,
+                      .address = target->address,
+                      .service = target->service,
+                      .zone = target->zone,
+                      .region = target->region,
+                      .slot_count = target->slot_count,
+                      .draining = target->draining,
+                      .started_ms = target->started_ms,
+                      .report_number = target->report_number };
+  return TRUE;
+}
+
 gboolean
 tg_remove (TgSet *set, const char *id, int64_t now_us)
 {
--- a/targets/targets.h
+++ b/targets/targets.h
@@ -155,7 +155,10 @@
    Returns TRUE if the target is new, has restarted, or has begun or ended to
    drain.  */
 gboolean tg_update (TgSet *set, const TgEntry *entry, int64_t now_us);
-/* Returns FALSE if the target is unknown.  */
+/* Both return FALSE if the target is unknown.  tg_get_entry sets ENTRY to what
+   the target published last, as if it were warm; valid until the next call
+   that changes the target.  */
+gboolean tg_get_entry (const TgSet *set, const char *id, TgEntry *entry);
 gboolean tg_remove (TgSet *set, const char *id, int64_t now_us);
 uint32_t tg_count_targets (const TgSet *set, const char *service);
 
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -200,6 +200,23 @@
   EXPECT_FALSE (tg_update (set, &entry, now_us));
 }
 
+/* Guards against telling others an earlier entry of a target than the one that
+   was read last.  */
+TEST_F (Target, KeepsTheLastEntryThatChangedNothing)
+{
+  TgEntry entry = Entry ("t1", "a1", "a");
+  TgEntry last = {};
+  tg_update (set, &entry, now_us);
+  entry.report_number += 5;
+  EXPECT_FALSE (tg_update (set, &entry, now_us));
+  ASSERT_TRUE (tg_get_entry (set, "t1", &last));
+  EXPECT_EQ (last.report_number, entry.report_number);
+  EXPECT_EQ (last.started_ms, entry.started_ms);
+  EXPECT_STREQ (last.zone, "a1");
+  tg_remove (set, "t1", now_us);
+  EXPECT_FALSE (tg_get_entry (set, "t1", &last));
+}
+
 /* Guards against a running target that is ignored for ever after its removal:
    it writes the same entry again, or has restarted with a clock that is
    behind.  */
