entry: an unreadable configuration that the store held before confirms keys

What callers saw: while the store held a configuration that cannot be read, the one before it was in force and confirmed; when the store was restored from a copy with the same entry, all requests with a key got 503 until the operator wrote a later configuration, which nothing makes it do.

Cause: after a restore, a configuration that cannot be read counts as older than the one in force, also if it is what the store held before.

Why it works: a daemon remembers the text that it read last. If the restored store holds the same, the copy lacks no configuration that this daemon has seen, and the state from before the restore stands, as it does where the same readable configuration comes back.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -973,6 +973,23 @@
       WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
 }
 
+/* Guards against refusing keys after a restore because the store holds a
+   configuration that cannot be read, although it held the same one before.  */
+TEST_F (Entry, AcceptsKeysIfConfigurationWasUnreadableBeforeRestore)
+{
+  si_sleep_ms (2000);
+  PostControl ("/put?key=op/config", "{");
+  si_sleep_ms (1500);
+  PostControl ("/save");
+  PutTarget ("t2", "a2");
+  PostControl ("/restore");
+  for (int i = 0; i < 50; i++)
+    {
+      EXPECT_TRUE (AllRespond ("/read/1", "key-1", 200)) << i;
+      si_sleep_ms (100);
+    }
+}
+
 /* Guards against a daemon that starts while the store holds an older
    configuration than other daemons, and rejects a route that was added, or
    serves one as it was before.  */
--- a/entry/view.c
+++ b/entry/view.c
@@ -41,6 +41,8 @@
   /* The store holds an older configuration than the one in force, or none that
      can be read, so it cannot confirm that no later one withdrew a key.  */
   gboolean store_is_older;
+  gboolean was_older;   /* the value of store_is_older before a restore */
+  uint64_t stored_hash; /* text of the configuration that was read last */
   int64_t evacuations_kept_until_us; /* although the store lacks them */
   GHashTable *kept_zones;            /* evacuated, but not in the store */
   struct event *kept_zones_timer;
@@ -66,14 +68,23 @@
                  && rt_text_hash (config) == rt_text_hash (view->config)));
 }
 
+static void
+note_stored_config (EnView *view, uint64_t text_hash, gboolean is_older)
+{
+  view->stored_hash = text_hash;
+  view->store_is_older = is_older;
+  view->was_older = is_older;
+}
+
 static void
 on_config (RtConfig *config, void *data)
 {
   EnView *view = data;
   uint64_t version = rt_config_version (config);
 
-  view->store_is_older
-      = view->config != NULL && version < rt_config_version (view->config);
+  note_stored_config (view, rt_text_hash (config),
+                      view->config != NULL
+                          && version < rt_config_version (view->config));
   if (is_known (view, config))
     {
       if (view->store_is_older)
@@ -97,7 +108,19 @@
 {
   EnView *view = data;
 
-  view->store_is_older = view->config != NULL;
+  note_stored_config (view, 0, view->config != NULL);
+}
+
+/* A store that came back with the text that it had before has lost no later
+   configuration that was read here.  */
+static void
+on_config_unreadable (uint64_t text_hash, void *data)
+{
+  EnView *view = data;
+
+  note_stored_config (view, text_hash,
+                      text_hash == view->stored_hash ? view->was_older
+                                                     : view->store_is_older);
 }
 
 static void
@@ -250,7 +273,8 @@
   tr_log (view->options.trace, EV_STORE_RESTORED,
           "era=%" G_GUINT64_FORMAT " config=%" G_GUINT64_FORMAT, era,
           view->config != NULL ? rt_config_version (view->config) : 0);
-  view->store_is_older = view->config != NULL; /* until on_config */
+  view->was_older = view->store_is_older;
+  view->store_is_older = view->config != NULL; /* until it is read */
   view->evacuations_kept_until_us = now_us + RESTORED_KEEP_US;
   start_timer_at (view->kept_zones_timer, view->evacuations_kept_until_us);
 }
@@ -330,6 +354,7 @@
   .on_failure = on_operator_failure,
   .on_restored = on_restored,
   .on_config_missing = on_config_missing,
+  .on_config_unreadable = on_config_unreadable,
 };
 
 EnView *
