entry: what is kept after an outage or a restore ends when it is due

What callers would see: a target that left just before the end of the time for which missing targets are retained got requests for ever, and the region leader published no complete delta again, so that all daemons of its region read the store themselves. An evacuation that was taken back just before the end of the time for which a restored store's evacuations are kept stayed in force for ever.

Cause: both ends were events of libevent, which fire early by the length of the turn in which they were added, while the clock said that the time had not passed. A removal read in between was kept with no timer to end it.

Evidence: in View.DropsTargetRemovedAtTheEndOfRetaining and View.EndsEvacuationTakenBackAtTheEndOfKeeping the turn takes 240 ms longer and the removal comes in that time.

Why it works: EnTimer compares the clock and waits for the rest, so nothing is kept after the end was handled.

--- a/entry/listing.c
+++ b/entry/listing.c
@@ -4,6 +4,7 @@
 
 #include "clock/clock.h"
 #include "entry/outage.h"
+#include "entry/timer.h"
 
 /* The region leader sends a target delta, maybe empty, after each watch.  So
    the timeout of a watch is short enough for the other daemons to notice a
@@ -29,7 +30,7 @@
   gboolean is_loaded;
   EnOutage outage;
   GHashTable *retained_ids; /* targets without an entry */
-  struct event *retain_timer;
+  EnTimer *retain_timer;
   /* Not yet published; each TgEntry owns its strings.  */
   GArray *pending_updates;
   GPtrArray *pending_removals; /* ids */
@@ -143,14 +144,12 @@
 }
 
 static void
-on_retain_timeout (evutil_socket_t fd, short what, void *data)
+on_retain_timeout (void *data)
 {
   EnListing *listing = data;
   GHashTableIter ids;
   gpointer id;
 
-  (void)fd;
-  (void)what;
   g_hash_table_iter_init (&ids, listing->retained_ids);
   while (g_hash_table_iter_next (&ids, &id, NULL))
     remove_target (listing, id, "not_back");
@@ -169,12 +168,10 @@
 {
   EnListing *listing = data;
   int64_t now_us = ck_boot_us ();
-  struct timeval retain = { EN_OUTAGE_RETAIN_US / CK_US_PER_S,
-                            EN_OUTAGE_RETAIN_US % CK_US_PER_S };
 
   (void)requested_us;
   if (en_outage_note_sync (&listing->outage, now_us))
-    event_add (listing->retain_timer, &retain);
+    en_timer_start (listing->retain_timer, listing->outage.retain_until_us);
   listing->missed_delta = FALSE;
   pf_watcher_set_paused (listing->watcher, leader_is_live (listing, now_us));
   if (listing->is_loaded)
@@ -365,7 +362,7 @@
   listing->leader_timer
       = event_new (options->base, -1, 0, on_leader_timeout, listing);
   listing->retain_timer
-      = event_new (options->base, -1, 0, on_retain_timeout, listing);
+      = en_timer_new (options->base, on_retain_timeout, listing);
   listing->watcher = pf_watcher_new (options->store, &watcher);
   return listing;
 }
@@ -376,7 +373,7 @@
   if (listing == NULL)
     return;
   pf_watcher_free (listing->watcher);
-  event_free (listing->retain_timer);
+  en_timer_free (listing->retain_timer);
   event_free (listing->leader_timer);
   g_array_unref (listing->pending_updates);
   g_ptr_array_unref (listing->pending_removals);
--- a/entry/view.c
+++ b/entry/view.c
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 
 #include "clock/clock.h"
+#include "entry/timer.h"
 
 /* Timeout of a watch, in percent of the age at which the configuration is
    stale.  A watch that returns without a change confirms the configuration as
@@ -45,7 +46,7 @@
   uint64_t stored_hash; /* text of the configuration that was read last */
   int64_t evacuations_kept_until_us; /* although the store lacks them */
   GHashTable *kept_zones;            /* evacuated, but not in the store */
-  struct event *kept_zones_timer;
+  EnTimer *kept_zones_timer;
   struct event *stale_timer;  /* fires when the configuration gets stale */
   struct event *leader_timer; /* fires when a confirmation is overdue */
 };
@@ -148,14 +149,12 @@
 }
 
 static void
-on_kept_zones_timeout (evutil_socket_t fd, short what, void *data)
+on_kept_zones_timeout (void *data)
 {
   EnView *view = data;
   GHashTableIter zones;
   gpointer zone;
 
-  (void)fd;
-  (void)what;
   g_hash_table_iter_init (&zones, view->kept_zones);
   while (g_hash_table_iter_next (&zones, &zone, NULL))
     set_evacuated (view, zone, FALSE);
@@ -276,7 +275,7 @@
   view->was_older = view->store_is_older;
   view->store_is_older = view->config != NULL; /* until it is read */
   view->evacuations_kept_until_us = now_us + RESTORED_KEEP_US;
-  start_timer_at (view->kept_zones_timer, view->evacuations_kept_until_us);
+  en_timer_start (view->kept_zones_timer, view->evacuations_kept_until_us);
 }
 
 /* Revisions of different eras cannot be compared, so this daemon has to read
@@ -377,7 +376,7 @@
   view->kept_zones
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   view->kept_zones_timer
-      = event_new (options->base, -1, 0, on_kept_zones_timeout, view);
+      = en_timer_new (options->base, on_kept_zones_timeout, view);
   view->listing = en_listing_new (
       &(EnListingOptions){ .base = options->base,
                            .settings = options->settings,
@@ -397,7 +396,7 @@
     return;
   pf_watcher_free (view->operator_watcher);
   en_listing_free (view->listing);
-  event_free (view->kept_zones_timer);
+  en_timer_free (view->kept_zones_timer);
   g_hash_table_unref (view->kept_zones);
   event_free (view->leader_timer);
   event_free (view->stale_timer);
