--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -599,6 +599,25 @@
   EXPECT_EQ (GetControl ("/arrivals").find ("t2 e1"), std::string::npos);
 }
 
+/* Guards against a target that is missing at followers because it left and
+   came back within one target delta.  t2 writes first, so that the region
+   leader waits before it reads the rest.  */
+TEST_F (Entry, FollowerUsesTargetThatLeftAndCameBack)
+{
+  si_sleep_ms (2500);
+  for (int i = 0; i < 3; i++)
+    {
+      PutTarget ("t2", "a2");
+      si_sleep_ms (50);
+      PostControl ("/remove?key=servers/t1");
+      PutTarget ("t1", "a1");
+      si_sleep_ms (1000);
+    }
+  PostControl ("/target?id=t2&fault=shed");
+  for (const Vm &vm : vms)
+    EXPECT_EQ (SendRequest (vm, "/open/1", "b"), 200) << vm.name;
+}
+
 /* Guards against missing a change that the store's compaction removed from its
    history.  */
 TEST_F (Entry, RereadsStoreAfterCompaction)
@@ -955,6 +974,23 @@
       WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
 }
 
+/* Guards against refusing keys after a restore because the store holds a
+   configuration that cannot be read, although it held the same one before.  */
+TEST_F (Entry, AcceptsKeysIfConfigurationWasUnreadableBeforeRestore)
+{
+  si_sleep_ms (2000);
+  PostControl ("/put?key=op/config", "{");
+  si_sleep_ms (1500);
+  PostControl ("/save");
+  PutTarget ("t2", "a2");
+  PostControl ("/restore");
+  for (int i = 0; i < 50; i++)
+    {
+      EXPECT_TRUE (AllRespond ("/read/1", "key-1", 200)) << i;
+      si_sleep_ms (100);
+    }
+}
+
 /* Guards against a daemon that starts while the store holds an older
    configuration than other daemons, and rejects a route that was added, or
    serves one as it was before.  */
@@ -1197,6 +1233,33 @@
         << vm.name;
 }
 
+/* Guards against a follower that uses a target which has left, because the
+   store came back with an entry that is later than the last one that the
+   region leader relayed.  t2 rejects requests, so a daemon that knows t1
+   retries there.  */
+TEST_F (Entry, SendsNothingToTargetThatHadLeftBeforeRestore)
+{
+  si_sleep_ms (2500);
+  for (int i = 0; i < 3; i++)
+    PutTarget ("t1", "a1");
+  si_sleep_ms (500);
+  PostControl ("/save");
+  PostControl ("/remove?key=servers/t1");
+  si_sleep_ms (1500);
+  PostControl ("/restore");
+  PostControl ("/target?id=t2&fault=shed");
+  for (int i = 0; i < 30; i++)
+    {
+      for (const Vm &vm : vms)
+        EXPECT_EQ (SendRequest (vm, "/open/1", "l-" + vm.name), 503);
+      si_sleep_ms (100);
+    }
+  for (const Vm &vm : vms)
+    EXPECT_EQ (GetControl ("/arrivals").find ("t1 l-" + vm.name),
+               std::string::npos)
+        << vm.name;
+}
+
 /* Guards against an unsafe request that runs twice, and against reporting it
    as not run.  */
 TEST_F (Entry, DoesNotRetryUnsafeRequestThatMayHaveRun)
--- a/entry/view.c
+++ b/entry/view.c
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 
 #include "clock/clock.h"
+#include "entry/timer.h"
 
 /* Timeout of a watch, in percent of the age at which the configuration is
    stale.  A watch that returns without a change confirms the configuration as
@@ -41,9 +42,11 @@
   /* The store holds an older configuration than the one in force, or none that
      can be read, so it cannot confirm that no later one withdrew a key.  */
   gboolean store_is_older;
+  gboolean was_older;   /* the value of store_is_older before a restore */
+  uint64_t stored_hash; /* text of the configuration that was read last */
   int64_t evacuations_kept_until_us; /* although the store lacks them */
   GHashTable *kept_zones;            /* evacuated, but not in the store */
-  struct event *kept_zones_timer;
+  EnTimer *kept_zones_timer;
   struct event *stale_timer;  /* fires when the configuration gets stale */
   struct event *leader_timer; /* fires when a confirmation is overdue */
 };
@@ -66,14 +69,23 @@
                  && rt_text_hash (config) == rt_text_hash (view->config)));
 }
 
+static void
+note_stored_config (EnView *view, uint64_t text_hash, gboolean is_older)
+{
+  view->stored_hash = text_hash;
+  view->store_is_older = is_older;
+  view->was_older = is_older;
+}
+
 static void
 on_config (RtConfig *config, void *data)
 {
   EnView *view = data;
   uint64_t version = rt_config_version (config);
 
-  view->store_is_older
-      = view->config != NULL && version < rt_config_version (view->config);
+  note_stored_config (view, rt_text_hash (config),
+                      view->config != NULL
+                          && version < rt_config_version (view->config));
   if (is_known (view, config))
     {
       if (view->store_is_older)
@@ -97,7 +109,19 @@
 {
   EnView *view = data;
 
-  view->store_is_older = view->config != NULL;
+  note_stored_config (view, 0, view->config != NULL);
+}
+
+/* A store that came back with the text that it had before has lost no later
+   configuration that was read here.  */
+static void
+on_config_unreadable (uint64_t text_hash, void *data)
+{
+  EnView *view = data;
+
+  note_stored_config (view, text_hash,
+                      text_hash == view->stored_hash ? view->was_older
+                                                     : view->store_is_older);
 }
 
 static void
@@ -125,14 +149,12 @@
 }
 
 static void
-on_kept_zones_timeout (evutil_socket_t fd, short what, void *data)
+on_kept_zones_timeout (void *data)
 {
   EnView *view = data;
   GHashTableIter zones;
   gpointer zone;
 
-  (void)fd;
-  (void)what;
   g_hash_table_iter_init (&zones, view->kept_zones);
   while (g_hash_table_iter_next (&zones, &zone, NULL))
     set_evacuated (view, zone, FALSE);
@@ -250,9 +272,10 @@
   tr_log (view->options.trace, EV_STORE_RESTORED,
           "era=%" G_GUINT64_FORMAT " config=%" G_GUINT64_FORMAT, era,
           view->config != NULL ? rt_config_version (view->config) : 0);
-  view->store_is_older = view->config != NULL; /* until on_config */
+  view->was_older = view->store_is_older;
+  view->store_is_older = view->config != NULL; /* until it is read */
   view->evacuations_kept_until_us = now_us + RESTORED_KEEP_US;
-  start_timer_at (view->kept_zones_timer, view->evacuations_kept_until_us);
+  en_timer_start (view->kept_zones_timer, view->evacuations_kept_until_us);
 }
 
 /* Revisions of different eras cannot be compared, so this daemon has to read
@@ -330,6 +353,7 @@
   .on_failure = on_operator_failure,
   .on_restored = on_restored,
   .on_config_missing = on_config_missing,
+  .on_config_unreadable = on_config_unreadable,
 };
 
 EnView *
@@ -352,7 +376,7 @@
   view->kept_zones
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   view->kept_zones_timer
-      = event_new (options->base, -1, 0, on_kept_zones_timeout, view);
+      = en_timer_new (options->base, on_kept_zones_timeout, view);
   view->listing = en_listing_new (
       &(EnListingOptions){ .base = options->base,
                            .settings = options->settings,
@@ -372,7 +396,7 @@
     return;
   pf_watcher_free (view->operator_watcher);
   en_listing_free (view->listing);
-  event_free (view->kept_zones_timer);
+  en_timer_free (view->kept_zones_timer);
   g_hash_table_unref (view->kept_zones);
   event_free (view->leader_timer);
   event_free (view->stale_timer);
