member: silence is judged as of two polls ago

A daemon that had been paused for 3 s had 11 suspects and no candidate for a successor in its first ticks, before it had read what the 11 others, which were running, had sent. What callers saw of it was not measured; in the code, the daemon then reads the leases of its suspects, writes its own, if that is due, without a successor, and as a hub reports its zone's members as silent.

Cause: silence was the time from the last message to now, and a pause of the daemon itself counts in that. An event loop that resumes runs timers before it handles input, in the next turn as well.

Silence is now judged as of the last poll but two: what had arrived by then has been received, however long the daemon was paused since. It needs no threshold for what a pause is, and a daemon whose turns are always long still notices silence, three turns late at most. Freshness of the configuration, majorities and leases are judged as of now, as before.

Member.SlowDaemonNoticesSilence guards the new rule.

--- a/member/internal.h
+++ b/member/internal.h
@@ -196,6 +196,7 @@
   /* When outside_summary or fleet_summary was last received.  */
   int64_t last_digest_us;
 
+  int64_t polled_us[3]; /* times of the last polls, latest first */
   int64_t report_due_us;
   int64_t exchange_due_us; /* of digests with other hubs */
   int64_t last_report_us;
@@ -228,6 +229,11 @@
 void mb_copy_name (char *to, const char *from);
 
 /* role.c */
+/* Time as of which silence is judged: that of the last poll but two, or NOW_US
+   if that is earlier.  What had arrived by then was received since, also when
+   the caller was paused: its event loop read it after that poll, and handled
+   it after the next one at the latest.  */
+int64_t mb_heard_until_us (const MbTable *table, int64_t now_us);
 /* Whether the member has sent to this member lately, or the hubs that relay
    its state have, and it isn't known as silent.  */
 gboolean mb_is_live (const MbTable *table, const Entry *entry, int64_t now_us);
--- a/member/member.c
+++ b/member/member.c
@@ -118,6 +118,8 @@
       = DISTANT_PAST;
   table->region_hub_since_us = table->zone_hub_since_us = NEVER;
   table->report_due_us = table->exchange_due_us = now_us;
+  for (gsize i = 0; i < G_N_ELEMENTS (table->polled_us); i++)
+    table->polled_us[i] = now_us;
   table->entry_budget_bytes = ENTRY_BURST_BYTES;
   table->budget_refilled_us = now_us;
   return table;
@@ -487,11 +489,22 @@
          || table->region_hub_since_us != NEVER;
 }
 
+static void
+record_poll (MbTable *table, int64_t now_us)
+{
+  if (now_us <= table->polled_us[0])
+    return;
+  table->polled_us[2] = table->polled_us[1];
+  table->polled_us[1] = table->polled_us[0];
+  table->polled_us[0] = now_us;
+}
+
 gboolean
 mb_poll (MbTable *table, int64_t now_us, MbMessage *message)
 {
   MbMessage *next;
 
+  record_poll (table, now_us);
   if (now_us >= table->report_due_us
       || (now_us >= table->exchange_due_us && is_hub (table)))
     mb_update_roles (table, now_us);
--- a/member/member_test.cc
+++ b/member/member_test.cc
@@ -677,3 +677,85 @@
       }
   EXPECT_EQ (first_rank_count, 1);
 }
+
+namespace
+{
+struct Counts
+{
+  uint32_t successors, suspects;
+};
+
+/* Counts at daemon I, of which the fleet's other members are running.  */
+Counts
+CountCandidates (const Fleet &fleet, int i)
+{
+  std::vector<const MbMember *> members (fleet.count ());
+  std::vector<uint32_t> ranks (fleet.count ());
+  const MbTable *table = fleet.daemons[i].table;
+
+  return { mb_successors (table, fleet.LocalUs (i), members.data (),
+                          fleet.count ()),
+           mb_suspects (table, fleet.LocalUs (i), members.data (),
+                        ranks.data (), fleet.count ()) };
+}
+
+/* Polls daemon I, which the fleet has paused, and drops its messages.  */
+void
+PollPaused (Fleet &fleet, int i)
+{
+  MbMessage message;
+
+  while (mb_poll (fleet.daemons[i].table, fleet.LocalUs (i), &message))
+    mb_message_clear (&message);
+}
+}
+
+/* Guards against a daemon that was paused and takes all others for silent
+   before it has received what they sent meanwhile: it then reads their leases,
+   reports them as silent and writes its own lease without a successor.  The
+   messages are received after the second poll, as by an event loop that runs
+   timers before it handles input.  */
+TEST (Member, PausedDaemonSuspectsNoneBeforeItHasReceived)
+{
+  Fleet fleet (5, 12, 3, 6);
+
+  fleet.Run (10 * kSecond);
+  for (int i = 0; i < fleet.count (); i++)
+    {
+      fleet.Pause (i, 3 * kSecond);
+      fleet.Run (2900 * kMs);
+      for (int polls = 0; polls < 3; polls++)
+        {
+          Counts counts = CountCandidates (fleet, i);
+
+          EXPECT_EQ (11u, counts.successors) << i << ", polls " << polls;
+          EXPECT_EQ (0u, counts.suspects) << i << ", polls " << polls;
+          fleet.Run (20 * kMs);
+          if (polls < 2)
+            PollPaused (fleet, i);
+        }
+      fleet.Run (5 * kSecond);
+    }
+}
+
+/* Guards against a daemon that runs every 0.6 s only and never notices that
+   the others have stopped.  */
+TEST (Member, SlowDaemonNoticesSilence)
+{
+  Fleet fleet (5, 12, 3, 6);
+  int64_t silent_us = MB_SILENCE_TIMEOUT_US;
+
+  fleet.Run (10 * kSecond);
+  for (int i = 1; i < fleet.count (); i++)
+    fleet.daemons[i].running = false;
+  fleet.Pause (0, 60 * kSecond);
+  /* The members of its zone, the hubs of its region, then other regions.  */
+  for (int64_t us = 0; us < 3 * silent_us + 3 * 600 * kMs; us += 600 * kMs)
+    {
+      fleet.Run (600 * kMs);
+      PollPaused (fleet, 0);
+    }
+  Counts counts = CountCandidates (fleet, 0);
+  EXPECT_EQ (0u, counts.successors);
+  EXPECT_EQ (11u, counts.suspects);
+}
--- a/member/query.c
+++ b/member/query.c
@@ -241,7 +241,8 @@
     {
       const Peer *peer = value;
 
-      if (now_us <= peer->last_received_us + MB_SILENCE_TIMEOUT_US)
+      if (mb_heard_until_us (table, now_us)
+          <= peer->last_received_us + MB_SILENCE_TIMEOUT_US)
         vms[count++] = peer->vm;
     }
   qsort (vms, count, sizeof *vms, compare_strings);
--- a/member/role.c
+++ b/member/role.c
@@ -4,6 +4,12 @@
 
 #include <string.h>
 
+int64_t
+mb_heard_until_us (const MbTable *table, int64_t now_us)
+{
+  return MIN (now_us, table->polled_us[2]);
+}
+
 static gboolean
 is_unresponsive (const MbTable *table, const Entry *entry)
 {
@@ -185,7 +191,7 @@
     return FALSE;
   if (summary != NULL)
     since_us = MAX (since_us, summary->received_us);
-  return now_us > since_us + MB_SILENCE_TIMEOUT_US;
+  return mb_heard_until_us (table, now_us) > since_us + MB_SILENCE_TIMEOUT_US;
 }
 
 gboolean
@@ -204,6 +210,7 @@
 gboolean
 mb_is_live (const MbTable *table, const Entry *entry, int64_t now_us)
 {
+  int64_t heard_until_us = mb_heard_until_us (table, now_us);
   int64_t last_contact_us;
 
   if (entry == table->self)
@@ -211,11 +218,11 @@
   /* A listed or assigned member that hasn't reported yet is presumed live.  */
   if (!is_reachable (table, entry))
     return FALSE;
-  if (now_us <= entry->last_direct_us + MB_SILENCE_TIMEOUT_US)
+  if (heard_until_us <= entry->last_direct_us + MB_SILENCE_TIMEOUT_US)
     return TRUE;
   if (entry->in_own_zone)
     return table->zone_hub_since_us != NEVER
-           || now_us <= table->last_digest_us + MB_SILENCE_TIMEOUT_US;
+           || heard_until_us <= table->last_digest_us + MB_SILENCE_TIMEOUT_US;
   if (mb_zone_silent (table, entry->member.zone, entry->member.region, now_us))
     return FALSE;
   if (table->region_hub_since_us != NEVER)
@@ -223,12 +230,13 @@
   last_contact_us = table->zone_hub_since_us != NEVER
                         ? table->outside_summary.received_us
                         : table->last_digest_us;
-  return now_us <= last_contact_us + MB_SILENCE_TIMEOUT_US;
+  return heard_until_us <= last_contact_us + MB_SILENCE_TIMEOUT_US;
 }
 
 static void
 detect_unresponsive_peers (MbTable *table, int64_t now_us)
 {
+  int64_t heard_until_us = mb_heard_until_us (table, now_us);
   GHashTableIter iter;
   void *value;
 
@@ -238,8 +246,9 @@
       Peer *peer = value;
 
       if (peer->awaiting_since_us == NEVER
-          || now_us < peer->awaiting_since_us
-                          + HUB_TIMEOUT_INTERVALS * peer->request_interval_us)
+          || heard_until_us
+                 < peer->awaiting_since_us
+                       + HUB_TIMEOUT_INTERVALS * peer->request_interval_us)
         continue;
       peer->unresponsive_us = now_us;
       peer->awaiting_since_us = NEVER;
@@ -250,6 +259,7 @@
 static void
 detect_silent_members (MbTable *table, int64_t now_us)
 {
+  int64_t heard_until_us = mb_heard_until_us (table, now_us);
   GHashTableIter iter;
   void *value;
 
@@ -260,7 +270,8 @@
       int64_t since_us = MAX (entry->last_direct_us, table->zone_hub_since_us);
 
       if (entry != table->self && entry->zone_known && !entry->silent
-          && entry->in_own_zone && now_us > since_us + MB_SILENCE_TIMEOUT_US)
+          && entry->in_own_zone
+          && heard_until_us > since_us + MB_SILENCE_TIMEOUT_US)
         mb_mark_silent (table, entry, now_us);
     }
 }
