standin: load-gen ends with requests that have no outcome

Tests beside load had no verdict: load-gen ended with a report of leaked requests, so with exit status 1, and no test looked at its results.

Cause: load-gen ends at a limit even if requests still wait for a response or a retry. These were neither counted nor freed.

At the limit, open requests now get the outcome that they would have had if their last attempt had failed, so the trace has them. The summary counts them, and planned requests that were not sent, as unfinished, and TestRun::finish_load expects none. So such a run fails as before, and now also one that did not send all; but the other checks are evaluated.

--- a/proof/run.cc
+++ b/proof/run.cc
@@ -238,6 +238,8 @@
     }
   printf ("%s\n",
           json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN));
+  EXPECT_EQ (0, get_int64 (root, "unfinished"))
+      << "requests without an outcome at the end of the run";
   json_object_put (root);
 }
 
--- a/standin/load.c
+++ b/standin/load.c
@@ -48,8 +48,8 @@
   SiLoadResult *result;
   struct event_base *base;
   GArray *plan;
-  guint next_index; /* of the next request to send, in the plan */
-  guint open_count; /* requests sent that have no outcome */
+  guint next_index;          /* of the next request to send, in the plan */
+  GHashTable *open_requests; /* set of Request sent that have no outcome */
   int64_t start_us;
   struct event *send_timer;
   GQueue **idle_connections; /* Connection, by VM */
@@ -147,11 +147,12 @@
   if (request->status == 429)
     customer->rate_refused_count++;
   write_trace (request, outcome, now_us);
+  g_hash_table_remove (load->open_requests, request);
   event_free (request->timer);
   g_free (request);
-  load->open_count--;
   /* Leaves time to free the connections that release_connection queued.  */
-  if (load->open_count == 0 && load->next_index == load->plan->len)
+  if (g_hash_table_size (load->open_requests) == 0
+      && load->next_index == load->plan->len)
     event_base_loopexit (load->base,
                          &(struct timeval){ .tv_usec = EXIT_DELAY_US });
 }
@@ -373,7 +374,7 @@
   request->timer = evtimer_new (load->base, on_retry, request);
   g_snprintf (request->tag, sizeof request->tag, "%u-%u-%" G_GINT64_FORMAT,
               load->options->seed, planned->number, load->start_us);
-  load->open_count++;
+  g_hash_table_add (load->open_requests, request);
   send_request (request);
 }
 
@@ -405,6 +406,29 @@
     }
 }
 
+/* Ends the requests that have no outcome at the end of the run.  */
+static void
+finish_open_requests (Load *load)
+{
+  g_autoptr (GList) requests = g_hash_table_get_keys (load->open_requests);
+
+  load->result->unfinished_count = g_hash_table_size (load->open_requests)
+                                   + load->plan->len - load->next_index;
+  for (GList *link = requests; link != NULL; link = link->next)
+    {
+      Request *request = link->data;
+
+      if (request->connection != NULL)
+        {
+          add_count (load->result->refusal_counts, "no answer");
+          request->may_have_run = TRUE;
+          connection_free (request->connection);
+        }
+      finish_request (request, request->may_have_run ? SI_LOAD_UNKNOWN
+                                                     : SI_LOAD_REFUSED);
+    }
+}
+
 void
 si_load_run (const SiLoadOptions *options, SiLoadResult *result)
 {
@@ -418,6 +442,7 @@
 
   load.base = si_event_base_new ();
   load.plan = si_load_plan (options);
+  load.open_requests = g_hash_table_new (NULL, NULL);
   load.idle_connections = g_new0 (GQueue *, options->vms->len);
   for (guint i = 0; i < options->vms->len; i++)
     load.idle_connections[i] = g_queue_new ();
@@ -427,9 +452,11 @@
   event_base_loopexit (load.base, &limit);
   if (load.plan->len > 0)
     event_base_dispatch (load.base);
+  finish_open_requests (&load);
   for (guint i = 0; i < options->vms->len; i++)
     g_queue_free_full (load.idle_connections[i], connection_free);
   g_free (load.idle_connections);
+  g_hash_table_unref (load.open_requests);
   event_free (load.send_timer);
   g_array_unref (load.plan);
   event_base_free (load.base);
--- a/standin/load.h
+++ b/standin/load.h
@@ -110,6 +110,10 @@
                                  "no answer" -> count */
   uint64_t retry_count;
   uint64_t replayed_count;
+  /* Planned requests that had no outcome when the run ended, or were not sent.
+     Those that were sent have the outcome unknown, or refused if no attempt
+     may have been executed.  */
+  uint64_t unfinished_count;
   GString *trace; /* or NULL */
 } SiLoadResult;
 
@@ -123,7 +127,8 @@
    g_array_unref.  */
 GArray *si_load_plan (const SiLoadOptions *options);
 
-/* Sends all planned requests, waits for their outcomes and fills RESULT.  */
+/* Sends all planned requests, waits for their outcomes, up to a limit, and
+   fills RESULT.  */
 void si_load_run (const SiLoadOptions *options, SiLoadResult *result);
 /* Returns the JSON summary.  Free with g_free.  */
 char *si_load_summary (const SiLoadResult *result);
--- a/standin/load_main.c
+++ b/standin/load_main.c
@@ -62,6 +62,7 @@
   add_outcomes (root, totals);
   add_number (root, "repeats", (int64_t)result->retry_count);
   add_number (root, "replayed", (int64_t)result->replayed_count);
+  add_number (root, "unfinished", (int64_t)result->unfinished_count);
   g_hash_table_iter_init (&iter, result->refusal_counts);
   while (g_hash_table_iter_next (&iter, &name, &count))
     add_number (refusal_counts, name, (int64_t)GPOINTER_TO_SIZE (count));
--- a/standin/standin_test.cc
+++ b/standin/standin_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <event2/event.h>
 #include <future>
 #include <signal.h>
@@ -687,6 +688,48 @@
   EXPECT_NE (strstr (text, "\"wrong\":0"), nullptr) << text;
 }
 
+/* Guards against a run without a summary: requests that still had no outcome
+   at the end of the run leaked, and the leak checker failed the program.  */
+TEST_F (Standin, LoadEndsWithOpenRequests)
+{
+  std::string program = std::string (CW_BINARY_DIR) + "/standin/load-gen";
+  std::string out = std::string (si_temp_dir (harness)) + "/load.json";
+  std::string trace = std::string (si_temp_dir (harness)) + "/load.trace";
+  const char *argv[] = { program.c_str (),
+                         "--vm",
+                         link,
+                         "--duration-ms=500",
+                         "--timeout-ms=500",
+                         "--customer=name=c1,rate=40,orders=300",
+                         "--out",
+                         out.c_str (),
+                         "--trace",
+                         trace.c_str (),
+                         nullptr };
+  int status = -1;
+  set_link ("hold=1");
+  pid_t pid = si_spawn (harness, argv, "load.log", nullptr);
+  si_sleep_ms (700);
+  /* Past the end of the run, while its requests still have retries left.  */
+  kill (pid, SIGSTOP);
+  si_sleep_ms (4500);
+  kill (pid, SIGCONT);
+  ASSERT_TRUE (si_wait_exit (harness, pid, 20000, &status));
+  EXPECT_EQ (status, 0);
+  g_autofree char *text = nullptr;
+  ASSERT_TRUE (g_file_get_contents (out.c_str (), &text, nullptr, nullptr));
+  g_autofree char *lines = nullptr;
+  ASSERT_TRUE (g_file_get_contents (trace.c_str (), &lines, nullptr, nullptr));
+  std::string all = lines;
+  long line_count = std::count (all.begin (), all.end (), '\n');
+  EXPECT_GT (line_count, 5);
+  std::string requests = "\"requests\":" + std::to_string (line_count) + ",";
+  EXPECT_NE (strstr (text, requests.c_str ()), nullptr) << text;
+  std::string unknown = "\"unknown\":" + std::to_string (line_count);
+  EXPECT_NE (strstr (text, unknown.c_str ()), nullptr) << text;
+  EXPECT_EQ (strstr (text, "\"unfinished\":0"), nullptr) << text;
+}
+
 /* Guards against a si_verify that always passes: the test produces each kind
    of violation, and si_verify must count it.  */
 TEST_F (Standin, VerifyFindsViolations)
