entry: reject no route or key while the configuration may be out of date

Cause: whether the configuration is confirmed was checked for requests with a key only, after the route had been found, and against the time for which a withdrawn key may be accepted, which is longer than that in which an added one has to be.

Why it works: a configuration that was confirmed less than config_apply_s ago holds all that has to be in force. Otherwise the request is refused with 503, which is true, and the caller asks another daemon.

--- a/client/explain.c
+++ b/client/explain.c
@@ -33,6 +33,10 @@
   { "reason=keys_not_confirmed",
     "refused, not run: the store had not confirmed the configuration for so "
     "long that a withdrawn key might have been accepted" },
+  { "reason=config_not_confirmed",
+    "refused, not run: this daemon had no such route or key, and the store "
+    "had "
+    "not confirmed its configuration for so long that a later one may have" },
   { "reason=config_older_than_others",
     "refused, not run: other daemons had a newer configuration than this one "
     "could read from the store" },
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -1386,6 +1386,24 @@
       [&] { return SendRequest (vms[0], "/read/1", "r3") == 200; }, 5000));
 }
 
+/* Guards against rejecting a route that was added while this daemon could not
+   read the store.  */
+TEST_F (Entry, RejectsNoRouteWhileConfigurationIsUnconfirmed)
+{
+  EXPECT_EQ (SendRequest (vms[0], "/none/1", "r1"), 404);
+  PostControl ("/store?fault=silent");
+  si_sleep_ms (3200);
+  EXPECT_EQ (SendRequest (vms[0], "/none/1", "r2"), 503);
+  EXPECT_EQ (SendRequest (vms[0], "/open/1", "r3"), 200);
+  EXPECT_TRUE (WaitFor ([&] {
+    return RunExplain ("r2").find ("no such route or key")
+           != std::string::npos;
+  }));
+  PostControl ("/store?fault=none");
+  EXPECT_TRUE (WaitFor (
+      [&] { return SendRequest (vms[0], "/none/1", "r4") == 404; }, 5000));
+}
+
 /* Guards against a daemon that stops serving as soon as the store is
    unavailable.  */
 TEST_F (Entry, ServesDuringShortStoreOutage)
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -310,6 +310,18 @@
                    "config_older_than_others");
 }
 
+/* Rejects a request that the configuration does not allow; refuses it if a
+   later one, which may be in force at other daemons, might.  */
+static void
+reject (EnRequest *request, EnOutcome outcome, const char *reason)
+{
+  if (en_view_may_reject (request->proxy->options.view, ck_boot_us ()))
+    en_request_fail (request, outcome, 0, reason);
+  else
+    en_request_fail (request, EN_OUTCOME_NOT_READY, NOT_READY_RETRY_AFTER_US,
+                     "config_not_confirmed");
+}
+
 /* Finds the customer by the key.  Returns FALSE if it refused the request,
    which is then freed.  */
 static gboolean
@@ -338,8 +350,8 @@
     }
   if (request->customer != NULL)
     return TRUE;
-  en_request_fail (request, EN_OUTCOME_UNAUTHORIZED, 0,
-                   key != NULL ? "key_unknown" : "key_missing");
+  reject (request, EN_OUTCOME_UNAUTHORIZED,
+          key != NULL ? "key_unknown" : "key_missing");
   return FALSE;
 }
 
@@ -415,7 +427,7 @@
     en_request_fail (request, EN_OUTCOME_NOT_READY, NOT_READY_RETRY_AFTER_US,
                      "members_unknown");
   else
-    en_request_fail (request, EN_OUTCOME_NO_ROUTE, 0, "no_route");
+    reject (request, EN_OUTCOME_NO_ROUTE, "no_route");
 }
 
 /* A daemon that reads an older configuration than others have from the store,
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -15,6 +15,7 @@
 {
   uint32_t stop_grace_ms;     /* from SIGTERM to SIGKILL */
   uint32_t key_revocation_ms; /* until a revoked key must be refused */
+  uint32_t config_apply_ms;   /* until a new configuration is in force */
   uint32_t lookup_ttl_max_ms; /* longest TTL of a lookup response */
   double retry_ratio;         /* retries for each request to a service */
   double retry_reserve_count; /* additional retries per window */
--- a/entry/view.c
+++ b/entry/view.c
@@ -428,12 +428,27 @@
   return view->confirmed_us == 0 ? -1 : now_us - view->confirmed_us;
 }
 
+static gboolean
+is_confirmed_within (const EnView *view, int64_t age_max_us, int64_t now_us)
+{
+  return view->config != NULL && view->confirmed_us != 0
+         && now_us - view->confirmed_us <= age_max_us;
+}
+
 gboolean
 en_view_has_fresh_keys (const EnView *view, int64_t now_us)
 {
-  return view->config != NULL && view->confirmed_us != 0
-         && now_us - view->confirmed_us
-                <= config_age_max_us (view->options.settings);
+  return is_confirmed_within (view, config_age_max_us (view->options.settings),
+                              now_us);
+}
+
+gboolean
+en_view_may_reject (const EnView *view, int64_t now_us)
+{
+  int64_t age_max_us
+      = (int64_t)view->options.settings->bounds.config_apply_ms * CK_US_PER_MS;
+
+  return is_confirmed_within (view, age_max_us, now_us);
 }
 
 gboolean
--- a/entry/view.h
+++ b/entry/view.h
@@ -61,6 +61,10 @@
 /* Whether the configuration is confirmed recently enough to reject every key
    whose revocation must have taken effect.  */
 gboolean en_view_has_fresh_keys (const EnView *view, int64_t now_us);
+/* Whether the configuration is confirmed recently enough to reject a route or
+   key that it lacks: had a later one added it, that would have to be in force
+   by now.  */
+gboolean en_view_may_reject (const EnView *view, int64_t now_us);
 /* Whether the last call of the store for the configuration succeeded.  */
 gboolean en_view_reaches_store (const EnView *view);
 /* Whether the target list is loaded and the configuration is fresh, so that
--- a/entry/view_test.cc
+++ b/entry/view_test.cc
@@ -25,6 +25,18 @@
    clock reading is later than that of the view.  */
 constexpr int64_t kMarginUs = 50 * kMs;
 
+constexpr char kConfig[]
+    = "{\"version\":\"r1\",\"routes\":{\"r\":{\"host\":\"a.example\","
+      "\"prefix\":\"/\",\"kind\":\"safe\",\"timeout_s\":2,"
+      "\"target_latency_s\":0.25,\"priority\":1,\"service\":\"s\","
+      "\"max_attempts\":2,\"anonymous\":false,\"sticky\":false,"
+      "\"home_regions\":[]}},\"services\":{\"s\":{"
+      "\"health_path\":\"/health\",\"max_connections\":330,"
+      "\"protocol\":\"h1\",\"tls\":false,\"cold_start_s\":3.0,"
+      "\"cold_per_s\":4.7}},\"limits\":{\"max_header_bytes\":16384,"
+      "\"max_body_bytes\":1000000,\"header_timeout_s\":3,"
+      "\"idle_timeout_s\":15},\"tenants\":{}}";
+
 /* A view that reads the store of a stand-in.  */
 class View : public testing::Test
 {
@@ -55,6 +67,7 @@
     settings.region = (char *)"a";
     settings.zones = zones;
     settings.bounds.key_revocation_ms = 5000;
+    settings.bounds.config_apply_ms = 2000;
     TrOptions trace_options = { base, log_fd, "vm1", 0 };
     trace = tr_new (&trace_options);
     PfStoreOptions store_options = { base, store_address.c_str () };
@@ -65,6 +78,7 @@
     options.store = store;
     options.trace = trace;
     options.on_readiness_change = [] (void *) {};
+    options.on_config = [] (RtConfig *, void *) {};
     options.on_target_delta = [] (const GoTargetDelta *, void *data) {
       static_cast<View *> (data)->delta_us = ck_boot_us ();
     };
@@ -159,6 +173,23 @@
   uint64_t read_era = 0;
 };
 
+/* Guards against rejecting a key that was added while this daemon could not
+   read the store: keys that it knows are valid for longer.  */
+TEST_F (View, RejectsNothingWhileConfigurationIsUnconfirmed)
+{
+  Post ("/put?key=op/config", kConfig);
+  RunUntil (ck_boot_us () + 1500 * kMs);
+  ASSERT_NE (read_us, 0);
+  EXPECT_TRUE (en_view_may_reject (view, read_us));
+  Post ("/store?fault=busy");
+  RunUntil (ck_boot_us () + 200 * kMs);
+  int64_t age_us = en_view_config_age_us (view, read_us);
+  int64_t until_us = read_us - age_us + 2000 * kMs;
+  EXPECT_TRUE (en_view_may_reject (view, until_us));
+  EXPECT_FALSE (en_view_may_reject (view, until_us + 1));
+  EXPECT_TRUE (en_view_has_fresh_keys (view, until_us + 1));
+}
+
 /* Guards against a target that is retained for ever, and target deltas that
    are never complete again, because the end of retaining targets was handled
    early and a target was removed before it was due.  */
@@ -205,5 +236,4 @@
   RunUntil (due_us + 1000 * kMs);
   EXPECT_EQ (Pick (), TG_PICK_FOUND);
 }
-
 }
