Revert "daemon, peer: a late reply to a promise request counts"

The cause is not traced; connections that carry only unanswered promise requests are closed after 1.3 s with it instead of 1.7 s.

The two tests of peer/ that came with it go, since they guard the reverted change; what the tests of check stays.

--- a/daemon/leases.c
+++ b/daemon/leases.c
@@ -1,8 +1,8 @@
 #include "daemon/daemon.h"
 
-/* A late reply still counts, since a promise lasts for this time from when it
-   was requested; ls_poll requests the next one without waiting for it.  */
-#define PROMISE_TIMEOUT_MS ((uint32_t)(LS_TTL_US / CK_US_PER_MS))
+/* Short enough that two replies may be lost before a promise, which lasts 3 s,
+   ends.  */
+#define PROMISE_TIMEOUT_MS 700
 /* Sorting a few hundred members takes longer than the rest of a tick.  */
 #define CANDIDATES_INTERVAL_US (200 * CK_US_PER_MS)
 
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -49,10 +49,8 @@
   struct event *timer;
   int64_t sent_us;
   int64_t deadline_us;
-  int64_t check_us; /* when the timer fires: the deadline, or before it when
-                       the peer may have been silent for too long */
-  uint64_t input_end_bytes; /* input that had arrived at check_us; 0 before it
-                               or if there was none */
+  uint64_t input_end_bytes; /* input that had arrived at the deadline; 0 before
+                               it or if there was none */
   PrOnReply on_reply;
   void *data;
 } PendingRequest;
@@ -557,7 +555,7 @@
 static void
 start_timer (const PendingRequest *pending)
 {
-  int64_t remaining_us = MAX (0, pending->check_us - ck_boot_us ());
+  int64_t remaining_us = MAX (0, pending->deadline_us - ck_boot_us ());
   struct timeval timeout
       = { remaining_us / CK_US_PER_S, remaining_us % CK_US_PER_S };
 
@@ -578,8 +576,8 @@
          + (uint64_t)waiting_bytes;
 }
 
-/* Whether the reply may be in input that arrived before the check.  A turn of
-   the event loop reads only a part of the input, and runs timers before it
+/* Whether the reply may be in input that arrived before the deadline.  A turn
+   of the event loop reads only a part of the input, and runs timers before it
    handles that.  */
 static gboolean
 may_have_reply (PendingRequest *pending)
@@ -589,16 +587,6 @@
   return pending->connection->examined_bytes < pending->input_end_bytes;
 }
 
-static void
-schedule_check (PendingRequest *pending, int64_t now_us)
-{
-  int64_t since_us = MIN (pending->connection->waiting_since_us, now_us);
-
-  pending->check_us = MIN (pending->deadline_us, since_us + PR_SILENCE_MAX_US);
-  pending->input_end_bytes = 0;
-  start_timer (pending);
-}
-
 /* Closing the connection completes PENDING without a reply, together with the
    other requests on it.  */
 static void
@@ -612,22 +600,20 @@
   (void)what;
   /* The timer counts from the start of the event loop's turn in which it was
      set, so it may fire early.  */
-  if (now_us < pending->check_us || may_have_reply (pending))
+  if (now_us < pending->deadline_us || may_have_reply (pending))
     {
       start_timer (pending);
       return;
     }
   /* The daemon itself did not run.  What it had to send may still be unsent,
      so the wait for the peer starts anew.  */
-  if (now_us - pending->check_us >= OWN_PAUSE_MIN_US
+  if (now_us - pending->deadline_us >= OWN_PAUSE_MIN_US
       && connection->waiting_since_us != NEVER)
     connection->waiting_since_us = now_us;
   if (now_us - connection->waiting_since_us >= PR_SILENCE_MAX_US)
     connection_close (connection, CLOSE_UNANSWERED);
-  else if (now_us >= pending->deadline_us)
-    complete_request (pending, NULL);
   else
-    schedule_check (pending, now_us);
+    complete_request (pending, NULL);
 }
 
 gboolean
@@ -656,7 +642,7 @@
   pending->data = data;
   pending->timer
       = evtimer_new (net->options.base, on_request_timeout, pending);
-  schedule_check (pending, now_us);
+  start_timer (pending);
   g_hash_table_insert (net->pending, &pending->id, pending);
   return TRUE;
 }
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -14,12 +14,11 @@
      peers.  It listens for them and opens one connection to each peer that it
      sends to.  A reply is sent on the connection of its request; other
      messages go on the connection that their sender opened.  When a request
-     has timed out or waited for PR_SILENCE_MAX_US, and nothing has been
-     received on its connection for that time since the first request that is
-     not answered, the connection is closed, and the next message opens a new
-     one, since a network partition gives no other sign.  A peer that is silent
-     for less may only have been kept from running.  Unsent output of a
-     connection is
+     times out and nothing has been received on its connection for
+     PR_SILENCE_MAX_US since the first request that is not answered, the
+     connection is closed, and the next message opens a new one, since a
+     network partition gives no other sign.  A peer that is silent for less
+     may only have been kept from running.  Unsent output of a connection is
      limited to PR_OUTPUT_MAX_BYTES; a message that does not fit is dropped and
      counted.
 
@@ -41,8 +40,8 @@
 
 #define PR_OUTPUT_MAX_BYTES (4 * 1024 * 1024)
 
-/* Less than half of the time for which a lease is renewed, so that it can
-   still be renewed over the next connection.  */
+/* Less than two timeouts of a promise request, so that a lease can still be
+   renewed over the next connection.  */
 #define PR_SILENCE_MAX_US (1300 * 1000)
 
 #define PR_ERROR (pr_error_quark ())
--- a/peer/peer_test.cc
+++ b/peer/peer_test.cc
@@ -342,41 +342,6 @@
   EXPECT_EQ (2, a.count_events (EV_PEER_CONNECTED));
 }
 
-/* Guards against a request with a long timeout that keeps a silent connection
-   open: a lease then lapses before the next connection can renew it.  */
-TEST_F (Peer, LongTimeoutDoesNotHideASilentPeer)
-{
-  Node a (base, "vm1"), b (base, "vm2");
-
-  pr_set_address (a.net, "vm2", "127.0.0.1", b.port);
-  a.send_request ("vm2", 1000);
-  run_until (base, [&] { return a.replies.size () == 1; });
-  b.sends_replies = false;
-  send_requests (base, &a, PR_SILENCE_MAX_US / 1000 + 300, 3000);
-  EXPECT_EQ (1, a.count_events (EV_PEER_LOST));
-}
-
-/* Guards against closing the connection with a peer that sends late but
-   regularly.  */
-TEST_F (Peer, LateRepliesToALongTimeoutKeepTheConnection)
-{
-  Node a (base, "vm1"), b (base, "vm2");
-
-  pr_set_address (a.net, "vm2", "127.0.0.1", b.port);
-  b.sends_replies = false;
-  a.send_request ("vm2", 5000);
-  for (int i = 0; i < 3; i++)
-    {
-      send_requests (base, &a, 900, 5000);
-      b.sends_replies = true;
-      send_requests (base, &a, 100, 5000);
-      b.sends_replies = false;
-    }
-  EXPECT_EQ (0, a.count_events (EV_PEER_LOST) + b.count_events (EV_PEER_LOST));
-  for (const std::string &reply : a.replies)
-    ASSERT_EQ ("vm2:promise_reply", reply);
-}
-
 /* Guards against a daemon that was paused itself and then closes a connection
    for lack of replies to requests that it hadn't sent yet.  */
 TEST_F (Peer, OwnPauseIsNoSilenceOfThePeer)
