--- a/member/member.h
+++ b/member/member.h
@@ -36,9 +36,9 @@
      not on the size of the fleet.
 
      Silence.  Whether a peer is silent or unresponsive is judged as of the
-   last call of mb_poll but two, so that the caller, if it was paused, has
-   passed on what the peer sent meanwhile.  Freshness is always judged as of
-   now.
+     last call of mb_poll but two, so that the caller, if it was paused, has
+     passed on what the peer sent meanwhile.  Freshness is always judged as
+     of now.
 
      Roles are soft state.  Any member replies to any other; roles only
      determine to whom members send reports and digests.
