entry: queue_removal looks up the last entry itself

The optimised build, which the users' platform makes, failed: with inlining, gcc takes the entry on the caller's stack for a dangling pointer (-Wdangling-pointer, an error here). With the lookup in queue_removal it builds, and does the same.

--- a/entry/listing.c
+++ b/entry/listing.c
@@ -112,22 +112,23 @@
 /* The delta also holds the last entry: receivers have to know its number, so
    that an earlier one does not bring the target back.  */
 static void
-queue_removal (EnListing *listing, const TgEntry *last_entry)
+queue_removal (EnListing *listing, const char *id)
 {
-  queue_update (listing, last_entry);
-  g_ptr_array_add (listing->pending_removals, g_strdup (last_entry->id));
+  TgEntry last_entry = { 0 };
+
+  if (!tg_get_entry (listing->targets, id, &last_entry))
+    return;
+  queue_update (listing, &last_entry);
+  g_ptr_array_add (listing->pending_removals, g_strdup (id));
 }
 
 static void
 remove_target (EnListing *listing, const char *id, const char *reason)
 {
-  TgEntry last_entry;
-
-  if (!tg_get_entry (listing->targets, id, &last_entry))
-    return;
   if (!listing->is_applying)
-    queue_removal (listing, &last_entry);
-  tg_remove (listing->targets, id, ck_boot_us ());
+    queue_removal (listing, id);
+  if (!tg_remove (listing->targets, id, ck_boot_us ()))
+    return;
   tr_log (listing->options.trace, EV_TARGET_GONE, "target=%s reason=%s", id,
           reason);
 }
