notice, targets, entry: log what targets state about their rate

The logs could not tell whether daemons know of a limit that a target states (Server-Limit). Nothing acts on it yet.

So the daemons are told, and do not act on it.

--- a/entry/dialect.h
+++ b/entry/dialect.h
@@ -11,6 +11,8 @@
 #include <glib.h>
 #include <stdint.h>
 
+#include "notice/notice.h"
+
 /* Names of headers unless stated otherwise.  */
 typedef struct
 {
@@ -23,6 +25,7 @@
   const char *customer; /* set for targets; removed from callers' requests */
   const char *expected_target_id; /* target that the request is meant for */
   const char *load;               /* of a target: "running,waiting,slots" */
+  NtHeaderNames notices;          /* of a target about itself */
   const char *not_run;            /* the target did not run the request */
   const char *auth_scheme;        /* scheme in Authorization */
   const char *lookup_path;        /* returns the entry VMs to use */
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -522,6 +522,9 @@
                                      "Requests handed to targets");
   proxy->retry_count = mt_counter (metrics, "target_repeats_total",
                                    "Requests handed to a second target");
+  proxy->invalid_notice_count
+      = mt_counter (metrics, "target_notices_invalid_total",
+                    "Malformed headers of targets about themselves");
   proxy->duration = mt_histogram (metrics, "request_duration_us",
                                   "From the first byte to the answer");
 }
--- a/entry/request.h
+++ b/entry/request.h
@@ -41,6 +41,7 @@
   MtCounter *outcome_counts[EN_OUTCOME_COUNT];
   MtCounter *attempt_count;
   MtCounter *retry_count;
+  MtCounter *invalid_notice_count;
   MtHistogram *duration;
 };
 
--- a/entry/send.c
+++ b/entry/send.c
@@ -224,6 +224,35 @@
   return VERDICT_SUCCESS;
 }
 
+static gboolean
+is_from_target (Verdict verdict)
+{
+  return verdict == VERDICT_SUCCESS || verdict == VERDICT_ERROR_RESPONSE
+         || verdict == VERDICT_NOT_RUN;
+}
+
+static void
+read_notice (EnRequest *request, const BkResult *result)
+{
+  EnProxy *proxy = request->proxy;
+  const TgTarget *target = tg_attempt_target (request->attempt);
+  NtNotice notice;
+
+  nt_decode (&proxy->options.dialect->notices, result->headers, &notice);
+  if (notice.invalid_count > 0)
+    {
+      mt_add (proxy->invalid_notice_count, notice.invalid_count);
+      tr_log (proxy->options.trace, EV_TARGET_NOTICE_INVALID,
+              "request=%s target=%s ignored=%u", request->id, tg_id (target),
+              notice.invalid_count);
+    }
+  if (tg_apply_notice (request->attempt, &notice, ck_boot_us ()))
+    tr_log (proxy->options.trace, EV_TARGET_RATE,
+            "request=%s target=%s zone=%s service=%s limit_per_s=%.3f",
+            request->id, tg_id (target), tg_zone (target), request->service,
+            tg_limit_per_s (target));
+}
+
 static const TgResultKind result_kinds[] = {
   [VERDICT_SUCCESS] = TG_RESULT_SUCCESS,
   [VERDICT_ERROR_RESPONSE] = TG_RESULT_FAILED,
@@ -245,6 +274,8 @@
     attempt_result.kind = TG_RESULT_SUCCESS;
   if (verdict == VERDICT_NO_RESPONSE && result->failure == BK_FAILURE_TIMEOUT)
     attempt_result.kind = TG_RESULT_TIMEOUT;
+  if (is_from_target (verdict))
+    read_notice (request, result);
   attempt_result.has_load = parse_load (request, result, &attempt_result);
   tg_attempt_end (get_targets (request), request->attempt, &attempt_result,
                   ck_boot_us ());
--- a/event/catalogue.c
+++ b/event/catalogue.c
@@ -109,6 +109,11 @@
     "Targets of a zone get no new requests." },
   { EV_ZONE_RESTORED, EV_LEVEL_INFO, "zone-restored",
     "Targets of a zone may be used again." },
+  { EV_TARGET_RATE, EV_LEVEL_INFO, "target-rate",
+    "A target states how many requests a second it takes, or no longer "
+    "does." },
+  { EV_TARGET_NOTICE_INVALID, EV_LEVEL_INFO, "target-notice-invalid",
+    "What a target states about itself is malformed; it is ignored." },
   { EV_ORDER_STARTED, EV_LEVEL_DEBUG, "order-started",
     "The record of a keyed request was created in the store." },
   { EV_ORDER_DONE, EV_LEVEL_DEBUG, "order-done",
--- /dev/null
+++ b/notice/notice.h
@@ -0,0 +1,45 @@
+/* notice.h - what a target states about itself in its responses
+
+   SYNOPSIS
+     NtNotice notice;
+     nt_decode (&names, response_headers, &notice);
+     if (notice.limit_per_s > 0)
+       ...
+
+   DESCRIPTION
+     A target in need states in the headers of its responses how many requests
+     a second it takes from all daemons together, for as long as it does so.
+
+     A header that is malformed, out of range or repeated with another value
+     says nothing: it neither sets nor ends what the target stated before.
+
+   ERRORS
+     None; NtNotice.invalid_count tells how many headers were ignored.  */
+
+#ifndef NT_NOTICE_H
+#define NT_NOTICE_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "http/http.h"
+
+/* More than any target handles; a larger value is an error of the target.  */
+#define NT_LIMIT_MAX_PER_S 1e6
+
+/* Names of the headers.  */
+typedef struct
+{
+  const char *limit; /* requests per second, a decimal number above 0 */
+} NtHeaderNames;
+
+typedef struct
+{
+  double limit_per_s;     /* of all daemons together; 0: none stated */
+  uint32_t invalid_count; /* headers that were ignored */
+} NtNotice;
+
+void nt_decode (const NtHeaderNames *names, const HtHeaders *headers,
+                NtNotice *notice);
+
+#endif
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -463,6 +463,23 @@
   target->error_updated_us = now_us;
 }
 
+gboolean
+tg_apply_notice (TgAttempt *attempt, const NtNotice *notice, int64_t now_us)
+{
+  TgTarget *target = attempt->target;
+  double before_per_s = target->limit_per_s;
+
+  if (notice->limit_per_s > 0)
+    {
+      target->limit_per_s = notice->limit_per_s;
+      target->limit_stated_us = now_us;
+    }
+  else if (notice->invalid_count == 0
+           && attempt->started_us > target->limit_stated_us)
+    target->limit_per_s = 0;
+  return target->limit_per_s != before_per_s;
+}
+
 void
 tg_attempt_end (TgSet *set, TgAttempt *attempt, const TgResult *result,
                 int64_t now_us)
@@ -558,3 +575,9 @@
 {
   return target->zone;
 }
+
+double
+tg_limit_per_s (const TgTarget *target)
+{
+  return target->limit_per_s;
+}
--- a/targets/targets.h
+++ b/targets/targets.h
@@ -66,6 +66,8 @@
 #include <glib.h>
 #include <stdint.h>
 
+#include "notice/notice.h"
+
 typedef struct TgSet TgSet;
 typedef struct TgTarget TgTarget;
 typedef struct TgAttempt TgAttempt;
@@ -177,6 +179,11 @@
    its target valid after tg_remove.  */
 TgAttempt *tg_attempt_begin (TgSet *set, const TgQuery *query,
                              const TgChoice *choice, int64_t now_us);
+/* Notes what the target states about itself in a response to ATTEMPT.  A
+   notice without a limit ends the limit only if the request was sent after the
+   target had last stated one.  Returns TRUE if the limit has changed.  */
+gboolean tg_apply_notice (TgAttempt *attempt, const NtNotice *notice,
+                          int64_t now_us);
 /* Updates what is known of the target and frees ATTEMPT.  */
 void tg_attempt_end (TgSet *set, TgAttempt *attempt, const TgResult *result,
                      int64_t now_us);
@@ -193,5 +200,8 @@
 const char *tg_id (const TgTarget *target);
 const char *tg_address (const TgTarget *target);
 const char *tg_zone (const TgTarget *target);
+/* Requests per second that the target takes from all daemons; 0: no limit is
+   known.  */
+double tg_limit_per_s (const TgTarget *target);
 
 #endif
