entry, targets, pool: keep to the limits of targets over all daemons

The class is a limit over all daemons that is known to each alone.

Change: one daemon of the target's region, found by rendezvous hashing, keeps a token bucket for the target. The others request a token before they send; the request states the limit, so the owner needs to know nothing, and a limit ends for a daemon with the first response without it to a request sent later. While there is no token, requests use other targets; if none is left they are refused at once with the time until the next token. Retries of requests that may have run do not go to such targets.

--- a/client/explain.c
+++ b/client/explain.c
@@ -51,6 +51,9 @@
   { "reason=rate_exceeded ",
     "refused, not run: the customer's share of its rate on this daemon was "
     "used up" },
+  { "reason=targets_limited",
+    "refused, not run: the targets that it may use state how many requests a "
+    "second they take, and had that many" },
   { "reason=targets_full",
     "refused, not run: the replicas of its object had longer queues than its "
     "latency target allows" },
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -1434,6 +1434,62 @@
   EXPECT_GE (served, 5);
 }
 
+/* Guards against daemons that together send a target more than it states to
+   take.  Windows of 4 s count from 3 s after the target first stated its
+   limit, when all daemons know it: by then it may get half as much again, and
+   five requests.  Also guards against using little of the limit, and against
+   keeping to one that has ended.  */
+TEST_F (Entry, KeepsToTheLimitOfATargetOverAllDaemons)
+{
+  constexpr double kLimitPerS = 5, kWindowS = 4, kKnownAfterS = 3, kLastsS = 9;
+  PostControl ("/target?id=t1&limit=5");
+  PostControl ("/target?id=t2&limit=5");
+  int64_t start_us = g_get_monotonic_time ();
+  int refused = 0;
+  for (int i = 0; g_get_monotonic_time () - start_us < kLastsS * 1e6; i++)
+    {
+      int status = SendRequest (
+          vms[(size_t)i % 2], i % 4 < 2 ? "/read/1" : "/order/1",
+          "l" + std::to_string (i), "key-1", i % 4 < 2 ? "GET" : "POST");
+      if (status != 200)
+        {
+          refused++;
+          EXPECT_EQ (status, 503);
+          EXPECT_NE (body.find ("not_run"), std::string::npos) << body;
+        }
+      si_sleep_ms (20);
+    }
+  EXPECT_GT (refused, 0);
+  for (const char *target : { "t1", "t2" })
+    {
+      std::vector<double> times;
+      std::istringstream lines (GetControl ("/arrivals"));
+      for (std::string line; std::getline (lines, line);)
+        if (line.find (std::string (" ") + target + " l") != std::string::npos)
+          times.push_back ((std::stod (line) - (double)start_us) / 1e6);
+      auto known
+          = std::lower_bound (times.begin (), times.end (), kKnownAfterS);
+      EXPECT_GE (times.end () - known,
+                 0.7 * kLimitPerS * (kLastsS - kKnownAfterS))
+          << target;
+      for (auto first = known; first != times.end (); ++first)
+        EXPECT_LE (std::lower_bound (first, times.end (), *first + kWindowS)
+                       - first,
+                   1.5 * kLimitPerS * kWindowS + 5)
+            << target << " from " << *first;
+    }
+  PostControl ("/target?id=t1&limit=");
+  PostControl ("/target?id=t2&limit=");
+  si_sleep_ms (2000);
+  for (int i = 0; i < 20; i++)
+    SendRequest (vms[(size_t)i % 2], "/read/1", "e" + std::to_string (i));
+  EXPECT_TRUE (AllRespond ("/read/1", "key-1", 200));
+  for (int i = 0; i < 20; i++)
+    EXPECT_EQ (
+        SendRequest (vms[(size_t)i % 2], "/read/1", "f" + std::to_string (i)),
+        200);
+}
+
 /* Guards against sending callers to a VM that has failed, and to another zone
    while their own has a ready VM.  */
 TEST_F (Entry, LookupReturnsReadyVmsOfCallersZone)
--- a/entry/pool.c
+++ b/entry/pool.c
@@ -25,6 +25,16 @@
 #define FALLBACK_WAIT_MAX_US 500000
 /* Covers a round trip within a region and scheduling delay under load.  */
 #define REPLY_TIMEOUT_US 30000
+/* Covers a round trip between regions.  */
+#define TARGET_REPLY_TIMEOUT_US 60000
+/* Shortest time without requests to a target that had no token.  Token owners
+   of an earlier version reply with 0.  */
+#define TARGET_PAUSE_MIN_US 20000
+/* The same after no reply; in 4 s the owner counts as lost.  */
+#define TARGET_SILENCE_PAUSE_US 500000
+/* Requests that may come at once to a target that has had none, in seconds at
+   its limit, beyond one.  */
+#define TARGET_BURST_S 0.5
 
 struct EnPool
 {
@@ -33,6 +43,8 @@
   gboolean members_known;
   GHashTable *customer_names; /* customer id to name */
   GHashTable *requests;       /* pending: number to EnTokenRequest */
+  LmTable *target_limits;     /* by target_key; of targets that this daemon is
+                                 or was the token owner of */
   uint64_t last_number;
 };
 
@@ -40,7 +52,7 @@
 {
   EnPool *pool;
   uint64_t number;
-  const char *customer;
+  const char *customer; /* NULL: for a target */
   EnTimer *timer;
   EnPoolCallback on_result;
   void *data;
@@ -62,6 +74,7 @@
 
   pool->options = *options;
   pool->daemon_count = 1;
+  pool->target_limits = lm_new ();
   pool->customer_names = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   pool->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                           free_request);
@@ -75,6 +88,7 @@
     return;
   g_hash_table_unref (pool->requests);
   g_hash_table_unref (pool->customer_names);
+  lm_free (pool->target_limits);
   g_free (pool);
 }
 
@@ -209,22 +223,29 @@
   finish_request (request, verdict, &result);
 }
 
+static void
+on_target_reply_timeout (void *data)
+{
+  EnTokenResult result = { .wait_us = TARGET_SILENCE_PAUSE_US };
+
+  finish_request (data, EN_POOL_REFUSED, &result);
+}
+
+/* Sends MESSAGE and sets its number.  */
 static EnTokenRequest *
-send_request (EnPool *pool, const char *owner, const char *customer)
+send_request (EnPool *pool, const char *owner, GoTokenRequest *message,
+              void (*on_timeout) (void *data), int64_t timeout_us)
 {
   EnTokenRequest *request = g_new0 (EnTokenRequest, 1);
-  GoTokenRequest message = { .gossip_address = pool->options.gossip_address,
-                             .number = ++pool->last_number,
-                             .customer_id = fl_customer_id (customer) };
 
+  message->gossip_address = pool->options.gossip_address;
+  message->number = ++pool->last_number;
   request->pool = pool;
-  request->number = message.number;
-  request->customer = customer;
-  request->timer
-      = en_timer_new (pool->options.base, on_reply_timeout, request);
-  en_timer_start (request->timer, ck_boot_us () + REPLY_TIMEOUT_US);
+  request->number = message->number;
+  request->timer = en_timer_new (pool->options.base, on_timeout, request);
+  en_timer_start (request->timer, ck_boot_us () + timeout_us);
   g_hash_table_insert (pool->requests, &request->number, request);
-  go_send_token_request (pool->options.gossip, owner, &message);
+  go_send_token_request (pool->options.gossip, owner, message);
   return request;
 }
 
@@ -234,6 +255,7 @@
                     EnTokenResult *result)
 {
   int64_t now_us = ck_boot_us ();
+  GoTokenRequest message = { .customer_id = fl_customer_id (customer) };
   const char *owner;
 
   *result = (EnTokenResult){ 0 };
@@ -244,12 +266,61 @@
                           now_us);
   if (owner == NULL)
     return take_local_token (pool, customer, now_us, result);
-  result->token_request = send_request (pool, owner, customer);
+  result->token_request = send_request (pool, owner, &message,
+                                        on_reply_timeout, REPLY_TIMEOUT_US);
+  result->token_request->customer = customer;
   result->token_request->on_result = on_result;
   result->token_request->data = data;
   return EN_POOL_PENDING;
 }
 
+static gboolean
+take_own_target_token (EnPool *pool, uint64_t id_hash, double limit_per_s,
+                       int64_t now_us, int64_t *wait_us)
+{
+  LmTable *limits = pool->target_limits;
+  char key[24];
+
+  g_snprintf (key, sizeof key, "%016" G_GINT64_MODIFIER "x", id_hash);
+  lm_set_limit (limits, key, limit_per_s, 1 + limit_per_s * TARGET_BURST_S,
+                now_us);
+  lm_set_share (limits, key, 1, now_us);
+  if (lm_take_token (limits, key, now_us, wait_us))
+    return TRUE;
+  *wait_us = MAX (TARGET_PAUSE_MIN_US, *wait_us);
+  return FALSE;
+}
+
+EnPoolVerdict
+en_pool_take_target_token (EnPool *pool, const EnLimitedTarget *target,
+                           EnPoolCallback on_result, void *data,
+                           EnTokenResult *result)
+{
+  int64_t now_us = ck_boot_us ();
+  GoTokenRequest message = { .target_hash = target->id_hash,
+                             .target_limit_per_s = target->limit_per_s };
+  const char *owner = fl_target_token_owner (
+      pool->options.fleet, target->id_hash, target->region, now_us);
+
+  *result = (EnTokenResult){ .is_local = owner == NULL };
+  if (owner == NULL)
+    return take_own_target_token (pool, target->id_hash, target->limit_per_s,
+                                  now_us, &result->wait_us)
+               ? EN_POOL_ADMITTED
+               : EN_POOL_REFUSED;
+  result->token_request = send_request (
+      pool, owner, &message, on_target_reply_timeout, TARGET_REPLY_TIMEOUT_US);
+  result->token_request->on_result = on_result;
+  result->token_request->data = data;
+  return EN_POOL_PENDING;
+}
+
+void
+en_pool_sweep_targets (EnPool *pool)
+{
+  lm_sweep (pool->target_limits);
+}
+
 void
 en_pool_cancel (EnTokenRequest *request)
 {
@@ -258,17 +329,31 @@
 
 /* No token is granted for an unknown customer: this daemon may not have read
    the configuration that adds it.  */
+static gboolean
+take_requested_token (EnPool *pool, const GoTokenRequest *request,
+                      int64_t *wait_us)
+{
+  int64_t now_us = ck_boot_us ();
+  const char *customer;
+
+  if (request->target_hash != 0)
+    return request->target_limit_per_s > 0
+           && take_own_target_token (pool, request->target_hash,
+                                     request->target_limit_per_s, now_us,
+                                     wait_us);
+  customer = g_hash_table_lookup (pool->customer_names,
+                                  GUINT_TO_POINTER (request->customer_id));
+  return customer != NULL
+         && lm_take_token (pool->options.limits, customer, now_us, wait_us);
+}
+
 void
 en_pool_on_token_request (EnPool *pool, const GoTokenRequest *request)
 {
-  const char *customer = g_hash_table_lookup (
-      pool->customer_names, GUINT_TO_POINTER (request->customer_id));
   GoTokenReply reply = { .number = request->number };
   int64_t wait_us = 0;
 
-  reply.granted = customer != NULL
-                  && lm_take_token (pool->options.limits, customer,
-                                    ck_boot_us (), &wait_us);
+  reply.granted = take_requested_token (pool, request, &wait_us);
   reply.wait_ms = (uint32_t)(wait_us / CK_US_PER_MS);
   go_send_token_reply (pool->options.gossip, request->gossip_address, &reply);
 }
@@ -280,6 +365,8 @@
       = g_hash_table_lookup (pool->requests, &reply->number);
   EnTokenResult result = { .wait_us = (int64_t)reply->wait_ms * CK_US_PER_MS };
 
+  if (request != NULL && request->customer == NULL)
+    result.wait_us = MAX (TARGET_PAUSE_MIN_US, result.wait_us);
   if (request != NULL)
     finish_request (
         request, reply->granted ? EN_POOL_ADMITTED : EN_POOL_REFUSED, &result);
--- a/entry/pool.h
+++ b/entry/pool.h
@@ -1,4 +1,4 @@
-/* pool.h - token buckets of customers whose rate is too small to be split
+/* pool.h - token buckets that one daemon keeps for others
 
    SYNOPSIS
      EnPool *pool = en_pool_new (&options);
@@ -22,6 +22,11 @@
      own bucket, for which a small share is reserved.  The rate of larger
      customers is split among all daemons.
 
+     A target that limits its rate has one token bucket for all daemons, with
+     nothing reserved: a daemon that gets no reply sends it nothing for a
+     while.  The token owner needs to know nothing of the target, since token
+     requests contain the limit.
+
    ERRORS
      None.  */
 
@@ -62,6 +67,14 @@
   EnTokenRequest *token_request; /* if pending: for en_pool_cancel */
 } EnTokenResult;
 
+/* A target that limits its rate.  */
+typedef struct
+{
+  uint64_t id_hash;
+  const char *region;
+  double limit_per_s;
+} EnLimitedTarget;
+
 typedef void (*EnPoolCallback) (EnPoolVerdict verdict,
                                 const EnTokenResult *result, void *data);
 
@@ -85,7 +98,15 @@
 EnPoolVerdict en_pool_take_token (EnPool *pool, const char *customer,
                                   EnPoolCallback on_result, void *data,
                                   EnTokenResult *result);
+/* The same for a request to TARGET.  */
+EnPoolVerdict en_pool_take_target_token (EnPool *pool,
+                                         const EnLimitedTarget *target,
+                                         EnPoolCallback on_result, void *data,
+                                         EnTokenResult *result);
 void en_pool_cancel (EnTokenRequest *request);
+/* Drops the token buckets of targets of which no token was requested since the
+   last call; call it once in a while.  */
+void en_pool_sweep_targets (EnPool *pool);
 
 /* Records the customer's demand at this daemon and in its region; call it once
    in each report interval, before en_pool_share.  */
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -136,19 +136,12 @@
 static void
 cancel_call (EnRequest *request, int64_t now_us)
 {
-  EnProxy *proxy = request->proxy;
-  gboolean fills_cache = tg_attempt_fills_cache (request->attempt);
-
   if (bk_cancel (request->call) != BK_SENT_NONE)
     {
       request->send_count++;
       request->may_have_run = TRUE;
     }
-  tg_attempt_end (en_view_targets (proxy->options.view), request->attempt,
-                  &(TgResult){ .kind = TG_RESULT_CANCELLED }, now_us);
-  request->attempt = NULL;
-  if (fills_cache)
-    en_proxy_release_held (proxy, request->object_hash);
+  en_request_drop_attempt (request, now_us);
 }
 
 /* Ends what the request waits for: a token, another request for its object, or
@@ -160,6 +153,8 @@
     {
       en_pool_cancel (request->token_request);
       request->token_request = NULL;
+      if (request->attempt != NULL)
+        en_request_drop_attempt (request, now_us);
     }
   else if (request->hold_timer != NULL)
     en_request_end_hold (request);
--- a/entry/request.h
+++ b/entry/request.h
@@ -74,7 +74,9 @@
   gboolean may_have_run;
   gboolean token_taken;        /* from this daemon's bucket of the customer */
   uint64_t failed_target_hash; /* tg_id_hash of the last target; 0: none */
-  EnTokenRequest *token_request; /* NULL: none is pending */
+  EnTokenRequest *token_request; /* for the customer or, with an attempt, for
+                                    its target; NULL: none is pending */
+  TgChoice choice;               /* of the attempt */
   TgAttempt *attempt;            /* current one, or NULL */
   BkCall *call;                  /* of the attempt */
   int64_t sent_us;               /* start of the attempt */
@@ -94,6 +96,9 @@
 /* Chooses a target and sends REQUEST, or holds or fails it.  */
 void en_request_send (EnRequest *request);
 
+/* Ends an attempt that says nothing about its target.  */
+void en_request_drop_attempt (EnRequest *request, int64_t now_us);
+
 /* Responds with the error status of OUTCOME and frees REQUEST.  */
 void en_request_fail (EnRequest *request, EnOutcome outcome,
                       int64_t retry_after_us, const char *reason);
--- a/entry/send.c
+++ b/entry/send.c
@@ -59,6 +59,7 @@
     .customer_home_regions
     = request->customer != NULL ? request->customer->home_regions : NULL,
     .exclude = request->failed_target_hash,
+    .avoid_limited = request->may_have_run,
     .cold_per_s = service->cold_per_s,
     .cold_ms = service->cold_ms,
     .latency_target_us = latency_target_us,
@@ -121,6 +122,10 @@
   else if (pick == TG_PICK_FULL)
     en_request_fail (request, EN_OUTCOME_UNAVAILABLE, FULL_RETRY_AFTER_US,
                      "targets_full");
+  else if (pick == TG_PICK_LIMITED)
+    en_request_fail (request, EN_OUTCOME_UNAVAILABLE,
+                     MAX (FULL_RETRY_AFTER_US, request->choice.wait_us),
+                     "targets_limited");
   else
     en_request_fail (request, EN_OUTCOME_UNAVAILABLE, NO_TARGET_RETRY_AFTER_US,
                      "no_target");
@@ -135,27 +140,100 @@
   return MAX (0, MIN (tg_miss_us (get_targets (request), query), left_us));
 }
 
-/* Sends or holds the request.  Returns FALSE if no target can be used.  */
+void
+en_request_drop_attempt (EnRequest *request, int64_t now_us)
+{
+  gboolean fills_cache = tg_attempt_fills_cache (request->attempt);
+
+  tg_attempt_end (get_targets (request), request->attempt,
+                  &(TgResult){ .kind = TG_RESULT_CANCELLED }, now_us);
+  request->attempt = NULL;
+  if (fills_cache)
+    en_proxy_release_held (request->proxy, request->object_hash);
+}
+
+static void
+drop_limited_attempt (EnRequest *request, int64_t wait_us)
+{
+  int64_t now_us = ck_boot_us ();
+
+  tg_pause_limited (request->attempt, now_us + wait_us);
+  en_request_drop_attempt (request, now_us);
+}
+
+static gboolean
+has_time_left (const EnRequest *request)
+{
+  return request->deadline_us - ck_boot_us () >= SEND_TIME_LEFT_MIN_US;
+}
+
+static void
+on_target_token (EnPoolVerdict verdict, const EnTokenResult *result,
+                 void *data)
+{
+  EnRequest *request = data;
+
+  request->token_request = NULL;
+  if (verdict == EN_POOL_ADMITTED && has_time_left (request))
+    {
+      send_to_target (request, &request->choice, ck_boot_us ());
+      return;
+    }
+  drop_limited_attempt (request, result->wait_us);
+  en_request_send (request);
+}
+
+static EnPoolVerdict
+take_target_token (EnRequest *request, EnTokenResult *result)
+{
+  const TgTarget *target = request->choice.target;
+  EnLimitedTarget limited = { .id_hash = tg_id_hash (target),
+                              .region = tg_region (target),
+                              .limit_per_s = tg_limit_per_s (target) };
+  EnPoolVerdict verdict;
+
+  if (limited.limit_per_s <= 0)
+    return EN_POOL_ADMITTED;
+  verdict = en_pool_take_target_token (
+      en_shares_pool (request->proxy->options.shares), &limited,
+      on_target_token, request, result);
+  if (verdict == EN_POOL_PENDING)
+    request->token_request = result->token_request;
+  return verdict;
+}
+
+/* Sends or holds the request, or requests a token for it.  Returns FALSE if no
+   target can be used.  Each turn of the loop pauses a target.  */
 static gboolean
 try_send (EnRequest *request, TgPick *pick)
 {
   TgSet *targets = get_targets (request);
-  TgQuery query = make_query (request);
-  int64_t now_us = ck_boot_us ();
-  TgChoice choice;
 
-  *pick = tg_pick (targets, &query, now_us, &choice);
-  if (*pick == TG_PICK_HOLD)
+  while (TRUE)
     {
-      en_request_hold (request,
-                       compute_hold_timeout (request, &query, now_us));
-      return TRUE;
+      TgQuery query = make_query (request);
+      int64_t now_us = ck_boot_us ();
+      EnTokenResult token;
+      EnPoolVerdict verdict;
+
+      *pick = tg_pick (targets, &query, now_us, &request->choice);
+      if (*pick == TG_PICK_HOLD)
+        {
+          en_request_hold (request,
+                           compute_hold_timeout (request, &query, now_us));
+          return TRUE;
+        }
+      if (*pick != TG_PICK_FOUND)
+        return FALSE;
+      request->attempt
+          = tg_attempt_begin (targets, &query, &request->choice, now_us);
+      verdict = take_target_token (request, &token);
+      if (verdict == EN_POOL_ADMITTED)
+        send_to_target (request, &request->choice, now_us);
+      if (verdict != EN_POOL_REFUSED)
+        return TRUE;
+      drop_limited_attempt (request, token.wait_us);
     }
-  if (*pick != TG_PICK_FOUND)
-    return FALSE;
-  request->attempt = tg_attempt_begin (targets, &query, &choice, now_us);
-  send_to_target (request, &choice, now_us);
-  return TRUE;
 }
 
 void
@@ -163,7 +241,7 @@
 {
   TgPick pick;
 
-  if (request->deadline_us - ck_boot_us () < SEND_TIME_LEFT_MIN_US)
+  if (!has_time_left (request))
     {
       if (request->may_have_run)
         en_request_fail (request, EN_OUTCOME_TIMEOUT, 0,
@@ -293,7 +371,7 @@
   uint32_t sends_max = request->route->attempts_max;
 
   if (proxy->requests_ended || request->attempt_count >= ATTEMPTS_MAX
-      || request->deadline_us - ck_boot_us () < SEND_TIME_LEFT_MIN_US)
+      || !has_time_left (request))
     return FALSE;
   if (verdict == VERDICT_NOT_SENT)
     return TRUE;
--- a/entry/shares.c
+++ b/entry/shares.c
@@ -30,6 +30,9 @@
    report a newer configuration, the store's is older, and the newer one is not
    merely on its way.  */
 #define START_US ((int64_t)3000000)
+/* Report intervals between sweeps of the token buckets of targets, long enough
+   for a bucket to fill.  */
+#define TARGET_SWEEP_INTERVALS 60
 
 struct EnShares
 {
@@ -48,6 +51,7 @@
   gboolean has_member_list; /* read from the store */
   gboolean members_known;   /* and they had the time to reply */
   uint32_t daemon_count;
+  uint32_t interval_count; /* report intervals since the start */
   int64_t started_us;
   uint64_t reported_version; /* newest configuration of another daemon */
   int64_t reported_us;       /* when it was first reported */
@@ -142,6 +146,8 @@
   (void)fd;
   (void)what;
   fl_expire_members (shares->fleet, now_us);
+  if (++shares->interval_count % TARGET_SWEEP_INTERVALS == 0)
+    en_pool_sweep_targets (shares->pool);
   lm_each_customer (shares->limits, note_customer_demand, &update);
   update_shares (shares, now_us);
   en_reports_send_due (shares->reports, now_us);
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -294,16 +294,20 @@
 }
 
 static uint64_t
-rendezvous_weight (const char *name, uint32_t customer_id)
+rendezvous_weight (const char *name, uint64_t hash)
 {
-  return XXH3_64bits_withSeed (name, strlen (name), customer_id);
+  return XXH3_64bits_withSeed (name, strlen (name), hash);
 }
 
-const char *
-fl_token_owner (const FlFleet *fleet, uint32_t customer_id, int64_t now_us)
+/* Finds the daemon with the highest rendezvous weight among the live and ready
+   ones of REGION, or of all regions if it is NULL.  Returns FALSE if there is
+   none.  */
+static gboolean
+find_owner (const FlFleet *fleet, uint64_t hash, const char *region,
+            int64_t now_us, const char **owner)
 {
-  uint64_t best_weight = rendezvous_weight (fleet->name, customer_id);
-  const char *owner = NULL;
+  gboolean found = region == NULL || strcmp (region, fleet->region) == 0;
+  uint64_t best_weight = found ? rendezvous_weight (fleet->name, hash) : 0;
   GHashTableIter members;
   gpointer value;
 
@@ -312,12 +316,33 @@
     {
       const FlMember *member = value;
       if (!member->ready || !fl_is_live (member, now_us)
-          || strcmp (member->region, fleet->region) != 0
-          || rendezvous_weight (member->name, customer_id) <= best_weight)
+          || (region != NULL && strcmp (member->region, region) != 0)
+          || rendezvous_weight (member->name, hash) <= best_weight)
         continue;
-      best_weight = rendezvous_weight (member->name, customer_id);
-      owner = member->gossip_address;
+      best_weight = rendezvous_weight (member->name, hash);
+      *owner = member->gossip_address;
+      found = TRUE;
     }
+  return found;
+}
+
+const char *
+fl_token_owner (const FlFleet *fleet, uint32_t customer_id, int64_t now_us)
+{
+  const char *owner = NULL;
+
+  find_owner (fleet, customer_id, fleet->region, now_us, &owner);
+  return owner;
+}
+
+const char *
+fl_target_token_owner (const FlFleet *fleet, uint64_t target_hash,
+                       const char *region, int64_t now_us)
+{
+  const char *owner = NULL;
+
+  if (!find_owner (fleet, target_hash, region, now_us, &owner))
+    find_owner (fleet, target_hash, NULL, now_us, &owner);
   return owner;
 }
 
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -151,6 +151,13 @@
 const char *fl_token_owner (const FlFleet *fleet, uint32_t customer_id,
                             int64_t now_us);
 
+/* Gossip address of the daemon that keeps the token bucket of a target in
+   REGION for all daemons; NULL if it is this daemon.  Chosen by rendezvous
+   hashing among the live and ready daemons of REGION or, without any, among
+   all.  */
+const char *fl_target_token_owner (const FlFleet *fleet, uint64_t target_hash,
+                                   const char *region, int64_t now_us);
+
 /* Which daemon reports the demand of this zone to other zones.  */
 typedef enum
 {
--- a/fleet/fleet_test.cc
+++ b/fleet/fleet_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <set>
 #include <string>
 
 extern "C"
@@ -185,4 +186,51 @@
   EXPECT_EQ (CountLiveMembers (), 0);
 }
 
+/* Guards against two daemons that each keep the token bucket of a target, and
+   together send it twice what it takes.  */
+TEST (TargetTokens, AllDaemonsAgreeOnTheOwnerOfATarget)
+{
+  const struct
+  {
+    const char *name, *region, *gossip_address;
+  } daemons[] = { { "vm1", "a", "1" },
+                  { "vm2", "a", "2" },
+                  { "vm3", "b", "3" },
+                  { "vm4", "b", "4" },
+                  { "vm5", "c", "5" } };
+  for (uint64_t target = 1; target <= 50; target++)
+    for (const char *region : { "a", "b", "c", "without-daemons" })
+      {
+        std::set<std::string> owners;
+        for (const auto &self : daemons)
+          {
+            FlOptions options = { self.name, "z", self.region, 0 };
+            FlFleet *fleet = fl_new (&options);
+            for (const auto &other : daemons)
+              {
+                FlReport report = {};
+                report.name = other.name;
+                report.zone = "z";
+                report.region = other.region;
+                report.front_address = "";
+                report.gossip_address = other.gossip_address;
+                report.ready = TRUE;
+                if (other.name != self.name)
+                  fl_receive_report (fleet, &report, 1000000);
+              }
+            const char *owner
+                = fl_target_token_owner (fleet, target << 40, region, 1000000);
+            owners.insert (owner != nullptr ? owner : self.gossip_address);
+            fl_free (fleet);
+          }
+        EXPECT_EQ (owners.size (), 1u) << region << " " << target;
+        for (const auto &daemon : daemons)
+          {
+            if (owners.count (daemon.gossip_address) == 0
+                || std::string (region) == "without-daemons")
+              continue;
+            EXPECT_STREQ (daemon.region, region);
+          }
+      }
+}
 }
--- a/gossip/gossip.c
+++ b/gossip/gossip.c
@@ -120,9 +120,12 @@
 static void
 dispatch_token_request (GoSocket *gossip, const Gossip__Ask *message)
 {
-  GoTokenRequest request = { .gossip_address = message->gossip_address,
-                             .number = message->number,
-                             .customer_id = message->customer };
+  GoTokenRequest request
+      = { .gossip_address = message->gossip_address,
+          .number = message->number,
+          .customer_id = message->customer,
+          .target_hash = message->target,
+          .target_limit_per_s = message->target_limit_milli_per_s / 1e3 };
 
   gossip->options.on_token_request (&request, gossip->options.data);
 }
@@ -414,6 +417,10 @@
   message.gossip_address = (char *)request->gossip_address;
   message.number = request->number;
   message.customer = request->customer_id;
+  message.target = request->target_hash;
+  message.target_limit_milli_per_s
+      = (uint32_t)(MIN (request->target_limit_per_s, NT_LIMIT_MAX_PER_S)
+                   * 1e3);
   datagram.ask = &message;
   send_encoded (gossip, address, encode_datagram (gossip, &datagram));
 }
--- a/gossip/gossip.h
+++ b/gossip/gossip.h
@@ -82,13 +82,15 @@
   uint64_t config_hash; /* see rt_text_hash; 0: unknown */
 } GoConfirmation;
 
-/* Requests a rate limit token of a customer whose token bucket the receiver
-   keeps for the region.  */
+/* Requests a token of a customer whose token bucket the receiver keeps for the
+   region, or of a target whose token bucket it keeps for all daemons.  */
 typedef struct
 {
   const char *gossip_address; /* of the sender */
   uint64_t number;            /* of the request, echoed in the reply */
   uint32_t customer_id;
+  uint64_t target_hash;      /* tg_id_hash; 0: of a customer */
+  double target_limit_per_s; /* as the target stated it to the sender */
 } GoTokenRequest;
 
 typedef struct
--- a/gossip/gossip_test.cc
+++ b/gossip/gossip_test.cc
@@ -72,10 +72,12 @@
 OnTokenRequest (const GoTokenRequest *request, void *data)
 {
   auto *received = static_cast<Received *> (data);
-  received->token_messages.push_back (request->gossip_address
-                                      + std::string (" ")
-                                      + std::to_string (request->number) + " "
-                                      + std::to_string (request->customer_id));
+  received->token_messages.push_back (
+      request->gossip_address + std::string (" ")
+      + std::to_string (request->number) + " "
+      + std::to_string (request->customer_id) + " "
+      + std::to_string (request->target_hash) + " "
+      + std::to_string ((int)(request->target_limit_per_s * 10)));
   event_base_loopbreak (received->base);
 }
 
@@ -231,14 +233,19 @@
    for it.  */
 TEST_F (Gossip, SendsTokenRequestsAndReplies)
 {
-  GoTokenRequest request = { "127.0.0.1:2", 5, 77 };
+  GoTokenRequest request = { "127.0.0.1:2", 5, 77, 0, 0 };
+  GoTokenRequest of_target = { "127.0.0.1:2", 6, 0, 1ULL << 60, 2.5 };
   GoTokenReply reply = { 5, TRUE, 9 };
   go_send_token_request (gossip, listen.c_str (), &request);
   WaitForDatagram ();
   go_send_token_reply (gossip, listen.c_str (), &reply);
   WaitForDatagram ();
+  go_send_token_request (gossip, listen.c_str (), &of_target);
+  WaitForDatagram ();
   EXPECT_EQ (received.token_messages,
-             (std::vector<std::string>{ "127.0.0.1:2 5 77", "5 1 9" }));
+             (std::vector<std::string>{
+                 "127.0.0.1:2 5 77 0 0", "5 1 9",
+                 "127.0.0.1:2 6 0 " + std::to_string (1ULL << 60) + " 25" }));
 }
 
 /* Guards against a crash on a datagram that no daemon sent, or an empty
--- a/standin/estate.h
+++ b/standin/estate.h
@@ -25,6 +25,8 @@
        POST /target?id=I&service_ms=N
                                   sets the service time of target I, at first
                                   0, for requests that arrive later
+       POST /target?id=I&limit=L  makes target I state the limit L in its
+                                  responses; none if L is empty
        GET /runs                  one line for each executed request: monotonic
                                   time in us, target, attempt id, customer ("-"
                                   where the header is missing), and "key" if it
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -24,6 +24,7 @@
   SiStubLogs logs;
   Fault fault;
   int64_t service_us;
+  char *limit; /* header Server-Limit; NULL or empty: none */
 };
 
 static void
@@ -47,6 +48,8 @@
   if (attempt_id != NULL)
     si_add_response_header (x, ATTEMPT_ID_HEADER, attempt_id);
   si_add_response_header (x, "X-Comfreywalk-Instance-Id", target->id);
+  if (target->limit != NULL && target->limit[0] != '\0')
+    si_add_response_header (x, "Server-Limit", target->limit);
   /* Requests running, requests waiting, slots.  */
   si_add_response_header (x, "X-Comfreywalk-Upstream-Load", "1,0,3");
 }
@@ -136,6 +139,13 @@
   return FALSE;
 }
 
+void
+si_stub_target_set_limit (SiStubTarget *target, const char *limit)
+{
+  g_free (target->limit);
+  target->limit = g_strdup (limit);
+}
+
 void
 si_stub_target_set_service_time (SiStubTarget *target, int64_t service_us)
 {
@@ -168,6 +178,7 @@
     return;
   if (target->server != NULL)
     si_server_free (target->server);
+  g_free (target->limit);
   g_free (target->id);
   g_free (target);
 }
--- a/targets/internal.h
+++ b/targets/internal.h
@@ -126,8 +126,9 @@
   uint32_t other_load_count; /* requests of other daemons, at
                                 other_load_updated_us */
   int64_t other_load_updated_us;
-  double limit_per_s;      /* stated by the target; 0: none */
-  int64_t limit_stated_us; /* when it stated a limit last */
+  double limit_per_s;           /* stated by the target; 0: none */
+  int64_t limit_stated_us;      /* when it stated a limit last */
+  int64_t limit_pause_until_us; /* it has no token before */
   int64_t shed_until_us;
   int64_t service_us; /* EWMA of the service times that this daemon's
                          requests to it were expected to take; 0: none */
--- a/targets/pick.c
+++ b/targets/pick.c
@@ -146,8 +146,8 @@
 }
 
 static gboolean
-is_allowed (const TgSet *set, TgTarget *target, const TgQuery *query,
-            int64_t now_us)
+may_use (const TgSet *set, TgTarget *target, const TgQuery *query,
+         int64_t now_us)
 {
   if (!tg_is_available (set, target) || target->id_hash == query->exclude
       || target->in_flight_count >= query->in_flight_max)
@@ -163,6 +163,14 @@
   return TRUE;
 }
 
+static gboolean
+is_paused_by_limit (const TgTarget *target, const TgQuery *query,
+                    int64_t now_us)
+{
+  return target->limit_per_s > 0
+         && (query->avoid_limited || target->limit_pause_until_us > now_us);
+}
+
 gboolean
 tg_is_unanswered (const TgAttempt *attempt, uint32_t miss_count,
                   int64_t now_us)
@@ -248,16 +256,31 @@
   int64_t queue_service_us; /* service time of the requests in a queue */
   int64_t now_us;
   gboolean any_allowed;
+  int64_t limited_until_us; /* when the first target that is paused by its
+                               limit may have a token; 0: none is paused */
   gboolean found;
   TgChoice *choice; /* the cheapest so far, if found */
 } PickSearch;
 
+static gboolean
+is_allowed (PickSearch *search, TgTarget *target)
+{
+  if (!may_use (search->set, target, search->query, search->now_us))
+    return FALSE;
+  if (!is_paused_by_limit (target, search->query, search->now_us))
+    return TRUE;
+  if (search->limited_until_us == 0
+      || target->limit_pause_until_us < search->limited_until_us)
+    search->limited_until_us = MAX (1, target->limit_pause_until_us);
+  return FALSE;
+}
+
 static void
 consider_target (PickSearch *search, TgTarget *target, int64_t extra_cost_us)
 {
   TgChoice candidate;
 
-  if (!is_allowed (search->set, target, search->query, search->now_us))
+  if (!is_allowed (search, target))
     return;
   search->any_allowed = TRUE;
   if (is_in_backoff (target, search->now_us)
@@ -323,7 +346,7 @@
     {
       TgTarget *target = service->targets->pdata[i];
       if ((target->distance != TG_OTHER_REGION) != is_local
-          || !is_allowed (search->set, target, search->query, search->now_us))
+          || !is_allowed (search, target))
         continue;
       search->any_allowed = TRUE;
       if (!is_in_backoff (target, search->now_us))
@@ -389,5 +412,10 @@
     return TG_PICK_HOLD;
   if (search.found)
     return TG_PICK_FOUND;
-  return search.any_allowed ? TG_PICK_FULL : TG_PICK_NONE;
+  if (search.any_allowed)
+    return TG_PICK_FULL;
+  if (search.limited_until_us == 0)
+    return TG_PICK_NONE;
+  choice->wait_us = MAX (0, search.limited_until_us - now_us);
+  return TG_PICK_LIMITED;
 }
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -476,10 +476,19 @@
     }
   else if (notice->invalid_count == 0
            && attempt->started_us > target->limit_stated_us)
-    target->limit_per_s = 0;
+    {
+      target->limit_per_s = 0;
+      target->limit_pause_until_us = 0;
+    }
   return target->limit_per_s != before_per_s;
 }
 
+void
+tg_pause_limited (TgAttempt *attempt, int64_t until_us)
+{
+  attempt->target->limit_pause_until_us = until_us;
+}
+
 void
 tg_attempt_end (TgSet *set, TgAttempt *attempt, const TgResult *result,
                 int64_t now_us)
@@ -576,6 +585,12 @@
   return target->zone;
 }
 
+const char *
+tg_region (const TgTarget *target)
+{
+  return target->region;
+}
+
 double
 tg_limit_per_s (const TgTarget *target)
 {
--- a/targets/targets.h
+++ b/targets/targets.h
@@ -54,6 +54,10 @@
      time.  A target is never picked while its zone is evacuated, after it has
      published that it is draining, or outside the home regions of the request.
 
+     A target that limits its rate has one token bucket for all daemons, which
+     entry/ keeps.  While it has no token, requests for its objects use another
+     target.
+
      The package reads no clock and does no I/O.  Times are in microseconds of
      one monotonic clock unless stated otherwise.
 
@@ -109,6 +113,7 @@
   int64_t wait_max_us; /* targets with a longer queueing time are not picked */
   uint32_t in_flight_max; /* of this daemon, at one target */
   gboolean may_hold;      /* the caller can handle TG_PICK_HOLD */
+  gboolean avoid_limited; /* pick no target that limits its rate */
 } TgQuery;
 
 typedef enum
@@ -117,6 +122,8 @@
   TG_PICK_NONE, /* no target is allowed; one that has in_flight_max requests,
                    or is cold and has used up its rate, is not */
   TG_PICK_FULL, /* each allowed target has a too long queue or is in backoff */
+  TG_PICK_LIMITED, /* as NONE, but some target is not allowed only because it
+                      limits its rate; wait_us of the choice is set */
   TG_PICK_HOLD, /* hold the request: one in flight fills the target's cache */
 } TgPick;
 
@@ -126,7 +133,8 @@
   gboolean cached;     /* the target is expected to have the object cached */
   gboolean is_replica; /* the object is placed on the target */
   int64_t service_us;  /* estimated, without the queue */
-  int64_t wait_us;     /* estimated queueing time */
+  int64_t wait_us;     /* estimated queueing time; with TG_PICK_LIMITED, time
+                          until a target may have a token again */
   int64_t cost_us;     /* estimated time to a response */
 } TgChoice;
 
@@ -172,7 +180,9 @@
    this daemon may use.  */
 void tg_set_cold_share (TgSet *set, const char *zone, double share);
 
-/* CHOICE is valid after TG_PICK_FOUND and TG_PICK_HOLD.  */
+/* CHOICE is valid after TG_PICK_FOUND and TG_PICK_HOLD.  A target that limits
+   its rate is picked without regard to it: the caller takes a token before it
+   sends, and calls tg_pause_limited if there is none.  */
 TgPick tg_pick (TgSet *set, const TgQuery *query, int64_t now_us,
                 TgChoice *choice);
 /* An attempt lasts from sending a request to a target until its end.  It keeps
@@ -184,6 +194,9 @@
    target had last stated one.  Returns TRUE if the limit has changed.  */
 gboolean tg_apply_notice (TgAttempt *attempt, const NtNotice *notice,
                           int64_t now_us);
+/* The target has no token before UNTIL_US; it is not picked until then, or
+   until its limit ends.  */
+void tg_pause_limited (TgAttempt *attempt, int64_t until_us);
 /* Updates what is known of the target and frees ATTEMPT.  */
 void tg_attempt_end (TgSet *set, TgAttempt *attempt, const TgResult *result,
                      int64_t now_us);
@@ -200,6 +213,7 @@
 const char *tg_id (const TgTarget *target);
 const char *tg_address (const TgTarget *target);
 const char *tg_zone (const TgTarget *target);
+const char *tg_region (const TgTarget *target);
 /* Requests per second that the target takes from all daemons; 0: no limit is
    known.  */
 double tg_limit_per_s (const TgTarget *target);
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -790,4 +790,82 @@
   EndAttempt (attempt, TG_RESULT_SUCCESS);
 }
 
+/* Guards against refusing requests, or holding them back, while a target that
+   limits its rate has no token and another one could serve them.  */
+TEST_F (Target, UsesAnotherTargetWhileALimitedOneHasNoToken)
+{
+  NtNotice notice = { 5, 0 };
+  TgQuery query = Query (7);
+  TgChoice choice;
+  AddTarget ("t1");
+  AddTarget ("t2");
+  TgAttempt *attempt = BeginAttempt (query);
+  const TgTarget *limited = tg_attempt_target (attempt);
+  EXPECT_TRUE (tg_apply_notice (attempt, &notice, now_us));
+  EXPECT_FALSE (tg_apply_notice (attempt, &notice, now_us));
+  EXPECT_EQ (tg_limit_per_s (limited), 5);
+  tg_pause_limited (attempt, now_us + kSecond);
+  EndAttempt (attempt, TG_RESULT_CANCELLED);
+  ASSERT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_FOUND);
+  EXPECT_NE (choice.target, limited);
+  now_us += kSecond;
+  ASSERT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_FOUND);
+  EXPECT_EQ (choice.target, limited);
+}
+
+/* Guards against a refusal that does not say when the only target, which
+   limits its rate, may be used again, and against a retry there of a request
+   that failed.  */
+TEST_F (Target, TellsWhenALimitedTargetMayBeUsed)
+{
+  NtNotice notice = { 5, 0 };
+  TgQuery query = Query ();
+  TgChoice choice;
+  AddTarget ("t1");
+  TgAttempt *attempt = BeginAttempt (query);
+  tg_apply_notice (attempt, &notice, now_us);
+  tg_pause_limited (attempt, now_us + 300 * kMs);
+  EndAttempt (attempt, TG_RESULT_CANCELLED);
+  now_us += 100 * kMs;
+  ASSERT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_LIMITED);
+  EXPECT_EQ (choice.wait_us, 200 * kMs);
+  tg_set_evacuated (set, "a1", TRUE, now_us);
+  EXPECT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_NONE);
+  tg_set_evacuated (set, "a1", FALSE, now_us);
+  now_us += 4 * kSecond;
+  EXPECT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_FOUND);
+  query.avoid_limited = TRUE;
+  EXPECT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_LIMITED);
+}
+
+/* Guards against forgetting a limit for a response to a request that was sent
+   before the target stated it, and against keeping one that the target no
+   longer states, or that an earlier incarnation stated.  */
+TEST_F (Target, KeepsALimitAsLongAsTheTargetStatesIt)
+{
+  NtNotice limited = { 5, 0 }, unlimited = { 0, 0 }, invalid = { 0, 1 };
+  AddTarget ("t1");
+  TgAttempt *early = BeginAttempt (Query ());
+  TgAttempt *middle = BeginAttempt (Query ());
+  const TgTarget *target = tg_attempt_target (early);
+  now_us += 10 * kMs;
+  tg_apply_notice (middle, &limited, now_us);
+  EXPECT_FALSE (tg_apply_notice (early, &unlimited, now_us + kMs));
+  EXPECT_EQ (tg_limit_per_s (target), 5);
+  now_us += 10 * kMs;
+  TgAttempt *late = BeginAttempt (Query ());
+  EXPECT_FALSE (tg_apply_notice (late, &invalid, now_us));
+  EXPECT_TRUE (tg_apply_notice (late, &unlimited, now_us));
+  EXPECT_EQ (tg_limit_per_s (target), 0);
+  EXPECT_TRUE (tg_apply_notice (late, &limited, now_us));
+  TgEntry restarted = Entry ("t1", "a1", "a");
+  restarted.started_ms = 2000;
+  EXPECT_TRUE (tg_update (set, &restarted, now_us));
+  for (TgAttempt *attempt : { early, middle, late })
+    EndAttempt (attempt, TG_RESULT_CANCELLED);
+  TgAttempt *fresh = BeginAttempt (Query ());
+  EXPECT_EQ (tg_limit_per_s (tg_attempt_target (fresh)), 0);
+  EndAttempt (fresh, TG_RESULT_SUCCESS);
+}
+
 }
--- a/wire/gossip.pb-c.c
+++ b/wire/gossip.pb-c.c
@@ -974,7 +974,7 @@
   (ProtobufCMessageInit) gossip__confirmation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__ask__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gossip__ask__field_descriptors[5] =
 {
   {
     "gossip_address",
@@ -1012,16 +1012,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Ask, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_limit_milli_per_s",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Ask, target_limit_milli_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__ask__field_indices_by_name[] = {
   2,   /* field[2] = customer */
   0,   /* field[0] = gossip_address */
   1,   /* field[1] = number */
+  3,   /* field[3] = target */
+  4,   /* field[4] = target_limit_milli_per_s */
 };
 static const ProtobufCIntRange gossip__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gossip__ask__descriptor =
 {
@@ -1031,7 +1057,7 @@
   "Gossip__Ask",
   "gossip",
   sizeof(Gossip__Ask),
-  3,
+  5,
   gossip__ask__field_descriptors,
   gossip__ask__field_indices_by_name,
   1,  gossip__ask__number_ranges,
--- a/wire/gossip.pb-c.h
+++ b/wire/gossip.pb-c.h
@@ -112,7 +112,8 @@
 /*
  * Target delta, sent by the region leader: changes of the list of targets
  * between two revisions of the store, after from_revision and up to
- * to_revision.  gone holds the ids of removed targets.
+ * to_revision.  gone holds the ids of removed targets; targets holds their last
+ * entries, too, and is applied first.
  */
 struct  Gossip__News
 {
@@ -180,8 +181,9 @@
 
 
 /*
- * Token request, to the token owner of the customer in the region.  number is
- * repeated in the reply; customer is the hash of the customer's name.
+ * Token request, to the token owner of a customer in the region or of a target
+ * that limits its rate.  number is repeated in the reply; customer is the hash
+ * of the customer's name, target that of the target's id; the other one is 0.
  */
 struct  Gossip__Ask
 {
@@ -189,10 +191,15 @@
   char *gossip_address;
   uint64_t number;
   uint32_t customer;
+  uint64_t target;
+  /*
+   * Requests that the target takes from all daemons, in thousandths a second.
+   */
+  uint32_t target_limit_milli_per_s;
 };
 #define GOSSIP__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
