--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -350,6 +350,21 @@
   return FALSE;
 }
 
+/* Identifies a request that comes again, also at another daemon.  */
+static uint64_t
+hash_content (const EnRequest *request)
+{
+  const FrRequest *front = request->front;
+  const char *texts[]
+      = { request->customer != NULL ? request->customer->name : "",
+          front->method, request->path_and_query };
+  uint64_t hash = XXH3_64bits (front->body, front->body_bytes);
+
+  for (guint i = 0; i < G_N_ELEMENTS (texts); i++)
+    hash = XXH3_64bits_withSeed (texts[i], strlen (texts[i]), hash);
+  return MAX (1, hash);
+}
+
 static void
 prepare_and_send (EnRequest *request)
 {
@@ -367,6 +382,7 @@
       = front->query != NULL
             ? g_strconcat (front->path, "?", front->query, NULL)
             : g_strdup (front->path);
+  request->content_hash = hash_content (request);
   make_target_headers (request);
   lm_retry_budget_add_request (en_shares_budget (proxy->options.shares),
                                request->service, ck_boot_us ());
--- a/entry/request.h
+++ b/entry/request.h
@@ -62,9 +62,11 @@
   const RtCustomer *customer; /* may be NULL: open route, or no customers */
   const char *service;        /* chosen by the route's traffic split */
   char *id;
-  char *path_and_query; /* as sent by the caller */
-  uint64_t object_hash; /* of route and object cookie; 0: none */
-  uint64_t id_hash;     /* spreads requests without an object */
+  char *path_and_query;  /* as sent by the caller */
+  uint64_t object_hash;  /* of route and object cookie; 0: none */
+  uint64_t id_hash;      /* spreads requests without an object */
+  uint64_t content_hash; /* the same for the same request of the same customer;
+                            never 0 */
   int64_t deadline_us;
   uint32_t priority;
   HtHeaders *headers; /* for targets */
--- a/entry/send.c
+++ b/entry/send.c
@@ -100,11 +100,13 @@
   mt_add (proxy->attempt_count, 1);
   tr_log (proxy->options.trace,
           request->send_count > 0 ? EV_REQUEST_RETRIED : EV_REQUEST_SENT,
-          "request=%s route=%s service=%s customer=%s target=%s zone=%s "
+          "request=%s content=%016" G_GINT64_MODIFIER
+          "x route=%s service=%s customer=%s target=%s zone=%s "
           "object=%04x placed=%d known=%d wait_ms=%" G_GINT64_FORMAT
           " cost_ms=%" G_GINT64_FORMAT " left_ms=%s config=%" G_GUINT64_FORMAT
           " config_age_ms=%" G_GINT64_FORMAT,
-          request->id, request->route->name, request->service,
+          request->id, request->content_hash, request->route->name,
+          request->service,
           request->customer != NULL ? request->customer->name : "-",
           tg_id (choice->target), tg_zone (choice->target),
           (uint32_t)(request->object_hash & 0xffff), choice->is_replica,
