quarantine, entry: give up requests that crash the targets that run them

Cause: a failed attempt says something about the target only. Nothing remembers the request, so each daemon sends it to two targets for each attempt of the caller. The class is a failure that follows the request, taken for one of the target.

Change: a request is recognized by a hash of customer, method, path and body. If its connection closes before the response, the daemon connects to the target once; if that is refused, the target has ended, and all requests that were on it are suspects. Each end is reported to three daemons, found by rendezvous hashing of the content; at the fourth target they tell all daemons to quarantine it. A content that has run well since the first end, anywhere, is cleared. A quarantine ends after a minute; one more end renews it. Refusals are 503 with not_run, which is true of the refused request.

Entry.QuarantinesARequestThatCrashesTargetsAtAllDaemons fails with the check taken out: the request reaches a target twice more and gets 200.

--- a/client/explain.c
+++ b/client/explain.c
@@ -51,6 +51,9 @@
   { "reason=rate_exceeded ",
     "refused, not run: the customer's share of its rate on this daemon was "
     "used up" },
+  { "reason=crashes_targets",
+    "not tried again: the same request was on several targets when they "
+    "ended, and has not run well since" },
   { "reason=targets_limited",
     "refused, not run: the targets that it may use state how many requests a "
     "second they take, and had that many" },
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -343,14 +343,15 @@
 
   void
   PutTarget (const std::string &id, const std::string &zone,
-             const std::string &state = "ready")
+             const std::string &state = "ready", int born = 1000)
   {
     PostControl ("/put?key=servers/" + id,
                  "{\"service\":\"s\",\"address\":\""
                      + targets[id == "t1" ? 0 : 1] + "\",\"zone\":\"" + zone
                      + "\",\"slots\":3,\"state\":\"" + state
                      + "\",\"cold_remaining_s\":0,\"sequence\":"
-                     + std::to_string (++sequence) + ",\"born\":1000}");
+                     + std::to_string (++sequence)
+                     + ",\"born\":" + std::to_string (born) + "}");
   }
 
   int
@@ -1490,6 +1491,59 @@
         200);
 }
 
+/* Guards against a request that crashes one target after the other, because
+   each daemon that its caller brings it to sends it to two more, and against
+   refusing others, or saying that it did not run when it may have.  */
+TEST_F (Entry, QuarantinesARequestThatCrashesTargetsAtAllDaemons)
+{
+  int born = 1000;
+  for (const Vm &vm : vms)
+    {
+      PostControl ("/target?id=t1&fault=crash");
+      PostControl ("/target?id=t2&fault=crash");
+      EXPECT_EQ (SendRequest (vm, "/read/bad", "b1"), 502);
+      PostControl ("/target?id=t1&fault=none");
+      PostControl ("/target?id=t2&fault=none");
+      PutTarget ("t1", "a1", "ready", ++born);
+      PutTarget ("t2", "a2", "ready", born);
+      EXPECT_TRUE (
+          WaitFor ([&] { return AllRespond ("/read/1", "key-1", 200); }));
+      si_sleep_ms (1500);
+    }
+  EXPECT_EQ (CountLines ("/runs", "b1"), 4);
+  for (const Vm &vm : vms)
+    {
+      EXPECT_EQ (SendRequest (vm, "/read/bad", "b2"), 503);
+      EXPECT_NE (body.find ("not_run"), std::string::npos) << body;
+      EXPECT_EQ (SendRequest (vm, "/read/good", "g1"), 200);
+      EXPECT_EQ (SendRequest (vm, "/order/bad", "g2", "key-1", "POST"), 200);
+    }
+  EXPECT_EQ (CountLines ("/arrivals", "b2"), 0);
+  EXPECT_TRUE (WaitFor ([&] {
+    return RunExplain ("b2").find ("was on several targets")
+           != std::string::npos;
+  })) << RunExplain ("b2");
+}
+
+/* Guards against refusing a read whose target closes connections, but has not
+   ended.  */
+TEST_F (Entry, DoesNotQuarantineForTargetsThatOnlyCloseConnections)
+{
+  PostControl ("/target?id=t1&fault=lose");
+  PostControl ("/target?id=t2&fault=lose");
+  for (int i = 0; i < 6; i++)
+    {
+      SendRequest (vms[(size_t)i % 2], "/read/x", "x" + std::to_string (i));
+      PutTarget ("t1", "a1", "ready", 2000 + i);
+      PutTarget ("t2", "a2", "ready", 2000 + i);
+      si_sleep_ms (600);
+    }
+  PostControl ("/target?id=t1&fault=none");
+  PostControl ("/target?id=t2&fault=none");
+  EXPECT_TRUE (
+      WaitFor ([&] { return SendRequest (vms[0], "/read/x", "x") == 200; }));
+}
+
 /* Guards against sending callers to a VM that has failed, and to another zone
    while their own has a ready VM.  */
 TEST_F (Entry, LookupReturnsReadyVmsOfCallersZone)
--- a/entry/send.c
+++ b/entry/send.c
@@ -3,6 +3,7 @@
 
 #include "clock/clock.h"
 #include "entry/request.h"
+#include "quarantine/quarantine.h"
 
 /* Sends beyond the limit of the route, allowed after a target responded that
    it did not run the request.  */
@@ -16,6 +17,8 @@
 #define QUEUE_WAIT_PERCENT 45
 /* Priorities up to this value are urgent.  */
 #define URGENT_PRIORITY 1
+/* Retry-After of a request that crashes targets: until it is tried again.  */
+#define QUARANTINED_RETRY_AFTER_US QR_QUARANTINE_US
 /* Values of Retry-After.  Queues advance in about a service time; a caller
    that retries at once finds them unchanged.  */
 #define FULL_RETRY_AFTER_US 300000
@@ -238,11 +241,34 @@
     }
 }
 
+static gboolean
+is_quarantined (const EnRequest *request)
+{
+  return en_suspects_is_quarantined (
+      en_shares_suspects (request->proxy->options.shares),
+      request->content_hash);
+}
+
+static void
+fail_quarantined (EnRequest *request)
+{
+  if (request->may_have_run)
+    en_request_fail (request, EN_OUTCOME_UNKNOWN, 0, "crashes_targets");
+  else
+    en_request_fail (request, EN_OUTCOME_UNAVAILABLE,
+                     QUARANTINED_RETRY_AFTER_US, "crashes_targets");
+}
+
 void
 en_request_send (EnRequest *request)
 {
   TgPick pick;
 
+  if (is_quarantined (request))
+    {
+      fail_quarantined (request);
+      return;
+    }
   if (!has_time_left (request))
     {
       if (request->may_have_run)
@@ -364,6 +390,26 @@
     en_proxy_release_held (request->proxy, object_hash);
 }
 
+/* Notes whether the request ran well, or was on a target that may have
+   ended.  */
+static void
+note_suspect (const EnRequest *request, Verdict verdict,
+              const BkResult *result)
+{
+  EnSuspects *suspects = en_shares_suspects (request->proxy->options.shares);
+  const TgTarget *target = tg_attempt_target (request->attempt);
+  EnLoss loss = { .content_hash = request->content_hash,
+                  .incarnation_hash = tg_incarnation_hash (target),
+                  .target_id = tg_id (target),
+                  .target_address = tg_address (target) };
+
+  if (verdict == VERDICT_SUCCESS || verdict == VERDICT_ERROR_RESPONSE)
+    en_suspects_note_served (suspects, request->content_hash);
+  else if (verdict == VERDICT_NO_RESPONSE
+           && result->failure == BK_FAILURE_CLOSED)
+    en_suspects_note_lost (suspects, &loss);
+}
+
 /* Whether the request may be sent to another target after a failure.  */
 static gboolean
 may_retry (EnRequest *request, Verdict verdict)
@@ -372,8 +418,8 @@
   /* Attempts of which no byte was sent are not counted.  */
   uint32_t sends_max = request->route->attempts_max;
 
-  if (proxy->requests_ended || request->attempt_count >= ATTEMPTS_MAX
-      || !has_time_left (request))
+  if (proxy->requests_ended || is_quarantined (request)
+      || request->attempt_count >= ATTEMPTS_MAX || !has_time_left (request))
     return FALSE;
   if (verdict == VERDICT_NOT_SENT)
     return TRUE;
@@ -455,6 +501,7 @@
     request->may_have_run = TRUE;
   if (verdict != VERDICT_SUCCESS)
     log_failed_attempt (request, verdict, result);
+  note_suspect (request, verdict, result);
   request->failed_target_hash
       = tg_id_hash (tg_attempt_target (request->attempt));
   end_attempt (request, verdict, result);
--- a/entry/shares.c
+++ b/entry/shares.c
@@ -41,6 +41,7 @@
   GoSocket *gossip;
   EnRelay *relay;
   EnPool *pool;
+  EnSuspects *suspects;
   LmTable *limits;
   LmRetryBudget *budget;
   PfWatcher *member_watcher;
@@ -169,6 +170,14 @@
   en_pool_on_token_reply (shares->pool, reply);
 }
 
+static void
+on_suspect (const GoSuspect *suspect, void *data)
+{
+  EnShares *shares = data;
+
+  en_suspects_on_message (shares->suspects, suspect);
+}
+
 static void
 on_report (const FlReport *report, void *data)
 {
@@ -293,6 +302,12 @@
                         .gossip = shares->gossip,
                         .fleet = shares->fleet,
                         .limits = shares->limits });
+  shares->suspects = en_suspects_new (
+      &(EnSuspectsOptions){ .base = options->base,
+                            .gossip_address = settings->gossip_listen,
+                            .gossip = shares->gossip,
+                            .fleet = shares->fleet,
+                            .trace = options->trace });
   shares->reports
       = en_reports_new (&(EnReportsOptions){ .settings = settings,
                                              .fleet = shares->fleet,
@@ -320,6 +335,7 @@
                        .on_confirmation = on_confirmation,
                        .on_token_request = on_token_request,
                        .on_token_reply = on_token_reply,
+                       .on_suspect = on_suspect,
                        .data = shares };
   PfWatcherOptions member_watcher
       = { .kind = PF_WATCH_MEMBERS,
@@ -365,6 +381,7 @@
   en_reports_free (shares->reports);
   lm_retry_budget_free (shares->budget);
   lm_free (shares->limits);
+  en_suspects_free (shares->suspects);
   en_pool_free (shares->pool);
   en_relay_free (shares->relay);
   fl_free (shares->fleet);
@@ -385,6 +402,12 @@
   return shares->pool;
 }
 
+EnSuspects *
+en_shares_suspects (const EnShares *shares)
+{
+  return shares->suspects;
+}
+
 EnRelay *
 en_shares_relay (const EnShares *shares)
 {
--- a/entry/shares.h
+++ b/entry/shares.h
@@ -15,6 +15,7 @@
 #include "entry/pool.h"
 #include "entry/relay.h"
 #include "entry/settings.h"
+#include "entry/suspects.h"
 #include "fleet/fleet.h"
 #include "gossip/gossip.h"
 #include "limit/budget.h"
@@ -64,6 +65,7 @@
 LmRetryBudget *en_shares_budget (const EnShares *shares);
 const FlFleet *en_shares_fleet (const EnShares *shares);
 EnPool *en_shares_pool (const EnShares *shares);
+EnSuspects *en_shares_suspects (const EnShares *shares);
 EnRelay *en_shares_relay (const EnShares *shares);
 
 #endif
--- /dev/null
+++ b/entry/suspects.c
@@ -0,0 +1,297 @@
+#include "entry/suspects.h"
+
+#include <event2/event.h>
+#include <event2/util.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "clock/clock.h"
+#include "quarantine/quarantine.h"
+
+/* Enough that the report survives the loss of datagrams and of daemons.  */
+#define WATCHERS_MAX 3
+/* A target that ended refuses a connection at once.  One that does not reply
+   may be cut off, which shows nothing.  */
+#define PROBE_TIMEOUT_US 500000
+/* At a time; losses beyond are not reported.  More than targets that a request
+   can crash before it is quarantined.  */
+#define PROBES_MAX 64
+
+/* A connection to a target that may have ended.  */
+typedef struct
+{
+  EnSuspects *suspects;
+  char *target_id;
+  uint64_t incarnation_hash;
+  GArray *contents; /* uint64_t, that were on the target */
+  int fd;
+  struct event *event;
+} Probe;
+
+struct EnSuspects
+{
+  EnSuspectsOptions options;
+  QrTable *table;
+  GHashTable *probes; /* incarnation hash to Probe */
+};
+
+static void
+free_probe (gpointer data)
+{
+  Probe *probe = data;
+
+  event_free (probe->event);
+  close (probe->fd);
+  g_array_unref (probe->contents);
+  g_free (probe->target_id);
+  g_free (probe);
+}
+
+EnSuspects *
+en_suspects_new (const EnSuspectsOptions *options)
+{
+  EnSuspects *suspects = g_new0 (EnSuspects, 1);
+
+  suspects->options = *options;
+  suspects->table = qr_new ();
+  suspects->probes
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_probe);
+  return suspects;
+}
+
+void
+en_suspects_free (EnSuspects *suspects)
+{
+  if (suspects == NULL)
+    return;
+  g_hash_table_unref (suspects->probes);
+  qr_free (suspects->table);
+  g_free (suspects);
+}
+
+/* Data of the callback of fl_each_member.  */
+typedef struct
+{
+  EnSuspects *suspects;
+  const GoSuspect *message;
+} Broadcast;
+
+static void
+send_to_member (const FlMember *member, void *data)
+{
+  Broadcast *broadcast = data;
+
+  go_send_suspect (broadcast->suspects->options.gossip, member->gossip_address,
+                   broadcast->message);
+}
+
+static void
+send_to_all (EnSuspects *suspects, const GoSuspect *message)
+{
+  fl_each_member (suspects->options.fleet, send_to_member,
+                  &(Broadcast){ suspects, message });
+}
+
+static void
+send_to_watchers (EnSuspects *suspects, const GoSuspect *message)
+{
+  const char *addresses[WATCHERS_MAX];
+  uint32_t count
+      = fl_find_watchers (suspects->options.fleet, message->content_hash,
+                          ck_boot_us (), addresses, WATCHERS_MAX);
+
+  for (uint32_t i = 0; i < count; i++)
+    go_send_suspect (suspects->options.gossip, addresses[i], message);
+}
+
+static GoSuspect
+make_message (const EnSuspects *suspects, GoSuspectKind kind,
+              uint64_t content_hash)
+{
+  return (GoSuspect){ .gossip_address = suspects->options.gossip_address,
+                      .kind = kind,
+                      .content_hash = content_hash };
+}
+
+static GoSuspect
+make_quarantine (EnSuspects *suspects, uint64_t content_hash)
+{
+  GoSuspect message
+      = make_message (suspects, GO_SUSPECT_QUARANTINED, content_hash);
+
+  message.age_ms
+      = (uint32_t)((ck_boot_us ()
+                    - qr_first_ended_us (suspects->table, content_hash))
+                   / CK_US_PER_MS);
+  return message;
+}
+
+/* Counts an end; tells all daemons of a new quarantine.  Returns TRUE if the
+   content was quarantined before.  */
+static gboolean
+count_end (EnSuspects *suspects, uint64_t content_hash,
+           uint64_t incarnation_hash)
+{
+  int64_t now_us = ck_boot_us ();
+  GoSuspect message;
+
+  if (qr_is_quarantined (suspects->table, content_hash, now_us))
+    {
+      qr_note_ended (suspects->table, content_hash, incarnation_hash, now_us);
+      return TRUE;
+    }
+  if (!qr_note_ended (suspects->table, content_hash, incarnation_hash, now_us))
+    return FALSE;
+  tr_log (suspects->options.trace, EV_REQUEST_QUARANTINED,
+          "content=%016" G_GINT64_MODIFIER "x by=self", content_hash);
+  message = make_quarantine (suspects, content_hash);
+  send_to_all (suspects, &message);
+  return FALSE;
+}
+
+static void
+on_target_ended (Probe *probe)
+{
+  EnSuspects *suspects = probe->suspects;
+
+  tr_log (suspects->options.trace, EV_TARGET_ENDED, "target=%s requests=%u",
+          probe->target_id, probe->contents->len);
+  for (guint i = 0; i < probe->contents->len; i++)
+    {
+      GoSuspect message
+          = make_message (suspects, GO_SUSPECT_ENDED,
+                          g_array_index (probe->contents, uint64_t, i));
+      message.incarnation_hash = probe->incarnation_hash;
+      count_end (suspects, message.content_hash, message.incarnation_hash);
+      send_to_watchers (suspects, &message);
+    }
+}
+
+static void
+on_probe (evutil_socket_t fd, short what, void *data)
+{
+  Probe *probe = data;
+  int problem = 0;
+  socklen_t length = sizeof problem;
+
+  if ((what & EV_TIMEOUT) == 0
+      && getsockopt (fd, SOL_SOCKET, SO_ERROR, &problem, &length) == 0
+      && problem == ECONNREFUSED)
+    on_target_ended (probe);
+  g_hash_table_remove (probe->suspects->probes, &probe->incarnation_hash);
+}
+
+/* Returns -1 if the connection could not be begun.  */
+static int
+begin_connect (const char *address)
+{
+  struct sockaddr_storage name;
+  int length = sizeof name;
+  int fd;
+
+  if (evutil_parse_sockaddr_port (address, (struct sockaddr *)&name, &length)
+      != 0)
+    return -1;
+  fd = socket (name.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd == -1)
+    return -1;
+  if (connect (fd, (struct sockaddr *)&name, (socklen_t)length) == 0
+      || errno == EINPROGRESS || errno == ECONNREFUSED)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+static Probe *
+start_probe (EnSuspects *suspects, const EnLoss *loss)
+{
+  struct timeval timeout = { 0, PROBE_TIMEOUT_US };
+  int fd = begin_connect (loss->target_address);
+  Probe *probe;
+
+  if (fd == -1)
+    return NULL;
+  probe = g_new0 (Probe, 1);
+  probe->suspects = suspects;
+  probe->target_id = g_strdup (loss->target_id);
+  probe->incarnation_hash = loss->incarnation_hash;
+  probe->contents = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  probe->fd = fd;
+  probe->event
+      = event_new (suspects->options.base, fd, EV_WRITE, on_probe, probe);
+  event_add (probe->event, &timeout);
+  g_hash_table_insert (suspects->probes, &probe->incarnation_hash, probe);
+  return probe;
+}
+
+void
+en_suspects_note_lost (EnSuspects *suspects, const EnLoss *loss)
+{
+  Probe *probe
+      = g_hash_table_lookup (suspects->probes, &loss->incarnation_hash);
+
+  if (probe == NULL && g_hash_table_size (suspects->probes) < PROBES_MAX)
+    probe = start_probe (suspects, loss);
+  if (probe != NULL)
+    g_array_append_val (probe->contents, loss->content_hash);
+}
+
+void
+en_suspects_note_served (EnSuspects *suspects, uint64_t content_hash)
+{
+  GoSuspect message = make_message (suspects, GO_SUSPECT_SERVED, content_hash);
+
+  if (qr_note_served (suspects->table, content_hash, ck_boot_us ()))
+    send_to_watchers (suspects, &message);
+}
+
+gboolean
+en_suspects_is_quarantined (EnSuspects *suspects, uint64_t content_hash)
+{
+  return qr_is_quarantined (suspects->table, content_hash, ck_boot_us ());
+}
+
+static void
+on_quarantined (EnSuspects *suspects, const GoSuspect *message)
+{
+  int64_t now_us = ck_boot_us ();
+  GoSuspect objection
+      = make_message (suspects, GO_SUSPECT_SERVED, message->content_hash);
+
+  if (!qr_add (suspects->table, message->content_hash,
+               now_us - (int64_t)message->age_ms * CK_US_PER_MS, now_us))
+    {
+      send_to_all (suspects, &objection);
+      return;
+    }
+  tr_log (suspects->options.trace, EV_REQUEST_QUARANTINED,
+          "content=%016" G_GINT64_MODIFIER "x by=%s", message->content_hash,
+          message->gossip_address);
+}
+
+void
+en_suspects_on_message (EnSuspects *suspects, const GoSuspect *message)
+{
+  GoSuspect reply;
+
+  switch (message->kind)
+    {
+    case GO_SUSPECT_ENDED:
+      if (!count_end (suspects, message->content_hash,
+                      message->incarnation_hash))
+        return;
+      reply = make_quarantine (suspects, message->content_hash);
+      go_send_suspect (suspects->options.gossip, message->gossip_address,
+                       &reply);
+      return;
+    case GO_SUSPECT_QUARANTINED:
+      on_quarantined (suspects, message);
+      return;
+    case GO_SUSPECT_SERVED:
+      qr_remove (suspects->table, message->content_hash);
+      return;
+    default:
+      return;
+    }
+}
--- a/event/catalogue.c
+++ b/event/catalogue.c
@@ -91,6 +91,9 @@
   { EV_REQUEST_CUT, EV_LEVEL_WARNING, "request-cut",
     "The daemon ended and closed the caller's connection without a "
     "response." },
+  { EV_REQUEST_QUARANTINED, EV_LEVEL_WARNING, "request-quarantined",
+    "A request was on several targets when they ended; it is refused from now "
+    "on." },
   { EV_TARGET_HEALTHY, EV_LEVEL_INFO, "target-healthy",
     "A target responds to probes or requests again." },
   { EV_TARGET_UNHEALTHY, EV_LEVEL_WARNING, "target-unhealthy",
@@ -114,6 +117,9 @@
     "does." },
   { EV_TARGET_NOTICE_INVALID, EV_LEVEL_INFO, "target-notice-invalid",
     "What a target states about itself is malformed; it is ignored." },
+  { EV_TARGET_ENDED, EV_LEVEL_INFO, "target-ended",
+    "A target closed connections with requests on them and refuses new "
+    "ones." },
   { EV_ORDER_STARTED, EV_LEVEL_DEBUG, "order-started",
     "The record of a keyed request was created in the store." },
   { EV_ORDER_DONE, EV_LEVEL_DEBUG, "order-done",
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -346,6 +346,38 @@
   return owner;
 }
 
+uint32_t
+fl_find_watchers (const FlFleet *fleet, uint64_t hash, int64_t now_us,
+                  const char **addresses, uint32_t count)
+{
+  g_autofree uint64_t *weights = g_new0 (uint64_t, count + 1);
+  uint32_t found = 0;
+  GHashTableIter members;
+  gpointer value;
+
+  g_hash_table_iter_init (&members, fleet->members);
+  while (g_hash_table_iter_next (&members, NULL, &value))
+    {
+      const FlMember *member = value;
+      uint64_t weight = rendezvous_weight (member->name, hash);
+      uint32_t i = MIN (found, count);
+      if (!fl_is_live (member, now_us))
+        continue;
+      for (; i > 0 && weights[i - 1] < weight; i--)
+        {
+          weights[i] = weights[i - 1];
+          if (i < count)
+            addresses[i] = addresses[i - 1];
+        }
+      if (i >= count)
+        continue;
+      weights[i] = weight;
+      addresses[i] = member->gossip_address;
+      found = MIN (found + 1, count);
+    }
+  return found;
+}
+
 FlZoneLeader
 fl_zone_leader (const FlFleet *fleet, int64_t now_us)
 {
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -158,6 +158,12 @@
 const char *fl_target_token_owner (const FlFleet *fleet, uint64_t target_hash,
                                    const char *region, int64_t now_us);
 
+/* Sets ADDRESSES to the gossip addresses of the live daemons, this one left
+   out, with the highest rendezvous weights for HASH, and returns their number,
+   COUNT at most.  */
+uint32_t fl_find_watchers (const FlFleet *fleet, uint64_t hash, int64_t now_us,
+                           const char **addresses, uint32_t count);
+
 /* Which daemon reports the demand of this zone to other zones.  */
 typedef enum
 {
--- a/fleet/fleet_test.cc
+++ b/fleet/fleet_test.cc
@@ -234,3 +234,32 @@
       }
 }
 }
+
+/* Guards against daemons that report the crashes of one request to different
+   watchers, so that no one counts them.  */
+TEST_F (Fleet, FindsTheSameWatchersForTheSameRequest)
+{
+  const char *first[3], *second[3];
+  EXPECT_EQ (fl_find_watchers (fleet, 9, now_us, first, 3), 0u);
+  for (int i = 2; i <= 9; i++)
+    {
+      std::string name = "vm" + std::to_string (i);
+      FlReport report = {};
+      report.name = name.c_str ();
+      report.zone = "a1";
+      report.region = "a";
+      report.front_address = "";
+      report.gossip_address = name.c_str ();
+      fl_receive_report (fleet, &report, now_us);
+    }
+  for (uint64_t hash = 1; hash < 50; hash++)
+    {
+      ASSERT_EQ (fl_find_watchers (fleet, hash, now_us, first, 3), 3u);
+      ASSERT_EQ (fl_find_watchers (fleet, hash, now_us, second, 2), 2u);
+      EXPECT_STREQ (first[0], second[0]);
+      EXPECT_STREQ (first[1], second[1]);
+      EXPECT_STRNE (first[0], first[1]);
+      EXPECT_STRNE (first[1], first[2]);
+    }
+  EXPECT_EQ (fl_find_watchers (fleet, 9, now_us + 60000000, first, 3), 0u);
+}
--- a/gossip/gossip.c
+++ b/gossip/gossip.c
@@ -140,8 +140,23 @@
   gossip->options.on_token_reply (&reply, gossip->options.data);
 }
 
-/* Returns FALSE if the datagram holds no known message, or a report without a
-   name.  */
+static gboolean
+dispatch_suspect (GoSocket *gossip, const Gossip__Suspect *message)
+{
+  GoSuspect suspect = { .gossip_address = message->gossip_address,
+                        .kind = (GoSuspectKind)message->kind,
+                        .content_hash = message->content,
+                        .incarnation_hash = message->incarnation,
+                        .age_ms = message->age_ms };
+
+  if ((uint32_t)message->kind >= GO_SUSPECT_KIND_COUNT)
+    return FALSE;
+  gossip->options.on_suspect (&suspect, gossip->options.data);
+  return TRUE;
+}
+
+/* Returns FALSE if the datagram holds no known message, a report without a
+   name or a suspect of an unknown kind.  */
 static gboolean
 dispatch_datagram (GoSocket *gossip, const char *sender_address,
                    const Gossip__Datagram *message)
@@ -156,6 +171,8 @@
     dispatch_token_request (gossip, message->ask);
   else if (message->answer != NULL)
     dispatch_token_reply (gossip, message->answer);
+  else if (message->suspect != NULL)
+    return dispatch_suspect (gossip, message->suspect);
   else if (message->report != NULL && message->report->name[0] != '\0')
     dispatch_report (gossip, message->report);
   else
@@ -439,6 +456,22 @@
   send_encoded (gossip, address, encode_datagram (gossip, &datagram));
 }
 
+void
+go_send_suspect (GoSocket *gossip, const char *address,
+                 const GoSuspect *suspect)
+{
+  Gossip__Datagram datagram = GOSSIP__DATAGRAM__INIT;
+  Gossip__Suspect message = GOSSIP__SUSPECT__INIT;
+
+  message.gossip_address = (char *)suspect->gossip_address;
+  message.kind = (Gossip__Suspect__Kind)suspect->kind;
+  message.content = suspect->content_hash;
+  message.incarnation = suspect->incarnation_hash;
+  message.age_ms = suspect->age_ms;
+  datagram.suspect = &message;
+  send_encoded (gossip, address, encode_datagram (gossip, &datagram));
+}
+
 const GoCounters *
 go_counters (const GoSocket *gossip)
 {
--- a/gossip/gossip.h
+++ b/gossip/gossip.h
@@ -8,7 +8,7 @@
 
    DESCRIPTION
      Each datagram holds one protobuf message: a report, a target delta, a
-     stamp, a confirmation, a token request or a token reply; see
+     stamp, a confirmation, a token request, a token reply or a suspect; see
      wire/gossip.proto.  A lost report is replaced by the next one, and a lost
      target delta shows as a gap in the revisions.  There is no connection that
      could fail unnoticed.  Datagrams that cannot be decoded are counted and
@@ -100,6 +100,24 @@
   uint32_t wait_ms; /* if not granted: time until a token is available */
 } GoTokenReply;
 
+typedef enum
+{
+  GO_SUSPECT_ENDED,       /* the request was on a target that ended */
+  GO_SUSPECT_QUARANTINED, /* it was on several; nobody should run it */
+  GO_SUSPECT_SERVED,      /* it ran well, so it is not the cause */
+  GO_SUSPECT_KIND_COUNT,
+} GoSuspectKind;
+
+/* A request that may crash targets, see quarantine.h.  */
+typedef struct
+{
+  const char *gossip_address; /* of the sender */
+  GoSuspectKind kind;
+  uint64_t content_hash;
+  uint64_t incarnation_hash; /* GO_SUSPECT_ENDED: of the target */
+  uint32_t age_ms;           /* GO_SUSPECT_QUARANTINED: since the first end */
+} GoSuspect;
+
 typedef struct GoSocket GoSocket;
 
 typedef struct
@@ -112,6 +130,7 @@
   void (*on_confirmation) (const GoConfirmation *confirmation, void *data);
   void (*on_token_request) (const GoTokenRequest *request, void *data);
   void (*on_token_reply) (const GoTokenReply *reply, void *data);
+  void (*on_suspect) (const GoSuspect *suspect, void *data);
   void *data;
 } GoOptions;
 
@@ -142,6 +161,8 @@
                             const GoTokenRequest *request);
 void go_send_token_reply (GoSocket *gossip, const char *address,
                           const GoTokenReply *reply);
+void go_send_suspect (GoSocket *gossip, const char *address,
+                      const GoSuspect *suspect);
 const GoCounters *go_counters (const GoSocket *gossip);
 
 #endif
--- a/gossip/gossip_test.cc
+++ b/gossip/gossip_test.cc
@@ -23,6 +23,7 @@
   std::vector<std::string> targets;
   std::vector<std::string> removed_ids;
   std::vector<std::string> stamps;
+  std::vector<std::string> suspects;
   std::vector<std::string> token_messages;
   std::string sender_address;
   uint64_t revision = 0;
@@ -91,6 +92,18 @@
   event_base_loopbreak (received->base);
 }
 
+void
+OnSuspect (const GoSuspect *suspect, void *data)
+{
+  auto *received = static_cast<Received *> (data);
+  received->suspects.push_back (suspect->gossip_address + std::string (" ")
+                                + std::to_string (suspect->kind) + " "
+                                + std::to_string (suspect->content_hash) + " "
+                                + std::to_string (suspect->incarnation_hash)
+                                + " " + std::to_string (suspect->age_ms));
+  event_base_loopbreak (received->base);
+}
+
 void
 OnReport (const FlReport *report, void *data)
 {
@@ -138,9 +151,10 @@
   {
     received.base = event_base_new ();
     listen = FindFreeAddress ();
-    GoOptions options = { received.base,  listen.c_str (), OnReport,
-                          OnTargetDelta,  OnStamp,         OnConfirmation,
-                          OnTokenRequest, OnTokenReply,    &received };
+    GoOptions options
+        = { received.base, listen.c_str (), OnReport,       OnTargetDelta,
+            OnStamp,       OnConfirmation,  OnTokenRequest, OnTokenReply,
+            OnSuspect,     &received };
     gossip = go_new (&options, nullptr);
     ASSERT_NE (gossip, nullptr);
   }
@@ -248,6 +262,23 @@
                  "127.0.0.1:2 6 0 " + std::to_string (1ULL << 60) + " 25" }));
 }
 
+/* Guards against a daemon that does not learn which requests crash targets, or
+   takes one for another.  */
+TEST_F (Gossip, SendsSuspects)
+{
+  GoSuspect ended = { "127.0.0.1:2", GO_SUSPECT_ENDED, 1ULL << 62, 7, 0 };
+  GoSuspect quarantined
+      = { "127.0.0.1:3", GO_SUSPECT_QUARANTINED, 5, 0, 1500 };
+  go_send_suspect (gossip, listen.c_str (), &ended);
+  WaitForDatagram ();
+  go_send_suspect (gossip, listen.c_str (), &quarantined);
+  WaitForDatagram ();
+  EXPECT_EQ (received.suspects,
+             (std::vector<std::string>{
+                 "127.0.0.1:2 0 " + std::to_string (1ULL << 62) + " 7 0",
+                 "127.0.0.1:3 1 5 0 1500" }));
+}
+
 /* Guards against a crash on a datagram that no daemon sent, or an empty
    one.  */
 TEST_F (Gossip, DropsAndCountsMalformedDatagrams)
--- a/standin/estate.h
+++ b/standin/estate.h
@@ -60,6 +60,8 @@
        shed    reject the request with 503 without executing it
        fail    execute the request and respond with 500
        spoil   leave out the signature header
+       crash   execute the request, then close all connections and refuse new
+               ones until another fault is set
        other   respond with 421 without executing the request, as if the
                address belonged to another target
 
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -1,3 +1,4 @@
+#include <event2/event.h>
 #include <string.h>
 
 #include "standin/estate_internal.h"
@@ -14,12 +15,15 @@
   FAULT_INTERNAL_ERROR,
   FAULT_NO_SIGNATURE,
   FAULT_MISDIRECTED,
+  FAULT_CRASH,      /* at the first request, until the fault ends */
   FAULT_LARGE_BODY, /* succeeds; more bytes than sockets hold unread */
 } Fault;
 
 struct SiStubTarget
 {
-  SiServer *server;
+  struct event_base *base;
+  char *address;
+  SiServer *server; /* NULL: crashed */
   char *id;
   SiStubLogs logs;
   Fault fault;
@@ -86,11 +90,28 @@
            target->id);
 }
 
+/* Not in the turn that handles a request of the server.  */
+static void
+stop_server (evutil_socket_t fd, short what, void *data)
+{
+  SiStubTarget *target = data;
+
+  (void)fd;
+  (void)what;
+  g_clear_pointer (&target->server, si_server_free);
+}
+
 static void
 execute_request (SiStubTarget *target, SiExchange *x)
 {
   log_request (target, x, target->logs.runs);
   x->data = target;
+  if (target->fault == FAULT_CRASH)
+    {
+      event_base_once (target->base, -1, EV_TIMEOUT, stop_server, target,
+                       NULL);
+      return;
+    }
   if (target->fault == FAULT_HANG)
     return;
   if (target->service_us > 0)
@@ -123,18 +144,27 @@
   execute_request (target, x);
 }
 
+static gboolean
+start_server (SiStubTarget *target, GError **error)
+{
+  target->server = si_server_new (target->base, target->address,
+                                  handle_request, target, error);
+  return target->server != NULL;
+}
+
 gboolean
 si_stub_target_set_fault (SiStubTarget *target, const char *fault)
 {
   /* In the order of Fault.  */
   static const char *const names[]
-      = { "none", "hang", "lose", "shed", "fail", "spoil", "other", "large" };
+      = { "none",  "hang",  "lose",  "shed", "fail",
+          "spoil", "other", "crash", "large" };
 
   for (guint i = 0; i < G_N_ELEMENTS (names); i++)
     if (strcmp (names[i], fault) == 0)
       {
         target->fault = (Fault)i;
-        return TRUE;
+        return target->server != NULL || start_server (target, NULL);
       }
   return FALSE;
 }
@@ -160,10 +190,10 @@
   SiStubTarget *target = g_new0 (SiStubTarget, 1);
 
   target->id = g_strdup (id);
+  target->base = base;
+  target->address = g_strdup (address);
   target->logs = *logs;
-  target->server
-      = si_server_new (base, address, handle_request, target, error);
-  if (target->server == NULL)
+  if (!start_server (target, error))
     {
       si_stub_target_free (target);
       return NULL;
@@ -179,6 +209,7 @@
   if (target->server != NULL)
     si_server_free (target->server);
   g_free (target->limit);
+  g_free (target->address);
   g_free (target->id);
   g_free (target);
 }
--- a/targets/internal.h
+++ b/targets/internal.h
@@ -59,6 +59,8 @@
 #define TG_TOMBSTONE_TTL_US ((int64_t)30000000)
 /* An object without a request for this time loses its placement.  */
 #define TG_OBJECT_IDLE_MAX_US ((int64_t)60000000)
+/* Spreads small differences over all bits of a hash: the golden ratio.  */
+#define TG_HASH_FACTOR 0x9e3779b97f4a7c15ULL
 /* Shortest interval between rebuilds of the placement.  */
 #define TG_PLACEMENT_INTERVAL_US 200000
 
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -591,6 +591,12 @@
   return target->region;
 }
 
+uint64_t
+tg_incarnation_hash (const TgTarget *target)
+{
+  return target->id_hash ^ (uint64_t)target->started_ms * TG_HASH_FACTOR;
+}
+
 double
 tg_limit_per_s (const TgTarget *target)
 {
--- a/targets/targets.h
+++ b/targets/targets.h
@@ -214,6 +214,8 @@
 const char *tg_address (const TgTarget *target);
 const char *tg_zone (const TgTarget *target);
 const char *tg_region (const TgTarget *target);
+/* Identifies one incarnation of a target also after its removal.  */
+uint64_t tg_incarnation_hash (const TgTarget *target);
 /* Requests per second that the target takes from all daemons; 0: no limit is
    known.  */
 double tg_limit_per_s (const TgTarget *target);
--- a/wire/gossip.pb-c.c
+++ b/wire/gossip.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &gossip__answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gossip__suspect__init
+                     (Gossip__Suspect         *message)
+{
+  static const Gossip__Suspect init_value = GOSSIP__SUSPECT__INIT;
+  *message = init_value;
+}
+size_t gossip__suspect__get_packed_size
+                     (const Gossip__Suspect *message)
+{
+  assert(message->base.descriptor == &gossip__suspect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__suspect__pack
+                     (const Gossip__Suspect *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__suspect__pack_to_buffer
+                     (const Gossip__Suspect *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__Suspect *
+       gossip__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__Suspect *)
+     protobuf_c_message_unpack (&gossip__suspect__descriptor,
+                                allocator, len, data);
+}
+void   gossip__suspect__free_unpacked
+                     (Gossip__Suspect *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gossip__datagram__init
                      (Gossip__Datagram         *message)
 {
@@ -1128,7 +1173,127 @@
   (ProtobufCMessageInit) gossip__answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__datagram__field_descriptors[6] =
+static const ProtobufCEnumValue gossip__suspect__kind__enum_values_by_number[3] =
+{
+  { "ENDED", "GOSSIP__SUSPECT__KIND__ENDED", 0 },
+  { "QUARANTINED", "GOSSIP__SUSPECT__KIND__QUARANTINED", 1 },
+  { "SERVED", "GOSSIP__SUSPECT__KIND__SERVED", 2 },
+};
+static const ProtobufCIntRange gossip__suspect__kind__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex gossip__suspect__kind__enum_values_by_name[3] =
+{
+  { "ENDED", 0 },
+  { "QUARANTINED", 1 },
+  { "SERVED", 2 },
+};
+const ProtobufCEnumDescriptor gossip__suspect__kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "gossip.Suspect.Kind",
+  "Kind",
+  "Gossip__Suspect__Kind",
+  "gossip",
+  3,
+  gossip__suspect__kind__enum_values_by_number,
+  3,
+  gossip__suspect__kind__enum_values_by_name,
+  1,
+  gossip__suspect__kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor gossip__suspect__field_descriptors[5] =
+{
+  {
+    "gossip_address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Suspect, gossip_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Suspect, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Suspect, kind),
+    &gossip__suspect__kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Suspect, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Suspect, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__suspect__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  1,   /* field[1] = content */
+  0,   /* field[0] = gossip_address */
+  3,   /* field[3] = incarnation */
+  2,   /* field[2] = kind */
+};
+static const ProtobufCIntRange gossip__suspect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gossip__suspect__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.Suspect",
+  "Suspect",
+  "Gossip__Suspect",
+  "gossip",
+  sizeof(Gossip__Suspect),
+  5,
+  gossip__suspect__field_descriptors,
+  gossip__suspect__field_indices_by_name,
+  1,  gossip__suspect__number_ranges,
+  (ProtobufCMessageInit) gossip__suspect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gossip__datagram__field_descriptors[7] =
 {
   {
     "report",
@@ -1202,6 +1367,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspect",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Datagram, suspect),
+    &gossip__suspect__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__datagram__field_indices_by_name[] = {
   5,   /* field[5] = answer */
@@ -1210,11 +1387,12 @@
   1,   /* field[1] = news */
   0,   /* field[0] = report */
   2,   /* field[2] = stamp */
+  6,   /* field[6] = suspect */
 };
 static const ProtobufCIntRange gossip__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gossip__datagram__descriptor =
 {
@@ -1224,7 +1402,7 @@
   "Gossip__Datagram",
   "gossip",
   sizeof(Gossip__Datagram),
-  6,
+  7,
   gossip__datagram__field_descriptors,
   gossip__datagram__field_indices_by_name,
   1,  gossip__datagram__number_ranges,
--- a/wire/gossip.pb-c.h
+++ b/wire/gossip.pb-c.h
@@ -22,11 +22,22 @@
 typedef struct Gossip__Confirmation Gossip__Confirmation;
 typedef struct Gossip__Ask Gossip__Ask;
 typedef struct Gossip__Answer Gossip__Answer;
+typedef struct Gossip__Suspect Gossip__Suspect;
 typedef struct Gossip__Datagram Gossip__Datagram;
 
 
 /* --- enums --- */
 
+/*
+ * ENDED is sent to the daemons that count the crashes of this content, and
+ * names the incarnation of the target; the others are sent to all.
+ */
+typedef enum _Gossip__Suspect__Kind {
+  GOSSIP__SUSPECT__KIND__ENDED = 0,
+  GOSSIP__SUSPECT__KIND__QUARANTINED = 1,
+  GOSSIP__SUSPECT__KIND__SERVED = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GOSSIP__SUSPECT__KIND)
+} Gossip__Suspect__Kind;
 
 /* --- messages --- */
 
@@ -218,6 +229,27 @@
     , 0, 0, 0 }
 
 
+/*
+ * A request that may crash targets; content is the hash of customer, method,
+ * path and body.
+ */
+struct  Gossip__Suspect
+{
+  ProtobufCMessage base;
+  char *gossip_address;
+  uint64_t content;
+  Gossip__Suspect__Kind kind;
+  uint64_t incarnation;
+  /*
+   * QUARANTINED: time since the first crash.
+   */
+  uint32_t age_ms;
+};
+#define GOSSIP__SUSPECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gossip__suspect__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, GOSSIP__SUSPECT__KIND__ENDED, 0, 0 }
+
+
 /*
  * Payload of one datagram; one field is set.
  */
@@ -230,10 +262,11 @@
   Gossip__Confirmation *confirmation;
   Gossip__Ask *ask;
   Gossip__Answer *answer;
+  Gossip__Suspect *suspect;
 };
 #define GOSSIP__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__datagram__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, NULL }
 
 
 /* Gossip__Report methods */
@@ -369,6 +402,25 @@
 void   gossip__answer__free_unpacked
                      (Gossip__Answer *message,
                       ProtobufCAllocator *allocator);
+/* Gossip__Suspect methods */
+void   gossip__suspect__init
+                     (Gossip__Suspect         *message);
+size_t gossip__suspect__get_packed_size
+                     (const Gossip__Suspect   *message);
+size_t gossip__suspect__pack
+                     (const Gossip__Suspect   *message,
+                      uint8_t             *out);
+size_t gossip__suspect__pack_to_buffer
+                     (const Gossip__Suspect   *message,
+                      ProtobufCBuffer     *buffer);
+Gossip__Suspect *
+       gossip__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gossip__suspect__free_unpacked
+                     (Gossip__Suspect *message,
+                      ProtobufCAllocator *allocator);
 /* Gossip__Datagram methods */
 void   gossip__datagram__init
                      (Gossip__Datagram         *message);
@@ -411,6 +463,9 @@
 typedef void (*Gossip__Answer_Closure)
                  (const Gossip__Answer *message,
                   void *closure_data);
+typedef void (*Gossip__Suspect_Closure)
+                 (const Gossip__Suspect *message,
+                  void *closure_data);
 typedef void (*Gossip__Datagram_Closure)
                  (const Gossip__Datagram *message,
                   void *closure_data);
@@ -427,6 +482,8 @@
 extern const ProtobufCMessageDescriptor gossip__confirmation__descriptor;
 extern const ProtobufCMessageDescriptor gossip__ask__descriptor;
 extern const ProtobufCMessageDescriptor gossip__answer__descriptor;
+extern const ProtobufCMessageDescriptor gossip__suspect__descriptor;
+extern const ProtobufCEnumDescriptor    gossip__suspect__kind__descriptor;
 extern const ProtobufCMessageDescriptor gossip__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
