entry, backend: trust a refusal only if it echoes the request's id

A faulty target that wrote an earlier refusal once more on a kept connection made the daemon tell its caller 'not run' for a request that the target had run, and send an order to a second target. A response with another request's id was dropped before; one without an id was taken as the response. A refusal (421, or with the not-run header) that does not echo the id now counts as unusable: the request may have run.

Entry.DoesNotTrustARefusalThatMayBeOfAnotherRequest failed: 503, and three runs of one order. The stand-in's 421 echoes the id now, as the protocol says.

--- a/backend/backend.h
+++ b/backend/backend.h
@@ -96,6 +96,7 @@
   gsize body_bytes;
   int64_t connected_us; /* when the connection was established; 0: never */
   gboolean reused;      /* the connection has served an earlier request */
+  gboolean echoes_id;   /* the response has echo_header with echo_value */
 } BkResult;
 
 /* RESULT is valid during the call.  */
--- a/backend/link.c
+++ b/backend/link.c
@@ -213,6 +213,7 @@
       return;
     }
   call->result.complete = TRUE;
+  call->result.echoes_id = bk_response_echoes_id (call);
   bk_call_finish (call, BK_FAILURE_NONE,
                   is_usable && evbuffer_get_length (conn->input) == 0
                       && call->head.keep_alive
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -1292,6 +1292,25 @@
   EXPECT_NE (body.find ("not_run"), std::string::npos);
 }
 
+/* Guards against telling the caller that a request did not run, or running it
+   at a second target, because its target repeats an earlier refusal on the
+   same connection.  Such a response does not echo the request's id.  */
+TEST_F (Entry, DoesNotTrustARefusalThatMayBeOfAnotherRequest)
+{
+  for (int i = 0; i < 4; i++)
+    EXPECT_EQ (SendRequest (vms[0], "/order/1", "w" + std::to_string (i),
+                            "key-1", "POST"),
+               200);
+  PostControl ("/target?id=t1&fault=stale");
+  PostControl ("/target?id=t2&fault=stale");
+  for (int i = 0; i < 3; i++)
+    {
+      std::string id = "s" + std::to_string (i);
+      EXPECT_EQ (SendRequest (vms[0], "/order/1", id, "key-1", "POST"), 502);
+      EXPECT_EQ (CountLines ("/runs", id), 1);
+    }
+}
+
 /* Guards against failing a read that another target would have served, and
    against accepting a response without a target's signature.  */
 TEST_F (Entry, RetriesReadOnAnotherTarget)
--- a/entry/send.c
+++ b/entry/send.c
@@ -305,11 +305,21 @@
   VERDICT_ERROR_RESPONSE, /* complete, status >= 300 */
   VERDICT_NOT_RUN,     /* the target refused the request without running it */
   VERDICT_MISDIRECTED, /* another target has the address now */
-  VERDICT_INVALID_RESPONSE, /* success status, but unsigned or encoded */
+  VERDICT_INVALID_RESPONSE, /* success status, but unsigned or encoded, or a
+                               refusal without the request's id */
   VERDICT_NOT_SENT,         /* no byte was sent */
   VERDICT_NO_RESPONSE,      /* no complete response */
 } Verdict;
 
+/* A claim without the request's id may be of an earlier request on the same
+   connection, which the target repeats.  */
+static gboolean
+claims_not_run (const EnDialect *dialect, const BkResult *result)
+{
+  return result->status == 421
+         || ht_headers_get (result->headers, dialect->not_run) != NULL;
+}
+
 static Verdict
 classify_result (const EnRequest *request, const BkResult *result)
 {
@@ -318,6 +328,8 @@
   if (!result->complete)
     return result->sent == BK_SENT_NONE ? VERDICT_NOT_SENT
                                         : VERDICT_NO_RESPONSE;
+  if (claims_not_run (dialect, result) && !result->echoes_id)
+    return VERDICT_INVALID_RESPONSE;
   if (result->status == 421)
     return VERDICT_MISDIRECTED;
   if (ht_headers_get (result->headers, dialect->not_run) != NULL)
--- a/standin/estate.h
+++ b/standin/estate.h
@@ -59,6 +59,8 @@
        lose    execute the request, then close without a response
        shed    reject the request with 503 without executing it
        fail    execute the request and respond with 500
+       stale   execute the request, and respond as if it were an earlier one
+               that was rejected, without its id
        spoil   leave out the signature header
        crash   execute the request, then close all connections and refuse new
                ones until another fault is set
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -15,6 +15,7 @@
   FAULT_INTERNAL_ERROR,
   FAULT_NO_SIGNATURE,
   FAULT_MISDIRECTED,
+  FAULT_STALE_REFUSAL,
   FAULT_CRASH,      /* at the first request, until the fault ends */
   FAULT_LARGE_BODY, /* succeeds; more bytes than sockets hold unread */
 } Fault;
@@ -101,11 +102,23 @@
   g_clear_pointer (&target->server, si_server_free);
 }
 
+static void
+refuse (const SiStubTarget *target, SiExchange *x)
+{
+  si_add_response_header (x, "X-Comfreywalk-Not-Executed", "1");
+  respond (target, x, 503, "");
+}
+
 static void
 execute_request (SiStubTarget *target, SiExchange *x)
 {
   log_request (target, x, target->logs.runs);
   x->data = target;
+  if (target->fault == FAULT_STALE_REFUSAL)
+    {
+      refuse (target, x);
+      return;
+    }
   if (target->fault == FAULT_CRASH)
     {
       event_base_once (target->base, -1, EV_TIMEOUT, stop_server, target,
@@ -131,14 +144,14 @@
   if (target->fault == FAULT_MISDIRECTED
       || (expected != NULL && strcmp (expected, target->id) != 0))
     {
+      add_common_headers (target, x);
       respond (target, x, 421, "");
       return;
     }
   if (target->fault == FAULT_REJECT)
     {
       add_common_headers (target, x);
-      si_add_response_header (x, "X-Comfreywalk-Not-Executed", "1");
-      respond (target, x, 503, "");
+      refuse (target, x);
       return;
     }
   execute_request (target, x);
@@ -157,8 +170,8 @@
 {
   /* In the order of Fault.  */
   static const char *const names[]
-      = { "none",  "hang",  "lose",  "shed", "fail",
-          "spoil", "other", "crash", "large" };
+      = { "none",  "hang",  "lose",  "shed",  "fail",
+          "spoil", "other", "stale", "crash", "large" };
 
   for (guint i = 0; i < G_N_ELEMENTS (names); i++)
     if (strcmp (names[i], fault) == 0)
