notice, targets, entry: heed targets that leave, or want nothing for a while

A target that leaves states so in its responses (Server-Leaving: 1), and one that refuses a request with 503 may state for how long it wants none (Retry-After). Daemons read neither: a target whose entry was still 'ready', because the store was away or it never wrote another, went on getting requests until it ended, and a target that wanted nothing got one request after the other.

A target that states that it is leaving counts as draining for the rest of its incarnation, whatever its entry says, also when the entry goes and comes back. The daemon that hears it tells the others of its region in one datagram. A target that wants nothing gets nothing from this daemon until its time has passed, then one request at a time until it responds without asking again. Requests use other targets at once; without one they are refused at once, with the time until the first of them takes requests again. Values that are no decimal number, or above an hour, are ignored and counted.

Entry.SendsNothingToTargetThatSaysItIsLeaving, .LeavesATargetAloneThatWantsNoRequests and two cases of targets_test fail with the checks in pick.c taken out.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -1563,6 +1563,61 @@
       WaitFor ([&] { return SendRequest (vms[0], "/read/x", "x") == 200; }));
 }
 
+/* Guards against requests to a target that has said that it is leaving, while
+   its entry is still `ready': from the daemon that heard it, from the others
+   of the region, and from one that cannot reach the store.  */
+TEST_F (Entry, SendsNothingToTargetThatSaysItIsLeaving)
+{
+  EXPECT_TRUE (AllRespond ("/read/1", "key-1", 200));
+  PostControl ("/target?id=t1&leaving=1");
+  EXPECT_TRUE (WaitFor ([&] {
+    return SendRequest (vms[0], "/read/1", "h1") == 200 && body == "t1";
+  }));
+  PostControl ("/store?fault=silent");
+  PutTarget ("t1", "a1");
+  si_sleep_ms (300);
+  for (int i = 0; i < 10; i++)
+    for (const Vm &vm : vms)
+      {
+        EXPECT_EQ (SendRequest (vm, "/open/1", "v" + std::to_string (i)), 200);
+        EXPECT_EQ (body, "t2");
+      }
+  PostControl ("/store?fault=none");
+  PostControl ("/target?id=t1&leaving=");
+  PutTarget ("t1", "a1", "ready", 2000);
+  PutTarget ("t2", "a2", "draining");
+  EXPECT_TRUE (WaitFor ([&] {
+    return SendRequest (vms[0], "/open/1", "n1") == 200 && body == "t1";
+  }));
+}
+
+/* Guards against more requests to a target than it wants: it refused one and
+   said for how long it wants no others.  Guards also against refusing a
+   request that another target serves, and against a Retry-After that is
+   shorter than the time for which no target wants any.  */
+TEST_F (Entry, LeavesATargetAloneThatWantsNoRequests)
+{
+  for (const char *id : { "t1", "t2" })
+    {
+      PostControl (std::string ("/target?id=") + id + "&fault=shed&pause=2.5");
+      for (int i = 0; i < 20; i++)
+        EXPECT_EQ (SendRequest (vms[0], "/read/1",
+                                id + std::string ("-") + std::to_string (i)),
+                   std::string (id) == "t1" ? 200 : 503);
+    }
+  EXPECT_NE (body.find ("targets_limited"), std::string::npos) << body;
+  std::istringstream lines (GetControl ("/answers"));
+  int by_t1 = 0;
+  for (std::string line; std::getline (lines, line);)
+    if (line.find (" t1-") != std::string::npos)
+      by_t1 += line.find (" t1 ") != std::string::npos;
+  EXPECT_LE (by_t1, 2);
+  PostControl ("/target?id=t1&fault=none&pause=");
+  PostControl ("/target?id=t2&fault=none&pause=");
+  EXPECT_TRUE (WaitFor (
+      [&] { return SendRequest (vms[0], "/read/1", "again") == 200; }));
+}
+
 /* Guards against sending callers to a VM that has failed, and to another zone
    while their own has a ready VM.  */
 TEST_F (Entry, LookupReturnsReadyVmsOfCallersZone)
--- a/entry/send.c
+++ b/entry/send.c
@@ -179,7 +179,8 @@
   EnRequest *request = data;
 
   request->token_request = NULL;
-  if (verdict == EN_POOL_ADMITTED && has_time_left (request))
+  if (verdict == EN_POOL_ADMITTED && has_time_left (request)
+      && tg_attempt_is_allowed (get_targets (request), request->attempt))
     {
       send_to_target (request, &request->choice, ck_boot_us ());
       return;
@@ -355,8 +356,10 @@
   EnProxy *proxy = request->proxy;
   const TgTarget *target = tg_attempt_target (request->attempt);
   NtNotice notice;
+  uint32_t news;
 
-  nt_decode (&proxy->options.dialect->notices, result->headers, &notice);
+  nt_decode (&proxy->options.dialect->notices, result->status, result->headers,
+             &notice);
   if (notice.invalid_count > 0)
     {
       mt_add (proxy->invalid_notice_count, notice.invalid_count);
@@ -364,11 +367,22 @@
               "request=%s target=%s ignored=%u", request->id, tg_id (target),
               notice.invalid_count);
     }
-  if (tg_apply_notice (request->attempt, &notice, ck_boot_us ()))
+  news = tg_apply_notice (get_targets (request), request->attempt, &notice,
+                          ck_boot_us ());
+  if ((news & TG_NEWS_LIMIT) != 0)
     tr_log (proxy->options.trace, EV_TARGET_RATE,
             "request=%s target=%s zone=%s service=%s limit_per_s=%.3f",
             request->id, tg_id (target), tg_zone (target), request->service,
             tg_limit_per_s (target));
+  if ((news & TG_NEWS_PAUSE) != 0)
+    tr_log (
+        proxy->options.trace, EV_TARGET_PAUSED,
+        "request=%s target=%s zone=%s service=%s pause_ms=%" G_GINT64_FORMAT,
+        request->id, tg_id (target), tg_zone (target), request->service,
+        notice.pause_us / 1000);
+  if ((news & TG_NEWS_LEAVING) != 0)
+    en_shares_report_leaving (proxy->options.shares, tg_id (target),
+                              tg_started_ms (target));
 }
 
 static const TgResultKind result_kinds[] = {
--- a/entry/shares.c
+++ b/entry/shares.c
@@ -170,6 +170,17 @@
   en_pool_on_token_reply (shares->pool, reply);
 }
 
+static void
+on_leaving (const GoLeaving *leaving, void *data)
+{
+  EnShares *shares = data;
+
+  if (tg_note_leaving (shares->options.targets, leaving->target_id,
+                       leaving->started_ms))
+    tr_log (shares->options.trace, EV_TARGET_LEAVING, "target=%s by=daemon",
+            leaving->target_id);
+}
+
 static void
 on_suspect (const GoSuspect *suspect, void *data)
 {
@@ -336,6 +347,7 @@
                        .on_token_request = on_token_request,
                        .on_token_reply = on_token_reply,
                        .on_suspect = on_suspect,
+                       .on_leaving = on_leaving,
                        .data = shares };
   PfWatcherOptions member_watcher
       = { .kind = PF_WATCH_MEMBERS,
@@ -402,6 +414,35 @@
   return shares->pool;
 }
 
+typedef struct
+{
+  EnShares *shares;
+  GoLeaving leaving;
+} LeavingReport;
+
+static void
+send_leaving (const FlMember *member, void *data)
+{
+  LeavingReport *report = data;
+
+  if (strcmp (member->region, report->shares->options.settings->region) == 0)
+    go_send_leaving (report->shares->gossip, member->gossip_address,
+                     &report->leaving);
+}
+
+void
+en_shares_report_leaving (EnShares *shares, const char *target_id,
+                          int64_t started_ms)
+{
+  LeavingReport report
+      = { .shares = shares,
+          .leaving = { .target_id = target_id, .started_ms = started_ms } };
+
+  tr_log (shares->options.trace, EV_TARGET_LEAVING, "target=%s by=target",
+          target_id);
+  fl_each_member (shares->fleet, send_leaving, &report);
+}
+
 EnSuspects *
 en_shares_suspects (const EnShares *shares)
 {
--- a/entry/shares.h
+++ b/entry/shares.h
@@ -65,6 +65,10 @@
 LmRetryBudget *en_shares_budget (const EnShares *shares);
 const FlFleet *en_shares_fleet (const EnShares *shares);
 EnPool *en_shares_pool (const EnShares *shares);
+/* Tells the other daemons of the region that a target has said that it is
+   leaving.  */
+void en_shares_report_leaving (EnShares *shares, const char *target_id,
+                               int64_t started_ms);
 EnSuspects *en_shares_suspects (const EnShares *shares);
 EnRelay *en_shares_relay (const EnShares *shares);
 
--- a/entry/suspects.c
+++ b/entry/suspects.c
@@ -9,8 +9,6 @@
 #include "clock/clock.h"
 #include "quarantine/quarantine.h"
 
-/* Enough that the report survives the loss of datagrams and of daemons.  */
-#define WATCHERS_MAX 3
 /* A target that ended refuses a connection at once.  One that does not reply
    may be cut off, which shows nothing.  */
 #define PROBE_TIMEOUT_US 500000
@@ -96,10 +94,10 @@
 static void
 send_to_watchers (EnSuspects *suspects, const GoSuspect *message)
 {
-  const char *addresses[WATCHERS_MAX];
+  const char *addresses[FL_WATCHERS_MAX];
   uint32_t count
       = fl_find_watchers (suspects->options.fleet, message->content_hash,
-                          ck_boot_us (), addresses, WATCHERS_MAX);
+                          ck_boot_us (), addresses);
 
   for (uint32_t i = 0; i < count; i++)
     go_send_suspect (suspects->options.gossip, addresses[i], message);
--- a/event/catalogue.c
+++ b/event/catalogue.c
@@ -101,7 +101,8 @@
   { EV_TARGET_SHED, EV_LEVEL_INFO, "target-shed",
     "A target refused a request for lack of capacity." },
   { EV_TARGET_LEAVING, EV_LEVEL_INFO, "target-leaving",
-    "A target is draining; it gets no new requests." },
+    "A target is draining, or has said that it is leaving; it gets no new "
+    "requests." },
   { EV_TARGET_LIMIT, EV_LEVEL_DEBUG, "target-limit",
     "The concurrency limit of a target was changed." },
   { EV_TARGET_LISTED, EV_LEVEL_INFO, "target-listed",
@@ -120,6 +121,8 @@
   { EV_TARGET_ENDED, EV_LEVEL_INFO, "target-ended",
     "A target closed connections with requests on them and refuses new "
     "ones." },
+  { EV_TARGET_PAUSED, EV_LEVEL_INFO, "target-paused",
+    "A target has asked this daemon for no requests for a time." },
   { EV_ORDER_STARTED, EV_LEVEL_DEBUG, "order-started",
     "The record of a keyed request was created in the store." },
   { EV_ORDER_DONE, EV_LEVEL_DEBUG, "order-done",
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -348,9 +348,9 @@
 
 uint32_t
 fl_find_watchers (const FlFleet *fleet, uint64_t hash, int64_t now_us,
-                  const char **addresses, uint32_t count)
+                  const char *addresses[FL_WATCHERS_MAX])
 {
-  g_autofree uint64_t *weights = g_new0 (uint64_t, count + 1);
+  uint64_t weights[FL_WATCHERS_MAX] = { 0 };
   uint32_t found = 0;
   GHashTableIter members;
   gpointer value;
@@ -360,20 +360,18 @@
     {
       const FlMember *member = value;
       uint64_t weight = rendezvous_weight (member->name, hash);
-      uint32_t i = MIN (found, count);
-      if (!fl_is_live (member, now_us))
+      uint32_t i;
+      if (!fl_is_live (member, now_us)
+          || (found == FL_WATCHERS_MAX && weight <= weights[found - 1]))
         continue;
-      for (; i > 0 && weights[i - 1] < weight; i--)
+      found = MIN (found + 1, FL_WATCHERS_MAX);
+      for (i = found - 1; i > 0 && weights[i - 1] < weight; i--)
         {
           weights[i] = weights[i - 1];
-          if (i < count)
-            addresses[i] = addresses[i - 1];
+          addresses[i] = addresses[i - 1];
         }
-      if (i >= count)
-        continue;
       weights[i] = weight;
       addresses[i] = member->gossip_address;
-      found = MIN (found + 1, count);
     }
   return found;
 }
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -54,6 +54,10 @@
    daemon.  */
 #define FL_DISCOVERY_US ((int64_t)2500000)
 
+/* Daemons that count the crashes of one request: reports to them survive the
+   loss of datagrams and of daemons.  */
+#define FL_WATCHERS_MAX 3
+
 typedef struct FlFleet FlFleet;
 
 typedef struct
@@ -159,10 +163,10 @@
                                    const char *region, int64_t now_us);
 
 /* Sets ADDRESSES to the gossip addresses of the live daemons, this one left
-   out, with the highest rendezvous weights for HASH, and returns their number,
-   COUNT at most.  */
+   out, with the highest rendezvous weights for HASH, and returns their
+   number.  */
 uint32_t fl_find_watchers (const FlFleet *fleet, uint64_t hash, int64_t now_us,
-                           const char **addresses, uint32_t count);
+                           const char *addresses[FL_WATCHERS_MAX]);
 
 /* Which daemon reports the demand of this zone to other zones.  */
 typedef enum
--- a/fleet/fleet_test.cc
+++ b/fleet/fleet_test.cc
@@ -239,8 +239,8 @@
    watchers, so that no one counts them.  */
 TEST_F (Fleet, FindsTheSameWatchersForTheSameRequest)
 {
-  const char *first[3], *second[3];
-  EXPECT_EQ (fl_find_watchers (fleet, 9, now_us, first, 3), 0u);
+  const char *first[FL_WATCHERS_MAX], *second[FL_WATCHERS_MAX];
+  EXPECT_EQ (fl_find_watchers (fleet, 9, now_us, first), 0u);
   for (int i = 2; i <= 9; i++)
     {
       std::string name = "vm" + std::to_string (i);
@@ -254,12 +254,13 @@
     }
   for (uint64_t hash = 1; hash < 50; hash++)
     {
-      ASSERT_EQ (fl_find_watchers (fleet, hash, now_us, first, 3), 3u);
-      ASSERT_EQ (fl_find_watchers (fleet, hash, now_us, second, 2), 2u);
+      ASSERT_EQ (fl_find_watchers (fleet, hash, now_us, first), 3u);
+      ASSERT_EQ (fl_find_watchers (fleet, hash, now_us, second), 3u);
       EXPECT_STREQ (first[0], second[0]);
       EXPECT_STREQ (first[1], second[1]);
+      EXPECT_STREQ (first[2], second[2]);
       EXPECT_STRNE (first[0], first[1]);
       EXPECT_STRNE (first[1], first[2]);
     }
-  EXPECT_EQ (fl_find_watchers (fleet, 9, now_us + 60000000, first, 3), 0u);
+  EXPECT_EQ (fl_find_watchers (fleet, 9, now_us + 60000000, first), 0u);
 }
--- a/gossip/gossip.c
+++ b/gossip/gossip.c
@@ -173,6 +173,11 @@
     dispatch_token_reply (gossip, message->answer);
   else if (message->suspect != NULL)
     return dispatch_suspect (gossip, message->suspect);
+  else if (message->leaving != NULL)
+    gossip->options.on_leaving (
+        &(GoLeaving){ .target_id = message->leaving->target_id,
+                      .started_ms = message->leaving->started_ms },
+        gossip->options.data);
   else if (message->report != NULL && message->report->name[0] != '\0')
     dispatch_report (gossip, message->report);
   else
@@ -472,6 +477,19 @@
   send_encoded (gossip, address, encode_datagram (gossip, &datagram));
 }
 
+void
+go_send_leaving (GoSocket *gossip, const char *address,
+                 const GoLeaving *leaving)
+{
+  Gossip__Datagram datagram = GOSSIP__DATAGRAM__INIT;
+  Gossip__Leaving message = GOSSIP__LEAVING__INIT;
+
+  message.target_id = (char *)leaving->target_id;
+  message.started_ms = leaving->started_ms;
+  datagram.leaving = &message;
+  send_encoded (gossip, address, encode_datagram (gossip, &datagram));
+}
+
 const GoCounters *
 go_counters (const GoSocket *gossip)
 {
--- a/gossip/gossip.h
+++ b/gossip/gossip.h
@@ -8,11 +8,11 @@
 
    DESCRIPTION
      Each datagram holds one protobuf message: a report, a target delta, a
-     stamp, a confirmation, a token request, a token reply or a suspect; see
-     wire/gossip.proto.  A lost report is replaced by the next one, and a lost
-     target delta shows as a gap in the revisions.  There is no connection that
-     could fail unnoticed.  Datagrams that cannot be decoded are counted and
-     dropped.
+     stamp, a confirmation, a token request, a token reply, a suspect or a
+   leaving target; see wire/gossip.proto.  A lost report is replaced by the
+   next one, and a lost target delta shows as a gap in the revisions.  There is
+   no connection that could fail unnoticed.  Datagrams that cannot be decoded
+   are counted and dropped.
 
      All callbacks must be set.  Their arguments are valid only during the
      call.
@@ -118,6 +118,13 @@
   uint32_t age_ms;           /* GO_SUSPECT_QUARANTINED: since the first end */
 } GoSuspect;
 
+/* A target has said in a response that it is leaving.  */
+typedef struct
+{
+  const char *target_id;
+  int64_t started_ms; /* of its incarnation; wall clock */
+} GoLeaving;
+
 typedef struct GoSocket GoSocket;
 
 typedef struct
@@ -131,6 +138,7 @@
   void (*on_token_request) (const GoTokenRequest *request, void *data);
   void (*on_token_reply) (const GoTokenReply *reply, void *data);
   void (*on_suspect) (const GoSuspect *suspect, void *data);
+  void (*on_leaving) (const GoLeaving *leaving, void *data);
   void *data;
 } GoOptions;
 
@@ -163,6 +171,8 @@
                           const GoTokenReply *reply);
 void go_send_suspect (GoSocket *gossip, const char *address,
                       const GoSuspect *suspect);
+void go_send_leaving (GoSocket *gossip, const char *address,
+                      const GoLeaving *leaving);
 const GoCounters *go_counters (const GoSocket *gossip);
 
 #endif
--- a/gossip/gossip_test.cc
+++ b/gossip/gossip_test.cc
@@ -23,7 +23,7 @@
   std::vector<std::string> targets;
   std::vector<std::string> removed_ids;
   std::vector<std::string> stamps;
-  std::vector<std::string> suspects;
+  std::vector<std::string> suspects, leaving;
   std::vector<std::string> token_messages;
   std::string sender_address;
   uint64_t revision = 0;
@@ -104,6 +104,15 @@
   event_base_loopbreak (received->base);
 }
 
+void
+OnLeaving (const GoLeaving *leaving, void *data)
+{
+  auto *received = static_cast<Received *> (data);
+  received->leaving.push_back (leaving->target_id + std::string (" ")
+                               + std::to_string (leaving->started_ms));
+  event_base_loopbreak (received->base);
+}
+
 void
 OnReport (const FlReport *report, void *data)
 {
@@ -154,7 +163,7 @@
     GoOptions options
         = { received.base, listen.c_str (), OnReport,       OnTargetDelta,
             OnStamp,       OnConfirmation,  OnTokenRequest, OnTokenReply,
-            OnSuspect,     &received };
+            OnSuspect,     OnLeaving,       &received };
     gossip = go_new (&options, nullptr);
     ASSERT_NE (gossip, nullptr);
   }
@@ -279,6 +288,17 @@
                  "127.0.0.1:3 1 5 0 1500" }));
 }
 
+/* Guards against a daemon that takes another target, or a later start of it,
+   for one that leaves.  */
+TEST_F (Gossip, SendsLeavingTargets)
+{
+  GoLeaving leaving = { "i-1", 1774556722011 };
+  go_send_leaving (gossip, listen.c_str (), &leaving);
+  WaitForDatagram ();
+  EXPECT_EQ (received.leaving,
+             (std::vector<std::string>{ "i-1 1774556722011" }));
+}
+
 /* Guards against a crash on a datagram that no daemon sent, or an empty
    one.  */
 TEST_F (Gossip, DropsAndCountsMalformedDatagrams)
--- a/notice/notice.c
+++ b/notice/notice.c
@@ -34,14 +34,30 @@
   return FALSE;
 }
 
+static gboolean
+get_leaving (const HtHeaders *headers, const char *name, NtNotice *notice)
+{
+  const char *text = ht_headers_get (headers, name);
+
+  if (text == NULL)
+    return FALSE;
+  if (strcmp (text, "1") == 0 && ht_headers_count (headers, name) == 1)
+    return TRUE;
+  notice->invalid_count++;
+  return FALSE;
+}
+
 void
-nt_decode (const NtHeaderNames *names, const HtHeaders *headers,
-           NtNotice *notice)
+nt_decode (const NtHeaderNames *names, uint32_t status,
+           const HtHeaders *headers, NtNotice *notice)
 {
-  double limit_per_s;
+  double value;
 
   *notice = (NtNotice){ 0 };
-  if (get_decimal (headers, names->limit, NT_LIMIT_MAX_PER_S, notice,
-                   &limit_per_s))
-    notice->limit_per_s = limit_per_s;
+  if (get_decimal (headers, names->limit, NT_LIMIT_MAX_PER_S, notice, &value))
+    notice->limit_per_s = value;
+  notice->leaving = get_leaving (headers, names->leaving, notice);
+  if (status == 503
+      && get_decimal (headers, names->pause, NT_PAUSE_MAX_S, notice, &value))
+    notice->pause_us = (int64_t)(value * 1e6);
 }
--- a/notice/notice_test.cc
+++ b/notice/notice_test.cc
@@ -11,7 +11,8 @@
 namespace
 {
 
-const NtHeaderNames kNames = { "Server-Limit" };
+const NtHeaderNames kNames
+    = { "Server-Limit", "Server-Leaving", "Retry-After" };
 
 NtNotice
 DecodeLimits (const std::vector<std::string> &limits)
@@ -20,7 +21,7 @@
   NtNotice notice;
   for (const std::string &limit : limits)
     ht_headers_add (headers, "server-limit", limit.c_str ());
-  nt_decode (&kNames, headers, &notice);
+  nt_decode (&kNames, 200, headers, &notice);
   ht_headers_free (headers);
   return notice;
 }
@@ -51,4 +52,43 @@
   EXPECT_EQ (DecodeLimits ({ "3", "8" }).invalid_count, 1u);
 }
 
+NtNotice
+Decode (uint32_t status, const char *name, const char *value)
+{
+  HtHeaders *headers = ht_headers_new ();
+  NtNotice notice;
+  ht_headers_add (headers, name, value);
+  nt_decode (&kNames, status, headers, &notice);
+  ht_headers_free (headers);
+  return notice;
+}
+
+/* Guards against sending to a target that leaves, and against giving one up
+   that does not.  */
+TEST (Notice, ReadsLeaving)
+{
+  EXPECT_TRUE (Decode (200, "server-leaving", "1").leaving);
+  for (const char *text : { "0", "yes", "", "11" })
+    {
+      EXPECT_FALSE (Decode (200, "server-leaving", text).leaving) << text;
+      EXPECT_EQ (Decode (200, "server-leaving", text).invalid_count, 1u);
+    }
+}
+
+/* Guards against sending to a target that wants no requests, and against a
+   pause that another status, a date or an endless number asks for.  */
+TEST (Notice, ReadsPauses)
+{
+  EXPECT_EQ (Decode (503, "retry-after", "1.5").pause_us, 1500000);
+  EXPECT_EQ (Decode (503, "retry-after", "3600").pause_us, 3600000000);
+  EXPECT_EQ (Decode (500, "retry-after", "2").pause_us, 0);
+  EXPECT_EQ (Decode (500, "retry-after", "2").invalid_count, 0u);
+  for (const char *text :
+       { "-1", "0", "3601", "inf", "Wed, 21 Oct 2026 07:28:00 GMT" })
+    {
+      EXPECT_EQ (Decode (503, "retry-after", text).pause_us, 0) << text;
+      EXPECT_EQ (Decode (503, "retry-after", text).invalid_count, 1u);
+    }
+}
+
 } // namespace
--- a/standin/estate.c
+++ b/standin/estate.c
@@ -17,15 +17,16 @@
 {
   const char *id = si_query_param (x, "id");
   const char *fault = si_query_param (x, "fault");
-  const char *limit = si_query_param (x, "limit");
+  SiStubNotices notices = { .limit = si_query_param (x, "limit"),
+                            .leaving = si_query_param (x, "leaving"),
+                            .pause = si_query_param (x, "pause") };
   int64_t service_ms = si_query_param_int (x, "service_ms", -1);
   SiStubTarget *target
       = id != NULL ? g_hash_table_lookup (platform->stub_targets, id) : NULL;
 
-  if (target == NULL || (fault == NULL && limit == NULL && service_ms < 0))
+  if (target == NULL)
     return FALSE;
-  if (limit != NULL)
-    si_stub_target_set_limit (target, limit);
+  si_stub_target_set_notices (target, &notices);
   if (service_ms >= 0)
     si_stub_target_set_service_time (target, service_ms * 1000);
   return fault == NULL || si_stub_target_set_fault (target, fault);
--- a/standin/estate.h
+++ b/standin/estate.h
@@ -25,8 +25,10 @@
        POST /target?id=I&service_ms=N
                                   sets the service time of target I, at first
                                   0, for requests that arrive later
-       POST /target?id=I&limit=L  makes target I state the limit L in its
-                                  responses; none if L is empty
+       POST /target?id=I&limit=L&leaving=T&pause=P
+                                  sets the headers Server-Limit and
+                                  Server-Leaving of target I, and Retry-After
+   of its refusals; none if the value is empty, as before if it is not given
        GET /runs                  one line for each executed request: monotonic
                                   time in us, target, attempt id, customer ("-"
                                   where the header is missing), and "key" if it
--- a/standin/estate_internal.h
+++ b/standin/estate_internal.h
@@ -45,8 +45,16 @@
 void si_stub_target_free (SiStubTarget *target);
 /* Returns FALSE for an unknown fault.  */
 gboolean si_stub_target_set_fault (SiStubTarget *target, const char *fault);
-/* The text of the header Server-Limit; empty: none.  */
-void si_stub_target_set_limit (SiStubTarget *target, const char *limit);
+/* Texts of headers; empty: none, NULL: as before.  */
+typedef struct
+{
+  const char *limit;   /* Server-Limit */
+  const char *leaving; /* Server-Leaving */
+  const char *pause;   /* Retry-After, of refusals */
+} SiStubNotices;
+
+void si_stub_target_set_notices (SiStubTarget *target,
+                                 const SiStubNotices *notices);
 /* Applies to requests that arrive later.  */
 void si_stub_target_set_service_time (SiStubTarget *target,
                                       int64_t service_us);
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -29,7 +29,9 @@
   SiStubLogs logs;
   Fault fault;
   int64_t service_us;
-  char *limit; /* header Server-Limit; NULL or empty: none */
+  char *limit;   /* header Server-Limit; NULL or empty: none */
+  char *leaving; /* header Server-Leaving; the same */
+  char *pause;   /* header Retry-After of its refusals; the same */
 };
 
 static void
@@ -45,6 +47,13 @@
       si_request_header (x, "Authorization") != NULL ? "key" : "nokey");
 }
 
+static void
+add_header_if_set (SiExchange *x, const char *name, const char *value)
+{
+  if (value != NULL && value[0] != '\0')
+    si_add_response_header (x, name, value);
+}
+
 static void
 add_common_headers (const SiStubTarget *target, SiExchange *x)
 {
@@ -53,8 +62,8 @@
   if (attempt_id != NULL)
     si_add_response_header (x, ATTEMPT_ID_HEADER, attempt_id);
   si_add_response_header (x, "X-Comfreywalk-Instance-Id", target->id);
-  if (target->limit != NULL && target->limit[0] != '\0')
-    si_add_response_header (x, "Server-Limit", target->limit);
+  add_header_if_set (x, "Server-Limit", target->limit);
+  add_header_if_set (x, "Server-Leaving", target->leaving);
   /* Requests running, requests waiting, slots.  */
   si_add_response_header (x, "X-Comfreywalk-Upstream-Load", "1,0,3");
 }
@@ -151,6 +160,7 @@
   if (target->fault == FAULT_REJECT)
     {
       add_common_headers (target, x);
+      add_header_if_set (x, "Retry-After", target->pause);
       refuse (target, x);
       return;
     }
@@ -183,10 +193,22 @@
 }
 
 void
-si_stub_target_set_limit (SiStubTarget *target, const char *limit)
-{
-  g_free (target->limit);
-  target->limit = g_strdup (limit);
+si_stub_target_set_notices (SiStubTarget *target, const SiStubNotices *notices)
+{
+  const struct
+  {
+    char **field;
+    const char *value;
+  } changes[] = { { &target->limit, notices->limit },
+                  { &target->leaving, notices->leaving },
+                  { &target->pause, notices->pause } };
+
+  for (guint i = 0; i < G_N_ELEMENTS (changes); i++)
+    if (changes[i].value != NULL)
+      {
+        g_free (*changes[i].field);
+        *changes[i].field = g_strdup (changes[i].value);
+      }
 }
 
 void
@@ -222,6 +244,8 @@
   if (target->server != NULL)
     si_server_free (target->server);
   g_free (target->limit);
+  g_free (target->leaving);
+  g_free (target->pause);
   g_free (target->address);
   g_free (target->id);
   g_free (target);
--- a/targets/internal.h
+++ b/targets/internal.h
@@ -111,6 +111,7 @@
   double capacity_left;  /* objects that may still be placed on it */
   uint32_t slot_count;
   gboolean draining;
+  gboolean leaving; /* it has said so itself */
   gboolean removed;
   gboolean misdirected; /* another target has its address now */
   int64_t started_ms;
@@ -131,6 +132,7 @@
   double limit_per_s;           /* stated by the target; 0: none */
   int64_t limit_stated_us;      /* when it stated a limit last */
   int64_t limit_pause_until_us; /* it has no token before */
+  int64_t pause_until_us; /* it wants no requests before; 0: it takes them */
   int64_t shed_until_us;
   int64_t service_us; /* EWMA of the service times that this daemon's
                          requests to it were expected to take; 0: none */
@@ -170,6 +172,7 @@
   char *id;
   int64_t started_ms;
   uint32_t report_number;
+  gboolean leaving;
   int64_t removed_us;
   GList node; /* in TgSet.tombstone_order */
 } TgTombstone;
@@ -196,8 +199,8 @@
                          int64_t now_us);
 /* Whether this region places the object on its own targets.  */
 gboolean tg_is_local_object (const TgService *service, uint64_t object_hash);
-/* Whether TARGET is not draining, removed, misdirected or in an evacuated
-   zone.  */
+/* Whether TARGET is not draining, leaving, removed, misdirected or in an
+   evacuated zone.  */
 gboolean tg_is_available (const TgSet *set, const TgTarget *target);
 uint64_t tg_rendezvous_weight (const TgTarget *target, uint64_t object_hash);
 TgRoute *tg_get_route (TgSet *set, const TgQuery *query);
--- a/targets/pick.c
+++ b/targets/pick.c
@@ -133,7 +133,8 @@
 gboolean
 tg_is_available (const TgSet *set, const TgTarget *target)
 {
-  return !target->draining && !target->removed && !target->misdirected
+  return !target->draining && !target->leaving && !target->removed
+         && !target->misdirected
          && (g_hash_table_size (set->evacuated) == 0
              || !g_hash_table_contains (set->evacuated, target->zone));
 }
@@ -163,12 +164,17 @@
   return TRUE;
 }
 
+/* Sets UNTIL_US if TARGET itself wants no requests now.  */
 static gboolean
-is_paused_by_limit (const TgTarget *target, const TgQuery *query,
-                    int64_t now_us)
+is_paused_by_target (const TgTarget *target, const TgQuery *query,
+                     int64_t now_us, int64_t *until_us)
 {
-  return target->limit_per_s > 0
-         && (query->avoid_limited || target->limit_pause_until_us > now_us);
+  *until_us = MAX (target->pause_until_us, target->limit_pause_until_us);
+  if (*until_us > now_us)
+    return TRUE;
+  *until_us = now_us;
+  return (target->limit_per_s > 0 && query->avoid_limited)
+         || (target->pause_until_us > 0 && target->in_flight_count > 0);
 }
 
 gboolean
@@ -256,8 +262,8 @@
   int64_t queue_service_us; /* service time of the requests in a queue */
   int64_t now_us;
   gboolean any_allowed;
-  int64_t limited_until_us; /* when the first target that is paused by its
-                               limit may have a token; 0: none is paused */
+  int64_t paused_until_us; /* when the first target that wants no requests
+                              now may take one; 0: all take them */
   gboolean found;
   TgChoice *choice; /* the cheapest so far, if found */
 } PickSearch;
@@ -265,13 +271,14 @@
 static gboolean
 is_allowed (PickSearch *search, TgTarget *target)
 {
+  int64_t until_us;
+
   if (!may_use (search->set, target, search->query, search->now_us))
     return FALSE;
-  if (!is_paused_by_limit (target, search->query, search->now_us))
+  if (!is_paused_by_target (target, search->query, search->now_us, &until_us))
     return TRUE;
-  if (search->limited_until_us == 0
-      || target->limit_pause_until_us < search->limited_until_us)
-    search->limited_until_us = MAX (1, target->limit_pause_until_us);
+  if (search->paused_until_us == 0 || until_us < search->paused_until_us)
+    search->paused_until_us = until_us;
   return FALSE;
 }
 
@@ -414,8 +421,8 @@
     return TG_PICK_FOUND;
   if (search.any_allowed)
     return TG_PICK_FULL;
-  if (search.limited_until_us == 0)
+  if (search.paused_until_us == 0)
     return TG_PICK_NONE;
-  choice->wait_us = MAX (0, search.limited_until_us - now_us);
+  choice->wait_us = MAX (0, search.paused_until_us - now_us);
   return TG_PICK_LIMITED;
 }
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -129,6 +129,7 @@
   tombstone->id = g_strdup (target->id);
   tombstone->started_ms = target->started_ms;
   tombstone->report_number = target->report_number;
+  tombstone->leaving = target->leaving;
   tombstone->removed_us = now_us;
   tombstone->node.data = tombstone;
   g_queue_push_tail_link (&set->tombstone_order, &tombstone->node);
@@ -179,6 +180,17 @@
          && target->started_ms == entry->started_ms;
 }
 
+/* An entry may disappear and come back while the target runs.  */
+static gboolean
+has_said_leaving (const TgSet *set, const TgEntry *entry)
+{
+  const TgTombstone *tombstone
+      = g_hash_table_lookup (set->tombstones, entry->id);
+
+  return tombstone != NULL && tombstone->leaving
+         && tombstone->started_ms == entry->started_ms;
+}
+
 static TgTarget *
 add_target (TgSet *set, const TgEntry *entry)
 {
@@ -196,6 +208,7 @@
     target->distance
         = strcmp (entry->zone, set->zone) == 0 ? TG_SAME_ZONE : TG_SAME_REGION;
   target->started_ms = entry->started_ms;
+  target->leaving = has_said_leaving (set, entry);
   target->slowness = 1;
   target->cold_tokens = 1;
   g_hash_table_insert (set->targets, target->id, target);
@@ -463,12 +476,10 @@
   target->error_updated_us = now_us;
 }
 
-gboolean
-tg_apply_notice (TgAttempt *attempt, const NtNotice *notice, int64_t now_us)
+static void
+apply_limit (TgTarget *target, const TgAttempt *attempt,
+             const NtNotice *notice, int64_t now_us)
 {
-  TgTarget *target = attempt->target;
-  double before_per_s = target->limit_per_s;
-
   if (notice->limit_per_s > 0)
     {
       target->limit_per_s = notice->limit_per_s;
@@ -480,7 +491,67 @@
       target->limit_per_s = 0;
       target->limit_pause_until_us = 0;
     }
-  return target->limit_per_s != before_per_s;
+}
+
+/* A response to a request that was sent before the target wanted none does not
+   end that.  */
+static gboolean
+apply_pause (TgTarget *target, const TgAttempt *attempt,
+             const NtNotice *notice, int64_t now_us)
+{
+  if (notice->pause_us > 0)
+    {
+      gboolean is_new = target->pause_until_us <= now_us;
+      target->pause_until_us
+          = MAX (target->pause_until_us, now_us + notice->pause_us);
+      return is_new;
+    }
+  if (attempt->started_us >= target->pause_until_us)
+    target->pause_until_us = 0;
+  return FALSE;
+}
+
+static gboolean
+set_leaving (TgSet *set, TgTarget *target)
+{
+  if (target->leaving)
+    return FALSE;
+  target->leaving = TRUE;
+  tg_get_service (set, target->service)->placement_stale = TRUE;
+  return TRUE;
+}
+
+uint32_t
+tg_apply_notice (TgSet *set, TgAttempt *attempt, const NtNotice *notice,
+                 int64_t now_us)
+{
+  TgTarget *target = attempt->target;
+  double limit_before_per_s = target->limit_per_s;
+  uint32_t news = 0;
+
+  apply_limit (target, attempt, notice, now_us);
+  if (target->limit_per_s != limit_before_per_s)
+    news |= TG_NEWS_LIMIT;
+  if (apply_pause (target, attempt, notice, now_us))
+    news |= TG_NEWS_PAUSE;
+  if (notice->leaving && set_leaving (set, target))
+    news |= TG_NEWS_LEAVING;
+  return news;
+}
+
+gboolean
+tg_note_leaving (TgSet *set, const char *id, int64_t started_ms)
+{
+  TgTarget *target = g_hash_table_lookup (set->targets, id);
+
+  return target != NULL && target->started_ms == started_ms
+         && set_leaving (set, target);
+}
+
+gboolean
+tg_attempt_is_allowed (const TgSet *set, const TgAttempt *attempt)
+{
+  return tg_is_available (set, attempt->target);
 }
 
 void
@@ -597,6 +668,12 @@
   return target->id_hash ^ (uint64_t)target->started_ms * TG_HASH_FACTOR;
 }
 
+int64_t
+tg_started_ms (const TgTarget *target)
+{
+  return target->started_ms;
+}
+
 double
 tg_limit_per_s (const TgTarget *target)
 {
--- a/targets/targets.h
+++ b/targets/targets.h
@@ -56,7 +56,10 @@
 
      A target that limits its rate has one token bucket for all daemons, which
      entry/ keeps.  While it has no token, requests for its objects use another
-     target.
+     target.  So they do while a target wants no requests; after that it gets
+     one at a time until it responds otherwise.  A target that states that it
+     is leaving counts as draining until it starts again, whatever its entry
+     says.
 
      The package reads no clock and does no I/O.  Times are in microseconds of
      one monotonic clock unless stated otherwise.
@@ -123,7 +126,8 @@
                    or is cold and has used up its rate, is not */
   TG_PICK_FULL, /* each allowed target has a too long queue or is in backoff */
   TG_PICK_LIMITED, /* as NONE, but some target is not allowed only because it
-                      limits its rate; wait_us of the choice is set */
+                      limits its rate or wants no requests for a time; wait_us
+                      of the choice is set */
   TG_PICK_HOLD, /* hold the request: one in flight fills the target's cache */
 } TgPick;
 
@@ -138,6 +142,14 @@
   int64_t cost_us;     /* estimated time to a response */
 } TgChoice;
 
+/* What a target newly states.  */
+typedef enum
+{
+  TG_NEWS_LIMIT = 1,   /* another limit, or its end */
+  TG_NEWS_LEAVING = 2, /* it is leaving, until it starts again */
+  TG_NEWS_PAUSE = 4,   /* it wants no requests for a time */
+} TgNews;
+
 typedef enum
 {
   TG_RESULT_SUCCESS,     /* or an error that the request itself caused */
@@ -189,11 +201,17 @@
    its target valid after tg_remove.  */
 TgAttempt *tg_attempt_begin (TgSet *set, const TgQuery *query,
                              const TgChoice *choice, int64_t now_us);
-/* Notes what the target states about itself in a response to ATTEMPT.  A
-   notice without a limit ends the limit only if the request was sent after the
-   target had last stated one.  Returns TRUE if the limit has changed.  */
-gboolean tg_apply_notice (TgAttempt *attempt, const NtNotice *notice,
-                          int64_t now_us);
+/* Notes what the target states about itself in a response to ATTEMPT, and
+   returns what is new, a set of TgNews.  A notice without a limit ends the
+   limit only if the request was sent after the target had last stated one.  */
+uint32_t tg_apply_notice (TgSet *set, TgAttempt *attempt,
+                          const NtNotice *notice, int64_t now_us);
+/* Notes that another daemon has heard from a target, of the incarnation that
+   started at STARTED_MS, that it is leaving.  Returns TRUE if that is new.  */
+gboolean tg_note_leaving (TgSet *set, const char *id, int64_t started_ms);
+/* Whether requests may be sent to the attempt's target: it is not draining,
+   leaving, removed, misdirected or in an evacuated zone.  */
+gboolean tg_attempt_is_allowed (const TgSet *set, const TgAttempt *attempt);
 /* The target has no token before UNTIL_US; it is not picked until then, or
    until its limit ends.  */
 void tg_pause_limited (TgAttempt *attempt, int64_t until_us);
@@ -214,6 +232,7 @@
 const char *tg_address (const TgTarget *target);
 const char *tg_zone (const TgTarget *target);
 const char *tg_region (const TgTarget *target);
+int64_t tg_started_ms (const TgTarget *target);
 /* Identifies one incarnation of a target also after its removal.  */
 uint64_t tg_incarnation_hash (const TgTarget *target);
 /* Requests per second that the target takes from all daemons; 0: no limit is
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -801,8 +801,8 @@
   AddTarget ("t2");
   TgAttempt *attempt = BeginAttempt (query);
   const TgTarget *limited = tg_attempt_target (attempt);
-  EXPECT_TRUE (tg_apply_notice (attempt, &notice, now_us));
-  EXPECT_FALSE (tg_apply_notice (attempt, &notice, now_us));
+  EXPECT_TRUE (tg_apply_notice (set, attempt, &notice, now_us));
+  EXPECT_FALSE (tg_apply_notice (set, attempt, &notice, now_us));
   EXPECT_EQ (tg_limit_per_s (limited), 5);
   tg_pause_limited (attempt, now_us + kSecond);
   EndAttempt (attempt, TG_RESULT_CANCELLED);
@@ -823,7 +823,7 @@
   TgChoice choice;
   AddTarget ("t1");
   TgAttempt *attempt = BeginAttempt (query);
-  tg_apply_notice (attempt, &notice, now_us);
+  tg_apply_notice (set, attempt, &notice, now_us);
   tg_pause_limited (attempt, now_us + 300 * kMs);
   EndAttempt (attempt, TG_RESULT_CANCELLED);
   now_us += 100 * kMs;
@@ -849,15 +849,15 @@
   TgAttempt *middle = BeginAttempt (Query ());
   const TgTarget *target = tg_attempt_target (early);
   now_us += 10 * kMs;
-  tg_apply_notice (middle, &limited, now_us);
-  EXPECT_FALSE (tg_apply_notice (early, &unlimited, now_us + kMs));
+  tg_apply_notice (set, middle, &limited, now_us);
+  EXPECT_FALSE (tg_apply_notice (set, early, &unlimited, now_us + kMs));
   EXPECT_EQ (tg_limit_per_s (target), 5);
   now_us += 10 * kMs;
   TgAttempt *late = BeginAttempt (Query ());
-  EXPECT_FALSE (tg_apply_notice (late, &invalid, now_us));
-  EXPECT_TRUE (tg_apply_notice (late, &unlimited, now_us));
+  EXPECT_FALSE (tg_apply_notice (set, late, &invalid, now_us));
+  EXPECT_TRUE (tg_apply_notice (set, late, &unlimited, now_us));
   EXPECT_EQ (tg_limit_per_s (target), 0);
-  EXPECT_TRUE (tg_apply_notice (late, &limited, now_us));
+  EXPECT_TRUE (tg_apply_notice (set, late, &limited, now_us));
   TgEntry restarted = Entry ("t1", "a1", "a");
   restarted.started_ms = 2000;
   EXPECT_TRUE (tg_update (set, &restarted, now_us));
@@ -868,4 +868,75 @@
   EndAttempt (fresh, TG_RESULT_SUCCESS);
 }
 
+/* Guards against sending to a target that has said that it is leaving: while
+   its entry is still `ready', after the entry has come and gone, or because
+   only another daemon has heard it; and against giving up its next
+   incarnation.  */
+TEST_F (Target, SendsNothingToATargetThatSaysItIsLeaving)
+{
+  NtNotice leaving = { 0, 0, TRUE, 0 };
+  TgQuery query = Query ();
+  TgChoice choice;
+  TgEntry entry = Entry ("t1", "a1", "a");
+  tg_update (set, &entry, now_us);
+  TgAttempt *attempt = BeginAttempt (query);
+  EXPECT_TRUE (tg_attempt_is_allowed (set, attempt));
+  EXPECT_EQ (tg_apply_notice (set, attempt, &leaving, now_us),
+             (uint32_t)TG_NEWS_LEAVING);
+  EXPECT_EQ (tg_apply_notice (set, attempt, &leaving, now_us), 0u);
+  EXPECT_FALSE (tg_attempt_is_allowed (set, attempt));
+  EndAttempt (attempt, TG_RESULT_SUCCESS);
+  EXPECT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_NONE);
+  entry.report_number = ++last_report_number;
+  tg_update (set, &entry, now_us);
+  EXPECT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_NONE);
+  tg_remove (set, "t1", now_us);
+  entry.report_number = ++last_report_number;
+  tg_update (set, &entry, now_us + 60 * kSecond);
+  EXPECT_EQ (tg_pick (set, &query, now_us + 60 * kSecond, &choice),
+             TG_PICK_NONE);
+  entry.started_ms = 2000;
+  EXPECT_TRUE (tg_update (set, &entry, now_us + 60 * kSecond));
+  EXPECT_EQ (tg_pick (set, &query, now_us + 60 * kSecond, &choice),
+             TG_PICK_FOUND);
+  EXPECT_FALSE (tg_note_leaving (set, "t1", 1000));
+  EXPECT_TRUE (tg_note_leaving (set, "t1", 2000));
+  EXPECT_FALSE (tg_note_leaving (set, "t1", 2000));
+  EXPECT_EQ (tg_pick (set, &query, now_us + 60 * kSecond, &choice),
+             TG_PICK_NONE);
+}
+
+/* Guards against sending more to a target that wants no requests for a time,
+   against many at once when that ends, and against a refusal that does not say
+   when it ends.  */
+TEST_F (Target, LeavesATargetAloneThatWantsNoRequests)
+{
+  NtNotice pause = { 0, 0, FALSE, 2 * kSecond }, none = {};
+  TgQuery query = Query ();
+  TgChoice choice;
+  AddTarget ("t1");
+  TgAttempt *early = BeginAttempt (Query ());
+  TgAttempt *attempt = BeginAttempt (query);
+  EXPECT_EQ (tg_apply_notice (set, attempt, &pause, now_us),
+             (uint32_t)TG_NEWS_PAUSE);
+  EndAttempt (attempt, TG_RESULT_SHED);
+  now_us += 500 * kMs;
+  EXPECT_EQ (tg_apply_notice (set, early, &none, now_us), 0u);
+  EndAttempt (early, TG_RESULT_SUCCESS);
+  ASSERT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_LIMITED);
+  EXPECT_EQ (choice.wait_us, 1500 * kMs);
+  now_us += 1500 * kMs;
+  TgAttempt *first = BeginAttempt (Query ());
+  ASSERT_NE (first, nullptr);
+  EXPECT_EQ (BeginAttempt (Query ()), nullptr);
+  tg_apply_notice (set, first, &none, now_us);
+  EndAttempt (first, TG_RESULT_SUCCESS);
+  TgAttempt *second = BeginAttempt (Query ()),
+            *third = BeginAttempt (Query ());
+  ASSERT_NE (second, nullptr);
+  ASSERT_NE (third, nullptr);
+  EndAttempt (second, TG_RESULT_SUCCESS);
+  EndAttempt (third, TG_RESULT_SUCCESS);
+}
+
 }
--- a/wire/gossip.pb-c.c
+++ b/wire/gossip.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &gossip__suspect__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gossip__leaving__init
+                     (Gossip__Leaving         *message)
+{
+  static const Gossip__Leaving init_value = GOSSIP__LEAVING__INIT;
+  *message = init_value;
+}
+size_t gossip__leaving__get_packed_size
+                     (const Gossip__Leaving *message)
+{
+  assert(message->base.descriptor == &gossip__leaving__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gossip__leaving__pack
+                     (const Gossip__Leaving *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gossip__leaving__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gossip__leaving__pack_to_buffer
+                     (const Gossip__Leaving *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gossip__leaving__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gossip__Leaving *
+       gossip__leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gossip__Leaving *)
+     protobuf_c_message_unpack (&gossip__leaving__descriptor,
+                                allocator, len, data);
+}
+void   gossip__leaving__free_unpacked
+                     (Gossip__Leaving *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gossip__leaving__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gossip__datagram__init
                      (Gossip__Datagram         *message)
 {
@@ -1293,7 +1338,58 @@
   (ProtobufCMessageInit) gossip__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gossip__datagram__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gossip__leaving__field_descriptors[2] =
+{
+  {
+    "target_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Leaving, target_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Leaving, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gossip__leaving__field_indices_by_name[] = {
+  1,   /* field[1] = started_ms */
+  0,   /* field[0] = target_id */
+};
+static const ProtobufCIntRange gossip__leaving__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gossip__leaving__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gossip.Leaving",
+  "Leaving",
+  "Gossip__Leaving",
+  "gossip",
+  sizeof(Gossip__Leaving),
+  2,
+  gossip__leaving__field_descriptors,
+  gossip__leaving__field_indices_by_name,
+  1,  gossip__leaving__number_ranges,
+  (ProtobufCMessageInit) gossip__leaving__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gossip__datagram__field_descriptors[8] =
 {
   {
     "report",
@@ -1379,11 +1475,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Datagram, leaving),
+    &gossip__leaving__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__datagram__field_indices_by_name[] = {
   5,   /* field[5] = answer */
   4,   /* field[4] = ask */
   3,   /* field[3] = confirmation */
+  7,   /* field[7] = leaving */
   1,   /* field[1] = news */
   0,   /* field[0] = report */
   2,   /* field[2] = stamp */
@@ -1392,7 +1501,7 @@
 static const ProtobufCIntRange gossip__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gossip__datagram__descriptor =
 {
@@ -1402,7 +1511,7 @@
   "Gossip__Datagram",
   "gossip",
   sizeof(Gossip__Datagram),
-  7,
+  8,
   gossip__datagram__field_descriptors,
   gossip__datagram__field_indices_by_name,
   1,  gossip__datagram__number_ranges,
--- a/wire/gossip.pb-c.h
+++ b/wire/gossip.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Gossip__Ask Gossip__Ask;
 typedef struct Gossip__Answer Gossip__Answer;
 typedef struct Gossip__Suspect Gossip__Suspect;
+typedef struct Gossip__Leaving Gossip__Leaving;
 typedef struct Gossip__Datagram Gossip__Datagram;
 
 
@@ -250,6 +251,21 @@
     , (char *)protobuf_c_empty_string, 0, GOSSIP__SUSPECT__KIND__ENDED, 0, 0 }
 
 
+/*
+ * A target has said in a response that it is leaving; started_ms identifies its
+ * incarnation.
+ */
+struct  Gossip__Leaving
+{
+  ProtobufCMessage base;
+  char *target_id;
+  int64_t started_ms;
+};
+#define GOSSIP__LEAVING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gossip__leaving__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * Payload of one datagram; one field is set.
  */
@@ -263,10 +279,11 @@
   Gossip__Ask *ask;
   Gossip__Answer *answer;
   Gossip__Suspect *suspect;
+  Gossip__Leaving *leaving;
 };
 #define GOSSIP__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__datagram__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL }
 
 
 /* Gossip__Report methods */
@@ -421,6 +438,25 @@
 void   gossip__suspect__free_unpacked
                      (Gossip__Suspect *message,
                       ProtobufCAllocator *allocator);
+/* Gossip__Leaving methods */
+void   gossip__leaving__init
+                     (Gossip__Leaving         *message);
+size_t gossip__leaving__get_packed_size
+                     (const Gossip__Leaving   *message);
+size_t gossip__leaving__pack
+                     (const Gossip__Leaving   *message,
+                      uint8_t             *out);
+size_t gossip__leaving__pack_to_buffer
+                     (const Gossip__Leaving   *message,
+                      ProtobufCBuffer     *buffer);
+Gossip__Leaving *
+       gossip__leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gossip__leaving__free_unpacked
+                     (Gossip__Leaving *message,
+                      ProtobufCAllocator *allocator);
 /* Gossip__Datagram methods */
 void   gossip__datagram__init
                      (Gossip__Datagram         *message);
@@ -466,6 +502,9 @@
 typedef void (*Gossip__Suspect_Closure)
                  (const Gossip__Suspect *message,
                   void *closure_data);
+typedef void (*Gossip__Leaving_Closure)
+                 (const Gossip__Leaving *message,
+                  void *closure_data);
 typedef void (*Gossip__Datagram_Closure)
                  (const Gossip__Datagram *message,
                   void *closure_data);
@@ -484,6 +523,7 @@
 extern const ProtobufCMessageDescriptor gossip__answer__descriptor;
 extern const ProtobufCMessageDescriptor gossip__suspect__descriptor;
 extern const ProtobufCEnumDescriptor    gossip__suspect__kind__descriptor;
+extern const ProtobufCMessageDescriptor gossip__leaving__descriptor;
 extern const ProtobufCMessageDescriptor gossip__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
