platform, entry: end evacuations that are taken back after a restore at once

Evacuations stay in force for 6 s after a restore, for what the copy may lack. The watcher tells now whether the operator has taken an evacuation back or a full read lacks it; only the latter is kept.

Entry.EndsEvacuationsThatAreTakenBackAfterARestore failed before (t1 not used within 4 s); passes in 6 s. Entry.KeepsEvacuation* pass.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -1176,6 +1176,31 @@
     }
 }
 
+/* Guards against evacuations that stay in force although the operator has
+   taken them back: they are kept for some seconds after a restore, for what
+   the copy lacks, and with all zones evacuated no target is left.  */
+TEST_F (Entry, EndsEvacuationsThatAreTakenBackAfterARestore)
+{
+  /* A zone's targets count as cold for 2.5 s after an evacuation.  */
+  constexpr uint32_t kUsableMs = 4000;
+  PostControl ("/put?key=op/evacuate/a1");
+  PostControl ("/put?key=op/evacuate/a2");
+  PostControl ("/save");
+  EXPECT_TRUE (WaitFor ([&] { return AllRespond ("/open/1", "key-1", 503); }));
+  PostControl ("/restore");
+  si_sleep_ms (1500);
+  EXPECT_TRUE (AllRespond ("/open/1", "key-1", 503));
+  PostControl ("/remove?key=op/evacuate/a1");
+  EXPECT_TRUE (WaitFor (
+      [&] { return AllRespond ("/open/1", "key-1", 200) && body == "t1"; },
+      kUsableMs));
+  PostControl ("/remove?key=op/evacuate/a2");
+  PostControl ("/put?key=op/evacuate/a1");
+  EXPECT_TRUE (WaitFor (
+      [&] { return AllRespond ("/open/1", "key-1", 200) && body == "t2"; },
+      kUsableMs));
+}
+
 /* Guards against a daemon that misses a change of a target whose revision had
    already been assigned before the store came back from a copy.  t2 rejects
    requests, so a daemon that does not know of the drain retries on t1.  */
--- a/entry/view.c
+++ b/entry/view.c
@@ -134,11 +134,13 @@
 }
 
 static void
-on_evacuation (const char *zone, gboolean evacuated, void *data)
+on_evacuation (const char *zone, PfEvacuation state, void *data)
 {
   EnView *view = data;
+  gboolean evacuated = state == PF_EVACUATION_BEGUN;
 
-  if (!evacuated && ck_boot_us () < view->evacuations_kept_until_us)
+  if (state == PF_EVACUATION_MISSING
+      && ck_boot_us () < view->evacuations_kept_until_us)
     {
       g_hash_table_add (view->kept_zones, g_strdup (zone));
       return;
