entry, gossip, notice, quarantine, standin: comments of headers

Indents that the formatter lost, a comment that stood at another function, sizes that nobody measured, an include that nothing uses. No code changes.

--- a/entry/shares.h
+++ b/entry/shares.h
@@ -52,14 +52,14 @@
 void en_shares_report_stop (EnShares *shares);
 void en_shares_set_config (EnShares *shares, const RtConfig *config);
 
-/* Whether the list of members was read from the store and they had the time to
-   reply to the first report.  Before that the number of daemons and the token
-   owners are unknown, and no tokens or retries may be spent.  */
 /* Whether VERSION of the configuration is the newest one that another daemon
    has reported, or may still be on its way to this daemon.  Reports lag behind
    the store, which may hold an older configuration after it was restored.  */
 gboolean en_shares_config_is_current (const EnShares *shares, uint64_t version,
                                       int64_t now_us);
+/* Whether the list of members was read from the store and they had the time to
+   reply to the first report.  Before that the number of daemons and the token
+   owners are unknown, and no tokens or retries may be spent.  */
 gboolean en_shares_has_members (const EnShares *shares);
 LmTable *en_shares_limits (const EnShares *shares);
 LmRetryBudget *en_shares_budget (const EnShares *shares);
--- a/entry/suspects.h
+++ b/entry/suspects.h
@@ -28,7 +28,6 @@
 
 #include "fleet/fleet.h"
 #include "gossip/gossip.h"
-#include "metric/metric.h"
 #include "trace/trace.h"
 
 struct event_base;
--- a/gossip/gossip.h
+++ b/gossip/gossip.h
@@ -9,10 +9,10 @@
    DESCRIPTION
      Each datagram holds one protobuf message: a report, a target delta, a
      stamp, a confirmation, a token request, a token reply, a suspect or a
-   leaving target; see wire/gossip.proto.  A lost report is replaced by the
-   next one, and a lost target delta shows as a gap in the revisions.  There is
-   no connection that could fail unnoticed.  Datagrams that cannot be decoded
-   are counted and dropped.
+     leaving target; see wire/gossip.proto.  A lost report is replaced by the
+     next one, and a lost target delta shows as a gap in the revisions.  There
+     is no connection that could fail unnoticed.  Datagrams that cannot be
+     decoded are counted and dropped.
 
      All callbacks must be set.  Their arguments are valid only during the
      call.
--- a/notice/notice.h
+++ b/notice/notice.h
@@ -13,8 +13,8 @@
      starts again.  One that refuses a request with 503 may state for how long
      it wants no requests of this daemon.
 
-     A header that is malformed, out of range or repeated with another value
-     says nothing: it neither sets nor ends what the target stated before.
+     A header that is malformed, out of range or repeated says nothing: it
+     neither sets nor ends what the target stated before.
 
    ERRORS
      None; NtNotice.invalid_count tells how many headers were ignored.  */
--- a/quarantine/quarantine.h
+++ b/quarantine/quarantine.h
@@ -41,9 +41,9 @@
 #define QR_QUARANTINE_US ((int64_t)60000000)
 /* After the last end, until all about a content is forgotten.  */
 #define QR_TTL_US ((int64_t)600000000)
-/* Contents that are suspects or quarantined; 100 bytes each.  */
+/* Contents that are suspects or quarantined.  */
 #define QR_SUSPECTS_MAX 2048
-/* Contents that have run well lately; 40 bytes each.  */
+/* Contents that have run well lately.  */
 #define QR_SERVED_MAX 8192
 
 typedef struct QrTable QrTable;
--- a/standin/estate.h
+++ b/standin/estate.h
@@ -28,7 +28,8 @@
        POST /target?id=I&limit=L&leaving=T&pause=P
                                   sets the headers Server-Limit and
                                   Server-Leaving of target I, and Retry-After
-   of its refusals; none if the value is empty, as before if it is not given
+                                  of its refusals; none if the value is empty,
+                                  as before if it is not given
        GET /runs                  one line for each executed request: monotonic
                                   time in us, target, attempt id, customer ("-"
                                   where the header is missing), and "key" if it
