--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -41,7 +41,7 @@
   char dir[64];
   uint16_t store_port;
   uint16_t control_port;
-  pid_t pids[RIG_DAEMONS_MAX + 1];
+  pid_t pids[4 * RIG_DAEMONS_MAX]; /* 0: ended */
   int pid_count;
   RigDaemon daemons[RIG_DAEMONS_MAX];
   int daemon_count;
@@ -477,7 +477,7 @@
 }
 
 void
-rig_put_config (const char *kind)
+rig_put_config_with (const char *kind, int rate_per_s, int burst)
 {
   rig_put (
       "op/config",
@@ -490,9 +490,15 @@
       "\"tls\":false,\"cold_start_s\":3.0,\"cold_per_s\":4.8}},"
       "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
       "\"header_timeout_s\":3,\"idle_timeout_s\":15},\"tenants\":{\"t1\":"
-      "{\"api_keys\":[\"k1\"],\"priority\":1,\"rate_per_s\":5000,"
-      "\"burst\":5000,\"home_regions\":[]}}}",
-      kind);
+      "{\"api_keys\":[\"k1\"],\"priority\":1,\"rate_per_s\":%d,"
+      "\"burst\":%d,\"home_regions\":[]}}}",
+      kind, rate_per_s, burst);
+}
+
+void
+rig_put_config (const char *kind)
+{
+  rig_put_config_with (kind, 5000, 5000);
 }
 
 static void
@@ -515,33 +521,52 @@
   fclose (file);
 }
 
-RigDaemon *
-rig_start_daemon (const char *zone, const char *region)
+void
+rig_restart_daemon (RigDaemon *daemon)
 {
-  int number = rig.daemon_count++;
-  RigDaemon *daemon = &rig.daemons[number];
   char path[128];
   char log[128];
   char settings[256];
   char *argv[] = { (char *)DAEMON, (char *)"--platform", NULL };
   char *environment[] = { settings, NULL };
+  int number = (int)(daemon - rig.daemons);
 
-  snprintf (daemon->name, sizeof daemon->name, "front-%s-%d", zone, number);
-  daemon->zone = zone;
-  daemon->region = region;
-  daemon->front_port = find_port ();
-  daemon->ready_port = find_port ();
-  daemon->directory_port = find_port ();
-  daemon->gossip_port = find_port ();
   snprintf (path, sizeof path, "%s/%d.json", rig.dir, number);
   snprintf (log, sizeof log, "%s/%d.log", rig.dir, number);
   snprintf (settings, sizeof settings, "COMFREYWALK_SETTINGS=%s", path);
   write_settings (daemon, path);
   daemon->pid = spawn (argv, environment, log);
   rig_record ("daemon %s starts", daemon->name);
+}
+
+RigDaemon *
+rig_start_daemon (const char *zone, const char *region)
+{
+  RigDaemon *daemon = &rig.daemons[rig.daemon_count];
+
+  snprintf (daemon->name, sizeof daemon->name, "front-%s-%d", zone,
+            rig.daemon_count++);
+  daemon->zone = zone;
+  daemon->region = region;
+  daemon->front_port = find_port ();
+  daemon->ready_port = find_port ();
+  daemon->directory_port = find_port ();
+  daemon->gossip_port = find_port ();
+  rig_restart_daemon (daemon);
   return daemon;
 }
 
+void
+rig_kill_daemon (RigDaemon *daemon)
+{
+  for (int i = 0; i < rig.pid_count; i++)
+    if (rig.pids[i] == daemon->pid)
+      rig.pids[i] = 0;
+  kill (daemon->pid, SIGKILL);
+  waitpid (daemon->pid, NULL, 0);
+  rig_record ("daemon %s is killed", daemon->name);
+}
+
 static bool
 is_ready (const RigDaemon *daemon)
 {
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -117,8 +117,13 @@
 /* Writes a configuration with one route, /o/ of host a.example to the service
    sv, and the tenant t1 with the key k1.  */
 void rig_put_config (const char *kind);
+/* The same with an allotment of the tenant; else it is 5000 and 5000.  */
+void rig_put_config_with (const char *kind, int rate_per_s, int burst);
 
 RigDaemon *rig_start_daemon (const char *zone, const char *region);
+/* Kills with SIGKILL, and starts again with the same settings.  */
+void rig_kill_daemon (RigDaemon *daemon);
+void rig_restart_daemon (RigDaemon *daemon);
 void rig_wait_ready (const RigDaemon *daemon);
 
 void rig_start_upstream (RigUpstream *upstream, const char *id,
