--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -730,9 +730,9 @@
   snprintf (key, sizeof key, "servers/%s", upstream->id);
   rig_put (key,
            "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"%s\","
-           "\"version\":\"v1\",\"slots\":3,\"state\":\"ready\","
+           "\"version\":\"v1\",\"slots\":3,\"state\":\"%s\","
            "\"cold_remaining_s\":0,\"sequence\":%u,\"born\":%lld}",
-           upstream->service, upstream->port, upstream->zone,
+           upstream->service, upstream->port, upstream->zone, upstream->state,
            ++upstream->sequence, (long long)upstream->born_ms);
 }
 
@@ -743,6 +743,7 @@
   snprintf (upstream->id, sizeof upstream->id, "%s", id);
   upstream->service = "sv";
   upstream->zone = zone;
+  upstream->state = "ready";
   upstream->port = find_port ();
   upstream->handler = handler;
   pthread_mutex_init (&upstream->lock, NULL);
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -65,6 +65,7 @@
   char id[32];
   const char *service;
   const char *zone;
+  const char *state; /* in its entry */
   uint16_t port;
   RigHandler handler;
   int listen_fd; /* -1: crashed */
