backend, entry: tell apart connections and stray responses in logs and metrics

408 (send-failed) names the connection now. Two metrics count what arrives and belongs to no request: target_late_responses_total, dropped by their id, and target_stray_closes_total, connections closed for bytes that nothing waits for. Before, neither left a trace.

--- a/backend/answer.c
+++ b/backend/answer.c
@@ -167,6 +167,7 @@
   if (call->head.body_framing == HT_BODY_CLOSE
       || ++call->skipped_count > SKIPPED_MAX_COUNT)
     return fail_call (call, BK_FAILURE_MALFORMED);
+  call->pool->counters.late_response_count++;
   ht_head_clear (&call->head);
   memset (&call->chunk_decoder, 0, sizeof call->chunk_decoder);
   g_byte_array_set_size (call->body, 0);
--- a/backend/backend.c
+++ b/backend/backend.c
@@ -463,6 +463,12 @@
   bk_target_free_if_unused (target);
 }
 
+const BkCounters *
+bk_counters (const BkPool *pool)
+{
+  return &pool->counters;
+}
+
 uint32_t
 bk_connection_count (const BkPool *pool, const char *address)
 {
--- a/backend/backend.h
+++ b/backend/backend.h
@@ -96,6 +96,7 @@
   gsize body_bytes;
   int64_t connected_us; /* when the connection was established; 0: never */
   gboolean reused;      /* the connection has served an earlier request */
+  uint64_t connection;  /* its number in the pool, from 1; 0: none */
   gboolean echoes_id;   /* the response has echo_header with echo_value */
 } BkResult;
 
@@ -132,6 +133,14 @@
   gsize buffered_max_bytes;    /* of all bodies; default 48 MB */
 } BkOptions;
 
+typedef struct
+{
+  /* Responses that were dropped, since they echo the id of another request.  */
+  uint64_t late_response_count;
+  /* Connections that were closed for bytes that belong to no request.  */
+  uint64_t stray_close_count;
+} BkCounters;
+
 typedef struct BkPool BkPool;
 typedef struct BkCall BkCall;
 
@@ -163,6 +172,8 @@
 /* Open connections to ADDRESS, including those being established.  */
 uint32_t bk_connection_count (const BkPool *pool, const char *address);
 
+const BkCounters *bk_counters (const BkPool *pool);
+
 /* "connect", "timeout" and so on, for log lines and events.  */
 const char *bk_failure_name (BkFailure failure);
 
--- a/backend/link.c
+++ b/backend/link.c
@@ -58,6 +58,14 @@
          && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+static gboolean
+has_unread_bytes (const BkConn *conn)
+{
+  char byte;
+
+  return recv (conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 /* A target may respond and close the connection before it has read the whole
    request, so a response may have arrived.  */
 static void
@@ -113,6 +121,7 @@
   call->sent_bytes = 0;
   call->result.connected_us = conn->connected_us;
   call->result.reused = conn->used;
+  call->result.connection = conn->number;
   if (conn->is_short != is_short)
     set_user_timeout (conn->fd, is_short ? unacked_timeout_ms : 0);
   conn->is_short = is_short;
@@ -207,6 +216,8 @@
   ssize_t extra = recv (conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   gboolean is_usable = extra < 0 && errno == EAGAIN;
 
+  if (extra > 0 || evbuffer_get_length (conn->input) > 0)
+    call->pool->counters.stray_close_count++;
   if (extra > 0 && !bk_response_echoes_id (call))
     {
       bk_call_finish (call, BK_FAILURE_MALFORMED, FALSE);
@@ -303,6 +314,8 @@
         bk_call_finish (conn->call, BK_FAILURE_CLOSED, FALSE);
       return;
     }
+  if (has_unread_bytes (conn))
+    target->pool->counters.stray_close_count++;
   bk_conn_close (conn);
   bk_target_free_if_unused (target);
 }
@@ -338,6 +351,7 @@
     return NULL;
   conn = g_new0 (BkConn, 1);
   conn->target = target;
+  conn->number = ++target->pool->last_number;
   conn->fd = fd;
   conn->call = call;
   conn->is_short = TRUE;
--- a/backend/link.h
+++ b/backend/link.h
@@ -18,6 +18,8 @@
   GHashTable *targets;  /* address to BkTarget */
   GQueue calls;         /* each BkCall until its result is delivered */
   gsize buffered_bytes; /* of the bodies of all calls */
+  uint64_t last_number; /* of the connections opened so far */
+  BkCounters counters;
 };
 
 struct BkTarget
@@ -35,6 +37,7 @@
 struct BkConn
 {
   BkTarget *target;
+  uint64_t number; /* in the pool, from 1 */
   int fd;
   struct event *read_event;
   struct event *write_event;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -51,6 +51,8 @@
   MtCounter *front_timeouts;
   MtCounter *front_malformed;
   MtCounter *front_over_limit;
+  MtCounter *late_responses;
+  MtCounter *stray_closes;
 };
 
 static gboolean
@@ -132,6 +134,7 @@
   EnEntry *entry = data;
   const PfCounters *counters = pf_store_counters (entry->store);
   const FrCounters *front = en_proxy_front_counters (entry->proxy);
+  const BkCounters *target = en_proxy_target_counters (entry->proxy);
 
   mt_set (entry->config_age,
           en_view_config_age_us (entry->view, ck_boot_us ()));
@@ -144,6 +147,8 @@
   mt_set (entry->front_timeouts, (int64_t)front->timeout_count);
   mt_set (entry->front_malformed, (int64_t)front->malformed_count);
   mt_set (entry->front_over_limit, (int64_t)front->over_limit_count);
+  mt_set (entry->late_responses, (int64_t)target->late_response_count);
+  mt_set (entry->stray_closes, (int64_t)target->stray_close_count);
 }
 
 static void
@@ -169,6 +174,12 @@
   entry->front_over_limit
       = mt_gauge (metrics, "front_over_limit_total",
                   "Connections of callers closed above the limit");
+  entry->late_responses
+      = mt_gauge (metrics, "target_late_responses_total",
+                  "Responses dropped since they are of another request");
+  entry->stray_closes
+      = mt_gauge (metrics, "target_stray_closes_total",
+                  "Connections closed for bytes that are of no request");
 }
 
 /* Applies the bounds only; other settings need a restart.  */
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -606,6 +606,12 @@
   return fr_counters (proxy->front);
 }
 
+const BkCounters *
+en_proxy_target_counters (const EnProxy *proxy)
+{
+  return bk_counters (proxy->connection_pool);
+}
+
 gboolean
 en_proxy_is_writing (const EnProxy *proxy)
 {
--- a/entry/proxy.h
+++ b/entry/proxy.h
@@ -14,6 +14,7 @@
 
 #include <glib.h>
 
+#include "backend/backend.h"
 #include "entry/dialect.h"
 #include "entry/settings.h"
 #include "entry/shares.h"
@@ -43,6 +44,8 @@
 
 void en_proxy_set_limits (EnProxy *proxy, const RtLimits *limits);
 const FrCounters *en_proxy_front_counters (const EnProxy *proxy);
+/* Of the connections to targets.  */
+const BkCounters *en_proxy_target_counters (const EnProxy *proxy);
 
 /* Closes each connection of a caller after its next response.  */
 void en_proxy_close_connections (EnProxy *proxy);
--- a/entry/send.c
+++ b/entry/send.c
@@ -503,9 +503,11 @@
 
   tr_log (request->proxy->options.trace, EV_SEND_FAILED,
           "request=%s target=%s verdict=%s status=%u failure=%s "
-          "reused=%d took_ms=%" G_GINT64_FORMAT,
+          "connection=%" G_GUINT64_FORMAT
+          " reused=%d took_ms=%" G_GINT64_FORMAT,
           request->id, tg_id (target), verdict_names[verdict], result->status,
-          bk_failure_name (result->failure), result->reused,
+          bk_failure_name (result->failure), result->connection,
+          result->reused,
           (ck_boot_us () - request->sent_us) / 1000);
 }
 
