backend, entry: send a request only once over a connection

Cause: responses are matched by the id that targets echo, which is the same for all sends of one request. After a refusal the connection is idle, and the pool prefers the one used last, so a request that comes back to the same target takes the connection on which a second copy of its refusal may still come. The copy is taken for the response to the later send, which the target runs.

Change: a request remembers the connections over which it was sent (BkSends); a later send takes another idle one or a new one. Where there may be no more connections, the new one takes the place of an idle one. A connection that is passed over stays open for other requests, which drop the copy by its id. This works since the connection tells apart what the id cannot; nothing depends on how long the copy takes.

--- a/backend/backend.c
+++ b/backend/backend.c
@@ -231,21 +231,54 @@
          || bk_now_us () - conn->idle_since_us <= call->idle_max_us;
 }
 
-/* Returns the most recently used idle connection that is usable and closes the
-   more recent ones that are not.  */
+/* Whether CONN has carried an earlier send of the request of CALL, or may
+   have.  */
+static gboolean
+has_carried (const BkConn *conn, const BkCall *call)
+{
+  const BkSends *sends = call->sends;
+
+  if (sends == NULL)
+    return FALSE;
+  for (uint32_t i = 0; i < sends->count; i++)
+    if (sends->connections[i] == conn->number)
+      return TRUE;
+  return sends->count == BK_SENDS_MAX;
+}
+
+/* Returns the most recently used idle connection that CALL may use and closes
+   the more recent ones that no call may.  */
 static BkConn *
 find_idle_conn (BkTarget *target, const BkCall *call)
 {
-  while (!g_queue_is_empty (&target->idle))
+  GList *next;
+
+  for (GList *node = target->idle.tail; node != NULL; node = next)
     {
-      BkConn *conn = g_queue_peek_tail (&target->idle);
-      if (is_recently_used (conn, call) && bk_conn_is_usable (conn))
+      BkConn *conn = node->data;
+
+      next = node->prev;
+      if (!is_recently_used (conn, call) || !bk_conn_is_usable (conn))
+        bk_conn_close (conn);
+      else if (!has_carried (conn, call))
         return conn;
-      bk_conn_close (conn);
     }
   return NULL;
 }
 
+/* Whether a connection may be opened, which takes the place of an idle one
+   where there are as many as there may be.  */
+static gboolean
+make_room (BkTarget *target)
+{
+  if (target->conn_count < target->pool->options.connections_max)
+    return TRUE;
+  if (g_queue_is_empty (&target->idle))
+    return FALSE;
+  bk_conn_close (g_queue_peek_head (&target->idle));
+  return TRUE;
+}
+
 void
 bk_target_dispatch (BkTarget *target)
 {
@@ -255,8 +288,7 @@
           = find_idle_conn (target, g_queue_peek_head (&target->waiting));
       BkCall *call;
 
-      if (conn == NULL
-          && target->conn_count >= target->pool->options.connections_max)
+      if (conn == NULL && !make_room (target))
         return;
       call = g_queue_pop_head (&target->waiting);
       if (conn != NULL)
@@ -393,6 +425,7 @@
   call->body = g_byte_array_new ();
   call->echo_header = g_strdup (request->echo_header);
   call->echo_value = g_strdup (request->echo_value);
+  call->sends = request->sends;
   call->idle_max_us = request->idle_max_us;
   call->on_done = request->on_done;
   call->data = request->data;
--- a/backend/backend.h
+++ b/backend/backend.h
@@ -34,6 +34,11 @@
      awaited, and bytes after a response with the right value close the
      connection but don't invalidate the response.
 
+     The id does not tell apart the responses to two sends of one request.  A
+     user that sends a request again passes the same BkSends each time; no
+     connection carries the request twice then, so a second copy of the
+     response to an earlier send cannot be taken for that to a later one.
+
      A response may never end.  Its head and its body are limited, and so are
      all bodies together: above buffered_max_bytes the call with the largest
      body ends with BK_FAILURE_TOO_LARGE.
@@ -61,6 +66,8 @@
 /* Requests that wait for a connection to one target.  Slots and the fair queue
    already limit how many requests are passed to this package.  */
 #define BK_WAITING_MAX_COUNT 64
+/* Sends of one request whose connections are told apart.  */
+#define BK_SENDS_MAX 8
 #define BK_RESPONSE_MAX_BYTES (16 * 1024 * 1024)
 /* Bodies that are being received at a time.  An array may have twice the
    capacity that it uses.  */
@@ -103,6 +110,14 @@
 /* RESULT is valid during the call.  */
 typedef void (*BkDone) (const BkResult *result, void *data);
 
+/* Connections over which one request was sent; all zero at first.  After
+   BK_SENDS_MAX sends the request is only sent over new ones.  */
+typedef struct
+{
+  uint64_t connections[BK_SENDS_MAX]; /* as in BkResult.connection */
+  uint32_t count;
+} BkSends;
+
 typedef struct
 {
   const char *address; /* "127.0.0.1:9201" */
@@ -114,8 +129,10 @@
   const char *echo_header; /* header in which responses echo the id of their
                               request; NULL: none */
   const char *echo_value;  /* the id of this request */
-  int64_t idle_max_us;     /* longest idle time of a reused connection;
-                              0: any */
+  BkSends *sends; /* earlier sends of this request, to which this one is added;
+                     valid until the call is freed; NULL: never sent again */
+  int64_t idle_max_us; /* longest idle time of a reused connection;
+                          0: any */
   int64_t deadline_us;
   BkDone on_done;
   void *data;
@@ -135,7 +152,7 @@
 
 typedef struct
 {
-  /* Responses that were dropped, since they echo the id of another request.  */
+  /* Responses that were dropped, since they echo the id of another request. */
   uint64_t late_response_count;
   /* Connections that were closed for bytes that belong to no request.  */
   uint64_t stray_close_count;
--- a/backend/backend_test.cc
+++ b/backend/backend_test.cc
@@ -70,7 +70,7 @@
 
   BkCall *
   start (Outcome *outcome, const char *method = "POST", int timeout_ms = 5000,
-         const std::string &body = "body")
+         const std::string &body = "body", BkSends *sends = nullptr)
   {
     BkRequest request = {};
     request.address = target.address.c_str ();
@@ -78,6 +78,7 @@
     request.request_target = "/orders?a=1";
     request.body = body.data ();
     request.body_bytes = body.size ();
+    request.sends = sends;
     request.deadline_us = bk_now_us () + timeout_ms * 1000;
     request.on_done = [] (const BkResult *result, void *data) {
       Outcome *outcome = (Outcome *)data;
@@ -615,6 +616,60 @@
   EXPECT_TRUE (f.is_closed (fd));
 }
 
+/* Guards against taking a late copy of the response to an earlier send of a
+   request for the response to its next one: both have the request's id, so the
+   two must not share a connection, which is kept for other requests.  */
+TEST (Backend, SendsARequestOnceOverAConnection)
+{
+  Fixture f;
+  BkSends sends = {};
+  Outcome refused, again, other;
+
+  f.start (&refused, "POST", 5000, "body", &sends);
+  int first = f.accept_one ();
+  f.receive (first);
+  send_text (first, status_line + "Content-Length: 3\r\n\r\nold");
+  ASSERT_TRUE (f.run_until ([&] { return refused.done; }));
+  f.start (&again, "POST", 5000, "body", &sends);
+  int second = f.accept_one ();
+  f.receive (second);
+  f.start (&other);
+  EXPECT_NE (f.receive (first).find ("POST"), std::string::npos);
+  send_text (first, status_line + "Content-Length: 5\r\n\r\nother");
+  send_text (second, status_line + "Content-Length: 3\r\n\r\nnew");
+  ASSERT_TRUE (f.run_until ([&] { return again.done && other.done; }));
+  EXPECT_EQ ("new", again.body);
+  EXPECT_EQ ("other", other.body);
+  EXPECT_NE (refused.result.connection, again.result.connection);
+  EXPECT_EQ (refused.result.connection, other.result.connection);
+  EXPECT_EQ (2u, sends.count);
+}
+
+/* Guards against a request that waits until its deadline for a connection,
+   since all that there may be are idle and have carried it.  */
+TEST (Backend, ReplacesAConnectionThatCarriedTheRequest)
+{
+  BkOptions options = {};
+  options.connections_max = 1;
+  Fixture f (options);
+  BkSends sends = {};
+
+  for (uint32_t i = 1; i <= BK_SENDS_MAX + 2; i++)
+    {
+      Outcome outcome;
+      f.start (&outcome, "POST", 1000, "body", &sends);
+      int fd = f.accept_one ();
+      f.receive (fd);
+      send_text (fd, status_line + "Content-Length: 0\r\n\r\n");
+      ASSERT_TRUE (f.run_until ([&] { return outcome.done; })) << i;
+      EXPECT_TRUE (outcome.result.complete) << i;
+      EXPECT_FALSE (outcome.result.reused) << i;
+      EXPECT_EQ (i, outcome.result.connection);
+      EXPECT_EQ (1u, bk_connection_count (f.pool, f.target.address.c_str ()));
+    }
+  EXPECT_EQ ((uint32_t)BK_SENDS_MAX, sends.count);
+}
+
 /* Guards against targets that send bodies without end, several at a time,
    until the daemon has no memory left, and against a sound response that is
    given up with them.  */
--- a/backend/link.c
+++ b/backend/link.c
@@ -80,6 +80,15 @@
     bk_call_finish (call, BK_FAILURE_CLOSED, FALSE);
 }
 
+static void
+note_send (const BkConn *conn)
+{
+  BkSends *sends = conn->call->sends;
+
+  if (sends != NULL && sends->count < BK_SENDS_MAX)
+    sends->connections[sends->count++] = conn->number;
+}
+
 /* Sends as much of the request as the socket accepts.  A call whose first send
    fails counts as not sent; on a reused connection it is requeued.  */
 static void
@@ -92,6 +101,8 @@
 
   if (written > 0)
     {
+      if (call->result.sent == BK_SENT_NONE)
+        note_send (conn);
       call->sent_bytes += (gsize)written;
       call->result.sent = BK_SENT_MAYBE;
     }
--- a/backend/link.h
+++ b/backend/link.h
@@ -73,6 +73,7 @@
   gsize sent_bytes;  /* of encoded_request, over this connection */
   char *echo_header; /* NULL: late responses are not detected */
   char *echo_value;
+  BkSends *sends; /* NULL: the request is sent once */
   int64_t deadline_us;
   int64_t idle_max_us; /* 0: any */
   BkDone on_done;
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -1336,6 +1336,25 @@
     }
 }
 
+/* Guards against an unsafe request that runs twice, or that ran and is
+   reported as not run, because a late copy of its own refusal on the same
+   connection is taken for the response to its next send.  */
+TEST_F (Entry, DoesNotTakeALateCopyOfARefusalForTheNextResponse)
+{
+  int again_count = 0;
+  PostControl ("/target?id=t1&fault=repeat");
+  PostControl ("/target?id=t2&fault=repeat");
+  for (int i = 0; i < 20; i++)
+    {
+      std::string id = "late" + std::to_string (i);
+      int status = SendRequest (vms[0], "/order/1", id, "key-1", "POST");
+      EXPECT_EQ (CountLines ("/runs", id), status == 200 ? 1 : 0)
+          << id << " " << status << " " << body;
+      again_count += CountLines ("/arrivals", id) > 2;
+    }
+  EXPECT_GT (again_count, 0) << "no target got a request again";
+}
+
 /* Guards against failing a read that another target would have served, and
    against accepting a response without a target's signature.  */
 TEST_F (Entry, RetriesReadOnAnotherTarget)
--- a/entry/request.h
+++ b/entry/request.h
@@ -71,6 +71,7 @@
   uint32_t priority;
   HtHeaders *headers; /* for targets */
 
+  BkSends sends;
   uint32_t attempt_count;
   uint32_t send_count; /* attempts that sent at least a byte */
   gboolean may_have_run;
--- a/entry/send.c
+++ b/entry/send.c
@@ -86,6 +86,7 @@
     .body_bytes = request->front->body_bytes,
     .echo_header = dialect->request_id,
     .echo_value = request->id,
+    .sends = &request->sends,
     .idle_max_us = request->route->idempotent ? 0 : UNSAFE_IDLE_MAX_US,
     .deadline_us = request->deadline_us,
     .on_done = on_done,
@@ -507,8 +508,7 @@
           " reused=%d took_ms=%" G_GINT64_FORMAT,
           request->id, tg_id (target), verdict_names[verdict], result->status,
           bk_failure_name (result->failure), result->connection,
-          result->reused,
-          (ck_boot_us () - request->sent_us) / 1000);
+          result->reused, (ck_boot_us () - request->sent_us) / 1000);
 }
 
 static void
--- a/standin/estate.h
+++ b/standin/estate.h
@@ -67,6 +67,9 @@
        spoil   leave out the signature header
        crash   execute the request, then close all connections and refuse new
                ones until another fault is set
+       repeat  reject each request the first time it comes, and send a second
+               copy of that where the next response on the connection is due
+       large   succeed with a body of 8 MB
        other   respond with 421 without executing the request, as if the
                address belonged to another target
 
--- a/standin/serve.c
+++ b/standin/serve.c
@@ -398,6 +398,20 @@
   si_send_response (x, HTTP_OK, body, length_bytes);
 }
 
+void
+si_send_stray_bytes (SiExchange *x, const char *bytes)
+{
+  bufferevent_write (evhttp_connection_get_bufferevent (
+                         evhttp_request_get_connection (x->request)),
+                     bytes, strlen (bytes));
+}
+
+const void *
+si_connection (const SiExchange *x)
+{
+  return evhttp_request_get_connection (x->request);
+}
+
 void
 si_drop_connection (SiExchange *x)
 {
--- a/standin/serve.h
+++ b/standin/serve.h
@@ -85,6 +85,11 @@
    closes the connection.  */
 void si_send_truncated (SiExchange *x, const char *body, gsize length_bytes,
                         gsize declared_bytes);
+/* Writes BYTES, which may be of no response, where the next response on the
+   connection of X is due.  */
+void si_send_stray_bytes (SiExchange *x, const char *bytes);
+/* Identifies the connection of X while it is open.  */
+const void *si_connection (const SiExchange *x);
 /* Closes the connection without a response.  */
 void si_drop_connection (SiExchange *x);
 
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -18,6 +18,7 @@
   FAULT_STALE_REFUSAL,
   FAULT_CRASH,      /* at the first request, until the fault ends */
   FAULT_LARGE_BODY, /* succeeds; more bytes than sockets hold unread */
+  FAULT_REPEAT_REFUSAL,
 } Fault;
 
 struct SiStubTarget
@@ -32,6 +33,9 @@
   char *limit;   /* header Server-Limit; NULL or empty: none */
   char *leaving; /* header Server-Leaving; the same */
   char *pause;   /* header Retry-After of its refusals; the same */
+  /* Of FAULT_REPEAT_REFUSAL.  */
+  GHashTable *refused_ids;
+  GHashTable *late_copies; /* connection to the refusal that it repeats */
 };
 
 static void
@@ -118,6 +122,37 @@
   respond (target, x, 503, "");
 }
 
+/* Sends the copy of a refusal that is due on the connection of X, if any.  */
+static void
+send_late_copy (const SiStubTarget *target, SiExchange *x)
+{
+  const void *connection = si_connection (x);
+  const char *copy = g_hash_table_lookup (target->late_copies, connection);
+
+  if (copy != NULL && !x->first)
+    si_send_stray_bytes (x, copy);
+  g_hash_table_remove (target->late_copies, connection);
+}
+
+/* Refuses X if its request comes for the first time.  */
+static gboolean
+refuse_once (const SiStubTarget *target, SiExchange *x)
+{
+  const char *id = si_request_header (x, ATTEMPT_ID_HEADER);
+
+  if (id == NULL || !g_hash_table_add (target->refused_ids, g_strdup (id)))
+    return FALSE;
+  g_hash_table_insert (
+      target->late_copies, (gpointer)si_connection (x),
+      g_strdup_printf ("HTTP/1.1 503 Service Unavailable\r\n" ATTEMPT_ID_HEADER
+                       ": %s\r\nX-Comfreywalk-Not-Executed: 1\r\n"
+                       "Content-Length: 0\r\n\r\n",
+                       id));
+  add_common_headers (target, x);
+  refuse (target, x);
+  return TRUE;
+}
+
 static void
 execute_request (SiStubTarget *target, SiExchange *x)
 {
@@ -164,7 +199,9 @@
       refuse (target, x);
       return;
     }
-  execute_request (target, x);
+  send_late_copy (target, x);
+  if (target->fault != FAULT_REPEAT_REFUSAL || !refuse_once (target, x))
+    execute_request (target, x);
 }
 
 static gboolean
@@ -180,8 +217,8 @@
 {
   /* In the order of Fault.  */
   static const char *const names[]
-      = { "none",  "hang",  "lose",  "shed",  "fail",
-          "spoil", "other", "stale", "crash", "large" };
+      = { "none",  "hang",  "lose",  "shed",  "fail",  "spoil",
+          "other", "stale", "crash", "large", "repeat" };
 
   for (guint i = 0; i < G_N_ELEMENTS (names); i++)
     if (strcmp (names[i], fault) == 0)
@@ -228,6 +265,9 @@
   target->base = base;
   target->address = g_strdup (address);
   target->logs = *logs;
+  target->refused_ids
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  target->late_copies = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   if (!start_server (target, error))
     {
       si_stub_target_free (target);
@@ -246,6 +286,8 @@
   g_free (target->limit);
   g_free (target->leaving);
   g_free (target->pause);
+  g_hash_table_unref (target->late_copies);
+  g_hash_table_unref (target->refused_ids);
   g_free (target->address);
   g_free (target->id);
   g_free (target);
