entry, quarantine, gossip: tell daemons that start of requests that crash targets

Cause: a quarantine was told once, when it began, and counts of crashes lived in the memory of their watchers only.

Change: a daemon of which a first report comes, or one after a silence, is sent what the watchers of each content have counted, before it counts itself as ready. The end of a quarantine is in the message, so that it ends at the same time everywhere; builds that do not send it are understood as before.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -478,6 +478,26 @@
     return response;
   }
 
+  /* Sends the read "b1" to each daemon; it crashes both targets each time.  */
+  void
+  CrashTargetsAtAllDaemons ()
+  {
+    int born = 1000;
+    for (const Vm &vm : vms)
+      {
+        PostControl ("/target?id=t1&fault=crash");
+        PostControl ("/target?id=t2&fault=crash");
+        EXPECT_EQ (SendRequest (vm, "/read/bad", "b1"), 502);
+        PostControl ("/target?id=t1&fault=none");
+        PostControl ("/target?id=t2&fault=none");
+        PutTarget ("t1", "a1", "ready", ++born);
+        PutTarget ("t2", "a2", "ready", born);
+        EXPECT_TRUE (
+            WaitFor ([&] { return AllRespond ("/read/1", "key-1", 200); }));
+        si_sleep_ms (1500);
+      }
+  }
+
   /* Starts a daemon that reaches the store by LINK, and follows vm1.  */
   Vm
   StartFollower (const Link &link)
@@ -1594,20 +1614,7 @@
    refusing others, or saying that it did not run when it may have.  */
 TEST_F (Entry, QuarantinesARequestThatCrashesTargetsAtAllDaemons)
 {
-  int born = 1000;
-  for (const Vm &vm : vms)
-    {
-      PostControl ("/target?id=t1&fault=crash");
-      PostControl ("/target?id=t2&fault=crash");
-      EXPECT_EQ (SendRequest (vm, "/read/bad", "b1"), 502);
-      PostControl ("/target?id=t1&fault=none");
-      PostControl ("/target?id=t2&fault=none");
-      PutTarget ("t1", "a1", "ready", ++born);
-      PutTarget ("t2", "a2", "ready", born);
-      EXPECT_TRUE (
-          WaitFor ([&] { return AllRespond ("/read/1", "key-1", 200); }));
-      si_sleep_ms (1500);
-    }
+  CrashTargetsAtAllDaemons ();
   EXPECT_EQ (CountLines ("/runs", "b1"), 4);
   for (const Vm &vm : vms)
     {
@@ -1623,6 +1630,29 @@
   })) << RunExplain ("b2");
 }
 
+/* Guards against a daemon that starts, again or for the first time, and sends
+   a request that crashes targets to two more, since it was told of no
+   quarantine.  */
+TEST_F (Entry, StartedDaemonsKnowOfRequestsThatCrashTargets)
+{
+  CrashTargetsAtAllDaemons ();
+  si_process_signal (vms[1].pid, SIGTERM);
+  WaitForExit (vms[1]);
+  Start (vms[1]);
+  vms.push_back (MakeVm ("vm3", "a2"));
+  Start (vms[2]);
+  for (size_t i : { 1u, 2u })
+    {
+      EXPECT_TRUE (WaitFor ([&] {
+        return GetStatus (vms[i].ready, "/ready") == 200;
+      })) << ReadLog (vms[i]);
+      EXPECT_EQ (SendRequest (vms[i], "/read/bad", "b3"), 503);
+      EXPECT_NE (body.find ("crashes_targets"), std::string::npos) << body;
+      EXPECT_EQ (SendRequest (vms[i], "/read/good", "g3"), 200);
+    }
+  EXPECT_EQ (CountLines ("/arrivals", "b3"), 0);
+}
+
 /* Guards against refusing a read whose target closes connections, but has not
    ended.  */
 TEST_F (Entry, DoesNotQuarantineForTargetsThatOnlyCloseConnections)
--- a/entry/shares.c
+++ b/entry/shares.c
@@ -210,6 +210,8 @@
           report->ready);
   en_reports_send_to (shares->reports, report->gossip_address, report->zone,
                       now_us);
+  if (!report->stopping)
+    en_suspects_hand_over (shares->suspects, report->gossip_address);
   update_shares (shares, now_us);
 }
 
--- a/entry/suspects.c
+++ b/entry/suspects.c
@@ -15,6 +15,8 @@
 /* At a time; losses beyond are not reported.  More than targets that a request
    can crash before it is quarantined.  */
 #define PROBES_MAX 64
+/* Messages about suspects to a daemon that has started.  */
+#define HAND_OVER_MAX_COUNT 64
 
 /* A connection to a target that may have ended.  */
 typedef struct
@@ -118,33 +120,38 @@
   GoSuspect message
       = make_message (suspects, GO_SUSPECT_QUARANTINED, content_hash);
 
+  const QrSuspect *suspect = qr_find (suspects->table, content_hash);
+  int64_t now_us = ck_boot_us ();
+
+  if (suspect == NULL)
+    return message;
   message.age_ms
-      = (uint32_t)((ck_boot_us ()
-                    - qr_first_ended_us (suspects->table, content_hash))
-                   / CK_US_PER_MS);
+      = (uint32_t)((now_us - suspect->first_ended_us) / CK_US_PER_MS);
+  message.left_ms = (uint32_t)(MAX (CK_US_PER_MS, suspect->until_us - now_us)
+                               / CK_US_PER_MS);
   return message;
 }
 
-/* Counts an end; tells all daemons of a new quarantine.  Returns TRUE if the
-   content was quarantined before.  */
+/* Counts the end that MESSAGE reports; tells all daemons of a new quarantine.
+   Returns TRUE if the content was quarantined before.  */
 static gboolean
-count_end (EnSuspects *suspects, uint64_t content_hash,
-           uint64_t incarnation_hash)
+count_end (EnSuspects *suspects, const GoSuspect *message)
 {
+  uint64_t content_hash = message->content_hash;
   int64_t now_us = ck_boot_us ();
-  GoSuspect message;
-
-  if (qr_is_quarantined (suspects->table, content_hash, now_us))
-    {
-      qr_note_ended (suspects->table, content_hash, incarnation_hash, now_us);
-      return TRUE;
-    }
-  if (!qr_note_ended (suspects->table, content_hash, incarnation_hash, now_us))
-    return FALSE;
+  gboolean was_quarantined
+      = qr_is_quarantined (suspects->table, content_hash, now_us);
+  gboolean is_quarantined = qr_take_over_ended (
+      suspects->table, content_hash, message->incarnation_hash,
+      now_us - (int64_t)message->age_ms * CK_US_PER_MS, now_us);
+  GoSuspect quarantine;
+
+  if (was_quarantined || !is_quarantined)
+    return was_quarantined;
   tr_log (suspects->options.trace, EV_REQUEST_QUARANTINED,
           "content=%016" G_GINT64_MODIFIER "x by=self", content_hash);
-  message = make_quarantine (suspects, content_hash);
-  send_to_all (suspects, &message);
+  quarantine = make_quarantine (suspects, content_hash);
+  send_to_all (suspects, &quarantine);
   return FALSE;
 }
 
@@ -161,7 +168,7 @@
           = make_message (suspects, GO_SUSPECT_ENDED,
                           g_array_index (probe->contents, uint64_t, i));
       message.incarnation_hash = probe->incarnation_hash;
-      count_end (suspects, message.content_hash, message.incarnation_hash);
+      count_end (suspects, &message);
       send_to_watchers (suspects, &message);
     }
 }
@@ -254,15 +261,23 @@
 on_quarantined (EnSuspects *suspects, const GoSuspect *message)
 {
   int64_t now_us = ck_boot_us ();
+  int64_t left_us = message->left_ms > 0
+                        ? (int64_t)message->left_ms * CK_US_PER_MS
+                        : QR_QUARANTINE_US;
+  gboolean was_quarantined
+      = qr_is_quarantined (suspects->table, message->content_hash, now_us);
   GoSuspect objection
       = make_message (suspects, GO_SUSPECT_SERVED, message->content_hash);
 
   if (!qr_add (suspects->table, message->content_hash,
-               now_us - (int64_t)message->age_ms * CK_US_PER_MS, now_us))
+               now_us - (int64_t)message->age_ms * CK_US_PER_MS,
+               now_us + MIN (left_us, QR_QUARANTINE_US), now_us))
     {
       send_to_all (suspects, &objection);
       return;
     }
+  if (was_quarantined)
+    return;
   tr_log (suspects->options.trace, EV_REQUEST_QUARANTINED,
           "content=%016" G_GINT64_MODIFIER "x by=%s", message->content_hash,
           message->gossip_address);
@@ -276,8 +291,7 @@
   switch (message->kind)
     {
     case GO_SUSPECT_ENDED:
-      if (!count_end (suspects, message->content_hash,
-                      message->incarnation_hash))
+      if (!count_end (suspects, message))
         return;
       reply = make_quarantine (suspects, message->content_hash);
       go_send_suspect (suspects->options.gossip, message->gossip_address,
@@ -293,3 +307,43 @@
       return;
     }
 }
+
+typedef struct
+{
+  EnSuspects *suspects;
+  const char *gossip_address;
+  uint32_t message_count;
+} HandOver;
+
+static void
+hand_over_suspect (const QrSuspect *suspect, void *data)
+{
+  HandOver *hand_over = data;
+  EnSuspects *suspects = hand_over->suspects;
+  GoSuspect message = make_quarantine (suspects, suspect->content);
+  uint32_t count = 1;
+
+  if (suspect->ended_count < QR_ENDED_MAX)
+    {
+      message.kind = GO_SUSPECT_ENDED;
+      count = suspect->ended_count;
+    }
+  if (hand_over->message_count + count > HAND_OVER_MAX_COUNT
+      || !fl_is_watcher (suspects->options.fleet, suspect->content,
+                         ck_boot_us ()))
+    return;
+  hand_over->message_count += count;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      message.incarnation_hash = suspect->incarnations[i];
+      go_send_suspect (suspects->options.gossip, hand_over->gossip_address,
+                       &message);
+    }
+}
+
+void
+en_suspects_hand_over (EnSuspects *suspects, const char *gossip_address)
+{
+  qr_each (suspects->table, hand_over_suspect,
+           &(HandOver){ suspects, gossip_address, 0 });
+}
--- a/entry/suspects.h
+++ b/entry/suspects.h
@@ -15,8 +15,14 @@
      content, found by rendezvous hashing, so that a crash costs few messages.
      A watcher that has counted enough of them tells all daemons to quarantine
      the content.  A daemon at which it has run well since the first of them
-     objects, and all drop the quarantine.  A watcher answers reports on a
-     content that is quarantined, so a daemon that has restarted learns of it.
+     objects, and all drop the quarantine.
+
+     A daemon that starts, or was not heard of for a while, is told by the
+     watchers of each content what they have counted, before it counts itself
+   as ready (shares.h).  That takes one message for each end or quarantine from
+     up to four daemons, so that it survives lost datagrams; at most 64 from
+     each, about those that were noted last.  A watcher also answers reports on
+     a content that is quarantined.
 
    ERRORS
      None.  */
@@ -59,6 +65,8 @@
 void en_suspects_note_served (EnSuspects *suspects, uint64_t content_hash);
 gboolean en_suspects_is_quarantined (EnSuspects *suspects,
                                      uint64_t content_hash);
+/* Tells the daemon at GOSSIP_ADDRESS what this one has counted.  */
+void en_suspects_hand_over (EnSuspects *suspects, const char *gossip_address);
 /* A message of another daemon.  */
 void en_suspects_on_message (EnSuspects *suspects, const GoSuspect *message);
 
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -376,6 +376,24 @@
   return found;
 }
 
+gboolean
+fl_is_watcher (const FlFleet *fleet, uint64_t hash, int64_t now_us)
+{
+  uint64_t weight = rendezvous_weight (fleet->name, hash);
+  uint32_t before = 0; /* live daemons with a higher weight */
+  GHashTableIter members;
+  gpointer value;
+
+  g_hash_table_iter_init (&members, fleet->members);
+  while (g_hash_table_iter_next (&members, NULL, &value))
+    {
+      const FlMember *member = value;
+      before += fl_is_live (member, now_us)
+                && rendezvous_weight (member->name, hash) > weight;
+    }
+  return before <= FL_WATCHERS_MAX;
+}
+
 FlZoneLeader
 fl_zone_leader (const FlFleet *fleet, int64_t now_us)
 {
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -168,6 +168,10 @@
 uint32_t fl_find_watchers (const FlFleet *fleet, uint64_t hash, int64_t now_us,
                            const char *addresses[FL_WATCHERS_MAX]);
 
+/* Whether this daemon is, or with one daemon less would be, among those that
+   the others find with fl_find_watchers for HASH.  */
+gboolean fl_is_watcher (const FlFleet *fleet, uint64_t hash, int64_t now_us);
+
 /* Which daemon reports the demand of this zone to other zones.  */
 typedef enum
 {
--- a/gossip/gossip.c
+++ b/gossip/gossip.c
@@ -147,7 +147,8 @@
                         .kind = (GoSuspectKind)message->kind,
                         .content_hash = message->content,
                         .incarnation_hash = message->incarnation,
-                        .age_ms = message->age_ms };
+                        .age_ms = message->age_ms,
+                        .left_ms = message->left_ms };
 
   if ((uint32_t)message->kind >= GO_SUSPECT_KIND_COUNT)
     return FALSE;
@@ -473,6 +474,7 @@
   message.content = suspect->content_hash;
   message.incarnation = suspect->incarnation_hash;
   message.age_ms = suspect->age_ms;
+  message.left_ms = suspect->left_ms;
   datagram.suspect = &message;
   send_encoded (gossip, address, encode_datagram (gossip, &datagram));
 }
--- a/gossip/gossip.h
+++ b/gossip/gossip.h
@@ -115,7 +115,8 @@
   GoSuspectKind kind;
   uint64_t content_hash;
   uint64_t incarnation_hash; /* GO_SUSPECT_ENDED: of the target */
-  uint32_t age_ms;           /* GO_SUSPECT_QUARANTINED: since the first end */
+  uint32_t age_ms;           /* since the first end */
+  uint32_t left_ms; /* GO_SUSPECT_QUARANTINED: until its end; 0: unknown */
 } GoSuspect;
 
 /* A target has said in a response that it is leaving.  */
--- a/gossip/gossip_test.cc
+++ b/gossip/gossip_test.cc
@@ -100,7 +100,8 @@
                                 + std::to_string (suspect->kind) + " "
                                 + std::to_string (suspect->content_hash) + " "
                                 + std::to_string (suspect->incarnation_hash)
-                                + " " + std::to_string (suspect->age_ms));
+                                + " " + std::to_string (suspect->age_ms) + " "
+                                + std::to_string (suspect->left_ms));
   event_base_loopbreak (received->base);
 }
 
@@ -275,17 +276,17 @@
    takes one for another.  */
 TEST_F (Gossip, SendsSuspects)
 {
-  GoSuspect ended = { "127.0.0.1:2", GO_SUSPECT_ENDED, 1ULL << 62, 7, 0 };
+  GoSuspect ended = { "127.0.0.1:2", GO_SUSPECT_ENDED, 1ULL << 62, 7, 0, 0 };
   GoSuspect quarantined
-      = { "127.0.0.1:3", GO_SUSPECT_QUARANTINED, 5, 0, 1500 };
+      = { "127.0.0.1:3", GO_SUSPECT_QUARANTINED, 5, 0, 1500, 58500 };
   go_send_suspect (gossip, listen.c_str (), &ended);
   WaitForDatagram ();
   go_send_suspect (gossip, listen.c_str (), &quarantined);
   WaitForDatagram ();
   EXPECT_EQ (received.suspects,
              (std::vector<std::string>{
-                 "127.0.0.1:2 0 " + std::to_string (1ULL << 62) + " 7 0",
-                 "127.0.0.1:3 1 5 0 1500" }));
+                 "127.0.0.1:2 0 " + std::to_string (1ULL << 62) + " 7 0 0",
+                 "127.0.0.1:3 1 5 0 1500 58500" }));
 }
 
 /* Guards against a daemon that takes another target, or a later start of it,
--- a/quarantine/quarantine.c
+++ b/quarantine/quarantine.c
@@ -2,11 +2,8 @@
 
 typedef struct
 {
-  uint64_t content;
-  int64_t first_ended_us;
+  QrSuspect public;
   int64_t last_ended_us;
-  uint64_t incarnations[QR_ENDED_MAX];
-  uint32_t ended_count;
   GList node; /* in QrTable.suspect_order */
 } Suspect;
 
@@ -51,7 +48,7 @@
 remove_suspect (QrTable *table, Suspect *suspect)
 {
   g_queue_unlink (&table->suspect_order, &suspect->node);
-  g_hash_table_remove (table->suspects, &suspect->content);
+  g_hash_table_remove (table->suspects, &suspect->public.content);
 }
 
 /* Returns NULL if there is none, or its time has passed.  */
@@ -81,27 +78,43 @@
   if (table->suspect_order.length >= QR_SUSPECTS_MAX)
     remove_suspect (table, g_queue_peek_head (&table->suspect_order));
   suspect = g_new0 (Suspect, 1);
-  suspect->content = content;
-  suspect->first_ended_us = first_ended_us;
+  suspect->public.content = content;
+  suspect->public.first_ended_us = first_ended_us;
   suspect->node.data = suspect;
   g_queue_push_tail_link (&table->suspect_order, &suspect->node);
-  g_hash_table_insert (table->suspects, &suspect->content, suspect);
+  g_hash_table_insert (table->suspects, &suspect->public.content, suspect);
   return suspect;
 }
 
-gboolean
-qr_note_ended (QrTable *table, uint64_t content, uint64_t incarnation,
-               int64_t now_us)
+static void
+add_incarnation (QrSuspect *suspect, uint64_t incarnation)
 {
-  Suspect *suspect = get_suspect (table, content, now_us, now_us);
-
-  suspect->last_ended_us = now_us;
   for (uint32_t i = 0; i < suspect->ended_count; i++)
     if (suspect->incarnations[i] == incarnation)
-      return suspect->ended_count == QR_ENDED_MAX;
+      return;
   if (suspect->ended_count < QR_ENDED_MAX)
     suspect->incarnations[suspect->ended_count++] = incarnation;
-  return suspect->ended_count == QR_ENDED_MAX;
+}
+
+gboolean
+qr_take_over_ended (QrTable *table, uint64_t content, uint64_t incarnation,
+                    int64_t first_ended_us, int64_t now_us)
+{
+  Suspect *suspect = get_suspect (table, content, first_ended_us, now_us);
+
+  suspect->last_ended_us = now_us;
+  add_incarnation (&suspect->public, incarnation);
+  if (suspect->public.ended_count < QR_ENDED_MAX)
+    return FALSE;
+  suspect->public.until_us = now_us + QR_QUARANTINE_US;
+  return TRUE;
+}
+
+gboolean
+qr_note_ended (QrTable *table, uint64_t content, uint64_t incarnation,
+               int64_t now_us)
+{
+  return qr_take_over_ended (table, content, incarnation, now_us, now_us);
 }
 
 static void
@@ -141,7 +154,7 @@
 
 gboolean
 qr_add (QrTable *table, uint64_t content, int64_t first_ended_us,
-        int64_t now_us)
+        int64_t until_us, int64_t now_us)
 {
   const Served *served = g_hash_table_lookup (table->served, &content);
   Suspect *suspect;
@@ -150,7 +163,8 @@
     return FALSE;
   suspect = get_suspect (table, content, first_ended_us, now_us);
   suspect->last_ended_us = now_us;
-  suspect->ended_count = QR_ENDED_MAX;
+  suspect->public.ended_count = QR_ENDED_MAX;
+  suspect->public.until_us = MAX (suspect->public.until_us, until_us);
   return TRUE;
 }
 
@@ -168,16 +182,24 @@
 {
   const Suspect *suspect = find_suspect (table, content, now_us);
 
-  return suspect != NULL && suspect->ended_count == QR_ENDED_MAX
-         && now_us - suspect->last_ended_us <= QR_QUARANTINE_US;
+  return suspect != NULL && now_us <= suspect->public.until_us;
 }
 
-int64_t
-qr_first_ended_us (QrTable *table, uint64_t content)
+const QrSuspect *
+qr_find (QrTable *table, uint64_t content)
 {
   const Suspect *suspect = g_hash_table_lookup (table->suspects, &content);
 
-  return suspect != NULL ? suspect->first_ended_us : 0;
+  return suspect != NULL ? &suspect->public : NULL;
+}
+
+void
+qr_each (const QrTable *table,
+         void (*visit) (const QrSuspect *suspect, void *data), void *data)
+{
+  for (const GList *node = table->suspect_order.tail; node != NULL;
+       node = node->prev)
+    visit (&((const Suspect *)node->data)->public, data);
 }
 
 uint32_t
--- a/quarantine/quarantine.h
+++ b/quarantine/quarantine.h
@@ -48,6 +48,17 @@
 
 typedef struct QrTable QrTable;
 
+/* What a table knows of a content that was on targets when they ended.  */
+typedef struct
+{
+  uint64_t content;
+  int64_t first_ended_us;
+  int64_t until_us; /* end of the quarantine; 0: there was none */
+  uint64_t incarnations[QR_ENDED_MAX]; /* fewer than ended_count if another
+                                          daemon has quarantined it */
+  uint32_t ended_count; /* QR_ENDED_MAX: it is or was quarantined */
+} QrSuspect;
+
 QrTable *qr_new (void);
 void qr_free (QrTable *table);
 
@@ -57,22 +68,33 @@
 gboolean qr_note_ended (QrTable *table, uint64_t content, uint64_t incarnation,
                         int64_t now_us);
 
+/* The same for an end that another daemon has noted, at which CONTENT was
+   first on a target that ended at FIRST_ENDED_US.  */
+gboolean qr_take_over_ended (QrTable *table, uint64_t content,
+                             uint64_t incarnation, int64_t first_ended_us,
+                             int64_t now_us);
+
 /* Notes that a request of CONTENT has run well.  Returns TRUE if CONTENT was a
    suspect or quarantined.  */
 gboolean qr_note_served (QrTable *table, uint64_t content, int64_t now_us);
 
-/* Quarantines CONTENT by the word of another daemon that has first seen it on
-   a target that ended at FIRST_ENDED_US.  Returns FALSE, and does not, if
-   CONTENT has run well since.  */
+/* Quarantines CONTENT until UNTIL_US by the word of another daemon that has
+   first seen it on a target that ended at FIRST_ENDED_US.  Returns FALSE, and
+   does not, if CONTENT has run well since.  */
 gboolean qr_add (QrTable *table, uint64_t content, int64_t first_ended_us,
-                 int64_t now_us);
+                 int64_t until_us, int64_t now_us);
 
 /* Forgets a content that has run well at another daemon.  */
 void qr_remove (QrTable *table, uint64_t content);
 
 gboolean qr_is_quarantined (QrTable *table, uint64_t content, int64_t now_us);
-/* When CONTENT was first on a target that ended; 0: never.  */
-int64_t qr_first_ended_us (QrTable *table, uint64_t content);
+/* Returns NULL if CONTENT was on no target that ended.  */
+const QrSuspect *qr_find (QrTable *table, uint64_t content);
+/* Visits the suspects and quarantined contents, those that were noted last
+   first.  VISIT must not change the table.  */
+void qr_each (const QrTable *table,
+              void (*visit) (const QrSuspect *suspect, void *data),
+              void *data);
 /* Suspects and quarantined contents.  */
 uint32_t qr_count (const QrTable *table);
 
--- a/quarantine/quarantine_test.cc
+++ b/quarantine/quarantine_test.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <vector>
 
 extern "C"
 {
@@ -30,6 +31,12 @@
     qr_free (table);
   }
 
+  int64_t
+  Until (int64_t after_us)
+  {
+    return now_us + after_us + QR_QUARANTINE_US;
+  }
+
   QrTable *table;
   int64_t now_us = 100 * kSecond;
 };
@@ -64,9 +71,9 @@
   EXPECT_TRUE (qr_note_served (table, 7, now_us + 1));
   EXPECT_FALSE (qr_note_served (table, 7, now_us + 2));
   EXPECT_FALSE (qr_note_ended (table, 7, 3, now_us + 3));
-  EXPECT_FALSE (qr_add (table, 7, now_us, now_us + 4));
+  EXPECT_FALSE (qr_add (table, 7, now_us, Until (4), now_us + 4));
   EXPECT_FALSE (qr_is_quarantined (table, 7, now_us + 4));
-  EXPECT_TRUE (qr_add (table, 7, now_us + 3, now_us + 4));
+  EXPECT_TRUE (qr_add (table, 7, now_us + 3, Until (4), now_us + 4));
   EXPECT_TRUE (qr_is_quarantined (table, 7, now_us + 4));
   qr_remove (table, 7);
   EXPECT_FALSE (qr_is_quarantined (table, 7, now_us + 4));
@@ -87,6 +94,41 @@
   EXPECT_EQ (qr_count (table), 0u);
 }
 
+/* Guards against a daemon that has just started and sends a request on, since
+   it does not know of the targets that ended under it, and against refusing
+   one that ran well after it was first on one.  */
+TEST_F (Quarantine, IsTakenOverFromAnotherTable)
+{
+  QrTable *started = qr_new ();
+  for (uint64_t target = 1; target <= QR_ENDED_MAX; target++)
+    qr_note_ended (table, 7, target, now_us);
+  for (uint64_t target = 1; target < QR_ENDED_MAX; target++)
+    qr_note_ended (table, 8, target, now_us + 1);
+  std::vector<QrSuspect> known;
+  qr_each (
+      table,
+      [] (const QrSuspect *suspect, void *data) {
+        static_cast<std::vector<QrSuspect> *> (data)->push_back (*suspect);
+      },
+      &known);
+  ASSERT_EQ (known.size (), 2u);
+  EXPECT_EQ (known[0].content, 8u);
+  EXPECT_EQ (known[0].until_us, 0);
+  now_us += 50 * kSecond;
+  EXPECT_TRUE (
+      qr_add (started, 7, known[1].first_ended_us, known[1].until_us, now_us));
+  for (uint32_t i = 0; i < known[0].ended_count; i++)
+    EXPECT_FALSE (qr_take_over_ended (started, 8, known[0].incarnations[i],
+                                      known[0].first_ended_us, now_us));
+  for (int64_t later_us : { 0, 9, 11 })
+    EXPECT_EQ (qr_is_quarantined (started, 7, now_us + later_us * kSecond),
+               qr_is_quarantined (table, 7, now_us + later_us * kSecond))
+        << later_us;
+  EXPECT_EQ (qr_find (started, 8)->first_ended_us, known[0].first_ended_us);
+  EXPECT_TRUE (qr_note_ended (started, 8, 9, now_us));
+  qr_free (started);
+}
+
 /* Guards against tables that grow with the number of requests.  */
 TEST_F (Quarantine, IsBounded)
 {
@@ -96,8 +138,9 @@
       qr_note_ended (table, content, 1, now_us);
     }
   EXPECT_EQ (qr_count (table), (uint32_t)QR_SUSPECTS_MAX);
-  EXPECT_TRUE (qr_add (table, 1, now_us - 1, now_us));
-  EXPECT_FALSE (qr_add (table, 3 * QR_SERVED_MAX, now_us - 1, now_us));
+  EXPECT_TRUE (qr_add (table, 1, now_us - 1, Until (0), now_us));
+  EXPECT_FALSE (
+      qr_add (table, 3 * QR_SERVED_MAX, now_us - 1, Until (0), now_us));
 }
 
 /* Guards against giving up innocent requests that are on targets when these
--- a/wire/gossip.pb-c.c
+++ b/wire/gossip.pb-c.c
@@ -1248,7 +1248,7 @@
   gossip__suspect__kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor gossip__suspect__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gossip__suspect__field_descriptors[6] =
 {
   {
     "gossip_address",
@@ -1310,6 +1310,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "left_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gossip__Suspect, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip__suspect__field_indices_by_name[] = {
   4,   /* field[4] = age_ms */
@@ -1317,11 +1329,12 @@
   0,   /* field[0] = gossip_address */
   3,   /* field[3] = incarnation */
   2,   /* field[2] = kind */
+  5,   /* field[5] = left_ms */
 };
 static const ProtobufCIntRange gossip__suspect__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gossip__suspect__descriptor =
 {
@@ -1331,7 +1344,7 @@
   "Gossip__Suspect",
   "gossip",
   sizeof(Gossip__Suspect),
-  5,
+  6,
   gossip__suspect__field_descriptors,
   gossip__suspect__field_indices_by_name,
   1,  gossip__suspect__number_ranges,
--- a/wire/gossip.pb-c.h
+++ b/wire/gossip.pb-c.h
@@ -31,7 +31,8 @@
 
 /*
  * ENDED is sent to the daemons that count the crashes of this content, and
- * names the incarnation of the target; the others are sent to all.
+ * names the incarnation of the target; the others are sent to all.  A daemon
+ * that starts is sent ENDED and QUARANTINED again by those that count.
  */
 typedef enum _Gossip__Suspect__Kind {
   GOSSIP__SUSPECT__KIND__ENDED = 0,
@@ -242,13 +243,17 @@
   Gossip__Suspect__Kind kind;
   uint64_t incarnation;
   /*
-   * QUARANTINED: time since the first crash.
+   * Time since the first crash; 0 for one that was just seen.
    */
   uint32_t age_ms;
+  /*
+   * QUARANTINED: time until the quarantine ends; 0 is unknown.
+   */
+  uint32_t left_ms;
 };
 #define GOSSIP__SUSPECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip__suspect__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, GOSSIP__SUSPECT__KIND__ENDED, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, GOSSIP__SUSPECT__KIND__ENDED, 0, 0, 0 }
 
 
 /*
