fleet, limit, entry: keep to a target's limit while the owner of its bucket changes

Change: a bucket that is new or was not asked for 0.2 s holds at most one token; a daemon counts itself among the owners as it reports itself; without a ready one all find the owner among the live and then among the stopping ones. So at any time the daemons that know the same members grant from one bucket, and a change of the owner costs one token at most.

--- a/entry/pool.c
+++ b/entry/pool.c
@@ -32,9 +32,6 @@
 #define TARGET_PAUSE_MIN_US 20000
 /* The same after no reply; in 4 s the owner counts as lost.  */
 #define TARGET_SILENCE_PAUSE_US 500000
-/* Requests that may come at once to a target that has had none, in seconds at
-   its limit, beyond one.  */
-#define TARGET_BURST_S 0.5
 
 struct EnPool
 {
@@ -278,14 +275,11 @@
 take_own_target_token (EnPool *pool, uint64_t id_hash, double limit_per_s,
                        int64_t now_us, int64_t *wait_us)
 {
-  LmTable *limits = pool->target_limits;
   char key[24];
 
   g_snprintf (key, sizeof key, "%016" G_GINT64_MODIFIER "x", id_hash);
-  lm_set_limit (limits, key, limit_per_s, 1 + limit_per_s * TARGET_BURST_S,
-                now_us);
-  lm_set_share (limits, key, 1, now_us);
-  if (lm_take_token (limits, key, now_us, wait_us))
+  if (lm_take_shared_token (pool->target_limits, key, limit_per_s, now_us,
+                            wait_us))
     return TRUE;
   *wait_us = MAX (TARGET_PAUSE_MIN_US, *wait_us);
   return FALSE;
--- a/entry/shares.c
+++ b/entry/shares.c
@@ -137,6 +137,14 @@
                        cold_share (shares, zone, region, now_us));
 }
 
+static void
+update_readiness (EnShares *shares)
+{
+  const EnSharesOptions *options = &shares->options;
+
+  fl_set_ready (shares->fleet, options->is_ready (options->data));
+}
+
 static void
 on_report_timer (evutil_socket_t fd, short what, void *data)
 {
@@ -147,6 +155,7 @@
   (void)fd;
   (void)what;
   fl_expire_members (shares->fleet, now_us);
+  update_readiness (shares);
   if (++shares->interval_count % TARGET_SWEEP_INTERVALS == 0)
     en_pool_sweep_targets (shares->pool);
   lm_each_customer (shares->limits, note_customer_demand, &update);
@@ -301,6 +310,7 @@
                                         .zone = settings->zone,
                                         .region = settings->region,
                                         .started_us = started_us });
+  fl_set_ready (shares->fleet, FALSE);
   shares->relay
       = en_relay_new (&(EnRelayOptions){ .settings = settings,
                                          .fleet = shares->fleet,
@@ -406,6 +416,7 @@
 void
 en_shares_report_readiness (EnShares *shares)
 {
+  update_readiness (shares);
   if (!en_reports_are_current (shares->reports))
     en_reports_send (shares->reports, ck_boot_us ());
 }
@@ -460,6 +471,7 @@
 void
 en_shares_report_stop (EnShares *shares)
 {
+  fl_set_stopping (shares->fleet);
   en_reports_set_stopping (shares->reports);
   en_reports_send (shares->reports, ck_boot_us ());
 }
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -16,6 +16,8 @@
   char *zone;
   char *region;
   int64_t started_us;
+  gboolean ready; /* this daemon, as it reports itself */
+  gboolean stopping;
   GHashTable *members; /* name to Member */
 };
 
@@ -42,6 +44,7 @@
   fleet->zone = g_strdup (options->zone);
   fleet->region = g_strdup (options->region);
   fleet->started_us = options->started_us;
+  fleet->ready = TRUE;
   fleet->members
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_member);
   return fleet;
@@ -143,6 +146,18 @@
   g_hash_table_foreach_remove (fleet->members, is_expired, &now_us);
 }
 
+void
+fl_set_ready (FlFleet *fleet, gboolean ready)
+{
+  fleet->ready = ready;
+}
+
+void
+fl_set_stopping (FlFleet *fleet)
+{
+  fleet->stopping = TRUE;
+}
+
 gboolean
 fl_is_live (const FlMember *member, int64_t now_us)
 {
@@ -299,14 +314,33 @@
   return XXH3_64bits_withSeed (name, strlen (name), hash);
 }
 
-/* Finds the daemon with the highest rendezvous weight among the live and ready
-   ones of REGION, or of all regions if it is NULL.  Returns FALSE if there is
-   none.  */
+/* Daemons that may own a bucket.  The next kind is only used where there is
+   none of the one before.  */
+typedef enum
+{
+  OWNER_READY,
+  OWNER_LIVE,
+  OWNER_STOPPING, /* or live */
+  OWNER_KIND_COUNT,
+} OwnerKind;
+
+static gboolean
+is_of_kind (OwnerKind kind, gboolean ready, gboolean stopping)
+{
+  if (kind == OWNER_READY)
+    return ready && !stopping;
+  return kind == OWNER_STOPPING || !stopping;
+}
+
+/* Finds the daemon with the highest rendezvous weight of KIND in REGION, or in
+   all if it is NULL, among this one and those that are not suspect.  Returns
+   FALSE if there is none.  */
 static gboolean
-find_owner (const FlFleet *fleet, uint64_t hash, const char *region,
-            int64_t now_us, const char **owner)
+find_owner (const FlFleet *fleet, uint64_t hash, OwnerKind kind,
+            const char *region, int64_t now_us, const char **owner)
 {
-  gboolean found = region == NULL || strcmp (region, fleet->region) == 0;
+  gboolean found = is_of_kind (kind, fleet->ready, fleet->stopping)
+                   && (region == NULL || strcmp (region, fleet->region) == 0);
   uint64_t best_weight = found ? rendezvous_weight (fleet->name, hash) : 0;
   GHashTableIter members;
   gpointer value;
@@ -315,7 +349,8 @@
   while (g_hash_table_iter_next (&members, NULL, &value))
     {
       const FlMember *member = value;
-      if (!member->ready || !fl_is_live (member, now_us)
+      if (is_suspect (member, now_us)
+          || !is_of_kind (kind, member->ready, member->stopping)
           || (region != NULL && strcmp (member->region, region) != 0)
           || rendezvous_weight (member->name, hash) <= best_weight)
         continue;
@@ -331,7 +366,9 @@
 {
   const char *owner = NULL;
 
-  find_owner (fleet, customer_id, fleet->region, now_us, &owner);
+  for (OwnerKind kind = 0; kind < OWNER_KIND_COUNT; kind++)
+    if (find_owner (fleet, customer_id, kind, fleet->region, now_us, &owner))
+      break;
   return owner;
 }
 
@@ -341,8 +378,10 @@
 {
   const char *owner = NULL;
 
-  if (!find_owner (fleet, target_hash, region, now_us, &owner))
-    find_owner (fleet, target_hash, NULL, now_us, &owner);
+  for (OwnerKind kind = 0; kind < OWNER_KIND_COUNT; kind++)
+    if (find_owner (fleet, target_hash, kind, region, now_us, &owner)
+        || find_owner (fleet, target_hash, kind, NULL, now_us, &owner))
+      break;
   return owner;
 }
 
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -117,6 +117,11 @@
 /* Removes members without a report for FL_EXPIRY_TIMEOUT_US.  */
 void fl_expire_members (FlFleet *fleet, int64_t now_us);
 
+/* Set what this daemon reports of itself; at first it is ready and not
+   stopping.  */
+void fl_set_ready (FlFleet *fleet, gboolean ready);
+void fl_set_stopping (FlFleet *fleet);
+
 /* Whether MEMBER is neither suspect nor stopping.  */
 gboolean fl_is_live (const FlMember *member, int64_t now_us);
 
@@ -150,15 +155,16 @@
 uint32_t fl_count_regions (const FlFleet *fleet, int64_t now_us);
 /* Gossip address of the token owner of a customer, the daemon that keeps the
    customer's token bucket for this region; NULL if it is this daemon.  Chosen
-   by rendezvous hashing among this daemon and the others of its region that
-   are live and ready.  */
+   by rendezvous hashing among the ready daemons of the region or, without any,
+   the live ones or, without any, those that are stopping.  This daemon counts
+   as it reports itself, so that it does not take itself for the owner while
+   the others have another one.  */
 const char *fl_token_owner (const FlFleet *fleet, uint32_t customer_id,
                             int64_t now_us);
 
 /* Gossip address of the daemon that keeps the token bucket of a target in
-   REGION for all daemons; NULL if it is this daemon.  Chosen by rendezvous
-   hashing among the live and ready daemons of REGION or, without any, among
-   all.  */
+   REGION for all daemons; NULL if it is this daemon.  Chosen in the same way,
+   among the daemons of REGION before the others of each kind.  */
 const char *fl_target_token_owner (const FlFleet *fleet, uint64_t target_hash,
                                    const char *region, int64_t now_us);
 
--- a/fleet/fleet_test.cc
+++ b/fleet/fleet_test.cc
@@ -186,6 +186,38 @@
   EXPECT_EQ (CountLiveMembers (), 0);
 }
 
+/* Guards against a daemon that starts or stops and takes itself for the token
+   owner while the others have another one, so that twice as many tokens are
+   granted; and against no owner at all while no daemon is ready.  */
+TEST_F (Fleet, CountsItselfAsOwnerOnlyWhileItIsReady)
+{
+  int own_count = 0;
+  Receive ("vm2", "a1", "a");
+  for (uint64_t hash = 1; hash <= 50; hash++)
+    own_count
+        += fl_target_token_owner (fleet, hash << 40, "a", now_us) == nullptr;
+  EXPECT_GT (own_count, 5);
+  EXPECT_LT (own_count, 45);
+  fl_set_ready (fleet, FALSE);
+  for (uint32_t hash = 1; hash <= 50; hash++)
+    {
+      EXPECT_NE (
+          fl_target_token_owner (fleet, (uint64_t)hash << 40, "a", now_us),
+          nullptr);
+      EXPECT_NE (fl_token_owner (fleet, hash, now_us), nullptr);
+    }
+  Receive ("vm2", "a1", "a", 1, TRUE);
+  EXPECT_EQ (fl_target_token_owner (fleet, 1, "a", now_us), nullptr);
+  EXPECT_EQ (fl_token_owner (fleet, 1, now_us), nullptr);
+  fl_set_stopping (fleet);
+  own_count = 0;
+  for (uint64_t hash = 1; hash <= 50; hash++)
+    own_count
+        += fl_target_token_owner (fleet, hash << 40, "a", now_us) == nullptr;
+  EXPECT_GT (own_count, 5);
+  EXPECT_LT (own_count, 45) << "each daemon is the owner while all stop";
+}
+
 /* Guards against two daemons that each keep the token bucket of a target, and
    together send it twice what it takes.  */
 TEST (TargetTokens, AllDaemonsAgreeOnTheOwnerOfATarget)
--- a/limit/limit.c
+++ b/limit/limit.c
@@ -11,14 +11,24 @@
 #define EVEN_FRACTION 0.25
 /* Fraction of the burst that a new bucket holds.  */
 #define INITIAL_BURST_FRACTION 0.3
+/* Burst of a shared bucket, in seconds at its rate, beyond one token: requests
+   that may come at once when there were few before.  */
+#define SHARED_BURST_S 0.5
+/* Longest time without a request for a token of a shared bucket in which no
+   other daemon can have kept it: it takes several messages until a daemon has
+   taken over and given back.  */
+#define SHARED_GAP_US ((int64_t)200000)
+/* Tokens of a shared bucket that may be another daemon's.  */
+#define SHARED_FIRST_COUNT 1
 
 typedef struct
 {
   double rate_per_s;
   double burst_count;
-  double share;        /* of this daemon, 0 to 1 */
-  double tokens;       /* -1 until the share is set */
-  int64_t refilled_us; /* time of tokens */
+  double share;         /* of this daemon, 0 to 1 */
+  double tokens;        /* -1 until the share is set */
+  int64_t refilled_us;  /* time of tokens */
+  int64_t requested_us; /* when a shared token was last requested; 0: never */
   double demand_per_s;
   int64_t demand_updated_us;
   /* Recorded demands, the last one first.  */
@@ -165,6 +175,22 @@
   return FALSE;
 }
 
+gboolean
+lm_take_shared_token (LmTable *table, const char *key, double rate_per_s,
+                      int64_t now_us, int64_t *wait_us)
+{
+  Bucket *bucket;
+
+  lm_set_limit (table, key, rate_per_s, 1 + rate_per_s * SHARED_BURST_S,
+                now_us);
+  lm_set_share (table, key, 1, now_us);
+  bucket = g_hash_table_lookup (table->buckets, key);
+  if (now_us - bucket->requested_us > SHARED_GAP_US)
+    bucket->tokens = MIN (bucket->tokens, SHARED_FIRST_COUNT);
+  bucket->requested_us = now_us;
+  return lm_take_token (table, key, now_us, wait_us);
+}
+
 void
 lm_return_token (LmTable *table, const char *customer)
 {
--- a/limit/limit.h
+++ b/limit/limit.h
@@ -76,6 +76,16 @@
 /* Returns the token of a request that did not run.  */
 void lm_return_token (LmTable *table, const char *customer);
 
+/* Takes a token from the bucket KEY for RATE_PER_S requests per second of all
+   daemons, which one of them keeps for all.  Which one changes when daemons
+   come and go, and for a moment two may take themselves for it.  So a bucket
+   that is new, or of which no token was requested for a while, counts as one
+   that another daemon has used meanwhile, and holds at most one token.
+   lm_sweep drops it once in a while.  WAIT_US as for lm_take_token.  */
+gboolean lm_take_shared_token (LmTable *table, const char *key,
+                               double rate_per_s, int64_t now_us,
+                               int64_t *wait_us);
+
 /* EWMA of the requests per second that callers of this daemon made, admitted
    or not.  */
 double lm_demand (LmTable *table, const char *customer, int64_t now_us);
--- a/limit/limit_test.cc
+++ b/limit/limit_test.cc
@@ -109,6 +109,33 @@
   lm_free (table);
 }
 
+/* Guards against a daemon that keeps a shared bucket again, after another one
+   did, and grants tokens for the time in between; and against refusing a
+   single owner's steady requests.  */
+TEST (Limit, SharedBucketHoldsNothingForTheTimeOfAnotherOwner)
+{
+  constexpr double kRatePerS = 8;
+  LmTable *tables[] = { lm_new (), lm_new () };
+  int counts[] = { 0, 0 };
+  int64_t wait_us;
+  for (int64_t now_us = kSecond; now_us < 11 * kSecond; now_us += 10000)
+    counts[0]
+        += lm_take_shared_token (tables[0], "t", kRatePerS, now_us, &wait_us);
+  EXPECT_GE (counts[0], 10 * kRatePerS - 1);
+  EXPECT_LE (counts[0], 10 * kRatePerS + 1);
+  counts[0] = 0;
+  for (int64_t now_us = 11 * kSecond; now_us < 15 * kSecond; now_us += 10000)
+    {
+      int owner = now_us / (kSecond / 2) % 2 == 0;
+      counts[owner] += lm_take_shared_token (tables[owner], "t", kRatePerS,
+                                             now_us, &wait_us);
+    }
+  EXPECT_LE (counts[0] + counts[1], 4 * kRatePerS + 8);
+  EXPECT_GE (counts[0] + counts[1], 4 * kRatePerS - 1);
+  lm_free (tables[0]);
+  lm_free (tables[1]);
+}
+
 /* Guards against more retries in a window than the budget allows.  */
 TEST (Budget, LimitsRetriesInAWindow)
 {
