platform, targets: order entries of targets by the store's revisions

Causes: an entry of another writer without `version` was taken as whole, since that field is of no use here; and the number in it decided that the target's own entries, with lower numbers, are older. Ruled out: the restored store and late deltas, neither is in the case.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -348,7 +348,7 @@
     PostControl ("/put?key=servers/" + id,
                  "{\"service\":\"s\",\"address\":\""
                      + targets[id == "t1" ? 0 : 1] + "\",\"zone\":\"" + zone
-                     + "\",\"slots\":3,\"state\":\"" + state
+                     + "\",\"version\":\"v1\",\"slots\":3,\"state\":\"" + state
                      + "\",\"cold_remaining_s\":0,\"sequence\":"
                      + std::to_string (++sequence)
                      + ",\"born\":" + std::to_string (born) + "}");
@@ -655,6 +655,44 @@
   EXPECT_EQ (GetControl ("/arrivals").find ("t2 e1"), std::string::npos);
 }
 
+/* Guards against entries of another writer in the place of a target's own,
+   which hide that the target is there, or that it is draining: without a
+   field, or whole and with a number above the target's own ones.  */
+TEST_F (Entry, OddEntriesDoNotHideThatATargetIsDraining)
+{
+  static const char *const odd_entries[] = {
+    "\"slots\":3,\"state\":\"ready\",\"sequence\":1000,"
+    "\"born\":1000",
+    "\"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"sequence\":1000,"
+    "\"born\":1000",
+    "\"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"sequence\":2000,"
+    "\"born\":9000",
+  };
+  for (const char *odd : odd_entries)
+    {
+      PutTarget ("t1", "a1");
+      EXPECT_TRUE (WaitFor ([&] {
+        return SendRequest (vms[0], "/read/1", "before") == 200
+               && SendRequest (vms[1], "/read/1", "before") == 200;
+      }));
+      PostControl ("/put?key=servers/t1",
+                   "{\"service\":\"s\",\"address\":\"" + targets[0]
+                       + "\",\"zone\":\"a1\",\"cold_remaining_s\":0," + odd
+                       + "}");
+      si_sleep_ms (1500);
+      PutTarget ("t1", "a1");
+      si_sleep_ms (1500);
+      PutTarget ("t1", "a1", "draining");
+      si_sleep_ms (2000);
+      for (int i = 0; i < 10; i++)
+        for (const Vm &vm : vms)
+          {
+            EXPECT_EQ (SendRequest (vm, "/read/1", "after"), 200) << odd;
+            EXPECT_EQ (body, "t2") << odd;
+          }
+    }
+}
+
 /* Guards against a target that is missing at followers because it left and
    came back within one target delta.  t2 writes first, so that the region
    leader waits before it reads the rest.  */
--- a/entry/listing.c
+++ b/entry/listing.c
@@ -251,6 +251,8 @@
     {
       TgEntry entry = delta->entries[i];
       entry.region = g_hash_table_lookup (zones, entry.zone);
+      entry.store_era = delta->store_era;
+      entry.store_revision = delta->to_revision;
       if (entry.region == NULL)
         continue;
       on_target (&entry, listing);
--- a/entry/view_test.cc
+++ b/entry/view_test.cc
@@ -60,7 +60,8 @@
       si_sleep_ms (20);
     Post ("/put?key=servers/t1",
           "{\"service\":\"s\",\"address\":\"" + target.substr (3)
-              + "\",\"zone\":\"a1\",\"slots\":3,\"state\":\"ready\","
+              + "\",\"zone\":\"a1\",\"version\":\"v1\",\"slots\":3,\"state\":"
+                "\"ready\","
                 "\"cold_remaining_s\":0,\"sequence\":1,\"born\":1000}");
     g_hash_table_insert (zones, (gpointer) "a1", (gpointer) "a");
     settings.zone = (char *)"a1";
--- a/soak/site.c
+++ b/soak/site.c
@@ -227,7 +227,9 @@
   const Target *target = &testbed->targets[index];
   g_autofree char *key = g_strconcat ("servers/", target->id, NULL);
   g_autofree char *text = g_strdup_printf (
-      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"slots\":3,"
+      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":"
+      "\"v1\","
+      "\"slots\":3,"
       "\"state\":\"%s\",\"cold_remaining_s\":%d,\"sequence\":%d,"
       "\"born\":1000}",
       sk_testbed_target_service (target->id), target->link_address,
--- a/targets/internal.h
+++ b/targets/internal.h
@@ -116,6 +116,8 @@
   gboolean misdirected; /* another target has its address now */
   int64_t started_ms;
   uint32_t report_number;
+  uint64_t store_era;
+  uint64_t store_revision;
   int64_t cold_until_us;         /* as published */
   int64_t assumed_cold_until_us; /* whatever it published; set to 0 by its next
                                     entry if entry_is_stale */
@@ -172,6 +174,8 @@
   char *id;
   int64_t started_ms;
   uint32_t report_number;
+  uint64_t store_era;
+  uint64_t store_revision;
   gboolean leaving;
   int64_t removed_us;
   GList node; /* in TgSet.tombstone_order */
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -129,6 +129,8 @@
   tombstone->id = g_strdup (target->id);
   tombstone->started_ms = target->started_ms;
   tombstone->report_number = target->report_number;
+  tombstone->store_era = target->store_era;
+  tombstone->store_revision = target->store_revision;
   tombstone->leaving = target->leaving;
   tombstone->removed_us = now_us;
   tombstone->node.data = tombstone;
@@ -216,11 +218,19 @@
   return target;
 }
 
+static gboolean
+is_of_era (const TgEntry *entry, uint64_t store_era)
+{
+  return entry->store_era != 0 && entry->store_era == store_era;
+}
+
 /* Whether ENTRY is of an earlier incarnation, or is older than the last one
    but arrived later.  */
 static gboolean
 is_outdated (const TgTarget *target, const TgEntry *entry)
 {
+  if (is_of_era (entry, target->store_era))
+    return entry->store_revision < target->store_revision;
   if (entry->started_ms != target->started_ms)
     return entry->started_ms != 0 && entry->started_ms < target->started_ms;
   return strcmp (target->address, entry->address) == 0
@@ -239,6 +249,8 @@
   if (tombstone == NULL || entry->started_ms == 0
       || now_us - tombstone->removed_us > TG_TOMBSTONE_TTL_US)
     return FALSE;
+  if (is_of_era (entry, tombstone->store_era))
+    return entry->store_revision <= tombstone->store_revision;
   return entry->started_ms < tombstone->started_ms
          || (entry->started_ms == tombstone->started_ms
              && entry->report_number <= tombstone->report_number);
@@ -266,6 +278,8 @@
   target->slot_count = MAX (1, entry->slot_count);
   target->draining = entry->draining;
   target->report_number = entry->report_number;
+  target->store_era = entry->store_era;
+  target->store_revision = entry->store_revision;
   if (target->entry_is_stale)
     target->assumed_cold_until_us = 0;
   target->entry_is_stale = FALSE;
--- a/targets/targets.h
+++ b/targets/targets.h
@@ -98,7 +98,10 @@
   gboolean draining;
   uint32_t cold_left_ms; /* how long it will be cold; 0: it is warm */
   int64_t started_ms; /* wall clock; identifies the incarnation; 0: unknown */
-  uint32_t report_number; /* increases with each entry of an incarnation */
+  uint32_t report_number;  /* increases with each entry of an incarnation */
+  uint64_t store_era;      /* of the revision; 0: unknown */
+  uint64_t store_revision; /* of the entry, or a later one up to which it is
+                              the last; 0: unknown */
 } TgEntry;
 
 typedef struct
@@ -174,8 +177,11 @@
 
 /* Adds or updates a target; an entry older than the last one is ignored, also
    for 30 s after the target was removed, as is the last one itself then.
-   Returns TRUE if the target is new, has restarted, or has begun or ended to
-   drain.  */
+   Within an era of the store its revisions tell which entry is older.  The
+   report numbers do otherwise, as after a restore; another writer may have
+   left an entry with any number, and a target's own entries go on where they
+   were. Returns TRUE if the target is new, has restarted, or has begun or
+   ended to drain.  */
 gboolean tg_update (TgSet *set, const TgEntry *entry, int64_t now_us);
 /* Both return FALSE if the target is unknown.  tg_get_entry sets ENTRY to what
    the target published last, as if it were warm; valid until the next call
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -3,6 +3,8 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <algorithm>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -238,6 +240,66 @@
   EXPECT_EQ (tg_pick (set, &query, now_us, &choice), TG_PICK_FOUND);
 }
 
+/* Guards against entries of another writer that hide a target's own ones, in
+   any order of arrival of those of one era, and after a restore.  */
+TEST_F (Target, ItsLastEntryHoldsWhateverOthersWrote)
+{
+  struct Written
+  {
+    TgEntry entry;
+    bool is_own;
+  };
+  for (unsigned seed = 1; seed <= 3000; seed++)
+    {
+      std::mt19937 random (seed);
+      std::string id = "t" + std::to_string (seed);
+      std::vector<Written> history;
+      uint32_t number = 0;
+      for (uint64_t revision = 1; revision <= 12; revision++)
+        {
+          Written written = { Entry (id.c_str (), "a1", "a"), true };
+          TgEntry &entry = written.entry;
+          entry.store_era = 1;
+          entry.store_revision = revision;
+          entry.report_number = ++number;
+          entry.draining = random () % 3 == 0;
+          if (random () % 3 == 0 && revision < 12)
+            {
+              written.is_own = false;
+              entry.report_number = random () % 5000;
+              entry.started_ms = random () % 3 * 1000;
+              entry.address
+                  = random () % 2 == 0 ? "10.0.0.9:80" : entry.address;
+              entry.service = random () % 2 == 0 ? "other" : entry.service;
+            }
+          history.push_back (written);
+        }
+      const TgEntry &last = history.back ().entry;
+      std::vector<Written> arrivals = history;
+      std::shuffle (arrivals.begin (), arrivals.end (), random);
+      for (const Written &arrival : arrivals)
+        if (random () % 8 == 0)
+          tg_remove (set, id.c_str (), now_us);
+        else
+          tg_update (set, &arrival.entry, now_us);
+      tg_update (set, &last, now_us);
+      TgEntry known = {};
+      if (tg_get_entry (set, id.c_str (), &known))
+        {
+          EXPECT_EQ (known.draining, last.draining) << "seed " << seed;
+          EXPECT_STREQ (known.address, last.address) << "seed " << seed;
+        }
+      TgEntry after_restore = last;
+      after_restore.store_era = 2;
+      after_restore.store_revision = 3;
+      after_restore.report_number = 20000;
+      after_restore.draining = TRUE;
+      tg_update (set, &after_restore, now_us);
+      ASSERT_TRUE (tg_get_entry (set, id.c_str (), &known)) << seed;
+      EXPECT_TRUE (known.draining) << "seed " << seed;
+    }
+}
+
 /* Guards against a memory that grows with each target that ever left.  */
 TEST_F (Target, RemembersABoundedNumberOfRemovedTargets)
 {
