notice: heed a limit of 0 and a pause of more than an hour

Change: a limit below 0.2 a second counts as that, so that a request shows now and then whether it still holds, and a pause of more than an hour as an hour. Malformed ones are ignored and counted as before.

--- a/notice/notice.h
+++ b/notice/notice.h
@@ -16,6 +16,11 @@
      A header that is malformed, out of range or repeated says nothing: it
      neither sets nor ends what the target stated before.
 
+     A limit ends with a response that does not state it, and a pause by
+   itself. So a limit of 0, or near it, counts as NT_LIMIT_MIN_PER_S, and a
+   pause counts for at most NT_PAUSE_MAX_S: then a request shows whether the
+   target still means it.
+
    ERRORS
      None; NtNotice.invalid_count tells how many headers were ignored.  */
 
@@ -29,13 +34,16 @@
 
 /* More than any target handles; a larger value is an error of the target.  */
 #define NT_LIMIT_MAX_PER_S 1e6
+/* Less than what may reach a target that takes nothing, by mistake, in the
+   same time.  */
+#define NT_LIMIT_MIN_PER_S 0.2
 /* A target that wants no requests for longer should leave.  */
 #define NT_PAUSE_MAX_S 3600.0
 
 /* Names of the headers.  */
 typedef struct
 {
-  const char *limit;   /* requests per second, a decimal number above 0 */
+  const char *limit;   /* requests per second, a decimal number */
   const char *leaving; /* "1": the target is leaving */
   const char *pause;   /* of a 503: seconds, a decimal number above 0 */
 } NtHeaderNames;
