--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -348,7 +348,7 @@
     PostControl ("/put?key=servers/" + id,
                  "{\"service\":\"s\",\"address\":\""
                      + targets[id == "t1" ? 0 : 1] + "\",\"zone\":\"" + zone
-                     + "\",\"slots\":3,\"state\":\"" + state
+                     + "\",\"version\":\"v1\",\"slots\":3,\"state\":\"" + state
                      + "\",\"cold_remaining_s\":0,\"sequence\":"
                      + std::to_string (++sequence)
                      + ",\"born\":" + std::to_string (born) + "}");
@@ -443,6 +443,61 @@
     return exchange;
   }
 
+  /* Sends an order on the connection FD and leaves it open.  */
+  static void
+  SendOrder (int fd, const std::string &id, int deadline_ms)
+  {
+    std::string request = "POST /order/1 HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+                          "X-Comfreywalk-Attempt-Id: "
+                          + id + "\r\nX-Comfreywalk-Deadline-Ms: "
+                          + std::to_string (deadline_ms)
+                          + "\r\nAuthorization: Token key-1\r\n"
+                            "Content-Length: 4\r\n\r\nbody";
+    send (fd, request.data (), request.size (), MSG_NOSIGNAL);
+  }
+
+  /* Receives a response with a Content-Length, or as much of it as comes
+     before the connection ends.  */
+  static std::string
+  ReceiveResponse (int fd)
+  {
+    static const std::string length_name = "Content-Length: ";
+    std::string response;
+    char bytes[4096];
+    for (ssize_t n; (n = recv (fd, bytes, sizeof bytes, 0)) > 0;)
+      {
+        response.append (bytes, (size_t)n);
+        size_t head_end = response.find ("\r\n\r\n");
+        size_t length = response.find (length_name);
+        if (head_end != response.npos && length < head_end
+            && response.size () >= head_end + 4
+                                       + std::stoul (response.substr (
+                                           length + length_name.size ())))
+          break;
+      }
+    return response;
+  }
+
+  /* Sends the read "b1" to each daemon; it crashes both targets each time.  */
+  void
+  CrashTargetsAtAllDaemons ()
+  {
+    int born = 1000;
+    for (const Vm &vm : vms)
+      {
+        PostControl ("/target?id=t1&fault=crash");
+        PostControl ("/target?id=t2&fault=crash");
+        EXPECT_EQ (SendRequest (vm, "/read/bad", "b1"), 502);
+        PostControl ("/target?id=t1&fault=none");
+        PostControl ("/target?id=t2&fault=none");
+        PutTarget ("t1", "a1", "ready", ++born);
+        PutTarget ("t2", "a2", "ready", born);
+        EXPECT_TRUE (
+            WaitFor ([&] { return AllRespond ("/read/1", "key-1", 200); }));
+        si_sleep_ms (1500);
+      }
+  }
+
   /* Starts a daemon that reaches the store by LINK, and follows vm1.  */
   Vm
   StartFollower (const Link &link)
@@ -600,6 +655,44 @@
   EXPECT_EQ (GetControl ("/arrivals").find ("t2 e1"), std::string::npos);
 }
 
+/* Guards against entries of another writer in the place of a target's own,
+   which hide that the target is there, or that it is draining: without a
+   field, or whole and with a number above the target's own ones.  */
+TEST_F (Entry, OddEntriesDoNotHideThatATargetIsDraining)
+{
+  static const char *const odd_entries[] = {
+    "\"slots\":3,\"state\":\"ready\",\"sequence\":1000,"
+    "\"born\":1000",
+    "\"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"sequence\":1000,"
+    "\"born\":1000",
+    "\"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"sequence\":2000,"
+    "\"born\":9000",
+  };
+  for (const char *odd : odd_entries)
+    {
+      PutTarget ("t1", "a1");
+      EXPECT_TRUE (WaitFor ([&] {
+        return SendRequest (vms[0], "/read/1", "before") == 200
+               && SendRequest (vms[1], "/read/1", "before") == 200;
+      }));
+      PostControl ("/put?key=servers/t1",
+                   "{\"service\":\"s\",\"address\":\"" + targets[0]
+                       + "\",\"zone\":\"a1\",\"cold_remaining_s\":0," + odd
+                       + "}");
+      si_sleep_ms (1500);
+      PutTarget ("t1", "a1");
+      si_sleep_ms (1500);
+      PutTarget ("t1", "a1", "draining");
+      si_sleep_ms (2000);
+      for (int i = 0; i < 10; i++)
+        for (const Vm &vm : vms)
+          {
+            EXPECT_EQ (SendRequest (vm, "/read/1", "after"), 200) << odd;
+            EXPECT_EQ (body, "t2") << odd;
+          }
+    }
+}
+
 /* Guards against a target that is missing at followers because it left and
    came back within one target delta.  t2 writes first, so that the region
    leader waits before it reads the rest.  */
@@ -1482,6 +1575,53 @@
     }
 }
 
+/* Guards against a customer's burst that is granted again when all daemons are
+   killed and start again: each began with a part of it for a fleet of one,
+   before it had read the list of members.  */
+TEST_F (Entry, KilledDaemonsDoNotGrantABurstAgain)
+{
+  constexpr double kRatePerS = 20, kBurst = 500, kWindowS = 5;
+  std::atomic<int> last_id{ 0 };
+  auto send_for = [&] (double seconds) {
+    std::vector<std::thread> callers;
+    int64_t end_us = g_get_monotonic_time () + (int64_t)(seconds * 1e6);
+    for (size_t i = 0; i < 8; i++)
+      callers.emplace_back ([&, i] {
+        while (g_get_monotonic_time () < end_us)
+          RequestObject (vms[i % 2].front, "q" + std::to_string (++last_id),
+                         "2000");
+      });
+    for (std::thread &caller : callers)
+      caller.join ();
+  };
+
+  PutConfig (2, "\"key-1\"", "\"rate_per_s\":400,\"burst\":500");
+  si_sleep_ms (4000);
+  PutConfig (3, "\"key-1\"", "\"rate_per_s\":20,\"burst\":500");
+  si_sleep_ms (1500);
+  send_for (1.2);
+  for (Vm &vm : vms)
+    {
+      si_process_kill (vm.pid);
+      Start (vm);
+    }
+  for (const Vm &vm : vms)
+    ASSERT_TRUE (WaitFor ([&] {
+      return GetStatus (vm.ready, "/ready") == 200;
+    })) << ReadLog (vm);
+  send_for (2);
+  std::vector<double> times;
+  std::istringstream lines (GetControl ("/runs"));
+  for (std::string line; std::getline (lines, line);)
+    if (line.find (" q") != std::string::npos)
+      times.push_back (std::stod (line) / 1e6);
+  EXPECT_GT (times.size (), 0.8 * kBurst);
+  for (auto first = times.begin (); first != times.end (); ++first)
+    ASSERT_LE (std::lower_bound (first, times.end (), *first + kWindowS)
+                   - first,
+               1.1 * (kRatePerS * kWindowS + kBurst) + 20);
+}
+
 /* Guards against exceeding a customer's rate over all daemons together.  */
 TEST_F (Entry, LimitsRateAcrossDaemons)
 {
@@ -1559,20 +1699,7 @@
    refusing others, or saying that it did not run when it may have.  */
 TEST_F (Entry, QuarantinesARequestThatCrashesTargetsAtAllDaemons)
 {
-  int born = 1000;
-  for (const Vm &vm : vms)
-    {
-      PostControl ("/target?id=t1&fault=crash");
-      PostControl ("/target?id=t2&fault=crash");
-      EXPECT_EQ (SendRequest (vm, "/read/bad", "b1"), 502);
-      PostControl ("/target?id=t1&fault=none");
-      PostControl ("/target?id=t2&fault=none");
-      PutTarget ("t1", "a1", "ready", ++born);
-      PutTarget ("t2", "a2", "ready", born);
-      EXPECT_TRUE (
-          WaitFor ([&] { return AllRespond ("/read/1", "key-1", 200); }));
-      si_sleep_ms (1500);
-    }
+  CrashTargetsAtAllDaemons ();
   EXPECT_EQ (CountLines ("/runs", "b1"), 4);
   for (const Vm &vm : vms)
     {
@@ -1588,6 +1715,29 @@
   })) << RunExplain ("b2");
 }
 
+/* Guards against a daemon that starts, again or for the first time, and sends
+   a request that crashes targets to two more, since it was told of no
+   quarantine.  */
+TEST_F (Entry, StartedDaemonsKnowOfRequestsThatCrashTargets)
+{
+  CrashTargetsAtAllDaemons ();
+  si_process_signal (vms[1].pid, SIGTERM);
+  WaitForExit (vms[1]);
+  Start (vms[1]);
+  vms.push_back (MakeVm ("vm3", "a2"));
+  Start (vms[2]);
+  for (size_t i : { 1u, 2u })
+    {
+      EXPECT_TRUE (WaitFor ([&] {
+        return GetStatus (vms[i].ready, "/ready") == 200;
+      })) << ReadLog (vms[i]);
+      EXPECT_EQ (SendRequest (vms[i], "/read/bad", "b3"), 503);
+      EXPECT_NE (body.find ("crashes_targets"), std::string::npos) << body;
+      EXPECT_EQ (SendRequest (vms[i], "/read/good", "g3"), 200);
+    }
+  EXPECT_EQ (CountLines ("/arrivals", "b3"), 0);
+}
+
 /* Guards against refusing a read whose target closes connections, but has not
    ended.  */
 TEST_F (Entry, DoesNotQuarantineForTargetsThatOnlyCloseConnections)
@@ -1848,6 +1998,58 @@
   EXPECT_EQ (ReadLog (vms[0]).find ("name=request-cut"), std::string::npos);
 }
 
+/* Guards against a request that comes late in the grace period on a connection
+   that was kept, is sent to a target and gets no response before the process
+   ends.  */
+TEST_F (Entry, StoppingDaemonAnswersLateRequestsOnKeptConnections)
+{
+  static const int deadlines_ms[] = { 1500, 500, 200 };
+  std::vector<int> connections;
+  std::vector<std::string> responses;
+  for (int i = 0; i < 30; i++)
+    {
+      connections.push_back (OpenSocket (vms[0].front, false));
+      SendOrder (connections[i], "kept" + std::to_string (i), 2000);
+      EXPECT_EQ (ReceiveResponse (connections[i]).substr (0, 12),
+                 "HTTP/1.1 200");
+    }
+  PostControl ("/target?id=t1&service_ms=600");
+  PostControl ("/target?id=t2&service_ms=600");
+  int64_t start_us = g_get_monotonic_time ();
+  si_process_signal (vms[0].pid, SIGTERM);
+  for (int i = 0; i < 30; i++)
+    {
+      int64_t at_us = start_us + i * kStopGraceMs * 1000 / 30;
+      g_usleep (
+          (gulong)std::max<int64_t> (0, at_us - g_get_monotonic_time ()));
+      SendOrder (connections[i], "late" + std::to_string (i),
+                 deadlines_ms[i % 3]);
+    }
+  for (int fd : connections)
+    {
+      responses.push_back (ReceiveResponse (fd));
+      close (fd);
+    }
+  int sent_late_count = 0;
+  for (size_t i = 0; i < responses.size (); i++)
+    {
+      std::string id = "late" + std::to_string (i);
+      if (CountLines ("/arrivals", id) > 0)
+        {
+          EXPECT_EQ (responses[i].substr (0, 9), "HTTP/1.1 ") << id;
+          sent_late_count += i >= responses.size () / 4;
+        }
+      EXPECT_EQ (responses[i].find ("daemon_ended"), std::string::npos) << id;
+      if (responses[i].find ("not_run") != std::string::npos)
+        {
+          EXPECT_EQ (CountLines ("/runs", id), 0) << id;
+        }
+    }
+  EXPECT_EQ (responses[0].substr (0, 12), "HTTP/1.1 200");
+  EXPECT_GT (sent_late_count, 0);
+  EXPECT_EQ (ReadLog (vms[0]).find ("name=request-cut"), std::string::npos);
+}
+
 /* Guards against a stopping daemon that cuts a response, although it could
    still write the rest of it within the grace period.  */
 TEST_F (Entry, StoppingDaemonWritesResponsesUntilItsEnd)
--- a/entry/shares.c
+++ b/entry/shares.c
@@ -64,6 +64,8 @@
   int64_t now_us;
 } ShareUpdate;
 
+/* Until the members are known this daemon would count as the only one, and a
+   new bucket get its part of the burst of all.  */
 static void
 update_customer_share (const char *customer, void *data)
 {
@@ -71,6 +73,8 @@
   EnShares *shares = update->shares;
   double share = en_pool_share (shares->pool, customer, update->now_us);
 
+  if (!shares->members_known)
+    return;
   lm_set_share (shares->limits, customer, share, update->now_us);
 }
 
@@ -137,6 +141,14 @@
                        cold_share (shares, zone, region, now_us));
 }
 
+static void
+update_readiness (EnShares *shares)
+{
+  const EnSharesOptions *options = &shares->options;
+
+  fl_set_ready (shares->fleet, options->is_ready (options->data));
+}
+
 static void
 on_report_timer (evutil_socket_t fd, short what, void *data)
 {
@@ -147,6 +159,7 @@
   (void)fd;
   (void)what;
   fl_expire_members (shares->fleet, now_us);
+  update_readiness (shares);
   if (++shares->interval_count % TARGET_SWEEP_INTERVALS == 0)
     en_pool_sweep_targets (shares->pool);
   lm_each_customer (shares->limits, note_customer_demand, &update);
@@ -210,6 +223,8 @@
           report->ready);
   en_reports_send_to (shares->reports, report->gossip_address, report->zone,
                       now_us);
+  if (!report->stopping)
+    en_suspects_hand_over (shares->suspects, report->gossip_address);
   update_shares (shares, now_us);
 }
 
@@ -299,6 +314,7 @@
                                         .zone = settings->zone,
                                         .region = settings->region,
                                         .started_us = started_us });
+  fl_set_ready (shares->fleet, FALSE);
   shares->relay
       = en_relay_new (&(EnRelayOptions){ .settings = settings,
                                          .fleet = shares->fleet,
@@ -404,6 +420,7 @@
 void
 en_shares_report_readiness (EnShares *shares)
 {
+  update_readiness (shares);
   if (!en_reports_are_current (shares->reports))
     en_reports_send (shares->reports, ck_boot_us ());
 }
@@ -458,6 +475,7 @@
 void
 en_shares_report_stop (EnShares *shares)
 {
+  fl_set_stopping (shares->fleet);
   en_reports_set_stopping (shares->reports);
   en_reports_send (shares->reports, ck_boot_us ());
 }
