quarantine, entry: count no ends handed over for a request that has run well

A daemon that was cut off for a while is handed counts of ends, too. If the request had run well there since the first of them, they would have counted again (read, not seen). They are ignored now, as quarantines are; Quarantine.IsTakenOverFromAnotherTable checks it.

Comments of headers.

--- a/entry/suspects.c
+++ b/entry/suspects.c
@@ -114,6 +114,7 @@
                       .content_hash = content_hash };
 }
 
+/* With the times of CONTENT_HASH, as far as known here.  */
 static GoSuspect
 make_quarantine (EnSuspects *suspects, uint64_t content_hash)
 {
@@ -326,6 +327,7 @@
   if (suspect->ended_count < QR_ENDED_MAX)
     {
       message.kind = GO_SUSPECT_ENDED;
+      message.left_ms = 0;
       count = suspect->ended_count;
     }
   if (hand_over->message_count + count > HAND_OVER_MAX_COUNT
--- a/entry/suspects.h
+++ b/entry/suspects.h
@@ -19,10 +19,10 @@
 
      A daemon that starts, or was not heard of for a while, is told by the
      watchers of each content what they have counted, before it counts itself
-   as ready (shares.h).  That takes one message for each end or quarantine from
-     up to four daemons, so that it survives lost datagrams; at most 64 from
-     each, about those that were noted last.  A watcher also answers reports on
-     a content that is quarantined.
+     as ready (shares.h).  That takes one message for each end or quarantine
+     from up to four daemons, so that it survives lost datagrams; at most 64
+     from each, about those that were noted last.  A watcher also answers
+     reports on a content that is quarantined.
 
    ERRORS
      None.  */
--- a/quarantine/quarantine.c
+++ b/quarantine/quarantine.c
@@ -96,12 +96,23 @@
     suspect->incarnations[suspect->ended_count++] = incarnation;
 }
 
+static gboolean
+has_run_well_since (const QrTable *table, uint64_t content, int64_t since_us)
+{
+  const Served *served = g_hash_table_lookup (table->served, &content);
+
+  return served != NULL && served->served_us > since_us;
+}
+
 gboolean
 qr_take_over_ended (QrTable *table, uint64_t content, uint64_t incarnation,
                     int64_t first_ended_us, int64_t now_us)
 {
-  Suspect *suspect = get_suspect (table, content, first_ended_us, now_us);
+  Suspect *suspect;
 
+  if (has_run_well_since (table, content, first_ended_us))
+    return FALSE;
+  suspect = get_suspect (table, content, first_ended_us, now_us);
   suspect->last_ended_us = now_us;
   add_incarnation (&suspect->public, incarnation);
   if (suspect->public.ended_count < QR_ENDED_MAX)
@@ -156,10 +167,9 @@
 qr_add (QrTable *table, uint64_t content, int64_t first_ended_us,
         int64_t until_us, int64_t now_us)
 {
-  const Served *served = g_hash_table_lookup (table->served, &content);
   Suspect *suspect;
 
-  if (served != NULL && served->served_us > first_ended_us)
+  if (has_run_well_since (table, content, first_ended_us))
     return FALSE;
   suspect = get_suspect (table, content, first_ended_us, now_us);
   suspect->last_ended_us = now_us;
--- a/quarantine/quarantine.h
+++ b/quarantine/quarantine.h
@@ -68,8 +68,9 @@
 gboolean qr_note_ended (QrTable *table, uint64_t content, uint64_t incarnation,
                         int64_t now_us);
 
-/* The same for an end that another daemon has noted, at which CONTENT was
-   first on a target that ended at FIRST_ENDED_US.  */
+/* The same for an end that another daemon has noted, which has first seen
+   CONTENT on a target that ended at FIRST_ENDED_US.  Does not count it if
+   CONTENT has run well since.  */
 gboolean qr_take_over_ended (QrTable *table, uint64_t content,
                              uint64_t incarnation, int64_t first_ended_us,
                              int64_t now_us);
--- a/quarantine/quarantine_test.cc
+++ b/quarantine/quarantine_test.cc
@@ -126,6 +126,11 @@
         << later_us;
   EXPECT_EQ (qr_find (started, 8)->first_ended_us, known[0].first_ended_us);
   EXPECT_TRUE (qr_note_ended (started, 8, 9, now_us));
+  qr_note_served (started, 8, now_us);
+  for (uint32_t i = 0; i < 2 * QR_ENDED_MAX; i++)
+    EXPECT_FALSE (
+        qr_take_over_ended (started, 8, i, known[0].first_ended_us, now_us));
+  EXPECT_EQ (qr_find (started, 8), nullptr);
   qr_free (started);
 }
 
--- a/targets/targets.h
+++ b/targets/targets.h
@@ -177,11 +177,12 @@
 
 /* Adds or updates a target; an entry older than the last one is ignored, also
    for 30 s after the target was removed, as is the last one itself then.
-   Within an era of the store its revisions tell which entry is older.  The
-   report numbers do otherwise, as after a restore; another writer may have
-   left an entry with any number, and a target's own entries go on where they
-   were. Returns TRUE if the target is new, has restarted, or has begun or
-   ended to drain.  */
+   Returns TRUE if the target is new, has restarted, or has begun or ended to
+   drain.
+
+   Within an era of the store its revisions tell which entry is older.  Report
+   numbers do otherwise, as after a restore: another writer may leave an entry
+   with any number, after which the target's own go on where they were.  */
 gboolean tg_update (TgSet *set, const TgEntry *entry, int64_t now_us);
 /* Both return FALSE if the target is unknown.  tg_get_entry sets ENTRY to what
    the target published last, as if it were warm; valid until the next call
