backend, entry: do not take a response without id for the next one

A target sent a success without the id of its request and, late, a second copy. A response with another id is dropped, one with no id was believed.

Ruled out: two requests at a time on one connection (the shift by one request follows a copy each time). Targets of the platform always echo the id, so the user of the pool says so (ids_required): a response without it ends its connection, and is believed only as the first one there, before which nothing was sent.

The three tests: the first failed before (failure none in place of malformed); the last one keeps targets of the own interface that echo nothing.

--- a/backend/answer.c
+++ b/backend/answer.c
@@ -175,6 +175,15 @@
   return PROGRESS_CONTINUE;
 }
 
+gboolean
+bk_response_lost_its_id (const BkConn *conn)
+{
+  const BkCall *call = conn->call;
+
+  return conn->target->pool->options.ids_required && call->echo_header != NULL
+         && ht_headers_get (call->head.headers, call->echo_header) == NULL;
+}
+
 static Progress
 read_head_or_body (BkConn *conn, gboolean closed)
 {
@@ -183,10 +192,17 @@
                           ? read_head (conn)
                           : read_body (conn, closed);
 
-  if (progress == PROGRESS_DONE && call->result.failure == BK_FAILURE_NONE
-      && is_late_response (call))
+  if (progress != PROGRESS_DONE || call->result.failure != BK_FAILURE_NONE)
+    return progress;
+  if (is_late_response (call))
     return drop_late_response (call);
-  return progress;
+  /* It may be a second copy of an earlier one on its connection.  */
+  if (conn->used && bk_response_lost_its_id (conn))
+    {
+      call->pool->counters.stray_close_count++;
+      return fail_call (call, BK_FAILURE_MALFORMED);
+    }
+  return PROGRESS_DONE;
 }
 
 static BkCall *
--- a/backend/backend.h
+++ b/backend/backend.h
@@ -32,7 +32,10 @@
      request in a header of the response: with BkRequest.echo_header set, a
      response with another value in that header is dropped and the next one is
      awaited, and bytes after a response with the right value close the
-     connection but don't invalidate the response.
+     connection but don't invalidate the response.  With
+     ids_required, a response without one ends its connection and, unless it is
+     the first one there, is BK_FAILURE_MALFORMED, since it may belong to an
+     earlier request.
 
      The id does not tell apart the responses to two sends of one request.  A
      user that sends a request again passes the same BkSends each time; no
@@ -146,6 +149,7 @@
   uint32_t connect_timeout_ms; /* default 1000 */
   uint32_t unacked_timeout_ms; /* for sent bytes that the target's host does
                                   not acknowledge; 0: none */
+  gboolean ids_required;       /* all targets echo the ids of requests */
   gsize response_max_bytes;    /* of the body; default and maximum 16 MB */
   gsize buffered_max_bytes;    /* of all bodies; default 48 MB */
 } BkOptions;
--- a/backend/backend_test.cc
+++ b/backend/backend_test.cc
@@ -633,6 +633,66 @@
   EXPECT_TRUE (f.is_closed (fd));
 }
 
+/* Guards against taking a late copy that has lost its id for the response to
+   the next request, whose caller would get the response of another one.  */
+TEST (Backend, DoesNotTakeALateCopyWithoutIdForTheNextResponse)
+{
+  BkOptions options = {};
+  options.ids_required = TRUE;
+  Fixture f (options);
+  Outcome first, second;
+
+  f.start_with_id (&first, "1");
+  int fd = f.accept_one ();
+  f.receive (fd);
+  send_text (fd, status_line + "X-Id: 1\r\nContent-Length: 3\r\n\r\nold");
+  ASSERT_TRUE (f.run_until ([&] { return first.done; }));
+  EXPECT_EQ ("old", first.body);
+  f.start_with_id (&second, "2");
+  f.receive (fd);
+  send_text (fd, status_line + "Content-Length: 3\r\n\r\nold");
+  ASSERT_TRUE (f.run_until ([&] { return second.done; }));
+  EXPECT_EQ (BK_FAILURE_MALFORMED, second.result.failure);
+  EXPECT_EQ (BK_SENT_MAYBE, second.result.sent);
+  EXPECT_TRUE (f.is_closed (fd));
+}
+
+/* Guards against keeping a connection whose first response has lost its id: a
+   copy of it could come where the next one is due.  */
+TEST (Backend, ClosesAConnectionAfterAResponseWithoutId)
+{
+  BkOptions options = {};
+  options.ids_required = TRUE;
+  Fixture f (options);
+  Outcome first;
+
+  f.start_with_id (&first, "1");
+  int fd = f.accept_one ();
+  f.receive (fd);
+  send_text (fd, status_line + "Content-Length: 3\r\n\r\nnew");
+  ASSERT_TRUE (f.run_until ([&] { return first.done; }));
+  EXPECT_EQ ("new", first.body);
+  EXPECT_TRUE (f.is_closed (fd));
+}
+
+/* Guards against refusing the responses of targets that echo no ids.  */
+TEST (Backend, TakesResponsesOfATargetThatEchoesNoIds)
+{
+  Fixture f;
+  Outcome first, second;
+
+  f.start_with_id (&first, "1");
+  int fd = f.accept_one ();
+  f.receive (fd);
+  send_text (fd, status_line + "Content-Length: 3\r\n\r\nold");
+  ASSERT_TRUE (f.run_until ([&] { return first.done; }));
+  f.start_with_id (&second, "2");
+  f.receive (fd);
+  send_text (fd, status_line + "Content-Length: 3\r\n\r\nnew");
+  ASSERT_TRUE (f.run_until ([&] { return second.done; }));
+  EXPECT_EQ ("new", second.body);
+}
+
 /* Guards against taking a late copy of the response to an earlier send of a
    request for the response to its next one: both have the request's id, so the
    two must not share a connection, which is kept for other requests.  */
--- a/backend/link.c
+++ b/backend/link.c
@@ -239,7 +239,8 @@
   bk_call_finish (call, BK_FAILURE_NONE,
                   is_usable && evbuffer_get_length (conn->input) == 0
                       && call->head.keep_alive
-                      && call->sent_bytes == call->encoded_request->len);
+                      && call->sent_bytes == call->encoded_request->len
+                      && !bk_response_lost_its_id (conn));
 }
 
 /* evbuffer_read reads 4 KB at a time, which is slow for large responses.  */
--- a/backend/link.h
+++ b/backend/link.h
@@ -102,6 +102,10 @@
 /* Whether the response echoes the id of its request.  */
 gboolean bk_response_echoes_id (const BkCall *call);
 
+/* Whether the response on CONN lacks the id that its target always echoes.  It
+   could be a second copy, or have one.  */
+gboolean bk_response_lost_its_id (const BkConn *conn);
+
 /* Parses what CONN has received for its call.  CLOSED says whether the
    target has closed the connection.  Returns TRUE when the response is
    complete, or when it is invalid, truncated or too large and the failure of
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -565,6 +565,7 @@
     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
     .unacked_timeout_ms = UNACKED_TIMEOUT_MS,
     .idle_timeout_ms = TARGET_IDLE_TIMEOUT_MS,
+    .ids_required = TRUE,
   };
 
   proxy->options = *options;
