--- a/backend/answer.c
+++ b/backend/answer.c
@@ -7,7 +7,7 @@
 
 typedef enum
 {
-  PROGRESS_NEED_INPUT,
+  PROGRESS_NEED_INPUT, /* or room */
   PROGRESS_CONTINUE,
   PROGRESS_DONE,
 } Progress;
@@ -26,6 +26,20 @@
   return conn->target->pool->options.response_max_bytes;
 }
 
+/* Reads nothing of a body with a length until there is room for it.  */
+static Progress
+wait_for_room (BkConn *conn)
+{
+  BkCall *call = conn->call;
+
+  if (call->head.content_length_bytes > mm_budget_limit (call->pool->memory))
+    return fail_call (call, BK_FAILURE_TOO_LARGE);
+  call->waits_for_room = TRUE;
+  g_queue_push_tail_link (&call->pool->room_waiters, &call->room_node);
+  event_del (conn->read_event);
+  return PROGRESS_NEED_INPUT;
+}
+
 /* Checks the length of the body that the head announces.  */
 static Progress
 start_body (BkConn *conn)
@@ -40,6 +54,9 @@
       && call->head.content_length_bytes > max_body_bytes (conn))
     return fail_call (call, BK_FAILURE_TOO_LARGE);
   call->read_state = BK_READ_BODY;
+  if (call->head.body_framing == HT_BODY_LENGTH
+      && !mm_block_reserve (call->body, call->head.content_length_bytes))
+    return wait_for_room (conn);
   return PROGRESS_CONTINUE;
 }
 
@@ -82,7 +99,7 @@
 static void
 append_to_body (BkConn *conn, gsize length)
 {
-  GByteArray *body = conn->call->body;
+  GByteArray *body = mm_block_bytes (conn->call->body);
   gsize before = body->len;
 
   g_byte_array_set_size (body, (guint)(before + length));
@@ -93,6 +110,7 @@
 read_chunks (BkConn *conn)
 {
   BkCall *call = conn->call;
+  GByteArray *body = mm_block_bytes (call->body);
   gsize length;
 
   while ((length = evbuffer_get_contiguous_space (conn->input)) > 0)
@@ -100,12 +118,12 @@
       const char *bytes
           = (char *)evbuffer_pullup (conn->input, (ssize_t)length);
       gsize used;
-      HtChunkResult result = ht_chunk_decode (&call->chunk_decoder, bytes,
-                                              length, &used, call->body);
+      HtChunkResult result
+          = ht_chunk_decode (&call->chunk_decoder, bytes, length, &used, body);
       evbuffer_drain (conn->input, used);
       if (result == HT_CHUNK_INVALID)
         return fail_call (call, BK_FAILURE_MALFORMED);
-      if (call->body->len > max_body_bytes (conn))
+      if (body->len > max_body_bytes (conn))
         return fail_call (call, BK_FAILURE_TOO_LARGE);
       if (result == HT_CHUNK_DONE)
         return PROGRESS_DONE;
@@ -117,6 +135,7 @@
 read_body (BkConn *conn, gboolean closed)
 {
   BkCall *call = conn->call;
+  const GByteArray *body = mm_block_bytes (call->body);
   gsize available = evbuffer_get_length (conn->input);
 
   switch (call->head.body_framing)
@@ -126,13 +145,13 @@
     case HT_BODY_CHUNKED:
       return read_chunks (conn);
     case HT_BODY_LENGTH:
-      append_to_body (conn, MIN (available, call->head.content_length_bytes
-                                                - call->body->len));
-      return call->body->len == call->head.content_length_bytes
+      append_to_body (
+          conn, MIN (available, call->head.content_length_bytes - body->len));
+      return body->len == call->head.content_length_bytes
                  ? PROGRESS_DONE
                  : PROGRESS_NEED_INPUT;
     case HT_BODY_CLOSE:
-      if (call->body->len + available > max_body_bytes (conn))
+      if (body->len + available > max_body_bytes (conn))
         return fail_call (call, BK_FAILURE_TOO_LARGE);
       append_to_body (conn, available);
       return closed ? PROGRESS_DONE : PROGRESS_NEED_INPUT;
@@ -170,7 +189,7 @@
   call->pool->counters.late_response_count++;
   ht_head_clear (&call->head);
   memset (&call->chunk_decoder, 0, sizeof call->chunk_decoder);
-  g_byte_array_set_size (call->body, 0);
+  g_byte_array_set_size (mm_block_bytes (call->body), 0);
   call->read_state = BK_READ_HEAD;
   return PROGRESS_CONTINUE;
 }
@@ -205,43 +224,51 @@
   return PROGRESS_DONE;
 }
 
+static gboolean
+has_no_length (const BkCall *call)
+{
+  return call->read_state == BK_READ_BODY
+         && call->head.body_framing != HT_BODY_LENGTH;
+}
+
 static BkCall *
-find_largest_call (const BkPool *pool)
+find_largest_without_length (const BkPool *pool)
 {
   BkCall *largest = NULL;
 
   for (const GList *node = pool->calls.head; node != NULL; node = node->next)
     {
       BkCall *call = node->data;
-      if (!call->finished
+      if (!call->finished && has_no_length (call)
           && (largest == NULL
-              || call->buffered_bytes > largest->buffered_bytes))
+              || mm_block_bytes (call->body)->len
+                     > mm_block_bytes (largest->body)->len))
         largest = call;
     }
   return largest;
 }
 
-/* Counts the body of CALL.  If all bodies are above the limit of the pool, the
-   largest one is given up: it is the most likely never to end.  Returns FALSE
-   if that is CALL, whose failure is then set.  */
+/* Counts a body without a length.  If all bodies are above the budget, the
+   largest of those without a length is given up: it is the most likely never
+   to end.  Returns FALSE if that is CALL, whose failure is then set.  */
 static gboolean
-limit_buffered_bytes (BkCall *call)
+limit_body (BkCall *call)
 {
-  BkPool *pool = call->pool;
+  const MmBudget *memory = call->pool->memory;
   BkCall *largest;
 
-  pool->buffered_bytes += call->body->len - call->buffered_bytes;
-  call->buffered_bytes = call->body->len;
-  if (pool->buffered_bytes <= pool->options.buffered_max_bytes)
+  if (!has_no_length (call))
+    return TRUE;
+  mm_block_force (call->body, mm_block_bytes (call->body)->len);
+  if (mm_budget_used (memory) <= mm_budget_limit (memory))
     return TRUE;
-  largest = find_largest_call (pool);
+  largest = find_largest_without_length (call->pool);
   if (largest == call)
     {
       fail_call (call, BK_FAILURE_TOO_LARGE);
       return FALSE;
     }
-  if (largest != NULL)
-    bk_call_finish (largest, BK_FAILURE_TOO_LARGE, FALSE);
+  bk_call_finish (largest, BK_FAILURE_TOO_LARGE, FALSE);
   return TRUE;
 }
 
@@ -254,7 +281,7 @@
   do
     progress = read_head_or_body (conn, closed);
   while (progress == PROGRESS_CONTINUE);
-  if (progress == PROGRESS_NEED_INPUT && !limit_buffered_bytes (call))
+  if (progress == PROGRESS_NEED_INPUT && !limit_body (call))
     return TRUE;
   if (progress == PROGRESS_DONE && call->result.failure == BK_FAILURE_NONE
       && evbuffer_get_length (conn->input) > 0
--- a/backend/backend.c
+++ b/backend/backend.c
@@ -41,6 +41,29 @@
   g_free (target);
 }
 
+/* Reads on for the calls that wait, in their order, as far as there is room.
+ */
+static void
+on_room (evutil_socket_t fd, short what, void *data)
+{
+  BkPool *pool = data;
+
+  (void)fd;
+  (void)what;
+  while (!g_queue_is_empty (&pool->room_waiters)
+         && bk_call_take_room (g_queue_peek_head (&pool->room_waiters)))
+    ;
+}
+
+static void
+schedule_room (void *data)
+{
+  BkPool *pool = data;
+
+  if (!g_queue_is_empty (&pool->room_waiters))
+    event_active (pool->room_event, EV_TIMEOUT, 0);
+}
+
 BkPool *
 bk_pool_new (const BkOptions *options)
 {
@@ -61,6 +84,11 @@
       = MIN (copy->response_max_bytes, BK_RESPONSE_MAX_BYTES);
   if (copy->buffered_max_bytes == 0)
     copy->buffered_max_bytes = BK_BUFFERED_MAX_BYTES;
+  pool->owns_memory = copy->memory == NULL;
+  pool->memory = pool->owns_memory ? mm_budget_new (copy->buffered_max_bytes)
+                                   : copy->memory;
+  pool->room_event = event_new (copy->base, -1, 0, on_room, pool);
+  mm_budget_set_on_room (pool->memory, schedule_room, pool);
   pool->targets
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_target);
   return pool;
@@ -79,13 +107,12 @@
   if (call->target != NULL)
     call->target->call_count--;
   g_queue_unlink (&call->pool->calls, &call->pool_node);
-  call->pool->buffered_bytes -= call->buffered_bytes;
   event_free (call->timer);
   g_free (call->method);
   g_free (call->echo_header);
   g_free (call->echo_value);
-  g_byte_array_unref (call->encoded_request);
-  g_byte_array_unref (call->body);
+  g_byte_array_unref (call->encoded_head);
+  mm_block_unref (call->body);
   ht_head_clear (&call->head);
   g_free (call);
 }
@@ -100,6 +127,9 @@
                           call->pool->options.idle_timeout_ms % 1000 * 1000 };
 
   call->conn = NULL;
+  if (call->waits_for_room)
+    g_queue_unlink (&call->pool->room_waiters, &call->room_node);
+  call->waits_for_room = FALSE;
   if (conn == NULL)
     {
       if (call->target != NULL)
@@ -138,6 +168,10 @@
   while (g_hash_table_iter_next (&targets, NULL, &target))
     close_idle_conns (target);
   g_hash_table_unref (pool->targets);
+  mm_budget_set_on_room (pool->memory, NULL, NULL);
+  event_free (pool->room_event);
+  if (pool->owns_memory)
+    mm_budget_unref (pool->memory);
   g_free (pool);
 }
 
@@ -162,8 +196,9 @@
       ht_remove_hop_by_hop (call->head.headers);
       result->status = call->head.status;
       result->headers = call->head.headers;
-      result->body = call->body->data;
-      result->body_bytes = call->body->len;
+      result->block = call->body;
+      result->body = mm_block_bytes (call->body)->data;
+      result->body_bytes = mm_block_bytes (call->body)->len;
     }
   detach_call (call, reusable);
   event_active (call->timer, EV_TIMEOUT, 0);
@@ -406,7 +441,7 @@
   if (needs_length)
     append_header (bytes, "Content-Length", length);
   append_text (bytes, "\r\n");
-  if (request->body_bytes > 0)
+  if (request->body_bytes > 0 && !request->keeps_body)
     g_byte_array_append (bytes, request->body, (guint)request->body_bytes);
   return TRUE;
 }
@@ -421,15 +456,21 @@
   g_queue_push_tail_link (&pool->calls, &call->pool_node);
   call->timer = event_new (pool->options.base, -1, 0, on_timer, call);
   call->method = g_strdup (request->method);
-  call->encoded_request = g_byte_array_new ();
-  call->body = g_byte_array_new ();
+  call->encoded_head = g_byte_array_new ();
+  if (request->keeps_body)
+    {
+      call->sent_body = request->body;
+      call->sent_body_bytes = request->body_bytes;
+    }
+  call->body = mm_block_new (pool->memory);
+  call->room_node.data = call;
   call->echo_header = g_strdup (request->echo_header);
   call->echo_value = g_strdup (request->echo_value);
   call->sends = request->sends;
   call->idle_max_us = request->idle_max_us;
   call->on_done = request->on_done;
   call->data = request->data;
-  if (!format_request (call->encoded_request, request))
+  if (!format_request (call->encoded_head, request))
     {
       bk_call_finish (call, BK_FAILURE_REQUEST, FALSE);
       return call;
@@ -458,6 +499,12 @@
   return call;
 }
 
+gsize
+bk_call_request_bytes (const BkCall *call)
+{
+  return call->encoded_head->len + call->sent_body_bytes;
+}
+
 gboolean
 bk_deliver_arrived (BkCall *call)
 {
--- a/backend/backend.h
+++ b/backend/backend.h
@@ -43,8 +43,11 @@
      response to an earlier send cannot be taken for that to a later one.
 
      A response may never end.  Its head and its body are limited, and so are
-     all bodies together: above buffered_max_bytes the call with the largest
-     body ends with BK_FAILURE_TOO_LARGE.
+     all bodies together, by the budget of the options.  A body with a length
+     for which there is no room yet is read once there is: until then it waits
+     at the target, at most until the deadline.  Where bodies without a length
+     take the budget above its limit, the call with the largest of them ends
+     with BK_FAILURE_TOO_LARGE.
 
      Times are CLOCK_BOOTTIME in microseconds.
 
@@ -58,6 +61,7 @@
 #include <stdint.h>
 
 #include "http/http.h"
+#include "memory/memory.h"
 
 struct event_base;
 
@@ -72,8 +76,7 @@
 /* Sends of one request whose connections are told apart.  */
 #define BK_SENDS_MAX 8
 #define BK_RESPONSE_MAX_BYTES (16 * 1024 * 1024)
-/* Bodies that are being received at a time.  An array may have twice the
-   capacity that it uses.  */
+/* Bodies of all responses, without a budget of the user.  */
 #define BK_BUFFERED_MAX_BYTES (48 * 1024 * 1024)
 
 typedef enum
@@ -104,6 +107,7 @@
   const HtHeaders *headers; /* as received, without hop-by-hop headers */
   const uint8_t *body;
   gsize body_bytes;
+  MmBlock *block;       /* which holds the body; may be kept by a reference */
   int64_t connected_us; /* when the connection was established; 0: never */
   gboolean reused;      /* the connection has served an earlier request */
   uint64_t connection;  /* its number in the pool, from 1; 0: none */
@@ -129,6 +133,8 @@
   const HtHeaders *headers;   /* may be NULL; Host is added when missing */
   const void *body;
   gsize body_bytes;
+  gboolean keeps_body; /* the user keeps the body until the callback has been
+                          called or the call is cancelled; else it is copied */
   const char *echo_header; /* header in which responses echo the id of their
                               request; NULL: none */
   const char *echo_value;  /* the id of this request */
@@ -152,6 +158,8 @@
   gboolean ids_required;       /* all targets echo the ids of requests */
   gsize response_max_bytes;    /* of the body; default and maximum 16 MB */
   gsize buffered_max_bytes;    /* of all bodies; default 48 MB */
+  MmBudget *memory; /* for bodies, in place of buffered_max_bytes; must outlive
+                       the pool; may be NULL */
 } BkOptions;
 
 typedef struct
@@ -171,9 +179,9 @@
    a callback of the pool.  */
 void bk_pool_free (BkPool *pool);
 
-/* Copies REQUEST.  The callback is called once, from the event loop or
-   bk_deliver_arrived and never from within this function; then the call is
-   freed.  */
+/* Copies REQUEST, but see keeps_body.  The callback is called once, from the
+   event loop or bk_deliver_arrived and never from within this function; then
+   the call is freed.  */
 BkCall *bk_request (BkPool *pool, const BkRequest *request);
 
 /* For a user that is about to cancel CALL: if the rest of its response has
--- a/backend/backend_test.cc
+++ b/backend/backend_test.cc
@@ -793,6 +793,106 @@
     EXPECT_TRUE (f.is_closed (fd));
 }
 
+/* Guards against responses that together take more memory than there is, and
+   against giving one up that only has to wait for room.  */
+TEST (Backend, ReadsALargeBodyOnceThereIsRoom)
+{
+  const size_t large = 300000;
+  BkOptions options = {};
+  options.buffered_max_bytes = large + 1000;
+  Fixture f (options);
+  Outcome first, second, small;
+  const std::string head
+      = status_line + "Content-Length: " + std::to_string (large) + "\r\n\r\n";
+
+  f.start (&first);
+  int first_fd = f.accept_one ();
+  f.receive (first_fd);
+  send_text (first_fd, head + std::string (100000, 'x'));
+  f.run_until ([] { return false; }, 20);
+  f.start (&second);
+  int second_fd = f.accept_one ();
+  f.receive (second_fd);
+  send_text (second_fd, head + std::string (large, 'y'));
+  f.start (&small);
+  int small_fd = f.accept_one ();
+  f.receive (small_fd);
+  send_text (small_fd, status_line + "Content-Length: 5\r\n\r\nsmall");
+  ASSERT_TRUE (f.run_until ([&] { return small.done; }));
+  EXPECT_FALSE (f.run_until ([&] { return second.done; }, 100));
+  send_text (first_fd, std::string (large - 100000, 'x'));
+  ASSERT_TRUE (f.run_until ([&] { return first.done && second.done; }));
+  EXPECT_EQ (std::string (large, 'x'), first.body);
+  EXPECT_EQ (std::string (large, 'y'), second.body);
+}
+
+/* Guards against a response that waits for room for longer than its deadline,
+   and against one that is forgotten when it is cancelled meanwhile.  */
+TEST (Backend, EndsCallsThatWaitForRoom)
+{
+  BkOptions options = {};
+  options.buffered_max_bytes = 200000;
+  Fixture f (options);
+  Outcome holder, late, cancelled;
+  const std::string head = status_line + "Content-Length: 150000\r\n\r\n";
+
+  f.start (&holder);
+  int holder_fd = f.accept_one ();
+  f.receive (holder_fd);
+  send_text (holder_fd, head);
+  f.run_until ([] { return false; }, 20);
+  f.start (&late, "POST", 300);
+  int late_fd = f.accept_one ();
+  f.receive (late_fd);
+  send_text (late_fd, head);
+  BkCall *call = f.start (&cancelled);
+  int cancelled_fd = f.accept_one ();
+  f.receive (cancelled_fd);
+  send_text (cancelled_fd, head);
+  ASSERT_TRUE (f.run_until ([&] { return late.done; }));
+  EXPECT_EQ (BK_FAILURE_TIMEOUT, late.result.failure);
+  EXPECT_EQ (BK_SENT_MAYBE, bk_cancel (call));
+  send_text (holder_fd, std::string (150000, 'x'));
+  ASSERT_TRUE (f.run_until ([&] { return holder.done; }));
+  EXPECT_TRUE (holder.result.complete);
+}
+
+/* Guards against a body that is copied, or sent with bytes missing, when the
+   socket takes it in parts.  */
+TEST (Backend, SendsABodyThatTheUserKeeps)
+{
+  Fixture f;
+  Outcome outcome;
+  std::string body;
+  for (int i = 0; i < 2000000; i++)
+    body += (char)('a' + i % 23);
+  BkRequest request = f.make_request (&outcome, "POST", 5000, body);
+  request.keeps_body = TRUE;
+  std::string received;
+
+  bk_request (f.pool, &request);
+  int fd = f.accept_one ();
+  ASSERT_TRUE (f.run_until ([&] {
+    char bytes[65536];
+    ssize_t length = recv (fd, bytes, sizeof bytes, 0);
+    if (length > 0)
+      received.append (bytes, (size_t)length);
+    return received.size () > body.size ();
+  }));
+  EXPECT_NE (received.npos, received.find ("Content-Length: 2000000\r\n"));
+  ASSERT_TRUE (f.run_until ([&] {
+    char bytes[65536];
+    ssize_t length = recv (fd, bytes, sizeof bytes, 0);
+    if (length > 0)
+      received.append (bytes, (size_t)length);
+    return received.size () - received.find ("\r\n\r\n") - 4 == body.size ();
+  }));
+  EXPECT_EQ (body, received.substr (received.find ("\r\n\r\n") + 4));
+  send_text (fd, status_line + "Content-Length: 2\r\n\r\nok");
+  ASSERT_TRUE (f.run_until ([&] { return outcome.done; }));
+  EXPECT_EQ ("ok", outcome.body);
+}
+
 /* Guards against bytes without end in the parts of a response that are not its
    head or body: chunks of one byte, trailers, interim and late responses.  */
 TEST (Backend, BoundsOtherBytesWithoutEnd)
--- a/backend/link.c
+++ b/backend/link.c
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 #include "backend/link.h"
@@ -89,15 +90,36 @@
     sends->connections[sends->count++] = conn->number;
 }
 
+/* The parts of the request that were not sent yet.  */
+static int
+get_unsent (const BkCall *call, struct iovec parts[2])
+{
+  gsize head_bytes = call->encoded_head->len;
+  gsize body_at = 0;
+  int count = 0;
+
+  if (call->sent_bytes < head_bytes)
+    parts[count++]
+        = (struct iovec){ call->encoded_head->data + call->sent_bytes,
+                          head_bytes - call->sent_bytes };
+  else
+    body_at = call->sent_bytes - head_bytes;
+  if (body_at < call->sent_body_bytes)
+    parts[count++] = (struct iovec){ (void *)(call->sent_body + body_at),
+                                     call->sent_body_bytes - body_at };
+  return count;
+}
+
 /* Sends as much of the request as the socket accepts.  A call whose first send
    fails counts as not sent; on a reused connection it is requeued.  */
 static void
 send_request_bytes (BkConn *conn)
 {
   BkCall *call = conn->call;
-  ssize_t written
-      = send (conn->fd, call->encoded_request->data + call->sent_bytes,
-              call->encoded_request->len - call->sent_bytes, MSG_NOSIGNAL);
+  struct iovec parts[2];
+  struct msghdr message
+      = { .msg_iov = parts, .msg_iovlen = (size_t)get_unsent (call, parts) };
+  ssize_t written = sendmsg (conn->fd, &message, MSG_NOSIGNAL);
 
   if (written > 0)
     {
@@ -114,7 +136,7 @@
         end_sending (conn);
       return;
     }
-  if (call->sent_bytes < call->encoded_request->len)
+  if (call->sent_bytes < bk_call_request_bytes (call))
     add_event (conn->write_event, 0);
 }
 
@@ -126,7 +148,7 @@
 {
   BkCall *call = conn->call;
   uint32_t unacked_timeout_ms = conn->target->pool->options.unacked_timeout_ms;
-  gboolean is_short = call->encoded_request->len <= SHORT_REQUEST_BYTES;
+  gboolean is_short = bk_call_request_bytes (call) <= SHORT_REQUEST_BYTES;
 
   conn->send_start_us = bk_now_us ();
   call->sent_bytes = 0;
@@ -239,7 +261,7 @@
   bk_call_finish (call, BK_FAILURE_NONE,
                   is_usable && evbuffer_get_length (conn->input) == 0
                       && call->head.keep_alive
-                      && call->sent_bytes == call->encoded_request->len
+                      && call->sent_bytes == bk_call_request_bytes (call)
                       && !bk_response_lost_its_id (conn));
 }
 
@@ -257,27 +279,52 @@
   return received;
 }
 
-/* Returns whether bytes, or the end of the connection, were received.  */
-static gboolean
-read_response (BkConn *conn)
+/* Goes on with what has been received.  FAILED says whether the connection is
+   reset: it is unknown then whether all bytes arrived, so a reset never
+   completes a response without a length.  */
+static void
+handle_input (BkConn *conn, gboolean closed, gboolean failed)
 {
   BkCall *call = conn->call;
-  ssize_t received = receive_bytes (conn);
-  /* After a failed send the kernel reports a reset as the end of input.  */
-  gboolean failed = received < 0 || (received == 0 && conn->send_failed);
 
-  if (received < 0 && (errno == EAGAIN || errno == EINTR))
-    return FALSE;
-  /* After a reset it is unknown whether all bytes arrived, so a reset never
-     completes a response without a length.  */
   if (failed)
     bk_call_finish (call, BK_FAILURE_CLOSED, FALSE);
-  else if (!bk_response_parse (conn, received == 0))
-    return TRUE;
+  else if (!bk_response_parse (conn, closed))
+    return;
   else if (call->result.failure != BK_FAILURE_NONE)
     bk_call_finish (call, call->result.failure, FALSE);
   else
     complete_response (conn);
+}
+
+/* Returns whether bytes, or the end of the connection, were received.  */
+static gboolean
+read_response (BkConn *conn)
+{
+  ssize_t received;
+
+  if (conn->call->waits_for_room)
+    return FALSE;
+  received = receive_bytes (conn);
+  if (received < 0 && (errno == EAGAIN || errno == EINTR))
+    return FALSE;
+  /* After a failed send the kernel reports a reset as the end of input.  */
+  handle_input (conn, received == 0,
+                received < 0 || (received == 0 && conn->send_failed));
+  return TRUE;
+}
+
+gboolean
+bk_call_take_room (BkCall *call)
+{
+  BkConn *conn = call->conn;
+
+  if (!mm_block_reserve (call->body, call->head.content_length_bytes))
+    return FALSE;
+  g_queue_unlink (&call->pool->room_waiters, &call->room_node);
+  call->waits_for_room = FALSE;
+  add_event (conn->read_event, 0);
+  handle_input (conn, FALSE, FALSE);
   return TRUE;
 }
 
--- a/backend/link.h
+++ b/backend/link.h
@@ -15,10 +15,13 @@
 struct BkPool
 {
   BkOptions options;
-  GHashTable *targets;  /* address to BkTarget */
-  GQueue calls;         /* each BkCall until its result is delivered */
-  gsize buffered_bytes; /* of the bodies of all calls */
-  uint64_t last_number; /* of the connections opened so far */
+  GHashTable *targets; /* address to BkTarget */
+  GQueue calls;        /* each BkCall until its result is delivered */
+  MmBudget *memory;    /* of the user or, with owns_memory, of the pool */
+  gboolean owns_memory;
+  GQueue room_waiters; /* BkCall whose bodies wait for room, oldest first */
+  struct event *room_event; /* activated when there may be room */
+  uint64_t last_number;     /* of the connections opened so far */
   BkCounters counters;
 };
 
@@ -69,8 +72,10 @@
   gboolean finished;   /* RESULT is final */
   gboolean delivering; /* on_done is being called */
   char *method;
-  GByteArray *encoded_request;
-  gsize sent_bytes;  /* of encoded_request, over this connection */
+  GByteArray *encoded_head; /* with the body, unless sent_body is it */
+  const uint8_t *sent_body; /* kept by the user; NULL: none */
+  gsize sent_body_bytes;
+  gsize sent_bytes;  /* of head and body, over this connection */
   char *echo_header; /* NULL: late responses are not detected */
   char *echo_value;
   BkSends *sends; /* NULL: the request is sent once */
@@ -84,8 +89,9 @@
   HtHead head;
   HtChunkDecoder chunk_decoder;
   uint32_t skipped_count; /* interim (1xx) and late responses */
-  GByteArray *body;
-  gsize buffered_bytes; /* of the body, as counted in the pool */
+  MmBlock *body;
+  gboolean waits_for_room;
+  GList room_node;
 };
 
 /* Opens a connection for CALL; NULL with errno set.  */
@@ -102,6 +108,10 @@
 /* Whether the response echoes the id of its request.  */
 gboolean bk_response_echoes_id (const BkCall *call);
 
+/* Reads on if there is room for the body that CALL waits for.  Returns whether
+   there was; CALL waits no longer then.  */
+gboolean bk_call_take_room (BkCall *call);
+
 /* Whether the response on CONN lacks the id that its target always echoes.  It
    could be a second copy, or have one.  */
 gboolean bk_response_lost_its_id (const BkConn *conn);
@@ -112,6 +122,8 @@
    the call's result is set.  */
 gboolean bk_response_parse (BkConn *conn, gboolean closed);
 
+/* Length of the request of CALL, head and body.  */
+gsize bk_call_request_bytes (const BkCall *call);
 /* Ends CALL with FAILURE.  Its connection becomes idle if REUSABLE and is
    closed otherwise; the result is delivered from the event loop.  */
 void bk_call_finish (BkCall *call, BkFailure failure, gboolean reusable);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -52,6 +52,12 @@
   MtCounter *front_malformed;
   MtCounter *front_over_limit;
   MtCounter *late_responses;
+  struct
+  {
+    MtCounter *used;
+    MtCounter *peak;
+    MtCounter *refused; /* of requests; responses wait */
+  } request_memory, response_memory;
   MtCounter *stray_closes;
 };
 
@@ -128,6 +134,20 @@
                                  may_follow);
 }
 
+static void
+update_memory_metrics (EnEntry *entry)
+{
+  const MmBudget *request = en_proxy_request_memory (entry->proxy);
+  const MmBudget *response = en_proxy_response_memory (entry->proxy);
+
+  mt_set (entry->request_memory.used, (int64_t)mm_budget_used (request));
+  mt_set (entry->request_memory.peak, (int64_t)mm_budget_peak (request));
+  mt_set (entry->request_memory.refused,
+          (int64_t)mm_budget_refused_count (request));
+  mt_set (entry->response_memory.used, (int64_t)mm_budget_used (response));
+  mt_set (entry->response_memory.peak, (int64_t)mm_budget_peak (response));
+}
+
 static void
 update_metrics (void *data)
 {
@@ -149,6 +169,25 @@
   mt_set (entry->front_over_limit, (int64_t)front->over_limit_count);
   mt_set (entry->late_responses, (int64_t)target->late_response_count);
   mt_set (entry->stray_closes, (int64_t)target->stray_close_count);
+  update_memory_metrics (entry);
+}
+
+static void
+create_memory_metrics (EnEntry *entry)
+{
+  MtRegistry *metrics = entry->metrics;
+
+  entry->request_memory.used = mt_gauge (metrics, "request_body_bytes",
+                                         "Held for bodies of requests");
+  entry->request_memory.peak = mt_gauge (metrics, "request_body_peak_bytes",
+                                         "The most that was held for them");
+  entry->request_memory.refused
+      = mt_gauge (metrics, "requests_without_memory_total",
+                  "Requests refused since their bodies did not fit");
+  entry->response_memory.used = mt_gauge (metrics, "response_body_bytes",
+                                          "Held for bodies of responses");
+  entry->response_memory.peak = mt_gauge (metrics, "response_body_peak_bytes",
+                                          "The most that was held for them");
 }
 
 static void
@@ -157,6 +196,7 @@
   MtRegistry *metrics = mt_registry_new ();
 
   entry->metrics = metrics;
+  create_memory_metrics (entry);
   entry->config_age = mt_gauge (metrics, "config_age_us",
                                 "Since the store confirmed the configuration");
   entry->store_reads = mt_gauge (metrics, "store_reads_total", "Reads");
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -326,11 +326,11 @@
   void
   PutConfig (int version, const std::string &keys = "\"key-1\"",
              const std::string &limit = "\"rate_per_s\":0,\"burst\":0",
-             const std::string &routes = "")
+             const std::string &routes = "", const std::string &limits = "")
   {
     PostControl ("/put?key=op/config",
-                 "{\"version\":\"r" + std::to_string (version)
-                     + "\",\"routes\":{" + routes
+                 "{\"version\":\"r" + std::to_string (version) + "\"," + limits
+                     + "\"routes\":{" + routes
                      + RouteJson ("read", "safe", false) + ","
                      + RouteJson ("order", "unsafe", false) + ","
                      + RouteJson ("open", "safe", true) + ","
@@ -2065,6 +2065,91 @@
   close (fd);
 }
 
+/* Sends the head of an order, of which BODY_BYTES are the body.  */
+void
+SendLargeHead (int fd, const std::string &id, size_t body_bytes)
+{
+  std::string head = "POST /order/1 HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+                     "X-Comfreywalk-Attempt-Id: "
+                     + id
+                     + "\r\nX-Comfreywalk-Deadline-Ms: 3000\r\n"
+                       "Authorization: Token key-1\r\nContent-Length: "
+                     + std::to_string (body_bytes) + "\r\n\r\n";
+
+  send (fd, head.data (), head.size (), MSG_NOSIGNAL);
+}
+
+/* Guards against bodies of requests and responses that together take a daemon
+   over its memory, which ends it with all its requests; against an order that
+   is refused for its body and runs all the same; and against small requests
+   that suffer from large ones.  */
+TEST_F (Entry, LargeBodiesStayWithinTheMemory)
+{
+  constexpr size_t kBody = 30000000;
+  constexpr int64_t kShare = 82000000; /* of 256 MiB, see memory.h */
+  const std::string filler (kBody, 'x');
+  std::vector<int> readers;
+  std::vector<std::future<std::string> > large;
+  int refused_count = 0;
+
+  PutConfig (2, "\"key-1\"", "\"rate_per_s\":0,\"burst\":0", "",
+             "\"limits\":{\"max_header_bytes\":16384,"
+             "\"max_body_bytes\":67108864,\"header_timeout_s\":3,"
+             "\"idle_timeout_s\":15},");
+  si_sleep_ms (1500);
+  PostControl ("/target?id=t1&fault=large");
+  PostControl ("/target?id=t2&fault=large");
+  for (int i = 0; i < 16; i++)
+    readers.push_back (
+        SendWithoutReading (vms[0].front, "r" + std::to_string (i)));
+  si_sleep_ms (500);
+  PostControl ("/target?id=t1&fault=none");
+  PostControl ("/target?id=t2&fault=none");
+  for (int i = 0; i < 8; i++)
+    large.push_back (std::async (std::launch::async, [&, i] {
+      int fd = OpenSocket (vms[0].front, false);
+      std::string response;
+      SendLargeHead (fd, "large" + std::to_string (i), kBody);
+      for (size_t at = 0; at < kBody;)
+        {
+          ssize_t sent
+              = send (fd, filler.data () + at, kBody - at, MSG_NOSIGNAL);
+          if (sent <= 0)
+            break;
+          at += (size_t)sent;
+        }
+      response = ReceiveResponse (fd);
+      close (fd);
+      return response;
+    }));
+  for (int i = 0; i < 20; i++)
+    EXPECT_EQ (SendRequest (vms[0], "/order/1", "small" + std::to_string (i),
+                            "key-1", "POST"),
+               200);
+  for (size_t i = 0; i < large.size (); i++)
+    {
+      std::string id = "large" + std::to_string (i);
+      std::string response = large[i].get ();
+      bool is_refused = response.compare (0, 12, "HTTP/1.1 503") == 0;
+      refused_count += is_refused;
+      EXPECT_EQ (CountLines ("/runs", id), is_refused ? 0 : 1) << response;
+    }
+  EXPECT_GT (refused_count, 0);
+  EXPECT_LT (refused_count, 8);
+  EXPECT_LE (GetMetric (vms[0], "request_body_peak_bytes"), kShare);
+  EXPECT_LE (GetMetric (vms[0], "response_body_peak_bytes"), kShare);
+  EXPECT_GT (GetMetric (vms[0], "response_body_peak_bytes"), kShare / 2);
+  EXPECT_EQ (GetMetric (vms[0], "requests_without_memory_total"),
+             refused_count);
+  for (int fd : readers)
+    close (fd);
+  EXPECT_TRUE (WaitFor ([&] {
+    return GetMetric (vms[0], "response_body_bytes")
+               + GetMetric (vms[0], "request_body_bytes")
+           == 0;
+  }));
+}
+
 /* Guards against a response that has arrived at a stopping daemon and is
    replaced by a refusal when the daemon ends its requests.  */
 TEST_F (Entry, EndOfAStopForwardsResponsesThatHaveArrived)
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -128,8 +128,8 @@
           request->id, outcomes[outcome].name, result->status,
           request->send_count,
           (ck_boot_us () - request->front->arrived_us) / 1000);
-  fr_respond (request->front, result->status, result->headers, result->body,
-              result->body_bytes);
+  fr_respond_block (request->front, result->status, result->headers,
+                    result->block);
   finish_request (request, outcome);
 }
 
@@ -547,6 +547,23 @@
                                   "From the first byte to the answer");
 }
 
+static void
+free_memory (EnProxy *proxy)
+{
+  mm_budget_unref (proxy->request_memory);
+  mm_budget_unref (proxy->response_memory);
+}
+
+static void
+create_memory (EnProxy *proxy)
+{
+  uint64_t share_bytes
+      = mm_share_bytes ((uint64_t)proxy->options.settings->memory_mib << 20);
+
+  proxy->request_memory = mm_budget_new (share_bytes);
+  proxy->response_memory = mm_budget_new (share_bytes);
+}
+
 EnProxy *
 en_proxy_new (const EnProxyOptions *options, GError **error)
 {
@@ -570,9 +587,13 @@
 
   proxy->options = *options;
   register_metrics (proxy);
+  create_memory (proxy);
+  front.memory = proxy->request_memory;
+  connection_pool.memory = proxy->response_memory;
   proxy->front = fr_new (&front, error);
   if (proxy->front == NULL)
     {
+      free_memory (proxy);
       g_free (proxy);
       return NULL;
     }
@@ -593,6 +614,7 @@
   bk_pool_free (proxy->connection_pool);
   g_clear_pointer (&proxy->held_requests, g_hash_table_unref);
   g_hash_table_unref (proxy->splits);
+  free_memory (proxy);
   g_free (proxy);
 }
 
@@ -620,6 +642,18 @@
   return bk_counters (proxy->connection_pool);
 }
 
+const MmBudget *
+en_proxy_request_memory (const EnProxy *proxy)
+{
+  return proxy->request_memory;
+}
+
+const MmBudget *
+en_proxy_response_memory (const EnProxy *proxy)
+{
+  return proxy->response_memory;
+}
+
 gboolean
 en_proxy_is_writing (const EnProxy *proxy)
 {
--- a/entry/proxy.h
+++ b/entry/proxy.h
@@ -46,6 +46,9 @@
 const FrCounters *en_proxy_front_counters (const EnProxy *proxy);
 /* Of the connections to targets.  */
 const BkCounters *en_proxy_target_counters (const EnProxy *proxy);
+/* For the bodies of requests and of responses.  */
+const MmBudget *en_proxy_request_memory (const EnProxy *proxy);
+const MmBudget *en_proxy_response_memory (const EnProxy *proxy);
 
 /* Closes each connection of a caller after its next response.  */
 void en_proxy_close_connections (EnProxy *proxy);
--- a/entry/request.h
+++ b/entry/request.h
@@ -33,6 +33,8 @@
   EnProxyOptions options;
   FrServer *front;           /* HTTP server for callers */
   BkPool *connection_pool;   /* to targets */
+  MmBudget *request_memory;  /* for bodies of requests */
+  MmBudget *response_memory; /* for bodies of responses */
   GHashTable *splits;        /* route name to EnSplit */
   GQueue requests;           /* EnRequest */
   GHashTable *held_requests; /* object hash to GQueue of EnRequest */
--- a/entry/send.c
+++ b/entry/send.c
@@ -84,6 +84,7 @@
     .headers = request->headers,
     .body = request->front->body,
     .body_bytes = request->front->body_bytes,
+    .keeps_body = TRUE,
     .echo_header = dialect->request_id,
     .echo_value = request->id,
     .sends = &request->sends,
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -33,7 +33,8 @@
   char *directory_listen;
   char *gossip_listen;
   char *store_address;
-  uint32_t files_max; /* open files that the system allows the daemon */
+  uint32_t files_max;  /* open files that the system allows the daemon */
+  uint32_t memory_mib; /* above which the system ends the daemon */
   EnBounds bounds;
 } EnSettings;
 
--- a/front/conn.c
+++ b/front/conn.c
@@ -12,7 +12,9 @@
    the largest allowed body, since each chunk adds framing.  */
 #define CHUNK_OVERHEAD_FACTOR 8
 #define READ_MAX_BYTES (64 * 1024)
-#define PEEK_MAX_COUNT 16
+/* Retry-After of a body for which there is no memory: by then the bodies that
+   hold it have been sent to targets.  */
+#define MEMORY_RETRY_AFTER "1"
 
 static void process_input (FrConn *conn);
 
@@ -37,10 +39,18 @@
   evbuffer_drain (buffer, evbuffer_get_length (buffer));
 }
 
+void
+fr_conn_free_body (FrConn *conn)
+{
+  g_clear_pointer (&conn->body, mm_block_unref);
+  conn->encoded_bytes = 0;
+}
+
 static void
 clear_request (FrConn *conn)
 {
   ht_head_clear (&conn->head);
+  fr_conn_free_body (conn);
   conn->evhtp_request = NULL;
   conn->cancel_handler = NULL;
   conn->checked_bytes = 0;
@@ -108,22 +118,38 @@
   return FALSE;
 }
 
-void
-fr_conn_reject (FrConn *conn, uint32_t status, const char *error)
+/* HEADERS are further lines of the head.  */
+static void
+reject_with_headers (FrConn *conn, uint32_t status, const char *headers,
+                     const char *error)
 {
   g_autofree char *body
       = g_strdup_printf ("{\"error\":\"%s\",\"outcome\":\"not_run\"}", error);
 
   evbuffer_add_printf (bufferevent_get_output (conn->bev),
                        "HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
-                       "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
-                       status, ht_reason_phrase (status), strlen (body), body);
+                       "Content-Length: %zu\r\n%sConnection: close\r\n\r\n%s",
+                       status, ht_reason_phrase (status), strlen (body),
+                       headers, body);
   drain_buffer (input_buffer (conn));
   drain_buffer (conn->read_ahead);
   clear_request (conn);
   fr_conn_set_state (conn, FR_CONN_LINGER);
 }
 
+void
+fr_conn_reject (FrConn *conn, uint32_t status, const char *error)
+{
+  reject_with_headers (conn, status, "", error);
+}
+
+static void
+reject_for_memory (FrConn *conn)
+{
+  reject_with_headers (conn, 503, "Retry-After: " MEMORY_RETRY_AFTER "\r\n",
+                       "no_memory_for_body");
+}
+
 static void
 reject_malformed (FrConn *conn, uint32_t status, const char *error)
 {
@@ -179,19 +205,33 @@
   return TRUE;
 }
 
-/* Returns TRUE if the head is complete and valid; the state is FR_CONN_BODY
-   then.  */
+/* Returns FALSE if there is no memory for the body, and it was rejected.  */
+static gboolean
+begin_body (FrConn *conn)
+{
+  conn->encoded_bytes = 0;
+  if (conn->head.body_framing == HT_BODY_NONE)
+    return TRUE;
+  conn->body = mm_block_new (conn->server->options.memory);
+  if (mm_block_reserve (conn->body, conn->head.content_length_bytes))
+    return TRUE;
+  reject_for_memory (conn);
+  return FALSE;
+}
+
+/* Returns TRUE if the head is complete and valid; it is then taken out of the
+   input, and the state is FR_CONN_BODY.  */
 static gboolean
 read_head (FrConn *conn)
 {
   struct evbuffer *input = input_buffer (conn);
   gsize length = MIN (evbuffer_get_length (input), HT_HEAD_MAX_BYTES);
   const char *bytes = (char *)evbuffer_pullup (input, (ev_ssize_t)length);
+  gsize head_bytes = ht_head_length (bytes, length, conn->checked_bytes);
   g_autoptr (GError) error = NULL;
 
-  conn->head_bytes = ht_head_length (bytes, length, conn->checked_bytes);
   conn->checked_bytes = length;
-  if (conn->head_bytes == 0)
+  if (head_bytes == 0)
     {
       if (has_bare_lf (bytes, length))
         reject_malformed (conn, 400, "malformed");
@@ -199,7 +239,7 @@
         reject_malformed (conn, 431, "head_too_large");
       return FALSE;
     }
-  if (!ht_parse_request (bytes, conn->head_bytes, &conn->head, &error))
+  if (!ht_parse_request (bytes, head_bytes, &conn->head, &error))
     {
       reject_head (conn, error);
       return FALSE;
@@ -209,129 +249,96 @@
       reject_malformed (conn, 413, "body_too_large");
       return FALSE;
     }
-  if (!check_expect (conn))
+  if (!begin_body (conn) || !check_expect (conn))
     return FALSE;
-  conn->checked_bytes = conn->head_bytes;
+  evbuffer_drain (input, head_bytes);
   conn->state = FR_CONN_BODY;
   return TRUE;
 }
 
-/* Checks the bytes of the chunked body that arrived since the last call.  */
-static HtChunkResult
-check_chunks (FrConn *conn)
+/* Decodes what has arrived of a chunked body.  Returns TRUE once it is
+   complete; FALSE also if it was rejected.  */
+static gboolean
+read_chunked (FrConn *conn)
 {
   struct evbuffer *input = input_buffer (conn);
+  uint64_t max_bytes = conn->server->options.body_max_bytes;
+  GByteArray *body = mm_block_bytes (conn->body);
   HtChunkResult result = HT_CHUNK_MORE;
+  gsize length;
 
   while (result == HT_CHUNK_MORE
-         && conn->checked_bytes < evbuffer_get_length (input))
+         && (length = evbuffer_get_contiguous_space (input)) > 0)
     {
-      struct evbuffer_iovec pieces[PEEK_MAX_COUNT];
-      struct evbuffer_ptr from;
-      int count;
-
-      evbuffer_ptr_set (input, &from, conn->checked_bytes, EVBUFFER_PTR_SET);
-      count = evbuffer_peek (input, -1, &from, pieces, PEEK_MAX_COUNT);
-      for (int i = 0;
-           i < MIN (count, PEEK_MAX_COUNT) && result == HT_CHUNK_MORE; i++)
+      gsize used;
+
+      if (!mm_block_reserve (conn->body, body->len + length))
+        {
+          reject_for_memory (conn);
+          return FALSE;
+        }
+      result = ht_chunk_decode (
+          &conn->chunk_decoder,
+          (char *)evbuffer_pullup (input, (ev_ssize_t)length), length, &used,
+          body);
+      evbuffer_drain (input, used);
+      conn->encoded_bytes += used;
+      if (result != HT_CHUNK_INVALID
+          && (body->len > max_bytes
+              || conn->encoded_bytes
+                     > HT_HEAD_MAX_BYTES + CHUNK_OVERHEAD_FACTOR * max_bytes))
         {
-          gsize used;
-          result = ht_chunk_decode (&conn->chunk_decoder, pieces[i].iov_base,
-                                    pieces[i].iov_len, &used, NULL);
-          conn->checked_bytes += used;
+          reject_malformed (conn, 413, "body_too_large");
+          return FALSE;
         }
     }
-  return result;
-}
-
-/* Returns the length of the whole message, head and body, or 0 if it is
-   incomplete or was rejected.  */
-static gsize
-read_chunked (FrConn *conn)
-{
-  uint64_t max_bytes = conn->server->options.body_max_bytes;
-  HtChunkResult result = check_chunks (conn);
-
   if (result == HT_CHUNK_INVALID)
     reject_malformed (conn, 400, "malformed");
-  else if (conn->chunk_decoder.total_bytes > max_bytes
-           || conn->checked_bytes
-                  > HT_HEAD_MAX_BYTES + CHUNK_OVERHEAD_FACTOR * max_bytes)
-    reject_malformed (conn, 413, "body_too_large");
-  else if (result == HT_CHUNK_DONE)
-    return conn->checked_bytes;
-  return 0;
+  return result == HT_CHUNK_DONE;
 }
 
-/* Returns the length of the whole message, or 0 as read_chunked does.  */
-static gsize
-read_body (FrConn *conn)
+/* Moves what has arrived of a body with a length.  Returns TRUE once it is
+   complete.  */
+static gboolean
+read_length (FrConn *conn)
 {
-  gsize message_bytes = conn->head_bytes + conn->head.content_length_bytes;
+  struct evbuffer *input = input_buffer (conn);
+  GByteArray *body = mm_block_bytes (conn->body);
+  gsize before = body->len;
+  gsize arrived = MIN (evbuffer_get_length (input),
+                       conn->head.content_length_bytes - before);
 
-  if (conn->head.body_framing == HT_BODY_CHUNKED)
-    return read_chunked (conn);
-  return evbuffer_get_length (input_buffer (conn)) >= message_bytes
-             ? message_bytes
-             : 0;
+  g_byte_array_set_size (body, (guint)(before + arrived));
+  evbuffer_remove (input, body->data + before, arrived);
+  return body->len == conn->head.content_length_bytes;
 }
 
-/* Leaves exactly MESSAGE_BYTES in the input and moves the rest to the
-   read-ahead buffer.  libevent does not let others append to a bufferevent's
-   input, so the message is put back by prepending it.  */
-static void
-isolate_message (FrConn *conn, gsize message_bytes)
+static gboolean
+read_body (FrConn *conn)
 {
-  struct evbuffer *input = input_buffer (conn);
-  struct evbuffer *message;
-
-  if (evbuffer_get_length (input) == message_bytes)
-    return;
-  message = evbuffer_new ();
-  evbuffer_remove_buffer (input, message, message_bytes);
-  evbuffer_add_buffer (conn->read_ahead, input);
-  evbuffer_prepend_buffer (input, message);
-  evbuffer_free (message);
+  if (conn->body == NULL)
+    return TRUE;
+  return conn->head.body_framing == HT_BODY_CHUNKED ? read_chunked (conn)
+                                                    : read_length (conn);
 }
 
-/* Replaces the chunks, which are the whole input, with their content.  */
+/* Gives libevhtp a request without a body in place of the one that was read,
+   since it does not parse all valid heads, nor all forms of "Connection:
+   close", and copies bodies.  on_request gets the request from the
+   connection.  Bytes after the request move to the read-ahead buffer.  */
 static void
-decode_chunks (FrConn *conn)
+replace_message (FrConn *conn)
 {
   struct evbuffer *input = input_buffer (conn);
-  gsize length = evbuffer_get_length (input);
-  g_autoptr (GByteArray) body = g_byte_array_new ();
-  HtChunkDecoder chunk_decoder = { 0 };
-  gsize used;
-
-  ht_chunk_decode (&chunk_decoder, (char *)evbuffer_pullup (input, -1), length,
-                   &used, body);
-  g_assert (used == length);
-  drain_buffer (input);
-  evbuffer_prepend (input, body->data, body->len);
-}
-
-/* Gives the message a short head with a Content-Length, since libevhtp does
-   not parse all valid heads, chunks and trailers, nor all forms of
-   "Connection: close".  on_request gets the method, the request target and the
-   headers from conn->head.  */
-static void
-simplify_message (FrConn *conn)
-{
-  struct evbuffer *input = input_buffer (conn);
-  char head[128];
-  int head_bytes;
+  const char *head = conn->head.keep_alive
+                         ? "POST / HTTP/1.1\r\nHost: a\r\n"
+                           "Content-Length: 0\r\n\r\n"
+                         : "POST / HTTP/1.1\r\nHost: a\r\n"
+                           "Content-Length: 0\r\nConnection: close\r\n\r\n";
 
-  evbuffer_drain (input, conn->head_bytes);
-  if (conn->head.body_framing == HT_BODY_CHUNKED)
-    decode_chunks (conn);
-  head_bytes
-      = g_snprintf (head, sizeof head,
-                    "POST / HTTP/1.1\r\nHost: a\r\n"
-                    "Content-Length: %" G_GSIZE_FORMAT "\r\n%s\r\n",
-                    evbuffer_get_length (input),
-                    conn->head.keep_alive ? "" : "Connection: close\r\n");
-  evbuffer_prepend (input, head, (gsize)head_bytes);
+  if (evbuffer_get_length (input) > 0)
+    evbuffer_add_buffer (conn->read_ahead, input);
+  evbuffer_prepend (input, head, strlen (head));
 }
 
 /* Passes one checked request to libevhtp, which calls fr_conn_dispatch.  */
@@ -347,30 +354,35 @@
   server->parsing_conn = outer_conn;
   if (!leave_evhtp_call (conn))
     return;
-  /* libevhtp found no request in the checked bytes, or fr_conn_dispatch did
-     not accept it.  */
+  /* libevhtp found no request in the head that it was given.  */
   if (conn->state == FR_CONN_BODY)
     fr_conn_close (conn);
 }
 
-static void
-process_input (FrConn *conn)
+/* Returns TRUE once a request is complete.  */
+static gboolean
+read_request (FrConn *conn)
 {
-  gsize message_bytes;
-
-  conn->seen_bytes = evbuffer_get_length (input_buffer (conn));
-  if (conn->seen_bytes == 0)
-    return;
   if (conn->state == FR_CONN_IDLE)
     fr_conn_set_state (conn, FR_CONN_HEAD);
   if (conn->state == FR_CONN_HEAD && !read_head (conn))
-    return;
+    return FALSE;
   conn->body_read_us = fr_now_us ();
-  message_bytes = read_body (conn);
-  if (message_bytes == 0)
+  return read_body (conn);
+}
+
+static void
+process_input (FrConn *conn)
+{
+  gboolean is_complete;
+
+  if (evbuffer_get_length (input_buffer (conn)) == 0)
+    return;
+  is_complete = read_request (conn);
+  conn->seen_bytes = evbuffer_get_length (input_buffer (conn));
+  if (!is_complete)
     return;
-  isolate_message (conn, message_bytes);
-  simplify_message (conn);
+  replace_message (conn);
   pass_to_evhtp (conn);
 }
 
@@ -506,19 +518,13 @@
 {
   FrServer *server = conn->server;
   FrRequest *request = &conn->request;
-  struct evbuffer *body = evhtp_request->buffer_in;
-  uint64_t length = conn->head.body_framing == HT_BODY_CHUNKED
-                        ? conn->chunk_decoder.total_bytes
-                        : conn->head.content_length_bytes;
+  GByteArray *body = conn->body != NULL ? mm_block_bytes (conn->body) : NULL;
 
-  /* The request is ambiguous if the two parsers disagree about its body.  */
-  if (evbuffer_get_length (body) != length)
-    return;
   request->method = conn->head.method;
   split_request_target (request, conn->head.request_target);
   request->headers = conn->head.headers;
-  request->body_bytes = (gsize)length;
-  request->body = length > 0 ? evbuffer_pullup (body, -1) : NULL;
+  request->body_bytes = body != NULL ? body->len : 0;
+  request->body = request->body_bytes > 0 ? body->data : NULL;
   request->arrived_us = conn->since_us;
   request->user_data = NULL;
   conn->evhtp_request = evhtp_request;
--- a/front/conn.h
+++ b/front/conn.h
@@ -2,9 +2,10 @@
 
    DESCRIPTION
      The callbacks that libevhtp set on a connection's bufferevent are saved
-     and replaced.  libevhtp's read callback is called only while the input
-     buffer holds exactly one checked and complete request; the bytes after
-     this request wait in FrConn.read_ahead.  */
+     and replaced.  The body of a request is moved out of the input as it
+     arrives.  libevhtp's read callback is called only once the request is
+     complete, with a short head in the input buffer instead; the bytes after
+     the request wait in FrConn.read_ahead.  */
 
 #ifndef FR_CONN_H
 #define FR_CONN_H
@@ -57,9 +58,10 @@
   gboolean closed;        /* EVHTP is being freed or was freed */
 
   HtHead head;
-  gsize head_bytes;
-  gsize checked_bytes; /* of the request, by earlier reads */
-  gsize seen_bytes;    /* length of the input at the last read */
+  gsize checked_bytes; /* of the head, by earlier reads */
+  gsize seen_bytes;    /* length of the input after the last read */
+  MmBlock *body;       /* NULL: the request has none */
+  gsize encoded_bytes; /* of a chunked body, so far */
   HtChunkDecoder chunk_decoder;
 
   FrHandler cancel_handler;
@@ -100,5 +102,7 @@
 /* Responds with an error to a request that is not passed to on_request, and
    closes the connection after the response.  */
 void fr_conn_reject (FrConn *conn, uint32_t status, const char *error);
+/* Gives up the body of the current request, if any.  */
+void fr_conn_free_body (FrConn *conn);
 
 #endif
--- a/front/front.h
+++ b/front/front.h
@@ -26,6 +26,10 @@
      without a cancel handler must not be used after that; set one before
      on_request returns, unless the response is sent within it.
 
+     Bodies count in the budget of the options.  A large body that does not fit
+     is rejected with 503 and Retry-After before it is read, and its connection
+     is closed.
+
      A malformed request gets a 4xx response with the outcome not_run, and its
      connection is closed.  Timeouts cover a request that arrives slowly, an
      idle connection and a response that is not read.
@@ -44,6 +48,7 @@
 #include <stdint.h>
 
 #include "http/http.h"
+#include "memory/memory.h"
 
 struct event_base;
 
@@ -93,6 +98,8 @@
   uint32_t idle_timeout_ms;      /* between requests; default 60000 */
   uint32_t write_timeout_ms;     /* caller reads nothing; default 30000 */
   uint32_t stop_idle_timeout_ms; /* idle after fr_stop; default 1000 */
+  MmBudget *memory; /* for bodies; must outlive the server; NULL: no
+                       limit */
 } FrOptions;
 
 typedef struct
@@ -139,6 +146,10 @@
 void fr_respond (FrRequest *request, uint32_t status, const HtHeaders *headers,
                  const void *body, gsize body_bytes);
 
+/* The same with BODY as the body, which is held until it is written.  */
+void fr_respond_block (FrRequest *request, uint32_t status,
+                       const HtHeaders *headers, MmBlock *body);
+
 /* HANDLER is called if the request is cancelled.  */
 void fr_set_cancel_handler (FrRequest *request, FrHandler handler, void *data);
 
--- a/front/front_test.cc
+++ b/front/front_test.cc
@@ -657,6 +657,117 @@
              caller.received);
 }
 
+struct Memory
+{
+  MmBudget *budget;
+
+  explicit Memory (uint64_t limit_bytes) : budget (mm_budget_new (limit_bytes))
+  {
+  }
+  ~Memory () { mm_budget_unref (budget); }
+};
+
+std::string
+LargeHead (size_t body_bytes)
+{
+  return "POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: "
+         + std::to_string (body_bytes) + "\r\n\r\n";
+}
+
+/* Guards against bodies that together take more memory than there is, against
+   a refusal that comes after the body was read, and against small requests
+   that suffer from large ones.  */
+TEST (Front, RefusesALargeBodyForWhichThereIsNoMemory)
+{
+  const size_t large = 500000;
+  Memory memory (large + 1000);
+  FrOptions options = {};
+  options.memory = memory.budget;
+  Server server (options);
+  Caller first (server), refused (server), small (server);
+
+  first.send (LargeHead (large) + std::string (1000, 'x'));
+  EXPECT_TRUE (server.run_until (
+      [&] { return mm_budget_used (memory.budget) == large; }));
+  refused.send (LargeHead (large));
+  EXPECT_TRUE (server.run_until ([&] { return refused.receive (); }));
+  EXPECT_EQ (0u, refused.received.find ("HTTP/1.1 503 "));
+  EXPECT_NE (refused.received.npos, refused.received.find ("Retry-After: "));
+  EXPECT_NE (refused.received.npos, refused.received.find ("not_run"));
+  small.send ("POST /small HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+              "\r\nsmall");
+  EXPECT_TRUE (server.run_until ([&] {
+    small.receive ();
+    return small.response_count () == 1;
+  }));
+  ASSERT_EQ (1u, server.requests.size ());
+  size_t sent = 1000;
+  EXPECT_TRUE (server.run_until ([&] {
+    ssize_t length = first.send (
+        std::string (std::min<size_t> (65536, large - sent), 'x'));
+    sent += length > 0 ? (size_t)length : 0;
+    return server.requests.size () == 2;
+  }));
+  EXPECT_EQ ("POST /large [" + std::string (large, 'x') + "]",
+             server.requests[1]);
+  EXPECT_TRUE (
+      server.run_until ([&] { return mm_budget_used (memory.budget) == 0; }));
+  EXPECT_LE (mm_budget_peak (memory.budget), large + 1000);
+}
+
+/* Guards against a body without a length that grows above the memory.  */
+TEST (Front, RefusesAChunkedBodyThatOutgrowsTheMemory)
+{
+  Memory memory (200000);
+  FrOptions options = {};
+  options.memory = memory.budget;
+  Server server (options);
+  Caller caller (server);
+  const std::string chunk = "8000\r\n" + std::string (0x8000, 'x') + "\r\n";
+  size_t at = 0;
+
+  caller.send ("POST /large HTTP/1.1\r\nHost: a\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n");
+  EXPECT_TRUE (server.run_until ([&] {
+    ssize_t sent = caller.send (chunk.substr (at));
+    at = sent > 0 ? (at + (size_t)sent) % chunk.size () : at;
+    return caller.receive ();
+  }));
+  EXPECT_EQ (0u, caller.received.find ("HTTP/1.1 503 "));
+  EXPECT_TRUE (server.requests.empty ());
+  EXPECT_EQ (0u, mm_budget_used (memory.budget));
+}
+
+/* Guards against a response that is copied, or no longer counted while its
+   caller reads slowly.  */
+TEST (Front, HoldsAResponseOnceUntilItIsWritten)
+{
+  const size_t large = 8000000;
+  Memory memory (2 * large);
+  Server server;
+  Caller caller (server);
+  MmBlock *block = mm_block_new (memory.budget);
+
+  mm_block_reserve (block, large);
+  g_byte_array_set_size (mm_block_bytes (block), large);
+  memset (mm_block_bytes (block)->data, 'y', large);
+  server.handler = [&] (FrRequest *request) {
+    fr_respond_block (request, 200, NULL, block);
+    mm_block_unref (block);
+  };
+  caller.send ("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_FALSE (server.run_until (
+      [&] { return mm_budget_used (memory.budget) == 0; }, 200));
+  EXPECT_TRUE (server.run_until ([&] {
+    caller.receive ();
+    return caller.received.size () > large;
+  }));
+  EXPECT_EQ (large, caller.received.size () - caller.received.find ("yyy"));
+  EXPECT_TRUE (
+      server.run_until ([&] { return mm_budget_used (memory.budget) == 0; }));
+  EXPECT_EQ (large, mm_budget_peak (memory.budget));
+}
+
 /* Guards against a response to HEAD that has Content-Length: 0 or a body.  */
 TEST (Front, HeadKeepsTheContentLength)
 {
--- a/front/reply.c
+++ b/front/reply.c
@@ -109,30 +109,85 @@
              || fr_conn_has_next_input (conn));
 }
 
-void
-fr_respond (FrRequest *request, uint32_t status, const HtHeaders *headers,
-            const void *body, gsize body_bytes)
+static void
+release_block (const void *data, size_t length, void *block)
 {
-  FrConn *conn = (FrConn *)request;
-  FrServer *server = conn->server;
-  GString *out = server->scratch;
-  struct evbuffer *output = bufferevent_get_output (conn->bev);
-  gboolean keep_alive = keeps_connection (conn);
+  (void)data;
+  (void)length;
+  mm_block_unref (block);
+}
+
+/* Formats the head and, where it is short, the body into the scratch buffer.
+   Returns whether the body is to be sent separately.  */
+static gboolean
+format_response (FrConn *conn, uint32_t status, const HtHeaders *headers,
+                 const void *body, gsize body_bytes, gboolean keep_alive)
+{
+  GString *out = conn->server->scratch;
   gboolean sends_body = body_bytes > 0 && !ht_status_has_no_body (status)
-                        && strcmp (request->method, "HEAD") != 0;
+                        && strcmp (conn->request.method, "HEAD") != 0;
 
-  g_assert (conn->state == FR_CONN_RUNNING && !conn->closed);
   g_string_truncate (out, 0);
   append_response_head (out, conn, status, headers, body_bytes, keep_alive);
-  if (sends_body && body_bytes <= INLINE_BODY_MAX_BYTES)
-    g_string_append_len (out, body, (gssize)body_bytes);
-  evbuffer_add (output, out->str, out->len);
-  if (sends_body && body_bytes > INLINE_BODY_MAX_BYTES)
-    evbuffer_add (output, body, body_bytes);
-  server->counters.running_count--;
+  if (!sends_body)
+    return FALSE;
+  if (body_bytes > INLINE_BODY_MAX_BYTES)
+    return TRUE;
+  g_string_append_len (out, body, (gssize)body_bytes);
+  return FALSE;
+}
+
+static void
+end_request (FrConn *conn, gboolean keep_alive)
+{
+  conn->server->counters.running_count--;
+  fr_conn_free_body (conn);
   fr_conn_set_state (conn, FR_CONN_RESPONDING);
   /* evhtp_request_set_keepalive cannot clear the flag.  */
   if (!keep_alive)
     conn->evhtp_request->flags &= (uint16_t)~EVHTP_REQ_FLAG_KEEPALIVE;
   evhtp_send_reply_end (conn->evhtp_request);
 }
+
+void
+fr_respond (FrRequest *request, uint32_t status, const HtHeaders *headers,
+            const void *body, gsize body_bytes)
+{
+  FrConn *conn = (FrConn *)request;
+  struct evbuffer *output = bufferevent_get_output (conn->bev);
+  const GString *out = conn->server->scratch;
+  gboolean keep_alive = keeps_connection (conn);
+
+  g_assert (conn->state == FR_CONN_RUNNING && !conn->closed);
+  if (format_response (conn, status, headers, body, body_bytes, keep_alive))
+    {
+      evbuffer_add (output, out->str, out->len);
+      evbuffer_add (output, body, body_bytes);
+    }
+  else
+    evbuffer_add (output, out->str, out->len);
+  end_request (conn, keep_alive);
+}
+
+void
+fr_respond_block (FrRequest *request, uint32_t status,
+                  const HtHeaders *headers, MmBlock *body)
+{
+  FrConn *conn = (FrConn *)request;
+  struct evbuffer *output = bufferevent_get_output (conn->bev);
+  const GString *out = conn->server->scratch;
+  const GByteArray *bytes = mm_block_bytes (body);
+  gboolean keep_alive = keeps_connection (conn);
+
+  g_assert (conn->state == FR_CONN_RUNNING && !conn->closed);
+  if (format_response (conn, status, headers, bytes->data, bytes->len,
+                       keep_alive))
+    {
+      evbuffer_add (output, out->str, out->len);
+      evbuffer_add_reference (output, bytes->data, bytes->len, release_block,
+                              mm_block_ref (body));
+    }
+  else
+    evbuffer_add (output, out->str, out->len);
+  end_request (conn, keep_alive);
+}
--- /dev/null
+++ b/memory/memory.c
@@ -0,0 +1,163 @@
+#include "memory/memory.h"
+
+/* What a process uses at most, in percent of its memory.  */
+#define USABLE_PERCENT 80
+/* For everything but bodies: state, connections, buffers of a few KB.  */
+#define OTHER_BYTES ((uint64_t)48 * 1024 * 1024)
+/* Bodies of requests, and of responses.  */
+#define SHARE_COUNT 2
+/* Also on the smallest machines the largest response fits.  */
+#define SHARE_MIN_BYTES ((uint64_t)20 * 1024 * 1024)
+
+struct MmBudget
+{
+  guint ref_count; /* of its user and its blocks */
+  uint64_t limit_bytes;
+  uint64_t used_bytes;
+  uint64_t peak_bytes;
+  uint64_t refused_count;
+  void (*on_room) (void *data);
+  void *on_room_data;
+};
+
+struct MmBlock
+{
+  guint ref_count;
+  MmBudget *budget; /* NULL: not counted */
+  uint64_t counted_bytes;
+  GByteArray *bytes;
+};
+
+MmBudget *
+mm_budget_new (uint64_t limit_bytes)
+{
+  MmBudget *budget = g_new0 (MmBudget, 1);
+
+  budget->ref_count = 1;
+  budget->limit_bytes = limit_bytes;
+  return budget;
+}
+
+void
+mm_budget_unref (MmBudget *budget)
+{
+  if (budget != NULL && --budget->ref_count == 0)
+    g_free (budget);
+}
+
+uint64_t
+mm_budget_limit (const MmBudget *budget)
+{
+  return budget->limit_bytes;
+}
+
+uint64_t
+mm_budget_used (const MmBudget *budget)
+{
+  return budget->used_bytes;
+}
+
+uint64_t
+mm_budget_peak (const MmBudget *budget)
+{
+  return budget->peak_bytes;
+}
+
+uint64_t
+mm_budget_refused_count (const MmBudget *budget)
+{
+  return budget->refused_count;
+}
+
+void
+mm_budget_set_on_room (MmBudget *budget, void (*on_room) (void *data),
+                       void *data)
+{
+  budget->on_room = on_room;
+  budget->on_room_data = data;
+}
+
+MmBlock *
+mm_block_new (MmBudget *budget)
+{
+  MmBlock *block = g_new0 (MmBlock, 1);
+
+  block->ref_count = 1;
+  block->budget = budget;
+  if (budget != NULL)
+    budget->ref_count++;
+  block->bytes = g_byte_array_new ();
+  return block;
+}
+
+MmBlock *
+mm_block_ref (MmBlock *block)
+{
+  block->ref_count++;
+  return block;
+}
+
+void
+mm_block_unref (MmBlock *block)
+{
+  MmBudget *budget;
+  uint64_t counted_bytes;
+
+  if (block == NULL || --block->ref_count > 0)
+    return;
+  budget = block->budget;
+  counted_bytes = block->counted_bytes;
+  g_byte_array_unref (block->bytes);
+  g_free (block);
+  if (budget == NULL)
+    return;
+  budget->used_bytes -= counted_bytes;
+  if (counted_bytes > 0 && budget->on_room != NULL)
+    budget->on_room (budget->on_room_data);
+  mm_budget_unref (budget);
+}
+
+void
+mm_block_force (MmBlock *block, uint64_t total_bytes)
+{
+  MmBudget *budget = block->budget;
+
+  if (budget == NULL || total_bytes <= block->counted_bytes)
+    return;
+  budget->used_bytes += total_bytes - block->counted_bytes;
+  budget->peak_bytes = MAX (budget->peak_bytes, budget->used_bytes);
+  block->counted_bytes = total_bytes;
+}
+
+gboolean
+mm_block_reserve (MmBlock *block, uint64_t total_bytes)
+{
+  MmBudget *budget = block->budget;
+
+  if (budget != NULL && total_bytes > MM_SMALL_BYTES
+      && total_bytes > block->counted_bytes
+      && budget->used_bytes + (total_bytes - block->counted_bytes)
+             > budget->limit_bytes)
+    {
+      budget->refused_count++;
+      return FALSE;
+    }
+  mm_block_force (block, total_bytes);
+  return TRUE;
+}
+
+GByteArray *
+mm_block_bytes (MmBlock *block)
+{
+  return block->bytes;
+}
+
+uint64_t
+mm_share_bytes (uint64_t memory_bytes)
+{
+  uint64_t usable_bytes = memory_bytes / 100 * USABLE_PERCENT;
+  uint64_t bodies_bytes
+      = usable_bytes > OTHER_BYTES ? usable_bytes - OTHER_BYTES : 0;
+
+  return MAX (SHARE_MIN_BYTES, bodies_bytes / SHARE_COUNT);
+}
--- a/standin/serve.c
+++ b/standin/serve.c
@@ -13,7 +13,7 @@
 #include "standin/harness.h"
 
 #define BACKLOG 1024
-#define BODY_MAX_BYTES (8 * 1024 * 1024)
+#define BODY_MAX_BYTES (64 << 20)
 
 struct SiServer
 {
