quarantine, fleet, entry: try a request that crashed targets once for all daemons

Cause: the end of a quarantine was a time in each table, and nothing said who tries first. Ruled out: one daemon that holds the quarantine (it may get no such request, or end), and messages before each trial (they come late when daemons are paused). Now a table admits one request at a time, for 10 s, and daemons take turns by their rendezvous weights for the content; the trial is not retried, its end renews the quarantine everywhere, and a daemon that serves it tells all, not only the watchers.

QuarantineSchedule.CostsOneTargetAMinuteOverAllDaemons: seven tables, 300 s, 200 seeds, ends known 0.7 s after the send: at most five trials; without turns more than that on average (the test checks both). The make_quarantine of suspects.c is make_timed_message now, since it begins messages of other kinds, too.

--- a/emulator/target.c
+++ b/emulator/target.c
@@ -204,8 +204,7 @@
 {
   EmTarget *target = conn->target;
   gboolean closes = draw_fault (target, EM_FAULT_CLOSE);
-  g_autofree char *bytes = NULL;
-  GString *out;
+  g_autoptr (GString) out = NULL;
   gsize length;
 
   if (draw_fault (target, EM_FAULT_LOSE)
@@ -231,7 +230,6 @@
     bufferevent_write (conn->bev, out->str, length);
   if (draw_fault (target, EM_FAULT_STRAY))
     bufferevent_write (conn->bev, "stray bytes\r\n\r\n", 15);
-  bytes = g_string_free (out, FALSE);
   if (!closes)
     return TRUE;
   /* What was written is sent before the connection closes.  */
--- a/entry/request.h
+++ b/entry/request.h
@@ -77,6 +77,7 @@
   uint32_t attempt_count;
   uint32_t send_count; /* attempts that sent at least a byte */
   gboolean may_have_run;
+  gboolean is_trial; /* of a content that has crashed targets; is sent once */
   gboolean token_taken;        /* from this daemon's bucket of the customer */
   uint64_t failed_target_hash; /* tg_id_hash of the last target; 0: none */
   EnTokenRequest *token_request; /* for the customer or, with an attempt, for
--- a/entry/send.c
+++ b/entry/send.c
@@ -252,6 +252,21 @@
       request->content_hash);
 }
 
+/* A trial that waited for a token or another request is still one.  */
+static gboolean
+may_send (EnRequest *request)
+{
+  QrVerdict verdict;
+
+  if (request->is_trial)
+    return TRUE;
+  verdict
+      = en_suspects_check (en_shares_suspects (request->proxy->options.shares),
+                           request->content_hash);
+  request->is_trial = verdict == QR_TRIAL;
+  return verdict != QR_QUARANTINED;
+}
+
 static void
 fail_quarantined (EnRequest *request)
 {
@@ -267,7 +282,7 @@
 {
   TgPick pick;
 
-  if (is_quarantined (request))
+  if (!may_send (request))
     {
       fail_quarantined (request);
       return;
@@ -446,7 +461,7 @@
   /* Attempts of which no byte was sent are not counted.  */
   uint32_t sends_max = request->route->attempts_max;
 
-  if (proxy->requests_ended || is_quarantined (request)
+  if (proxy->requests_ended || request->is_trial || is_quarantined (request)
       || request->attempt_count >= ATTEMPTS_MAX || !has_time_left (request))
     return FALSE;
   if (verdict == VERDICT_NOT_SENT)
--- a/entry/suspects.c
+++ b/entry/suspects.c
@@ -7,7 +7,6 @@
 #include <unistd.h>
 
 #include "clock/clock.h"
-#include "quarantine/quarantine.h"
 
 /* A target that ended refuses a connection at once.  One that does not reply
    may be cut off, which shows nothing.  */
@@ -114,13 +113,12 @@
                       .content_hash = content_hash };
 }
 
-/* With the times of CONTENT_HASH, as far as known here.  */
+/* A message of KIND with the times of CONTENT_HASH, as far as known here.  */
 static GoSuspect
-make_quarantine (EnSuspects *suspects, uint64_t content_hash)
+make_timed_message (EnSuspects *suspects, GoSuspectKind kind,
+                    uint64_t content_hash)
 {
-  GoSuspect message
-      = make_message (suspects, GO_SUSPECT_QUARANTINED, content_hash);
-
+  GoSuspect message = make_message (suspects, kind, content_hash);
   const QrSuspect *suspect = qr_find (suspects->table, content_hash);
   int64_t now_us = ck_boot_us ();
 
@@ -151,7 +149,8 @@
     return was_quarantined;
   tr_log (suspects->options.trace, EV_REQUEST_QUARANTINED,
           "content=%016" G_GINT64_MODIFIER "x by=self", content_hash);
-  quarantine = make_quarantine (suspects, content_hash);
+  quarantine
+      = make_timed_message (suspects, GO_SUSPECT_QUARANTINED, content_hash);
   send_to_all (suspects, &quarantine);
   return FALSE;
 }
@@ -247,11 +246,29 @@
 en_suspects_note_served (EnSuspects *suspects, uint64_t content_hash)
 {
   GoSuspect message = make_message (suspects, GO_SUSPECT_SERVED, content_hash);
+  const QrSuspect *suspect = qr_find (suspects->table, content_hash);
+  gboolean was_quarantined = suspect != NULL && suspect->until_us != 0;
 
-  if (qr_note_served (suspects->table, content_hash, ck_boot_us ()))
+  if (!qr_note_served (suspects->table, content_hash, ck_boot_us ()))
+    return;
+  if (was_quarantined)
+    send_to_all (suspects, &message);
+  else
     send_to_watchers (suspects, &message);
 }
 
+QrVerdict
+en_suspects_check (EnSuspects *suspects, uint64_t content_hash)
+{
+  int64_t now_us = ck_boot_us ();
+
+  if (qr_find (suspects->table, content_hash) == NULL)
+    return QR_FREE;
+  return qr_check (suspects->table, content_hash,
+                   fl_rank (suspects->options.fleet, content_hash, now_us),
+                   now_us);
+}
+
 gboolean
 en_suspects_is_quarantined (EnSuspects *suspects, uint64_t content_hash)
 {
@@ -294,7 +311,8 @@
     case GO_SUSPECT_ENDED:
       if (!count_end (suspects, message))
         return;
-      reply = make_quarantine (suspects, message->content_hash);
+      reply = make_timed_message (suspects, GO_SUSPECT_QUARANTINED,
+                                  message->content_hash);
       go_send_suspect (suspects->options.gossip, message->gossip_address,
                        &reply);
       return;
@@ -321,15 +339,14 @@
 {
   HandOver *hand_over = data;
   EnSuspects *suspects = hand_over->suspects;
-  GoSuspect message = make_quarantine (suspects, suspect->content);
-  uint32_t count = 1;
-
-  if (suspect->ended_count < QR_ENDED_MAX)
-    {
-      message.kind = GO_SUSPECT_ENDED;
-      message.left_ms = 0;
-      count = suspect->ended_count;
-    }
+  gboolean is_quarantined = suspect->ended_count >= QR_ENDED_MAX;
+  GoSuspect message = make_timed_message (
+      suspects, is_quarantined ? GO_SUSPECT_QUARANTINED : GO_SUSPECT_ENDED,
+      suspect->content);
+  uint32_t count = is_quarantined ? 1 : suspect->ended_count;
+
+  if (!is_quarantined)
+    message.left_ms = 0;
   if (hand_over->message_count + count > HAND_OVER_MAX_COUNT
       || !fl_is_watcher (suspects->options.fleet, suspect->content,
                          ck_boot_us ()))
--- a/entry/suspects.h
+++ b/entry/suspects.h
@@ -3,7 +3,7 @@
    SYNOPSIS
      EnSuspects *suspects = en_suspects_new (&options);
      en_suspects_note_lost (suspects, &loss);
-     if (en_suspects_is_quarantined (suspects, content))
+     if (en_suspects_check (suspects, content) == QR_QUARANTINED)
        ... refuse the request ...
 
    DESCRIPTION
@@ -15,7 +15,8 @@
      content, found by rendezvous hashing, so that a crash costs few messages.
      A watcher that has counted enough of them tells all daemons to quarantine
      the content.  A daemon at which it has run well since the first of them
-     objects, and all drop the quarantine.
+     objects, and all drop the quarantine.  After it, daemons try the request
+   in the order of their rendezvous weights; the one that serves it tells all.
 
      A daemon that starts, or was not heard of for a while, is told by the
      watchers of each content what they have counted, before it counts itself
@@ -34,6 +35,7 @@
 
 #include "fleet/fleet.h"
 #include "gossip/gossip.h"
+#include "quarantine/quarantine.h"
 #include "trace/trace.h"
 
 struct event_base;
@@ -63,6 +65,8 @@
 
 void en_suspects_note_lost (EnSuspects *suspects, const EnLoss *loss);
 void en_suspects_note_served (EnSuspects *suspects, uint64_t content_hash);
+/* Whether a request may be sent; if for a trial, it must be sent once only. */
+QrVerdict en_suspects_check (EnSuspects *suspects, uint64_t content_hash);
 gboolean en_suspects_is_quarantined (EnSuspects *suspects,
                                      uint64_t content_hash);
 /* Tells the daemon at GOSSIP_ADDRESS what this one has counted.  */
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -415,11 +415,11 @@
   return found;
 }
 
-gboolean
-fl_is_watcher (const FlFleet *fleet, uint64_t hash, int64_t now_us)
+uint32_t
+fl_rank (const FlFleet *fleet, uint64_t hash, int64_t now_us)
 {
   uint64_t weight = rendezvous_weight (fleet->name, hash);
-  uint32_t before = 0; /* live daemons with a higher weight */
+  uint32_t rank = 0;
   GHashTableIter members;
   gpointer value;
 
@@ -427,10 +427,16 @@
   while (g_hash_table_iter_next (&members, NULL, &value))
     {
       const FlMember *member = value;
-      before += fl_is_live (member, now_us)
-                && rendezvous_weight (member->name, hash) > weight;
+      rank += fl_is_live (member, now_us)
+              && rendezvous_weight (member->name, hash) > weight;
     }
-  return before <= FL_WATCHERS_MAX;
+  return rank;
+}
+
+gboolean
+fl_is_watcher (const FlFleet *fleet, uint64_t hash, int64_t now_us)
+{
+  return fl_rank (fleet, hash, now_us) <= FL_WATCHERS_MAX;
 }
 
 FlZoneLeader
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -174,6 +174,10 @@
 uint32_t fl_find_watchers (const FlFleet *fleet, uint64_t hash, int64_t now_us,
                            const char *addresses[FL_WATCHERS_MAX]);
 
+/* How many live daemons have a higher rendezvous weight for HASH than this
+   one.  */
+uint32_t fl_rank (const FlFleet *fleet, uint64_t hash, int64_t now_us);
+
 /* Whether this daemon is, or with one daemon less would be, among those that
    the others find with fl_find_watchers for HASH.  */
 gboolean fl_is_watcher (const FlFleet *fleet, uint64_t hash, int64_t now_us);
--- a/quarantine/quarantine.c
+++ b/quarantine/quarantine.c
@@ -4,7 +4,8 @@
 {
   QrSuspect public;
   int64_t last_ended_us;
-  GList node; /* in QrTable.suspect_order */
+  int64_t trial_until_us; /* of the last trial; 0: there was none */
+  GList node;             /* in QrTable.suspect_order */
 } Suspect;
 
 typedef struct
@@ -195,6 +196,20 @@
   return suspect != NULL && now_us <= suspect->public.until_us;
 }
 
+QrVerdict
+qr_check (QrTable *table, uint64_t content, uint32_t turn, int64_t now_us)
+{
+  Suspect *suspect = find_suspect (table, content, now_us);
+
+  if (suspect == NULL || suspect->public.until_us == 0)
+    return QR_FREE;
+  if (now_us <= suspect->public.until_us + turn * QR_TRIAL_US
+      || now_us <= suspect->trial_until_us)
+    return QR_QUARANTINED;
+  suspect->trial_until_us = now_us + QR_TRIAL_US;
+  return QR_TRIAL;
+}
+
 const QrSuspect *
 qr_find (QrTable *table, uint64_t content)
 {
--- a/quarantine/quarantine.h
+++ b/quarantine/quarantine.h
@@ -18,8 +18,10 @@
      the cause, whatever it was on, so it is forgotten.
 
      A quarantine ends QR_QUARANTINE_US after the last end; then the request is
-     tried again, and quarantined again if one more target ends.  All tables
-     are bounded, the oldest entries are dropped first.
+     tried again, and quarantined again if one more target ends.  A table
+   admits one such trial at a time; of several tables, each waits for its turn,
+   so that a trial costs one target and not one for each daemon.  All tables
+   are bounded, the oldest entries are dropped first.
 
      The package reads no clock and does no I/O.  Times are in microseconds of
      one monotonic clock.
@@ -39,6 +41,9 @@
 /* Long enough that tries cost a target now and then, and short enough for a
    request that is quarantined by mistake.  */
 #define QR_QUARANTINE_US ((int64_t)60000000)
+/* From a trial to the next one, here or at the daemon whose turn it is then;
+   longer than a request may take.  */
+#define QR_TRIAL_US ((int64_t)10000000)
 /* After the last end, until all about a content is forgotten.  */
 #define QR_TTL_US ((int64_t)600000000)
 /* Contents that are suspects or quarantined.  */
@@ -89,6 +94,18 @@
 void qr_remove (QrTable *table, uint64_t content);
 
 gboolean qr_is_quarantined (QrTable *table, uint64_t content, int64_t now_us);
+typedef enum
+{
+  QR_FREE, /* may be sent */
+  QR_QUARANTINED,
+  QR_TRIAL, /* may be sent once; the next ones are quarantined meanwhile */
+} QrVerdict;
+
+/* Decides on a request that is to be sent.  TURN is how many other tables come
+   before this one with a trial.  */
+QrVerdict qr_check (QrTable *table, uint64_t content, uint32_t turn,
+                    int64_t now_us);
+
 /* Returns NULL if CONTENT was on no target that ended.  */
 const QrSuspect *qr_find (QrTable *table, uint64_t content);
 /* Visits the suspects and quarantined contents, those that were noted last
--- a/quarantine/quarantine_test.cc
+++ b/quarantine/quarantine_test.cc
@@ -94,6 +94,82 @@
   EXPECT_EQ (qr_count (table), 0u);
 }
 
+/* Guards against several trials of one request at a time, and against a trial
+   that is never repeated when nothing came of it.  */
+TEST_F (Quarantine, AdmitsOneTrialAtATime)
+{
+  EXPECT_EQ (QR_FREE, qr_check (table, 7, 0, now_us));
+  for (uint64_t target = 1; target <= QR_ENDED_MAX; target++)
+    qr_note_ended (table, 7, target, now_us);
+  EXPECT_EQ (QR_QUARANTINED, qr_check (table, 7, 0, now_us));
+  now_us += QR_QUARANTINE_US + 1;
+  EXPECT_EQ (QR_QUARANTINED, qr_check (table, 7, 1, now_us));
+  EXPECT_EQ (QR_TRIAL, qr_check (table, 7, 0, now_us));
+  EXPECT_EQ (QR_QUARANTINED, qr_check (table, 7, 0, now_us + QR_TRIAL_US));
+  now_us += QR_TRIAL_US + 1;
+  EXPECT_EQ (QR_TRIAL, qr_check (table, 7, 1, now_us));
+  qr_note_served (table, 7, now_us);
+  EXPECT_EQ (QR_FREE, qr_check (table, 7, 1, now_us));
+}
+
+/* Daemons to which a request that crashes targets comes about once a second in
+   all; each hears of an end CRASH_US after the request was sent.  Returns how
+   often it was sent after the first quarantine.  */
+uint32_t
+CountTrials (uint32_t seed, bool takes_turns)
+{
+  constexpr uint32_t kDaemons = 7;
+  constexpr int64_t kCrashUs = 700000;
+  struct End
+  {
+    int64_t at_us;
+    uint64_t target;
+  };
+  std::mt19937 random (seed);
+  std::vector<QrTable *> tables;
+  std::vector<End> ends;
+  uint64_t target = 0;
+  uint32_t trial_count = 0;
+
+  for (uint32_t i = 0; i < kDaemons; i++)
+    tables.push_back (qr_new ());
+  for (int64_t now_us = kSecond; now_us < 300 * kSecond;
+       now_us += random () % (2 * kSecond / kDaemons))
+    {
+      uint32_t at = random () % kDaemons;
+      for (; !ends.empty () && ends.front ().at_us <= now_us;
+           ends.erase (ends.begin ()))
+        for (QrTable *table : tables)
+          qr_note_ended (table, 7, ends.front ().target, ends.front ().at_us);
+      bool was_quarantined = qr_find (tables[at], 7) != NULL
+                             && qr_find (tables[at], 7)->until_us != 0;
+      bool is_sent = takes_turns ? qr_check (tables[at], 7, at, now_us)
+                                       != QR_QUARANTINED
+                                 : !qr_is_quarantined (tables[at], 7, now_us);
+      if (!is_sent)
+        continue;
+      trial_count += was_quarantined;
+      ends.push_back ({ now_us + kCrashUs, ++target });
+    }
+  for (QrTable *table : tables)
+    qr_free (table);
+  return trial_count;
+}
+
+/* Guards against a request that, at the end of each quarantine, costs one
+   target for each daemon.  */
+TEST (QuarantineSchedule, CostsOneTargetAMinuteOverAllDaemons)
+{
+  uint32_t trials_without_turns = 0;
+
+  for (uint32_t seed = 1; seed <= 200; seed++)
+    {
+      EXPECT_LE (CountTrials (seed, true), 300u / 60) << "seed " << seed;
+      trials_without_turns += CountTrials (seed, false);
+    }
+  EXPECT_GT (trials_without_turns, 200u * 300 / 60);
+}
+
 /* Guards against a daemon that has just started and sends a request on, since
    it does not know of the targets that ended under it, and against refusing
    one that ran well after it was first on one.  */
