--- a/emulator/main.c
+++ b/emulator/main.c
@@ -200,13 +200,13 @@
     printf ("  %s\n", (const char *)violations->pdata[i]);
   printf (
       "seed %u: %u faults, %u requests, %u served, %u limited, %u refused,"
-      " %u unknown, %u late, %u without response (%u early),"
+      " %u unknown, %u late, %u stalled, %u without response (%u early),"
       " %u violations\n",
       seed, run->plan->len, em_judge_attempt_count (judge),
       em_judge_status_count (judge, 200), em_judge_status_count (judge, 429),
       em_judge_status_count (judge, 503), em_judge_status_count (judge, 502),
-      em_judge_status_count (judge, 504), em_judge_status_count (judge, 0),
-      count_cuts (run), count);
+      em_judge_status_count (judge, 504), em_judge_status_count (judge, 408),
+      em_judge_status_count (judge, 0), count_cuts (run), count);
   fflush (stdout);
   return count;
 }
