entry: the last daemons of a large fleet do not wait for long with a trial

With one daemon in ten seconds, those beyond the 54th rank of a fleet would refuse a request that was quarantined by mistake until the suspect is forgotten, ten minutes after the last end, unless one before them serves it (read, not run). Each turn has twice as many daemons as the one before: 570 daemons take ten turns.

emulator: the kinds of callers name their fields.

--- a/emulator/main.c
+++ b/emulator/main.c
@@ -118,9 +118,20 @@
   uint32_t leave_percent;
   uint32_t stall_percent;
 } caller_kinds[] = {
-  { "/order/1", "k1", TRUE, 0, 0, 0 },  { "/order/2", "k1", TRUE, 5, 0, 2 },
-  { "/read/1", "k1", FALSE, 2, 0, 0 },  { "/booking/1", "k1", TRUE, 0, 5, 0 },
-  { "/order/4", "k2", TRUE, 20, 0, 5 }, { "/read/2", "k2", FALSE, 0, 10, 1 },
+  { .path = "/order/1", .key = "k1", .is_unsafe = TRUE },
+  { .path = "/order/2",
+    .key = "k1",
+    .is_unsafe = TRUE,
+    .long_body_percent = 5,
+    .stall_percent = 2 },
+  { .path = "/read/1", .key = "k1", .long_body_percent = 2 },
+  { .path = "/booking/1", .key = "k1", .is_unsafe = TRUE, .leave_percent = 5 },
+  { .path = "/order/3",
+    .key = "k2",
+    .is_unsafe = TRUE,
+    .long_body_percent = 20,
+    .stall_percent = 5 },
+  { .path = "/read/2", .key = "k2", .leave_percent = 10, .stall_percent = 1 },
 };
 
 static void
@@ -223,7 +234,7 @@
   event_free (timer);
 }
 
-/* Late copies are told from responses by less than the others are.  */
+/* Late copies are the hardest to tell from responses.  */
 static const uint32_t fault_weights[EM_FAULT_COUNT] = {
   [EM_FAULT_LATE_COPY] = 5, [EM_FAULT_DOUBLE] = 1, [EM_FAULT_STRAY] = 1,
   [EM_FAULT_TRUNCATE] = 1,  [EM_FAULT_LOSE] = 1,   [EM_FAULT_RESET] = 1,
--- a/entry/suspects.c
+++ b/entry/suspects.c
@@ -257,6 +257,14 @@
     send_to_watchers (suspects, &message);
 }
 
+/* Each turn has twice as many daemons as the one before, so that the last ones
+   of a large fleet do not wait for long.  */
+static uint32_t
+trial_turn (uint32_t rank)
+{
+  return rank == 0 ? 0 : g_bit_storage (rank);
+}
+
 QrVerdict
 en_suspects_check (EnSuspects *suspects, uint64_t content_hash)
 {
@@ -264,9 +272,10 @@
 
   if (qr_find (suspects->table, content_hash) == NULL)
     return QR_FREE;
-  return qr_check (suspects->table, content_hash,
-                   fl_rank (suspects->options.fleet, content_hash, now_us),
-                   now_us);
+  return qr_check (
+      suspects->table, content_hash,
+      trial_turn (fl_rank (suspects->options.fleet, content_hash, now_us)),
+      now_us);
 }
 
 gboolean
--- a/quarantine/quarantine_test.cc
+++ b/quarantine/quarantine_test.cc
@@ -113,8 +113,9 @@
 }
 
 /* Daemons to which a request that crashes targets comes about once a second in
-   all; each hears of an end CRASH_US after the request was sent.  Returns how
-   often it was sent after the first quarantine.  */
+   all, with the turns of a fleet; each hears of an end kCrashUs after the
+   request was sent.  Returns how often it was sent after the first
+   quarantine.  */
 uint32_t
 CountTrials (uint32_t seed, bool takes_turns)
 {
