--- /dev/null
+++ b/review/rig-2/rig2.h
@@ -0,0 +1,119 @@
+/* rig2.h - a small deployment on loopback for the scripts of this review
+
+   DESCRIPTION
+     Starts the project's stand-in of the platform's store and daemons with
+     the command of the deploy file, each as a process of its own.  Upstreams
+     and clients run in threads of the calling process.  All addresses are
+     ports of 127.0.0.1 that were free.  Settings and logs are in a temporary
+     folder.
+
+     What is sent, answered and run goes to record.txt of the case's folder.
+
+   ERRORS
+     A setup that fails ends all processes and exits with R2_NOT_RUN.  */
+
+#ifndef RIG2_H
+#define RIG2_H
+
+#include <pthread.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+enum
+{
+  R2_HELD = 0,
+  R2_BROKEN = 1,
+  R2_NOT_RUN = 2,
+};
+
+typedef struct
+{
+  char name[32];
+  uint16_t front_port;
+  uint16_t ready_port;
+  uint16_t directory_port;
+  uint16_t gossip_port;
+  pid_t pid;
+} R2Daemon;
+
+typedef struct
+{
+  const char *zone;
+  const char *region;
+  int memory_mb;
+  int files_max;
+} R2Machine;
+
+/* A request that an upstream runs.  */
+typedef struct
+{
+  char id[64]; /* X-Comfreywalk-Attempt-Id */
+  char path[256];
+  char tenant[64]; /* X-Comfreywalk-Tenant, or empty */
+} R2Run;
+
+typedef struct
+{
+  char id[32];
+  const char *service;
+  const char *zone;
+  int slots;
+  int service_ms;
+  size_t (*body_bytes) (const R2Run *run); /* of the answer; NULL: 2 */
+  void (*on_run) (const R2Run *run);       /* may be NULL */
+  uint16_t port;
+  int listen_fd;
+  int64_t born_ms;
+  uint32_t sequence;
+  pthread_mutex_t lock;
+  int running;
+} R2Upstream;
+
+typedef struct
+{
+  int status; /* 0: no complete answer */
+  size_t body_bytes;
+} R2Answer;
+
+/* Whether the disruption takes place.  */
+bool r2_has_trouble (void);
+/* Seconds since r2_start.  */
+double r2_now_s (void);
+void r2_sleep_ms (int64_t ms);
+/* Writes a line with the time since the start to record.txt.  */
+void r2_record (const char *format, ...)
+    __attribute__ ((format (printf, 1, 2)));
+void r2_fail (const char *what) __attribute__ ((noreturn));
+
+/* Opens FOLDER/record.txt and starts the store.  */
+void r2_start (const char *folder);
+/* Ends all processes, prints the verdict and returns STATUS.  */
+int r2_stop (int status);
+
+/* Writes the value of KEY to the store, as its other users do.  */
+void r2_put (const char *key, const char *value);
+
+void r2_start_daemon (R2Daemon *daemon, const R2Machine *machine);
+/* Waits until the daemon's readiness address responds with 200.  */
+void r2_wait_ready (const R2Daemon *daemon);
+bool r2_is_running (const R2Daemon *daemon);
+/* A field of /proc/PID/status in KB.  */
+long r2_memory_kb (const R2Daemon *daemon, const char *field);
+
+/* Listens, serves, and writes its entry to the store every 1.5 s.  */
+void r2_start_upstream (R2Upstream *upstream);
+
+/* Connects to PORT; RECEIVE_BYTES is the size of the socket's receive buffer,
+   0: the default.  -1 if that fails.  */
+int r2_connect (uint16_t port, int receive_bytes);
+bool r2_send (int fd, const char *bytes, size_t length);
+/* Sets ID, at least 32 bytes, to a new attempt id.  */
+void r2_new_id (char *id);
+/* Sends a GET for PATH of host a.example with KEY, or without one if it is
+   NULL, over a connection of its own and reads the whole answer.  */
+void r2_get (uint16_t port, const char *path, const char *key, int deadline_ms,
+             R2Answer *answer);
+
+#endif
