--- a/review/7/case.c
+++ b/review/7/case.c
@@ -54,8 +54,8 @@
                                  .service_ms = 20,
                                  .on_run = on_run };
   const R2Machine machines[] = {
-    { "puget-a", "puget", 260, 4100 },
-    { "willamette-a", "willamette", 520, 8200 },
+    { "puget-a", "puget", 260, 4100, 0 },
+    { "willamette-a", "willamette", 520, 8200, 0 },
   };
   int revoked_count = 0;
   int unknown_count = 0;
--- a/review/rig-2/rig2.c
+++ b/review/rig-2/rig2.c
@@ -163,24 +163,30 @@
 }
 
 int
-r2_connect (uint16_t port, int receive_bytes)
+r2_connect_from (const char *source, uint16_t port)
 {
   struct sockaddr_in address = loopback (port);
+  struct sockaddr_in own = loopback (0);
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   int on = 1;
 
   if (fd < 0)
     return -1;
-  if (receive_bytes > 0)
-    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
-                sizeof receive_bytes);
+  inet_pton (AF_INET, source, &own.sin_addr);
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  if (connect (fd, (struct sockaddr *)&address, sizeof address) == 0)
+  if (bind (fd, (struct sockaddr *)&own, sizeof own) == 0
+      && connect (fd, (struct sockaddr *)&address, sizeof address) == 0)
     return fd;
   close (fd);
   return -1;
 }
 
+int
+r2_connect (uint16_t port)
+{
+  return r2_connect_from ("127.0.0.1", port);
+}
+
 bool
 r2_send (int fd, const char *bytes, size_t length)
 {
@@ -288,15 +294,15 @@
 }
 
 void
-r2_get (uint16_t port, const char *path, const char *key, int deadline_ms,
-        R2Answer *answer)
+r2_get_from (const char *source, uint16_t port, const char *path,
+             const char *key, int deadline_ms, R2Answer *answer)
 {
   struct timeval timeout
       = { deadline_ms / 1000 + 1, deadline_ms % 1000 * 1000 };
   char request[1024];
   char id[32];
   double sent_s = r2_now_s ();
-  int fd = r2_connect (port, 0);
+  int fd = r2_connect_from (source, port);
 
   *answer = (R2Answer){ 0 };
   r2_new_id (id);
@@ -318,12 +324,19 @@
              answer->body_bytes);
 }
 
+void
+r2_get (uint16_t port, const char *path, const char *key, int deadline_ms,
+        R2Answer *answer)
+{
+  r2_get_from ("127.0.0.1", port, path, key, deadline_ms, answer);
+}
+
 void
 r2_put (const char *key, const char *value)
 {
   char head[512];
   R2Answer answer;
-  int fd = r2_connect (rig.control_port, 0);
+  int fd = r2_connect (rig.control_port);
 
   if (fd < 0)
     r2_fail ("store control");
@@ -346,7 +359,7 @@
 {
   for (int i = 0; i < 100; i++)
     {
-      int fd = r2_connect (port, 0);
+      int fd = r2_connect (port);
       if (fd >= 0)
         {
           close (fd);
@@ -448,7 +461,8 @@
       "\"shift_most\":0.15}}\n",
       daemon->name, machine->zone, machine->region, daemon->front_port,
       daemon->ready_port, daemon->directory_port, daemon->gossip_port,
-      rig.store_port, machine->files_max, machine->memory_mb);
+      machine->store_port != 0 ? machine->store_port : rig.store_port,
+      machine->files_max, machine->memory_mb);
   fclose (file);
   daemon->pid = spawn (
       (char *const[]){ (char *)DAEMON, (char *)"--platform", NULL }, path,
@@ -456,22 +470,27 @@
   r2_record ("daemon %s started", daemon->name);
 }
 
+bool
+r2_is_ready (const R2Daemon *daemon)
+{
+  static const char request[] = "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n";
+  R2Answer answer = { 0 };
+  int fd = r2_connect (daemon->ready_port);
+
+  if (fd < 0)
+    return false;
+  if (r2_send (fd, request, strlen (request)))
+    read_answer (fd, &answer);
+  close (fd);
+  return answer.status == 200;
+}
+
 void
 r2_wait_ready (const R2Daemon *daemon)
 {
   for (int i = 0; i < 200; i++)
     {
-      static const char request[] = "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n";
-      R2Answer answer = { 0 };
-      int fd = r2_connect (daemon->ready_port, 0);
-
-      if (fd >= 0)
-        {
-          if (r2_send (fd, request, strlen (request)))
-            read_answer (fd, &answer);
-          close (fd);
-        }
-      if (answer.status == 200)
+      if (r2_is_ready (daemon))
         {
           r2_record ("daemon %s is ready", daemon->name);
           return;
@@ -481,32 +500,6 @@
   r2_fail ("a daemon does not become ready");
 }
 
-bool
-r2_is_running (const R2Daemon *daemon)
-{
-  return waitpid (daemon->pid, NULL, WNOHANG) == 0;
-}
-
-long
-r2_memory_kb (const R2Daemon *daemon, const char *field)
-{
-  char path[64];
-  char line[256];
-  long kb = 0;
-  FILE *file;
-
-  snprintf (path, sizeof path, "/proc/%d/status", (int)daemon->pid);
-  file = fopen (path, "r");
-  if (file == NULL)
-    return 0;
-  while (fgets (line, sizeof line, file) != NULL)
-    if (strncmp (line, field, strlen (field)) == 0
-        && line[strlen (field)] == ':')
-      kb = strtol (line + strlen (field) + 1, NULL, 10);
-  fclose (file);
-  return kb;
-}
-
 static void
 register_upstream (R2Upstream *upstream)
 {
@@ -599,29 +592,20 @@
 run_request (const Connection *connection, const R2Run *run)
 {
   R2Upstream *upstream = connection->upstream;
-  size_t body_bytes
-      = upstream->body_bytes != NULL ? upstream->body_bytes (run) : 2;
-  char head[512];
-  char *body;
-  bool sent;
+  char answer[512];
   int running;
 
   if (upstream->on_run != NULL)
     upstream->on_run (run);
   r2_sleep_ms (upstream->service_ms);
   running = leave_slot (upstream);
-  snprintf (head, sizeof head,
+  snprintf (answer, sizeof answer,
             "HTTP/1.1 200 OK\r\nX-Comfreywalk-Attempt-Id: %s\r\n"
             "X-Comfreywalk-Upstream-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
             "X-Comfreywalk-Upstream-Load: %d,0,%d\r\n"
-            "Content-Length: %zu\r\n\r\n",
-            run->id, running, upstream->slots, body_bytes);
-  body = malloc (body_bytes);
-  memset (body, 'b', body_bytes);
-  sent = r2_send (connection->fd, head, strlen (head))
-         && r2_send (connection->fd, body, body_bytes);
-  free (body);
-  return sent;
+            "Content-Length: 2\r\n\r\nok",
+            run->id, running, upstream->slots);
+  return r2_send (connection->fd, answer, strlen (answer));
 }
 
 /* Reads and answers one request.  */
@@ -691,21 +675,25 @@
   return NULL;
 }
 
-void
-r2_start_upstream (R2Upstream *upstream)
+static int
+listen_on_loopback (uint16_t *port)
 {
   struct sockaddr_in address = loopback (0);
   socklen_t length = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-  upstream->listen_fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (upstream->listen_fd < 0
-      || bind (upstream->listen_fd, (struct sockaddr *)&address, length) < 0
-      || listen (upstream->listen_fd, 256) < 0
-      || getsockname (upstream->listen_fd, (struct sockaddr *)&address,
-                      &length)
-             < 0)
-    r2_fail ("upstream");
-  upstream->port = ntohs (address.sin_port);
+  if (fd < 0 || bind (fd, (struct sockaddr *)&address, length) < 0
+      || listen (fd, 256) < 0
+      || getsockname (fd, (struct sockaddr *)&address, &length) < 0)
+    r2_fail ("listen");
+  *port = ntohs (address.sin_port);
+  return fd;
+}
+
+void
+r2_start_upstream (R2Upstream *upstream)
+{
+  upstream->listen_fd = listen_on_loopback (&upstream->port);
   upstream->born_ms = wall_ms ();
   pthread_mutex_init (&upstream->lock, NULL);
   register_upstream (upstream);
@@ -717,3 +705,130 @@
   start_thread (accept_connections, upstream);
   r2_record ("upstream %s of %s started", upstream->id, upstream->service);
 }
+
+typedef struct
+{
+  R2Proxy *proxy;
+  int from;
+  int to;
+} Pipe;
+
+static bool
+add_fd (R2Proxy *proxy, int fd)
+{
+  bool added = false;
+
+  pthread_mutex_lock (&proxy->lock);
+  for (size_t i = 0; i < sizeof proxy->fds / sizeof proxy->fds[0]; i++)
+    if (!added && !proxy->is_cut && proxy->fds[i] < 0)
+      {
+        proxy->fds[i] = fd;
+        added = true;
+      }
+  pthread_mutex_unlock (&proxy->lock);
+  return added;
+}
+
+static void
+remove_fd (R2Proxy *proxy, int fd)
+{
+  pthread_mutex_lock (&proxy->lock);
+  for (size_t i = 0; i < sizeof proxy->fds / sizeof proxy->fds[0]; i++)
+    if (proxy->fds[i] == fd)
+      proxy->fds[i] = -1;
+  pthread_mutex_unlock (&proxy->lock);
+}
+
+static void
+close_with_reset (int fd)
+{
+  struct linger linger = { 1, 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  close (fd);
+}
+
+static void *
+forward (void *data)
+{
+  Pipe *pipe = data;
+  char bytes[16384];
+  ssize_t received;
+
+  while ((received = recv (pipe->from, bytes, sizeof bytes, 0)) > 0)
+    if (!r2_send (pipe->to, bytes, (size_t)received))
+      break;
+  shutdown (pipe->from, SHUT_RDWR);
+  shutdown (pipe->to, SHUT_RDWR);
+  return NULL;
+}
+
+/* Forwards in both directions until either side closes.  */
+static void *
+forward_both (void *data)
+{
+  Pipe *pipe = data;
+  Pipe back = { pipe->proxy, pipe->to, pipe->from };
+  pthread_t thread;
+
+  if (pthread_create (&thread, NULL, forward, &back) == 0)
+    {
+      forward (pipe);
+      pthread_join (thread, NULL);
+    }
+  remove_fd (pipe->proxy, pipe->from);
+  remove_fd (pipe->proxy, pipe->to);
+  close_with_reset (pipe->from);
+  close_with_reset (pipe->to);
+  free (pipe);
+  return NULL;
+}
+
+static void *
+accept_proxied (void *data)
+{
+  R2Proxy *proxy = data;
+
+  while (true)
+    {
+      int fd = accept4 (proxy->listen_fd, NULL, NULL, SOCK_CLOEXEC);
+      int store_fd = fd >= 0 ? r2_connect (rig.store_port) : -1;
+      Pipe *pipe;
+
+      if (fd < 0)
+        continue;
+      if (store_fd < 0 || !add_fd (proxy, fd) || !add_fd (proxy, store_fd))
+        {
+          remove_fd (proxy, fd);
+          close_with_reset (fd);
+          if (store_fd >= 0)
+            close_with_reset (store_fd);
+          continue;
+        }
+      pipe = malloc (sizeof *pipe);
+      *pipe = (Pipe){ proxy, fd, store_fd };
+      start_thread (forward_both, pipe);
+    }
+  return NULL;
+}
+
+void
+r2_start_proxy (R2Proxy *proxy)
+{
+  pthread_mutex_init (&proxy->lock, NULL);
+  for (size_t i = 0; i < sizeof proxy->fds / sizeof proxy->fds[0]; i++)
+    proxy->fds[i] = -1;
+  proxy->listen_fd = listen_on_loopback (&proxy->port);
+  start_thread (accept_proxied, proxy);
+}
+
+void
+r2_cut_proxy (R2Proxy *proxy, bool is_cut)
+{
+  pthread_mutex_lock (&proxy->lock);
+  proxy->is_cut = is_cut;
+  for (size_t i = 0; i < sizeof proxy->fds / sizeof proxy->fds[0]; i++)
+    if (is_cut && proxy->fds[i] >= 0)
+      shutdown (proxy->fds[i], SHUT_RDWR);
+  pthread_mutex_unlock (&proxy->lock);
+}
--- a/review/rig-2/rig2.h
+++ b/review/rig-2/rig2.h
@@ -44,8 +44,20 @@
   const char *region;
   int memory_mb;
   int files_max;
+  uint16_t store_port; /* of a proxy; 0: the store itself */
 } R2Machine;
 
+/* Forwards connections to the store.  While it is cut, it resets them, as a
+   store does that turns a machine away.  */
+typedef struct
+{
+  uint16_t port;
+  int listen_fd;
+  pthread_mutex_t lock;
+  bool is_cut;
+  int fds[64]; /* of the open connections, both sides; -1: none */
+} R2Proxy;
+
 /* A request that an upstream runs.  */
 typedef struct
 {
@@ -61,7 +73,6 @@
   const char *zone;
   int slots;
   int service_ms;
-  size_t (*body_bytes) (const R2Run *run); /* of the answer; NULL: 2 */
   void (*on_run) (const R2Run *run);       /* may be NULL */
   uint16_t port;
   int listen_fd;
@@ -95,19 +106,22 @@
 /* Writes the value of KEY to the store, as its other users do.  */
 void r2_put (const char *key, const char *value);
 
+void r2_start_proxy (R2Proxy *proxy);
+void r2_cut_proxy (R2Proxy *proxy, bool is_cut);
+
 void r2_start_daemon (R2Daemon *daemon, const R2Machine *machine);
-/* Waits until the daemon's readiness address responds with 200.  */
+/* Whether the daemon's readiness address responds with 200.  */
+bool r2_is_ready (const R2Daemon *daemon);
+/* Waits until it does.  */
 void r2_wait_ready (const R2Daemon *daemon);
-bool r2_is_running (const R2Daemon *daemon);
-/* A field of /proc/PID/status in KB.  */
-long r2_memory_kb (const R2Daemon *daemon, const char *field);
 
 /* Listens, serves, and writes its entry to the store every 1.5 s.  */
 void r2_start_upstream (R2Upstream *upstream);
 
-/* Connects to PORT; RECEIVE_BYTES is the size of the socket's receive buffer,
-   0: the default.  -1 if that fails.  */
-int r2_connect (uint16_t port, int receive_bytes);
+/* Connects to PORT of 127.0.0.1; -1 if that fails.  */
+int r2_connect (uint16_t port);
+/* The same from the address SOURCE of the loopback range.  */
+int r2_connect_from (const char *source, uint16_t port);
 bool r2_send (int fd, const char *bytes, size_t length);
 /* Sets ID, at least 32 bytes, to a new attempt id.  */
 void r2_new_id (char *id);
@@ -115,5 +129,8 @@
    NULL, over a connection of its own and reads the whole answer.  */
 void r2_get (uint16_t port, const char *path, const char *key, int deadline_ms,
              R2Answer *answer);
+/* The same from the address SOURCE of the loopback range.  */
+void r2_get_from (const char *source, uint16_t port, const char *path,
+                  const char *key, int deadline_ms, R2Answer *answer);
 
 #endif
