--- a/review/rig-2/rig2.c
+++ b/review/rig-2/rig2.c
@@ -117,8 +117,8 @@
 static struct sockaddr_in
 loopback (uint16_t port)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET,
-                                 .sin_port = htons (port) };
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
 
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   return address;
@@ -464,9 +464,9 @@
       machine->store_port != 0 ? machine->store_port : rig.store_port,
       machine->files_max, machine->memory_mb);
   fclose (file);
-  daemon->pid = spawn (
-      (char *const[]){ (char *)DAEMON, (char *)"--platform", NULL }, path,
-      log);
+  daemon->pid
+      = spawn ((char *const[]){ (char *)DAEMON, (char *)"--platform", NULL },
+               path, log);
   r2_record ("daemon %s started", daemon->name);
 }
 
@@ -512,9 +512,8 @@
             "\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%d,"
             "\"state\":\"ready\",\"cold_remaining_s\":0,\"sequence\":%u,"
             "\"born\":%lld}",
-            upstream->service, upstream->port, upstream->zone,
-            upstream->slots, ++upstream->sequence,
-            (long long)upstream->born_ms);
+            upstream->service, upstream->port, upstream->zone, upstream->slots,
+            ++upstream->sequence, (long long)upstream->born_ms);
   r2_put (key, value);
 }
 
@@ -625,8 +624,7 @@
   get_header (head, "\r\nContent-Length:", text, sizeof text);
   body_bytes = strtoul (text, NULL, 10);
   filled -= head_bytes;
-  if (filled < body_bytes
-      && !skip_bytes (connection->fd, body_bytes - filled))
+  if (filled < body_bytes && !skip_bytes (connection->fd, body_bytes - filled))
     return false;
   get_header (head, "\r\nX-Comfreywalk-Attempt-Id:", run.id, sizeof run.id);
   get_header (head, "\r\nX-Comfreywalk-Tenant:", run.tenant,
--- a/review/rig-2/rig2.h
+++ b/review/rig-2/rig2.h
@@ -73,7 +73,7 @@
   const char *zone;
   int slots;
   int service_ms;
-  void (*on_run) (const R2Run *run);       /* may be NULL */
+  void (*on_run) (const R2Run *run); /* may be NULL */
   uint16_t port;
   int listen_fd;
   int64_t born_ms;
