--- a/review/rig-2/rig2.c
+++ b/review/rig-2/rig2.c
@@ -331,8 +331,8 @@
   r2_get_from ("127.0.0.1", port, path, key, deadline_ms, answer);
 }
 
-void
-r2_put (const char *key, const char *value)
+static void
+call_control (const char *call, const char *key, const char *value)
 {
   char head[512];
   R2Answer answer;
@@ -341,18 +341,24 @@
   if (fd < 0)
     r2_fail ("store control");
   snprintf (head, sizeof head,
-            "POST /put?key=%s HTTP/1.1\r\nHost: store\r\n"
+            "POST /%s?key=%s HTTP/1.1\r\nHost: store\r\n"
             "Content-Length: %zu\r\n\r\n",
-            key, strlen (value));
+            call, key, strlen (value));
   if (!r2_send (fd, head, strlen (head))
       || !r2_send (fd, value, strlen (value)))
     r2_fail ("store write");
   read_answer (fd, &answer);
   close (fd);
-  if (answer.status != 200)
+  if (answer.status / 100 != 2)
     r2_fail ("store write");
 }
 
+void
+r2_put (const char *key, const char *value)
+{
+  call_control ("put", key, value);
+}
+
 /* Waits until PORT accepts connections.  */
 static void
 wait_listening (uint16_t port)
@@ -427,8 +433,6 @@
 r2_start_daemon (R2Daemon *daemon, const R2Machine *machine)
 {
   static int count;
-  char path[128];
-  char log[128];
   FILE *file;
 
   snprintf (daemon->name, sizeof daemon->name, "front-%s-%d", machine->zone,
@@ -437,11 +441,13 @@
   daemon->ready_port = free_port (SOCK_STREAM);
   daemon->directory_port = free_port (SOCK_STREAM);
   daemon->gossip_port = free_port (SOCK_DGRAM);
-  snprintf (path, sizeof path, "%s/%s.json", rig.folder, daemon->name);
-  snprintf (log, sizeof log, "%s/%s.log", rig.folder, daemon->name);
-  file = fopen (path, "w");
+  snprintf (daemon->settings, sizeof daemon->settings, "%s/%s.json",
+            rig.folder, daemon->name);
+  snprintf (daemon->log, sizeof daemon->log, "%s/%s.log", rig.folder,
+            daemon->name);
+  file = fopen (daemon->settings, "w");
   if (file == NULL)
-    r2_fail (path);
+    r2_fail (daemon->settings);
   fprintf (
       file,
       "{\"vm\":\"%s\",\"zone\":\"%s\",\"region\":\"%s\","
@@ -464,12 +470,29 @@
       machine->store_port != 0 ? machine->store_port : rig.store_port,
       machine->files_max, machine->memory_mb);
   fclose (file);
+  r2_restart_daemon (daemon);
+}
+
+void
+r2_restart_daemon (R2Daemon *daemon)
+{
   daemon->pid
       = spawn ((char *const[]){ (char *)DAEMON, (char *)"--platform", NULL },
-               path, log);
+               daemon->settings, daemon->log);
   r2_record ("daemon %s started", daemon->name);
 }
 
+void
+r2_kill_daemon (R2Daemon *daemon)
+{
+  kill (daemon->pid, SIGKILL);
+  waitpid (daemon->pid, NULL, 0);
+  for (int i = 0; i < rig.pid_count; i++)
+    if (rig.pids[i] == daemon->pid)
+      rig.pids[i] = rig.pids[--rig.pid_count];
+  r2_record ("daemon %s killed", daemon->name);
+}
+
 bool
 r2_is_ready (const R2Daemon *daemon)
 {
@@ -525,7 +548,8 @@
     {
       r2_sleep_ms (BEAT_MS);
       for (int i = 0; i < rig.upstream_count; i++)
-        register_upstream (rig.upstreams[i]);
+        if (!rig.upstreams[i]->is_down)
+          register_upstream (rig.upstreams[i]);
     }
   return NULL;
 }
@@ -596,6 +620,8 @@
 
   if (upstream->on_run != NULL)
     upstream->on_run (run);
+  if (upstream->is_down)
+    return false;
   r2_sleep_ms (upstream->service_ms);
   running = leave_slot (upstream);
   snprintf (answer, sizeof answer,
@@ -617,7 +643,7 @@
   size_t head_bytes;
   size_t filled = read_head (connection->fd, head, 0, &head_bytes);
   size_t body_bytes;
-  R2Run run;
+  R2Run run = { .upstream = connection->upstream };
 
   if (filled == 0)
     return false;
@@ -640,13 +666,44 @@
   return run_request (connection, &run);
 }
 
+static bool
+add_connection (const Connection *connection)
+{
+  R2Upstream *upstream = connection->upstream;
+  bool added = false;
+
+  pthread_mutex_lock (&upstream->lock);
+  for (size_t i = 0; i < sizeof upstream->fds / sizeof upstream->fds[0]; i++)
+    if (!added && !upstream->is_down && upstream->fds[i] < 0)
+      {
+        upstream->fds[i] = connection->fd;
+        added = true;
+      }
+  pthread_mutex_unlock (&upstream->lock);
+  return added;
+}
+
+static void
+remove_connection (const Connection *connection)
+{
+  R2Upstream *upstream = connection->upstream;
+
+  pthread_mutex_lock (&upstream->lock);
+  for (size_t i = 0; i < sizeof upstream->fds / sizeof upstream->fds[0]; i++)
+    if (upstream->fds[i] == connection->fd)
+      upstream->fds[i] = -1;
+  pthread_mutex_unlock (&upstream->lock);
+}
+
 static void *
 serve_connection (void *data)
 {
   Connection *connection = data;
 
-  while (serve_request (connection))
-    ;
+  if (add_connection (connection))
+    while (serve_request (connection))
+      ;
+  remove_connection (connection);
   close (connection->fd);
   free (connection);
   return NULL;
@@ -663,6 +720,8 @@
       int on = 1;
       Connection *connection;
 
+      if (fd < 0 && upstream->is_down)
+        return NULL;
       if (fd < 0)
         continue;
       setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -673,13 +732,17 @@
   return NULL;
 }
 
+/* Listens on PORT, or on a free one, which it sets, if it is 0.  */
 static int
 listen_on_loopback (uint16_t *port)
 {
-  struct sockaddr_in address = loopback (0);
+  struct sockaddr_in address = loopback (*port);
   socklen_t length = sizeof address;
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int on = 1;
 
+  if (fd >= 0)
+    setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (fd < 0 || bind (fd, (struct sockaddr *)&address, length) < 0
       || listen (fd, 256) < 0
       || getsockname (fd, (struct sockaddr *)&address, &length) < 0)
@@ -693,6 +756,8 @@
 {
   upstream->listen_fd = listen_on_loopback (&upstream->port);
   upstream->born_ms = wall_ms ();
+  for (size_t i = 0; i < sizeof upstream->fds / sizeof upstream->fds[0]; i++)
+    upstream->fds[i] = -1;
   pthread_mutex_init (&upstream->lock, NULL);
   register_upstream (upstream);
   if (rig.upstream_count == UPSTREAMS_MAX)
@@ -704,6 +769,67 @@
   r2_record ("upstream %s of %s started", upstream->id, upstream->service);
 }
 
+static void
+close_with_reset (int fd)
+{
+  struct linger linger = { 1, 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  close (fd);
+}
+
+/* Starts a crashed upstream again, and later removes its old entry, as the
+   store does with one of which it hears nothing.  */
+static void *
+start_again (void *data)
+{
+  static int life_count;
+  R2Upstream *upstream = data;
+  char old_key[64];
+
+  snprintf (old_key, sizeof old_key, "servers/%s", upstream->id);
+  r2_sleep_ms (R2_CRASH_MS);
+  pthread_mutex_lock (&rig.lock);
+  snprintf (upstream->id, sizeof upstream->id, "i-again-%d", ++life_count);
+  pthread_mutex_unlock (&rig.lock);
+  upstream->listen_fd = listen_on_loopback (&upstream->port);
+  upstream->born_ms = wall_ms ();
+  upstream->sequence = 0;
+  upstream->running = 0;
+  upstream->is_down = false;
+  register_upstream (upstream);
+  start_thread (accept_connections, upstream);
+  r2_record ("upstream started again as %s", upstream->id);
+  r2_sleep_ms (3 * BEAT_MS - R2_CRASH_MS);
+  call_control ("remove", old_key, "");
+  return NULL;
+}
+
+void
+r2_crash_upstream (R2Upstream *upstream)
+{
+  struct linger linger = { 1, 0 };
+
+  pthread_mutex_lock (&upstream->lock);
+  if (upstream->is_down)
+    {
+      pthread_mutex_unlock (&upstream->lock);
+      return;
+    }
+  upstream->is_down = true;
+  shutdown (upstream->listen_fd, SHUT_RDWR);
+  close (upstream->listen_fd);
+  for (size_t i = 0; i < sizeof upstream->fds / sizeof upstream->fds[0]; i++)
+    if (upstream->fds[i] >= 0)
+      {
+        setsockopt (upstream->fds[i], SOL_SOCKET, SO_LINGER, &linger,
+                    sizeof linger);
+        shutdown (upstream->fds[i], SHUT_RDWR);
+      }
+  pthread_mutex_unlock (&upstream->lock);
+  start_thread (start_again, upstream);
+}
+
 typedef struct
 {
   R2Proxy *proxy;
@@ -737,15 +863,6 @@
   pthread_mutex_unlock (&proxy->lock);
 }
 
-static void
-close_with_reset (int fd)
-{
-  struct linger linger = { 1, 0 };
-
-  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
-  close (fd);
-}
-
 static void *
 forward (void *data)
 {
--- a/review/rig-2/rig2.h
+++ b/review/rig-2/rig2.h
@@ -35,6 +35,8 @@
   uint16_t ready_port;
   uint16_t directory_port;
   uint16_t gossip_port;
+  char settings[128];
+  char log[128];
   pid_t pid;
 } R2Daemon;
 
@@ -64,9 +66,10 @@
   char id[64]; /* X-Comfreywalk-Attempt-Id */
   char path[256];
   char tenant[64]; /* X-Comfreywalk-Tenant, or empty */
+  struct R2Upstream *upstream;
 } R2Run;
 
-typedef struct
+typedef struct R2Upstream
 {
   char id[32];
   const char *service;
@@ -80,8 +83,15 @@
   uint32_t sequence;
   pthread_mutex_t lock;
   int running;
+  int fds[256]; /* of its connections; -1: none */
+  bool is_down;
 } R2Upstream;
 
+/* Ends an upstream as a crash of its process does; it starts again
+   R2_CRASH_MS later, with a new id.  */
+#define R2_CRASH_MS 3000
+void r2_crash_upstream (R2Upstream *upstream);
+
 typedef struct
 {
   int status; /* 0: no complete answer */
@@ -110,6 +120,9 @@
 void r2_cut_proxy (R2Proxy *proxy, bool is_cut);
 
 void r2_start_daemon (R2Daemon *daemon, const R2Machine *machine);
+/* Kills it with SIGKILL, and starts it again with the same settings.  */
+void r2_kill_daemon (R2Daemon *daemon);
+void r2_restart_daemon (R2Daemon *daemon);
 /* Whether the daemon's readiness address responds with 200.  */
 bool r2_is_ready (const R2Daemon *daemon);
 /* Waits until it does.  */
