--- a/review/rig-2/rig2.c
+++ b/review/rig-2/rig2.c
@@ -332,7 +332,7 @@
 }
 
 static void
-call_control (const char *call, const char *key, const char *value)
+call_control (const char *path, const char *body)
 {
   char head[512];
   R2Answer answer;
@@ -341,22 +341,30 @@
   if (fd < 0)
     r2_fail ("store control");
   snprintf (head, sizeof head,
-            "POST /%s?key=%s HTTP/1.1\r\nHost: store\r\n"
+            "POST %s HTTP/1.1\r\nHost: store\r\n"
             "Content-Length: %zu\r\n\r\n",
-            call, key, strlen (value));
-  if (!r2_send (fd, head, strlen (head))
-      || !r2_send (fd, value, strlen (value)))
-    r2_fail ("store write");
+            path, strlen (body));
+  if (!r2_send (fd, head, strlen (head)) || !r2_send (fd, body, strlen (body)))
+    r2_fail ("store control");
   read_answer (fd, &answer);
   close (fd);
   if (answer.status / 100 != 2)
-    r2_fail ("store write");
+    r2_fail (path);
+}
+
+void
+r2_control (const char *path)
+{
+  call_control (path, "");
 }
 
 void
 r2_put (const char *key, const char *value)
 {
-  call_control ("put", key, value);
+  char path[128];
+
+  snprintf (path, sizeof path, "/put?key=%s", key);
+  call_control (path, value);
 }
 
 /* Waits until PORT accepts connections.  */
@@ -785,9 +793,10 @@
 {
   static int life_count;
   R2Upstream *upstream = data;
-  char old_key[64];
+  char remove_path[64];
 
-  snprintf (old_key, sizeof old_key, "servers/%s", upstream->id);
+  snprintf (remove_path, sizeof remove_path, "/remove?key=servers/%s",
+            upstream->id);
   r2_sleep_ms (R2_CRASH_MS);
   pthread_mutex_lock (&rig.lock);
   snprintf (upstream->id, sizeof upstream->id, "i-again-%d", ++life_count);
@@ -801,7 +810,7 @@
   start_thread (accept_connections, upstream);
   r2_record ("upstream started again as %s", upstream->id);
   r2_sleep_ms (3 * BEAT_MS - R2_CRASH_MS);
-  call_control ("remove", old_key, "");
+  r2_control (remove_path);
   return NULL;
 }
 
--- a/review/rig-2/rig2.h
+++ b/review/rig-2/rig2.h
@@ -116,6 +116,9 @@
 /* Writes the value of KEY to the store, as its other users do.  */
 void r2_put (const char *key, const char *value);
 
+/* Calls the PATH of the store's control address, see standin/estate.h.  */
+void r2_control (const char *path);
+
 void r2_start_proxy (R2Proxy *proxy);
 void r2_cut_proxy (R2Proxy *proxy, bool is_cut);
 
