--- a/review/rig-2/rig2.c
+++ b/review/rig-2/rig2.c
@@ -25,6 +25,10 @@
 #define QUEUE_MAX 9
 #define THREAD_STACK_BYTES ((size_t)256 * 1024)
 #define HEAD_MAX 16384
+#define FILES_MIN 4200
+/* Of the ports that are used.  */
+#define PORT_MIN 10240
+#define PORT_COUNT 20000
 
 static struct
 {
@@ -124,18 +128,26 @@
   return address;
 }
 
+/* Below those that the kernel gives to connections, so that it is still free
+   when a process starts again.  */
 static uint16_t
 free_port (int type)
 {
-  struct sockaddr_in address = loopback (0);
-  socklen_t length = sizeof address;
-  int fd = socket (AF_INET, type | SOCK_CLOEXEC, 0);
+  for (int i = 0; i < 1000; i++)
+    {
+      uint16_t port = (uint16_t)(PORT_MIN + random () % PORT_COUNT);
+      struct sockaddr_in address = loopback (port);
+      int fd = socket (AF_INET, type | SOCK_CLOEXEC, 0);
+      bool is_free
+          = fd >= 0
+            && bind (fd, (struct sockaddr *)&address, sizeof address) == 0;
 
-  if (fd < 0 || bind (fd, (struct sockaddr *)&address, length) < 0
-      || getsockname (fd, (struct sockaddr *)&address, &length) < 0)
-    r2_fail ("free port");
-  close (fd);
-  return ntohs (address.sin_port);
+      if (fd >= 0)
+        close (fd);
+      if (is_free)
+        return port;
+    }
+  r2_fail ("free port");
 }
 
 static pid_t
@@ -384,14 +396,17 @@
   r2_fail ("a process does not listen");
 }
 
+/* For the daemons, as the settings say, and for the clients of a case.  */
 static void
 raise_files_limit (void)
 {
   struct rlimit limit;
 
-  getrlimit (RLIMIT_NOFILE, &limit);
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_max < FILES_MIN)
+    r2_fail ("too few file descriptors");
   limit.rlim_cur = limit.rlim_max;
-  setrlimit (RLIMIT_NOFILE, &limit);
+  if (setrlimit (RLIMIT_NOFILE, &limit) != 0)
+    r2_fail ("setrlimit");
 }
 
 void
@@ -402,6 +417,7 @@
   char control[32];
 
   rig.started_s = monotonic_s ();
+  srandom ((unsigned int)(wall_ms () ^ getpid ()));
   signal (SIGPIPE, SIG_IGN);
   raise_files_limit ();
   snprintf (path, sizeof path, "%s/record.txt", folder);
@@ -740,29 +756,26 @@
   return NULL;
 }
 
-/* Listens on PORT, or on a free one, which it sets, if it is 0.  */
 static int
-listen_on_loopback (uint16_t *port)
+listen_on_loopback (uint16_t port)
 {
-  struct sockaddr_in address = loopback (*port);
-  socklen_t length = sizeof address;
+  struct sockaddr_in address = loopback (port);
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   int on = 1;
 
   if (fd >= 0)
     setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (fd < 0 || bind (fd, (struct sockaddr *)&address, length) < 0
-      || listen (fd, 256) < 0
-      || getsockname (fd, (struct sockaddr *)&address, &length) < 0)
+  if (fd < 0 || bind (fd, (struct sockaddr *)&address, sizeof address) < 0
+      || listen (fd, 256) < 0)
     r2_fail ("listen");
-  *port = ntohs (address.sin_port);
   return fd;
 }
 
 void
 r2_start_upstream (R2Upstream *upstream)
 {
-  upstream->listen_fd = listen_on_loopback (&upstream->port);
+  upstream->port = free_port (SOCK_STREAM);
+  upstream->listen_fd = listen_on_loopback (upstream->port);
   upstream->born_ms = wall_ms ();
   for (size_t i = 0; i < sizeof upstream->fds / sizeof upstream->fds[0]; i++)
     upstream->fds[i] = -1;
@@ -801,7 +814,7 @@
   pthread_mutex_lock (&rig.lock);
   snprintf (upstream->id, sizeof upstream->id, "i-again-%d", ++life_count);
   pthread_mutex_unlock (&rig.lock);
-  upstream->listen_fd = listen_on_loopback (&upstream->port);
+  upstream->listen_fd = listen_on_loopback (upstream->port);
   upstream->born_ms = wall_ms ();
   upstream->sequence = 0;
   upstream->running = 0;
@@ -942,7 +955,8 @@
   pthread_mutex_init (&proxy->lock, NULL);
   for (size_t i = 0; i < sizeof proxy->fds / sizeof proxy->fds[0]; i++)
     proxy->fds[i] = -1;
-  proxy->listen_fd = listen_on_loopback (&proxy->port);
+  proxy->port = free_port (SOCK_STREAM);
+  proxy->listen_fd = listen_on_loopback (proxy->port);
   start_thread (accept_proxied, proxy);
 }
 
