--- a/entry/untrusted_callers_test.cc
+++ b/entry/untrusted_callers_test.cc
@@ -1,5 +1,6 @@
-/* Callers that send requests ahead, or only connect, and never read: a real
-   daemon with low limits must stay within its memory and its open files.
+/* Callers that send requests ahead, or only connect, and never read, or that
+   hold bodies, responses or connections without end: a real daemon with low
+   limits must stay within its memory and its open files, and answer others.
 
    The crowd, the bounds and the profiles are fixed.  A crowd ends once a bound
    is exceeded, so that a failing test does not use up the machine.  */
@@ -7,9 +8,11 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <atomic>
 #include <fstream>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <arpa/inet.h>
@@ -32,7 +35,6 @@
 constexpr int kMemoryMb = 160;
 constexpr int64_t kMemoryBoundKb = kMemoryMb * 1024 * 8 / 10;
 constexpr int kFilesMax = 100;
-constexpr int kFilesBound = kFilesMax * 9 / 10;
 constexpr size_t kCrowd = 32;
 /* More than files_max over three listeners.  */
 constexpr size_t kIdleCrowd = 48;
@@ -56,6 +58,8 @@
   std::string address;
   std::string request;
   std::string start = ""; /* sent once, before the requests */
+  size_t sent_max_bytes = kSentMaxBytes;
+  std::string source = ""; /* own address; empty: any */
   int fd = -1;
   size_t sent_bytes = 0;
 
@@ -71,12 +75,25 @@
     name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
     fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+    Bind ();
     (void)!connect (fd, (struct sockaddr *)&name, sizeof name);
     sent_bytes = 0;
     if (!start.empty ())
       (void)!send (fd, start.data (), start.size (), MSG_NOSIGNAL);
   }
 
+  void
+  Bind ()
+  {
+    struct sockaddr_in name = {};
+
+    if (source.empty ())
+      return;
+    name.sin_family = AF_INET;
+    inet_pton (AF_INET, source.c_str (), &name.sin_addr);
+    (void)!bind (fd, (struct sockaddr *)&name, sizeof name);
+  }
+
   void
   Close ()
   {
@@ -85,17 +102,31 @@
     fd = -1;
   }
 
+  /* Reads what has arrived.  FALSE once the peer has closed.  */
+  bool
+  Discard ()
+  {
+    char bytes[4096];
+    ssize_t got;
+
+    while ((got = recv (fd, bytes, sizeof bytes, MSG_DONTWAIT)) > 0)
+      continue;
+    return got < 0 && errno == EAGAIN;
+  }
+
   /* Sends as much as the connection takes at once, at most CHUNK times.  */
   void
   Send (const std::string &chunk)
   {
     if (fd == -1)
       Open ();
-    for (int i = 0; i < 16 && sent_bytes < kSentMaxBytes; i++)
+    for (int i = 0; i < 16 && sent_bytes < sent_max_bytes; i++)
       {
         size_t offset = sent_bytes % chunk.size ();
-        ssize_t sent = send (fd, chunk.data () + offset,
-                             chunk.size () - offset, MSG_NOSIGNAL);
+        ssize_t sent = send (
+            fd, chunk.data () + offset,
+            std::min (chunk.size () - offset, sent_max_bytes - sent_bytes),
+            MSG_NOSIGNAL);
         if (sent > 0)
           sent_bytes += (size_t)sent;
         else if (errno == EAGAIN)
@@ -168,14 +199,7 @@
     ASSERT_NE (estate_pid, 0);
     ASSERT_TRUE (
         WaitFor ([&] { return GetStatus (control, "/runs") == 200; }));
-    Put ("op/config",
-         "{\"version\":\"r1\",\"routes\":{\"read\":{\"host\":\"127.0.0.1\","
-         "\"prefix\":\"/read/\",\"kind\":\"safe\",\"timeout_s\":3,"
-         "\"target_latency_s\":0.5,\"priority\":1,\"service\":\"s\","
-         "\"max_attempts\":2,\"sticky\":false,\"anonymous\":false}},"
-         "\"services\":{\"s\":{\"max_connections\":100,\"cold_start_s\":1,"
-         "\"cold_per_s\":5}},\"tenants\":{\"c1\":{\"api_keys\":[\"key-1\"],"
-         "\"rate_per_s\":0,\"burst\":0}}}");
+    PutConfig ("r1", "");
     Put ("servers/t1",
          "{\"service\":\"s\",\"address\":\"" + target
              + "\",\"zone\":\"a1\",\"version\":\"v1\",\"slots\":3,"
@@ -198,7 +222,7 @@
         << "\",\"ready_listen\":\"" << ready << "\",\"directory_listen\":\""
         << directory << "\",\"address\":\"127.0.0.1\",\"gossip_port\":"
         << si_find_free_port () << ",\"store_address\":\"" << store
-        << "\",\"files_max\":" << kFilesMax << ",\"memory_mb\":" << kMemoryMb
+        << "\",\"files_max\":" << files_max << ",\"memory_mb\":" << kMemoryMb
         << ",\"bounds\":{\"grace_s\":4,\"revoke_s\":3}}\n";
     const char *argv[] = { CW_BIN "/daemon/comfreywalkd", "--platform",
                            "--settings", settings.c_str (), nullptr };
@@ -232,6 +256,21 @@
         << error->message;
   }
 
+  /* LIMITS: a field of the configuration with a comma, or empty.  */
+  void
+  PutConfig (const std::string &version, const std::string &limits)
+  {
+    Put ("op/config",
+         "{\"version\":\"" + version + "\"," + limits
+             + "\"routes\":{\"read\":{\"host\":\"127.0.0.1\","
+               "\"prefix\":\"/read/\",\"kind\":\"safe\",\"timeout_s\":3,"
+               "\"target_latency_s\":0.5,\"priority\":1,\"service\":\"s\","
+               "\"max_attempts\":2,\"sticky\":false,\"anonymous\":false}},"
+               "\"services\":{\"s\":{\"max_connections\":100,"
+               "\"cold_start_s\":1,\"cold_per_s\":5}},\"tenants\":{\"c1\":{"
+               "\"api_keys\":[\"key-1\"],\"rate_per_s\":0,\"burst\":0}}}");
+  }
+
   int
   GetStatus (const std::string &address, const std::string &path,
              const char *const *headers = nullptr)
@@ -263,6 +302,17 @@
     return all.substr (all.size () - std::min<size_t> (all.size (), 4000));
   }
 
+  int64_t
+  GetMetric (const std::string &name)
+  {
+    g_autofree char *text = si_get_text (ready.c_str (), "/metrics", nullptr);
+    std::istringstream lines (text != nullptr ? text : "");
+    for (std::string line; std::getline (lines, line);)
+      if (line.rfind (name + " ", 0) == 0)
+        return std::stoll (line.substr (name.size () + 1));
+    return -1;
+  }
+
   /* Value of a line of /proc/PID/status in KB; 0 once the process ended.  */
   int64_t
   GetMemoryKb (const std::string &name)
@@ -274,6 +324,12 @@
     return 0;
   }
 
+  int
+  GetFilesBound () const
+  {
+    return files_max * 9 / 10;
+  }
+
   int
   CountFiles ()
   {
@@ -296,7 +352,7 @@
     files_peak = std::max (files_peak, CountFiles ());
     return !si_process_ended (daemon_pid, nullptr)
            && GetMemoryKb ("VmHWM") <= kMemoryBoundKb
-           && files_peak <= kFilesBound;
+           && files_peak <= GetFilesBound ();
   }
 
   void
@@ -342,7 +398,7 @@
             (long long)GetMemoryKb ("VmRSS"), files_peak);
     ASSERT_TRUE (is_alive) << LogTail ();
     EXPECT_LE (peak_kb, kMemoryBoundKb);
-    EXPECT_LE (files_peak, kFilesBound);
+    EXPECT_LE (files_peak, GetFilesBound ());
     for (Hostile &hostile : crowd)
       hostile.Close ();
     EXPECT_TRUE (WaitFor ([&] { return SendOrdinary () == 200; }))
@@ -364,6 +420,7 @@
   std::string folder, store, control, front, ready, directory, log_path;
   std::vector<Hostile> crowd;
   pid_t estate_pid = 0, daemon_pid = 0;
+  int files_max = kFilesMax;
   int files_peak = 0;
 };
 
@@ -492,24 +549,259 @@
                != line.npos;
     return count;
   };
-  auto get_metric = [&] (const std::string &name) {
-    g_autofree char *text = si_get_text (ready.c_str (), "/metrics", nullptr);
-    std::istringstream lines (text != nullptr ? text : "");
-    for (std::string line; std::getline (lines, line);)
-      if (line.rfind (name + " ", 0) == 0)
-        return std::stoll (line.substr (name.size () + 1));
-    return -1ll;
-  };
-
   AddCrowd (kIdleCrowd, front, "");
   RunCrowd ();
   EXPECT_TRUE (WaitFor ([&] { return count_lines () > 0; })) << LogTail ();
   EXPECT_LE (count_lines (), 3) << LogTail ();
-  EXPECT_GT (get_metric ("connections_refused_total{listener=\"callers\","
-                         "reason=\"count\"}"),
+  EXPECT_GT (GetMetric ("connections_refused_total{listener=\"callers\","
+                        "reason=\"count\"}"),
              0);
-  EXPECT_GT (get_metric ("connections_open{listener=\"callers\"}"), 0);
-  EXPECT_GT (get_metric ("connection_peak_bytes{listener=\"callers\"}"), 0);
+  EXPECT_GT (GetMetric ("connections_open{listener=\"callers\"}"), 0);
+  EXPECT_GT (GetMetric ("connection_peak_bytes{listener=\"callers\"}"), 0);
+  CheckDaemon ();
+}
+
+/* More of them than in the crowds above, on a daemon with files for several
+   hundred connections.  Each crowd goes on, and opens again what is closed,
+   while an ordinary caller asks.  */
+constexpr int kManyFiles = 1200;
+constexpr size_t kManyCrowd = 700;
+constexpr size_t kBodyCrowd = 48;
+/* Each of legal size, so that they are above the budget together.  */
+constexpr size_t kChunkedBytes = 64 * 1024 * 1024 - 1;
+constexpr size_t kChunkBytes = 64 * 1024;
+/* Of memory_mb, see memory.h and connections_memory_mb.  */
+constexpr int64_t kBodiesKb = 40 * 1024;
+constexpr int64_t kConnectionsKb = 16 * 1024;
+/* What a crowd may cost besides what it is counted for.  */
+constexpr int64_t kUncountedKb = 16 * 1024;
+/* A caller asks this often, each time over a new connection.  */
+constexpr int kOrdinaryTries = 40;
+
+class UntrustedCrowds : public UntrustedCallers
+{
+protected:
+  UntrustedCrowds () { files_max = kManyFiles; }
+
+  /* With the limits that operators set.  */
+  void
+  SetUp () override
+  {
+    UntrustedCallers::SetUp ();
+    PutConfig ("r2", "\"limits\":{\"max_header_bytes\":16384,"
+                     "\"max_body_bytes\":67108864,\"header_timeout_s\":3,"
+                     "\"idle_timeout_s\":15},");
+    ASSERT_TRUE (WaitFor ([&] {
+      return LogTail ().find ("config-in-force config=2") != std::string::npos;
+    })) << LogTail ();
+  }
+
+  void
+  TearDown () override
+  {
+    StopCrowd ();
+    UntrustedCallers::TearDown ();
+  }
+
+  /* Repeats the request of each connection without end; one that READS does so
+     once in PAUSE_MS.  */
+  void
+  StartCrowd (bool reads = false, int pause_ms = 20)
+  {
+    is_over = false;
+    thread = std::thread ([this, reads, pause_ms] {
+      while (!is_over)
+        {
+          for (Hostile &hostile : crowd)
+            {
+              if (hostile.fd != -1 && (reads || hostile.request.empty ())
+                  && !hostile.Discard ())
+                hostile.Close ();
+              if (hostile.request.empty () && hostile.fd == -1)
+                hostile.Open ();
+              else if (!hostile.request.empty ())
+                SendOnce (hostile, reads);
+            }
+          si_sleep_ms (pause_ms);
+        }
+    });
+  }
+
+  static void
+  SendOnce (Hostile &hostile, bool reads)
+  {
+    if (!reads)
+      {
+        hostile.Send (hostile.request);
+        return;
+      }
+    if (hostile.fd == -1)
+      hostile.Open ();
+    if (send (hostile.fd, hostile.request.data (), hostile.request.size (),
+              MSG_NOSIGNAL)
+            < 0
+        && errno != EAGAIN)
+      hostile.Close ();
+  }
+
+  void
+  StopCrowd ()
+  {
+    is_over = true;
+    if (thread.joinable ())
+      thread.join ();
+  }
+
+  /* Whether an ordinary caller gets an answer while the crowd goes on.  */
+  bool
+  IsOrdinaryServed ()
+  {
+    for (int i = 0; i < kOrdinaryTries && IsWithinBounds (); i++)
+      {
+        if (SendOrdinary () == 200)
+          return true;
+        si_sleep_ms (50);
+      }
+    return false;
+  }
+
+  /* Runs the crowd for RUN_MS and checks the daemon beside it and after it.
+     COST_KB: what the crowd may cost.  */
+  void
+  CheckBesideCrowd (int64_t cost_kb, bool reads = false, int pause_ms = 20)
+  {
+    int64_t before_kb = GetMemoryKb ("VmRSS");
+
+    StartCrowd (reads, pause_ms);
+    for (int round = 0; round < 40 && IsWithinBounds (); round++)
+      si_sleep_ms (100);
+    bool is_served = IsOrdinaryServed ();
+    int64_t peak_kb = GetMemoryKb ("VmHWM");
+    StopCrowd ();
+    printf ("VmRSS before %lld KB, cost at most %lld KB\n",
+            (long long)before_kb, (long long)(peak_kb - before_kb));
+    EXPECT_TRUE (is_served) << LogTail ();
+    EXPECT_LE (peak_kb - before_kb, cost_kb);
+    CheckDaemon ();
+    EXPECT_TRUE (WaitFor ([&] {
+      return GetMemoryKb ("VmRSS") <= before_kb + kUncountedKb;
+    })) << "VmRSS "
+        << GetMemoryKb ("VmRSS") << " KB after the crowd";
+  }
+
+  std::string
+  MakeHead (const std::string &method, const std::string &framing)
+  {
+    return method
+           + " /read/1 HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+             "X-Comfreywalk-Attempt-Id: h\r\n"
+             "X-Comfreywalk-Deadline-Ms: 3000\r\n"
+             "Authorization: Token key-1\r\n"
+           + framing + "\r\n";
+  }
+
+  void
+  AddChunkedBodies ()
+  {
+    char size[16];
+    g_snprintf (size, sizeof size, "%zx\r\n", kChunkBytes);
+    AddCrowd (kBodyCrowd, front,
+              size + std::string (kChunkBytes, 'x') + "\r\n");
+    for (size_t i = crowd.size () - kBodyCrowd; i < crowd.size (); i++)
+      {
+        crowd[i].start = MakeHead ("POST", "Transfer-Encoding: chunked\r\n");
+        crowd[i].sent_max_bytes = kChunkedBytes;
+      }
+  }
+
+  void
+  AddUnreadResponses ()
+  {
+    PostControl ("/target?id=t1&fault=large");
+    AddCrowd (kCrowd, front, MakeHead ("GET", ""));
+  }
+
+  void
+  PostControl (const std::string &path)
+  {
+    g_autoptr (GError) error = nullptr;
+    EXPECT_TRUE (si_post (control.c_str (), path.c_str (), "", &error))
+        << error->message;
+  }
+
+  std::thread thread;
+  std::atomic<bool> is_over{ false };
+};
+
+/* Guards against bodies in pieces that cost a multiple of what they are
+   counted for.  */
+TEST_F (UntrustedCrowds, ChunkedBodiesShortOfTheirEnd)
+{
+  AddChunkedBodies ();
+  CheckBesideCrowd (kBodiesKb + kConnectionsKb + kUncountedKb);
+}
+
+/* Guards against bodies of requests and responses that are each within their
+   budget and together take the daemon over its memory.  */
+TEST_F (UntrustedCrowds, ChunkedBodiesAndUnreadResponses)
+{
+  AddChunkedBodies ();
+  AddUnreadResponses ();
+  CheckBesideCrowd (2 * kBodiesKb + kConnectionsKb + kUncountedKb);
+}
+
+/* Guards against responses that nobody reads and that keep those of others
+   waiting, or their requests refused.  */
+TEST_F (UntrustedCrowds, UnreadResponses)
+{
+  AddUnreadResponses ();
+  CheckBesideCrowd (kBodiesKb + kConnectionsKb + kUncountedKb);
+}
+
+/* Guards against bodies that are small enough to need no budget and together
+   take all memory of connections.  */
+TEST_F (UntrustedCrowds, SmallBodiesShortOfTheirEnd)
+{
+  AddCrowd (kManyCrowd, front, "x");
+  for (Hostile &hostile : crowd)
+    {
+      hostile.start = MakeHead ("POST", "Content-Length: 60000\r\n")
+                      + std::string (50000, 'x');
+      hostile.sent_max_bytes = 9900;
+    }
+  CheckBesideCrowd (kConnectionsKb + kUncountedKb);
+}
+
+/* Guards against one address that takes all connections with a request now and
+   then on each.  */
+TEST_F (UntrustedCrowds, OneAddressWithARequestNowAndThen)
+{
+  AddCrowd (kManyCrowd, front, unknown_path);
+  for (Hostile &hostile : crowd)
+    hostile.source = "127.0.0.2";
+  CheckBesideCrowd (kConnectionsKb + kUncountedKb, true, 500);
+}
+
+/* The same from the ordinary caller's address.  */
+TEST_F (UntrustedCrowds, OwnAddressWithARequestNowAndThen)
+{
+  AddCrowd (kManyCrowd, front, unknown_path);
+  CheckBesideCrowd (kConnectionsKb + kUncountedKb, true, 500);
+}
+
+/* Guards against the same at the other listeners, which probes and lookups
+   need.  */
+TEST_F (UntrustedCrowds, ReadinessAndLookupsBesideACrowd)
+{
+  AddCrowd (kManyCrowd / 4, ready, get_ready);
+  AddCrowd (kManyCrowd / 2, directory, get_ready);
+  StartCrowd (true, 300);
+  si_sleep_ms (2000);
+  EXPECT_TRUE (WaitFor ([&] { return GetStatus (ready, "/ready") == 200; }));
+  EXPECT_TRUE (WaitFor ([&] {
+    return GetStatus (directory, "/resolve?name=a&region=a&zone=a1") == 200;
+  }));
+  StopCrowd ();
   CheckDaemon ();
 }
 
