memory: large allocations are mapped by themselves

Callers saw nothing; the daemon grew to 2.9 times its budget for bodies and could be ended for its memory with all requests.

Cause: glibc raises its threshold for mappings to the largest one that was freed. After the first large body others grow in the heap, by copying from one power of two to the next, and leave holes that no larger body fits in.

Ruled out: framing (decoded at once) and the copy in libevhtp (gets no body).

Change: the threshold is fixed at start, so a body of more than 64 KB costs its pages and returns them; small ones count as the power of two that is allocated.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -4,6 +4,7 @@
 
 #include "daemon/daemon.h"
 #include "entry/entry.h"
+#include "memory/memory.h"
 #include "platform/platform.h"
 
 #define EXIT_SETTINGS 2
@@ -77,6 +78,7 @@
   DmDaemon *daemon;
 
   setlocale (LC_ALL, "C.UTF-8");
+  mm_configure_allocator ();
   g_option_context_add_main_entries (context, entries, NULL);
   if (!g_option_context_parse (context, &argc, &argv, &error))
     {
--- a/front/conn.c
+++ b/front/conn.c
@@ -58,7 +58,7 @@
   if (conn->body != NULL)
     bytes = MAX (conn->head.content_length_bytes,
                  mm_block_bytes (conn->body)->len);
-  return bytes <= MM_SMALL_BYTES ? bytes : 0;
+  return bytes <= MM_SMALL_BYTES ? mm_small_cost_bytes (bytes) : 0;
 }
 
 static gsize
--- a/memory/memory.c
+++ b/memory/memory.c
@@ -1,11 +1,17 @@
 #include "memory/memory.h"
 
+#include <malloc.h>
+
 /* What a process uses at most, in percent of its memory.  */
 #define USABLE_PERCENT 80
 /* For everything but bodies: state, connections, buffers of a few KB.  */
 #define OTHER_BYTES ((uint64_t)48 * 1024 * 1024)
 /* Bodies of requests, and of responses.  */
 #define SHARE_COUNT 2
+/* GByteArray allocates powers of two, so a large body has this much at least.
+   Without a threshold of its own, glibc raises it to the largest mapping that
+   was freed, after which bodies grow within the heap, by copying.  */
+#define MAPPED_MIN_BYTES (2 * MM_SMALL_BYTES)
 /* Also on the smallest machines the largest response fits.  */
 #define SHARE_MIN_BYTES ((uint64_t)20 * 1024 * 1024)
 
@@ -28,6 +34,23 @@
   GByteArray *bytes;
 };
 
+void
+mm_configure_allocator (void)
+{
+  mallopt (M_MMAP_THRESHOLD, MAPPED_MIN_BYTES);
+}
+
+/* GByteArray allocates powers of two.  */
+uint64_t
+mm_small_cost_bytes (uint64_t length_bytes)
+{
+  uint64_t allocated_bytes = 1;
+
+  while (allocated_bytes < length_bytes)
+    allocated_bytes *= 2;
+  return length_bytes > 0 ? allocated_bytes : 0;
+}
+
 MmBudget *
 mm_budget_new (uint64_t limit_bytes)
 {
--- a/memory/memory.h
+++ b/memory/memory.h
@@ -13,6 +13,9 @@
      reference is gone.  Up to MM_SMALL_BYTES of each block always fit: a large
      body is never in the way of small ones.
 
+     A block counts for its bytes.  After mm_configure_allocator a large one
+     costs at most a page more.
+
      A user that waits for room calls mm_budget_set_on_room; the function is
      called from within the release of a block, which may be a call of the user
      itself, so it should only schedule what is to be done.
@@ -31,6 +34,13 @@
 typedef struct MmBudget MmBudget;
 typedef struct MmBlock MmBlock;
 
+/* Maps each large allocation by itself, so that a body that grows is not
+   copied within the heap, leaves no holes there, and returns its memory when
+   it is freed.  Call it once, before the first allocation of a body.  */
+void mm_configure_allocator (void);
+/* What an array of LENGTH_BYTES, at most MM_SMALL_BYTES, costs.  */
+uint64_t mm_small_cost_bytes (uint64_t length_bytes);
+
 MmBudget *mm_budget_new (uint64_t limit_bytes);
 /* Blocks keep their budget.  */
 void mm_budget_unref (MmBudget *budget);
--- a/memory/memory_test.cc
+++ b/memory/memory_test.cc
@@ -91,6 +91,15 @@
   EXPECT_EQ (0u, mm_budget_used (budget));
 }
 
+/* Guards against small bodies that are counted for less than they cost.  */
+TEST (Memory, SmallBodiesCostWhatIsAllocated)
+{
+  EXPECT_EQ (0u, mm_small_cost_bytes (0));
+  EXPECT_EQ (32768u, mm_small_cost_bytes (32768));
+  EXPECT_EQ (65536u, mm_small_cost_bytes (32769));
+  EXPECT_EQ (65536u, mm_small_cost_bytes (MM_SMALL_BYTES));
+}
+
 TEST (Memory, SharesLeaveRoomForTheRest)
 {
   for (uint64_t mb : { 260u, 320u, 520u })
