front: what is read ahead costs what it is counted for

Callers saw nothing; the daemon could be ended for its memory.

Cause: input that arrives while a request runs moved to the read-ahead buffer with its chain of buffers, at least 1 KB for each read. A caller that sends byte by byte made 4 KB of input, counted in the 16 KB of a connection, cost 3 MB. Unread input of a caller that is not read from, and responses beyond its window, were held by the kernel and counted nowhere.

Change: the bytes are copied; input that the kernel holds while reading is disabled counts at the next tick, and the connection is closed where it does not fit; of a response the kernel holds at most 32 KB beyond the window.

--- a/front/conn.c
+++ b/front/conn.c
@@ -1,7 +1,9 @@
 #include "front/conn.h"
 
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 /* How long a rejected connection stays open, with its input discarded, after
@@ -22,6 +24,9 @@
    reads.  Slow callers read some KB a second; one that reads a little after a
    longer time counts as reading again.  */
 #define STALL_US 5000000
+/* What the kernel holds of a response beyond the window of its caller.  The
+   rest stays here, where it is counted.  */
+#define UNSENT_MAX_BYTES (32 * 1024)
 /* Retry-After of a body for which there is no memory: by then the bodies that
    hold it have been sent to targets.  */
 #define MEMORY_RETRY_AFTER "1"
@@ -66,7 +71,7 @@
 {
   gsize output = evbuffer_get_length (bufferevent_get_output (conn->bev));
   gsize input = evbuffer_get_length (input_buffer (conn))
-                + evbuffer_get_length (conn->read_ahead);
+                + evbuffer_get_length (conn->read_ahead) + conn->unread_bytes;
   gsize bytes = output - MIN (output, conn->block_bytes);
 
   if (conn->head_bytes > 0)
@@ -107,6 +112,7 @@
   conn->checked_bytes = 0;
   conn->head_bytes = 0;
   conn->block_bytes = 0;
+  conn->unread_bytes = 0;
   memset (&conn->chunk_decoder, 0, sizeof conn->chunk_decoder);
 }
 
@@ -403,6 +409,20 @@
     bufferevent_enable (conn->bev, EV_READ);
 }
 
+/* Copies the input.  Its chain of buffers, one for each read, would cost a
+   multiple of the bytes where these arrive one by one.  */
+static void
+move_to_read_ahead (FrConn *conn)
+{
+  struct evbuffer *input = input_buffer (conn);
+  gsize length = evbuffer_get_length (input);
+
+  if (length > 0)
+    evbuffer_add (conn->read_ahead, evbuffer_pullup (input, -1), length);
+  drain_buffer (input);
+  limit_read_ahead (conn);
+}
+
 /* Gives libevhtp a request without a body in place of the one that was read,
    since it does not parse all valid heads, nor all forms of "Connection:
    close", and copies bodies.  on_request gets the request from the
@@ -417,9 +437,7 @@
                          : "POST / HTTP/1.1\r\nHost: a\r\n"
                            "Content-Length: 0\r\nConnection: close\r\n\r\n";
 
-  if (evbuffer_get_length (input) > 0)
-    evbuffer_add_buffer (conn->read_ahead, input);
-  limit_read_ahead (conn);
+  move_to_read_ahead (conn);
   evbuffer_prepend (input, head, strlen (head));
 }
 
@@ -491,8 +509,7 @@
     {
     case FR_CONN_RUNNING:
     case FR_CONN_RESPONDING:
-      evbuffer_add_buffer (conn->read_ahead, input_buffer (conn));
-      limit_read_ahead (conn);
+      move_to_read_ahead (conn);
       break;
     case FR_CONN_LINGER:
       drain_buffer (input_buffer (conn));
@@ -577,6 +594,15 @@
   request->peer_port = ntohs (v4->sin_port);
 }
 
+static void
+limit_unsent (const FrConn *conn)
+{
+  int bytes = UNSENT_MAX_BYTES;
+
+  setsockopt (bufferevent_getfd (conn->bev), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+              &bytes, sizeof bytes);
+}
+
 gboolean
 fr_conn_accept (FrServer *server, evhtp_connection_t *evhtp)
 {
@@ -611,6 +637,7 @@
                      &conn->evhtp_event, &conn->evhtp_data);
   bufferevent_setcb (conn->bev, on_read, on_write, on_event, conn);
   bufferevent_set_max_single_read (conn->bev, READ_MAX_BYTES);
+  limit_unsent (conn);
   return TRUE;
 }
 
@@ -671,6 +698,25 @@
   return now_us - conn->since_us > timeout_us;
 }
 
+/* Counts what a caller has sent while it is not read from.  Closes the
+   connection and returns FALSE if that does not fit.  */
+static gboolean
+count_unread (FrConn *conn)
+{
+  int bytes = 0;
+
+  if ((bufferevent_get_enabled (conn->bev) & EV_READ) == 0
+      && ioctl (bufferevent_getfd (conn->bev), FIONREAD, &bytes) != 0)
+    bytes = 0;
+  if ((gsize)bytes == conn->unread_bytes)
+    return TRUE;
+  conn->unread_bytes = (gsize)bytes;
+  if (fr_conn_count_held (conn))
+    return TRUE;
+  fr_conn_close (conn);
+  return FALSE;
+}
+
 static void
 close_timed_out (FrConn *conn)
 {
@@ -765,8 +811,11 @@
       check_request_timeout (conn, now_us);
       break;
     case FR_CONN_RUNNING:
+      count_unread (conn);
       break;
     case FR_CONN_RESPONDING:
+      if (!count_unread (conn))
+        break;
       if (is_output_stalled (conn, now_us,
                              (int64_t)options->write_timeout_ms * 1000))
         close_timed_out (conn);
--- a/front/conn.h
+++ b/front/conn.h
@@ -67,6 +67,8 @@
   gsize encoded_bytes; /* of a chunked body, so far */
   HtChunkDecoder chunk_decoder;
 
+  gsize unread_bytes;  /* held by the kernel while reading is disabled, at the
+                          last timeout check */
   FrHandler cancel_handler;
   void *cancel_data;
 };
