memory: no address keeps others from connecting

Callers saw a ready daemon close their connections unread while one host had a request a second on each of 1,800 connections; probes and lookups had no answer either.

Cause: for a new connection only one that had been silent for a second was closed, and connections with a request now and then, or sent ahead, never are. Nothing compared what addresses hold, and by default one could hold all.

For IPv6 a /64 is an address.

--- a/entry/connections.c
+++ b/entry/connections.c
@@ -10,6 +10,7 @@
   MtCounter *bytes;
   MtCounter *peak_bytes;
   MtCounter *closed;
+  MtCounter *displaced;
   MtCounter *timeouts;
   MtCounter *refused[MM_REFUSAL_COUNT];
   /* At the last log line.  */
@@ -38,7 +39,9 @@
   uint64_t refused_counts[MM_REFUSAL_COUNT];
   uint64_t closed_count
       = counters->closed_count - listener->logged.closed_count;
-  uint64_t sum = closed_count;
+  uint64_t displaced_count
+      = counters->displaced_count - listener->logged.displaced_count;
+  uint64_t sum = closed_count + displaced_count;
 
   for (guint i = 0; i < MM_REFUSAL_COUNT; i++)
     {
@@ -53,11 +56,11 @@
             " refused_for_address=%" G_GUINT64_FORMAT
             " refused_for_memory=%" G_GUINT64_FORMAT
             " closed_for_others=%" G_GUINT64_FORMAT
-            " timed_out=%" G_GUINT64_FORMAT,
+            " displaced=%" G_GUINT64_FORMAT " timed_out=%" G_GUINT64_FORMAT,
             listener->name, counters->count, counters->used_bytes,
             refused_counts[MM_REFUSED_COUNT],
             refused_counts[MM_REFUSED_ADDRESS],
-            refused_counts[MM_REFUSED_MEMORY], closed_count,
+            refused_counts[MM_REFUSED_MEMORY], closed_count, displaced_count,
             timeout_count - listener->logged_timeout_count);
   listener->logged = *counters;
   listener->logged_timeout_count = timeout_count;
@@ -139,6 +142,10 @@
                                     "The most that was counted for them");
   listener->closed = add_gauge (metrics, "connections_closed_for_others_total",
                                 name, "Silent connections closed for others");
+  listener->displaced
+      = add_gauge (metrics, "connections_displaced_total", name,
+                   "Connections closed for others of their address, or of an "
+                   "address with fewer");
   listener->timeouts
       = add_gauge (metrics, "connection_timeouts_total", name,
                    "Connections closed, or requests rejected, by a timeout");
@@ -155,6 +162,7 @@
   mt_set (listener->bytes, (int64_t)counters->used_bytes);
   mt_set (listener->peak_bytes, (int64_t)counters->peak_bytes);
   mt_set (listener->closed, (int64_t)counters->closed_count);
+  mt_set (listener->displaced, (int64_t)counters->displaced_count);
   mt_set (listener->timeouts,
           (int64_t)fr_counters (listener->server)->timeout_count);
   for (guint i = 0; i < MM_REFUSAL_COUNT; i++)
--- a/front/conn.c
+++ b/front/conn.c
@@ -167,15 +167,33 @@
   evhtp_connection_free (conn->evhtp);
 }
 
+/* Requests that a caller sends ahead do not show that it reads, so they don't
+   keep its connection from being closed for others.  libevhtp must not lose a
+   connection during a call; the holder then stays busy until the call
+   returns.  */
+void
+fr_conn_wait_for_reader (FrConn *conn)
+{
+  if (conn->in_evhtp_call)
+    return;
+  if (!conn->sent_ahead)
+    conn->turn_us = conn->since_us;
+  mm_holder_set_waiting (conn->holder, conn->turn_us);
+}
+
 /* Returns FALSE if libevhtp freed the connection during the call.  */
 static gboolean
 leave_evhtp_call (FrConn *conn)
 {
   conn->in_evhtp_call = FALSE;
-  if (!conn->closed)
-    return TRUE;
-  free_conn (conn);
-  return FALSE;
+  if (conn->closed)
+    {
+      free_conn (conn);
+      return FALSE;
+    }
+  if (conn->state == FR_CONN_RESPONDING)
+    fr_conn_wait_for_reader (conn);
+  return TRUE;
 }
 
 /* HEADERS are further lines of the head.  */
@@ -524,8 +542,15 @@
 {
   clear_request (conn);
   fr_conn_set_state (conn, FR_CONN_IDLE);
-  mm_holder_note_read (conn->holder, conn->since_us);
-  mm_holder_set_waiting (conn->holder, conn->since_us);
+  conn->sent_ahead = evbuffer_get_length (conn->read_ahead) > 0;
+  if (conn->sent_ahead)
+    mm_holder_set_stalled (conn->holder);
+  else
+    {
+      conn->turn_us = conn->since_us;
+      mm_holder_note_read (conn->holder, conn->turn_us);
+    }
+  mm_holder_set_waiting (conn->holder, conn->turn_us);
   mm_holder_shrink (conn->holder, held_bytes (conn));
   if (evbuffer_get_length (conn->read_ahead) == 0)
     {
@@ -631,6 +656,7 @@
   server->counters.accepted_count++;
   server->counters.connection_count++;
   fr_conn_set_state (conn, FR_CONN_IDLE);
+  conn->turn_us = conn->since_us;
   evhtp_connection_set_hook (evhtp, evhtp_hook_on_connection_fini,
                              (evhtp_hook)on_fini, conn);
   bufferevent_getcb (conn->bev, &conn->evhtp_read, &conn->evhtp_write,
--- a/front/conn.h
+++ b/front/conn.h
@@ -54,6 +54,10 @@
   int64_t since_us;
   uint32_t idle_timeout_ms; /* of the server when the state was entered */
   int64_t body_read_us;     /* in FR_CONN_BODY: when a byte was last read */
+  int64_t turn_us;          /* when the caller last did its part: connected, or
+                               sent a request after the response before */
+  gboolean sent_ahead;      /* the current request came before the response to
+                               the one before */
   gsize unwritten_bytes;  /* length of the output at the last timeout check */
   gboolean in_evhtp_call; /* CONN is freed only after the call returns */
   gboolean closed;        /* EVHTP is being freed or was freed */
@@ -63,12 +67,12 @@
   gsize head_bytes;    /* 0 while the head is incomplete */
   gsize block_bytes;   /* of a large response body, counted elsewhere */
   gsize seen_bytes;    /* length of the input after the last read */
+  gsize unread_bytes;  /* held by the kernel while reading is disabled, at the
+                          last timeout check */
   MmBlock *body;       /* NULL: the request has none */
   gsize encoded_bytes; /* of a chunked body, so far */
   HtChunkDecoder chunk_decoder;
 
-  gsize unread_bytes;  /* held by the kernel while reading is disabled, at the
-                          last timeout check */
   FrHandler cancel_handler;
   void *cancel_data;
 };
@@ -102,6 +106,8 @@
 /* The same for a response, which is sent whether it fits or not: its request
    may have run.  */
 void fr_conn_count_response (FrConn *conn);
+/* The caller has to read the response from now on.  */
+void fr_conn_wait_for_reader (FrConn *conn);
 /* Closes the connection at once; calls the cancel handler of a running
    request.  */
 void fr_conn_close (FrConn *conn);
--- a/front/reply.c
+++ b/front/reply.c
@@ -144,7 +144,7 @@
   fr_conn_free_body (conn);
   fr_conn_set_state (conn, FR_CONN_RESPONDING);
   fr_conn_count_response (conn);
-  mm_holder_set_waiting (conn->holder, conn->since_us);
+  fr_conn_wait_for_reader (conn);
   /* evhtp_request_set_keepalive cannot clear the flag.  */
   if (!keep_alive)
     conn->evhtp_request->flags &= (uint16_t)~EVHTP_REQ_FLAG_KEEPALIVE;
--- a/memory/holder.h
+++ b/memory/holder.h
@@ -17,12 +17,23 @@
      A holder is busy while its request is handled here, and waiting while its
      peer has to send or to read something.  A waiting holder is silent until
      its peer has read output; one whose peer reads no more, or has
-     nothing to read, becomes silent again by mm_holder_set_stalled.  Where a
-   new or growing holder does not fit, silent holders are closed, the one
-   without progress for the longest time first, provided that it made none for
-   MM_HOLDER_GRACE_US.  Busy holders and those whose peers read are never
-   closed: if no other is left, or the one that grows is itself the first, it
-   is refused.
+     nothing to read, becomes silent again by mm_holder_set_stalled.
+
+     Where a new or growing holder does not fit, others are closed for it, one
+     after the other:
+
+     1. the silent one without progress for the longest time, provided that it
+        made none for MM_HOLDER_GRACE_US;
+     2. one of the address that holds most, if that is more than the one that
+        asks would hold: that without progress for the longest time or, where
+        memory is short, the largest.  So no address, however active, keeps
+        others out;
+     3. one of the same address, as in 2, that is silent and made no progress
+        for MM_HOLDER_TURN_US: those that came first have had their turn.
+
+     Those of 2 and 3 are displaced.  A busy holder is never closed.  If none
+   is left, or the one that grows would itself be the first to be closed, it is
+     refused.  Addresses of IPv6 with the same upper half count as one.
 
      The package has no clock and no I/O.  Times are in microseconds and must
      not decrease from call to call.
@@ -38,6 +49,9 @@
 
 /* A peer that has just connected is about to send its request.  */
 #define MM_HOLDER_GRACE_US 1000000
+/* The same beside others of its address.  A request mostly arrives with the
+   last packet of the handshake.  */
+#define MM_HOLDER_TURN_US 50000
 
 typedef struct MmHolders MmHolders;
 typedef struct MmHolder MmHolder;
@@ -46,8 +60,8 @@
 {
   uint64_t limit_bytes;
   uint32_t count_max; /* 0: no limit */
-  /* Holders of one address; more are refused, and none is closed for them.  0
-     or count_max: no limit of its own.  */
+  /* Holders of one address; for more, only others of the address are closed.
+     0 or count_max: no limit of its own.  */
   uint32_t address_count_max;
   /* Closes the connection of OWNER; must free the holder before it returns,
      and call no other function of the package.  */
@@ -68,7 +82,9 @@
   uint64_t peak_bytes;
   uint32_t count;
   uint64_t refused_counts[MM_REFUSAL_COUNT]; /* of new and growing holders */
-  uint64_t closed_count; /* silent holders closed for others */
+  uint64_t closed_count;    /* silent holders closed for others */
+  uint64_t displaced_count; /* others closed for those of lesser addresses or
+                               for later ones of their own */
 } MmHolderCounters;
 
 typedef struct
