targets: no blame for responses that wait for this daemon's memory

Callers with small requests got 503, targets_full, beside callers that leave large responses unread.

Cause: a response of known length waits at its target while other callers have not read theirs. Such an attempt counted as unanswered, so that its target was taken for silent after three service times; its wait counted as service time and its timeout as an error of the target; and it occupied a slot.

Change: backend/ tells when a body begins to wait; from then on the attempt occupies no slot and its time is that of the head. At most a third of the connections to a target (two at least) wait so; one more response is given up (502, no second target, since its response would find no room either).

Target.IsNotBlamedForResponsesThatWaitAtThisDaemon fails without the note.

--- a/backend/answer.c
+++ b/backend/answer.c
@@ -4,6 +4,9 @@
 
 /* Interim (1xx) and late responses that are skipped for one request.  */
 #define SKIPPED_MAX_COUNT 16
+/* Of the connections to a target, those whose responses may wait for room.  */
+#define WAITERS_DIVISOR 3
+#define WAITERS_MIN 2
 
 typedef enum
 {
@@ -31,12 +34,20 @@
 wait_for_room (BkConn *conn)
 {
   BkCall *call = conn->call;
+  uint32_t waiters_max = MAX (WAITERS_MIN, call->pool->options.connections_max
+                                               / WAITERS_DIVISOR);
 
   if (call->head.content_length_bytes > mm_budget_limit (call->pool->memory))
     return fail_call (call, BK_FAILURE_TOO_LARGE);
+  if (conn->target->room_waiter_count >= waiters_max)
+    return fail_call (call, BK_FAILURE_MEMORY);
   call->waits_for_room = TRUE;
+  conn->target->room_waiter_count++;
+  mm_budget_add_wanted (call->pool->memory, call->head.content_length_bytes);
   g_queue_push_tail_link (&call->pool->room_waiters, &call->room_node);
   event_del (conn->read_event);
+  if (call->on_waiting != NULL)
+    call->on_waiting (call->data);
   return PROGRESS_NEED_INPUT;
 }
 
--- a/backend/backend.c
+++ b/backend/backend.c
@@ -25,7 +25,7 @@
     [BK_FAILURE_REQUEST] = "request",     [BK_FAILURE_BUSY] = "busy",
     [BK_FAILURE_CONNECT] = "connect",     [BK_FAILURE_TIMEOUT] = "timeout",
     [BK_FAILURE_CLOSED] = "closed",       [BK_FAILURE_MALFORMED] = "malformed",
-    [BK_FAILURE_TOO_LARGE] = "too_large",
+    [BK_FAILURE_TOO_LARGE] = "too_large", [BK_FAILURE_MEMORY] = "no_memory",
   };
 
   return names[failure];
@@ -117,6 +117,18 @@
   g_free (call);
 }
 
+void
+bk_call_end_wait (BkCall *call)
+{
+  if (!call->waits_for_room)
+    return;
+  call->waits_for_room = FALSE;
+  call->target->room_waiter_count--;
+  mm_budget_remove_wanted (call->pool->memory,
+                           call->head.content_length_bytes);
+  g_queue_unlink (&call->pool->room_waiters, &call->room_node);
+}
+
 /* Removes CALL from its connection or from the queue.  The connection becomes
    idle if REUSABLE and is closed otherwise.  */
 static void
@@ -127,9 +139,7 @@
                           call->pool->options.idle_timeout_ms % 1000 * 1000 };
 
   call->conn = NULL;
-  if (call->waits_for_room)
-    g_queue_unlink (&call->pool->room_waiters, &call->room_node);
-  call->waits_for_room = FALSE;
+  bk_call_end_wait (call);
   if (conn == NULL)
     {
       if (call->target != NULL)
@@ -469,6 +479,7 @@
   call->sends = request->sends;
   call->idle_max_us = request->idle_max_us;
   call->on_done = request->on_done;
+  call->on_waiting = request->on_waiting;
   call->data = request->data;
   if (!format_request (call->encoded_head, request))
     {
--- a/backend/backend.h
+++ b/backend/backend.h
@@ -45,7 +45,9 @@
      A response may never end.  Its head and its body are limited, and so are
      all bodies together, by the budget of the options.  A body with a length
      for which there is no room yet is read once there is: until then it waits
-     at the target, at most until the deadline.  Where bodies without a length
+     at the target, at most until the deadline.  At most a third of the
+     connections to a target may wait so, or it would get no other request; the
+     response of one more is given up.  Where bodies without a length
      take the budget above its limit, the call with the largest of them ends
      with BK_FAILURE_TOO_LARGE.
 
@@ -96,6 +98,7 @@
   BK_FAILURE_CLOSED,    /* closed or reset before the response was complete */
   BK_FAILURE_MALFORMED, /* not valid HTTP, or conflicting or wrong lengths */
   BK_FAILURE_TOO_LARGE, /* the response, or all of them, are above a limit */
+  BK_FAILURE_MEMORY,    /* too many responses of the target wait for room */
 } BkFailure;
 
 typedef struct
@@ -144,6 +147,9 @@
                           0: any */
   int64_t deadline_us;
   BkDone on_done;
+  /* The head of the response has arrived, and its body waits for room; must
+     not cancel the call.  May be NULL.  */
+  void (*on_waiting) (void *data);
   void *data;
 } BkRequest;
 
--- a/backend/backend_test.cc
+++ b/backend/backend_test.cc
@@ -42,6 +42,7 @@
 
 struct Outcome
 {
+  bool is_waiting = false;
   bool done = false;
   BkResult result = {};
   std::string body;
@@ -935,6 +936,38 @@
   EXPECT_TRUE (holder.result.complete);
 }
 
+/* Guards against responses that wait for room on all connections to a target,
+   which then gets no other request.  */
+TEST (Backend, FewResponsesOfATargetWaitForRoom)
+{
+  BkOptions options = {};
+  options.buffered_max_bytes = 200000;
+  options.connections_max = 6;
+  Fixture f (options);
+  Outcome outcomes[4];
+  const std::string head = status_line + "Content-Length: 150000\r\n\r\n";
+  int waiting_count = 0;
+
+  for (Outcome &outcome : outcomes)
+    {
+      BkRequest request = f.make_request (&outcome, "POST", 5000, "body");
+      request.on_waiting
+          = [] (void *data) { ((Outcome *)data)->is_waiting = true; };
+      bk_request (f.pool, &request);
+      int fd = f.accept_one ();
+      f.receive (fd);
+      send_text (fd, head);
+      f.run_until ([] { return false; }, 20);
+    }
+  for (const Outcome &outcome : outcomes)
+    waiting_count += outcome.is_waiting;
+  EXPECT_EQ (2, waiting_count);
+  ASSERT_TRUE (outcomes[3].done);
+  EXPECT_EQ (BK_FAILURE_MEMORY, outcomes[3].result.failure);
+  EXPECT_EQ (BK_SENT_MAYBE, outcomes[3].result.sent);
+  EXPECT_FALSE (outcomes[0].done || outcomes[1].done || outcomes[2].done);
+}
+
 /* Guards against a body that is copied, or sent with bytes missing, when the
    socket takes it in parts.  */
 TEST (Backend, SendsABodyThatTheUserKeeps)
--- a/backend/link.c
+++ b/backend/link.c
@@ -321,8 +321,7 @@
 
   if (!mm_block_reserve (call->body, call->head.content_length_bytes))
     return FALSE;
-  g_queue_unlink (&call->pool->room_waiters, &call->room_node);
-  call->waits_for_room = FALSE;
+  bk_call_end_wait (call);
   add_event (conn->read_event, 0);
   handle_input (conn, FALSE, FALSE);
   return TRUE;
--- a/backend/link.h
+++ b/backend/link.h
@@ -34,7 +34,8 @@
   GQueue idle;    /* BkConn, most recently used last */
   GQueue waiting; /* BkCall */
   uint32_t conn_count;
-  uint32_t call_count; /* calls that point to this target */
+  uint32_t call_count;        /* calls that point to this target */
+  uint32_t room_waiter_count; /* calls whose bodies wait for room */
 };
 
 struct BkConn
@@ -82,6 +83,7 @@
   int64_t deadline_us;
   int64_t idle_max_us; /* 0: any */
   BkDone on_done;
+  void (*on_waiting) (void *data);
   void *data;
 
   BkResult result;
@@ -111,6 +113,8 @@
 /* Reads on if there is room for the body that CALL waits for.  Returns whether
    there was; CALL waits no longer then.  */
 gboolean bk_call_take_room (BkCall *call);
+/* CALL no longer waits for room, if it did.  */
+void bk_call_end_wait (BkCall *call);
 
 /* Whether the response on CONN lacks the id that its target always echoes.  It
    could be a second copy, or have one.  */
--- a/entry/send.c
+++ b/entry/send.c
@@ -35,6 +35,14 @@
 
 static void on_done (const BkResult *result, void *data);
 
+static void
+on_waiting (void *data)
+{
+  EnRequest *request = data;
+
+  tg_attempt_note_answered (request->attempt, ck_boot_us ());
+}
+
 static TgSet *
 get_targets (const EnRequest *request)
 {
@@ -107,6 +115,7 @@
     .idle_max_us = request->route->idempotent ? 0 : UNSAFE_IDLE_MAX_US,
     .deadline_us = request->deadline_us,
     .on_done = on_done,
+    .on_waiting = on_waiting,
     .data = request,
   };
   char left_text[24];
@@ -507,6 +516,9 @@
     attempt_result.kind = TG_RESULT_SUCCESS;
   if (verdict == VERDICT_NO_RESPONSE && result->failure == BK_FAILURE_TIMEOUT)
     attempt_result.kind = TG_RESULT_TIMEOUT;
+  /* This daemon is short of memory; the target has responded.  */
+  if (result->failure == BK_FAILURE_MEMORY)
+    attempt_result.kind = TG_RESULT_CANCELLED;
   if (is_from_target (verdict))
     read_notice (request, result);
   attempt_result.has_load = parse_load (request, result, &attempt_result);
@@ -635,7 +647,9 @@
   request->failed_target_hash
       = tg_id_hash (tg_attempt_target (request->attempt));
   end_attempt (request, verdict, result);
-  if (is_final || !may_retry (request, verdict))
+  /* Another target's response would find no room either.  */
+  if (is_final || result->failure == BK_FAILURE_MEMORY
+      || !may_retry (request, verdict))
     {
       respond (request, verdict, result);
       return;
--- a/entry/untrusted_callers_test.cc
+++ b/entry/untrusted_callers_test.cc
@@ -290,7 +290,7 @@
     const char *headers[] = { "X-Comfreywalk-Attempt-Id: ordinary",
                               "X-Comfreywalk-Deadline-Ms: 2000",
                               "Authorization: Token key-1", nullptr };
-    return GetStatus (front, "/read/1", headers);
+    return GetStatus (front, "/read/small", headers);
   }
 
   std::string
--- a/memory/memory.c
+++ b/memory/memory.c
@@ -22,6 +22,7 @@
   uint64_t used_bytes;
   uint64_t peak_bytes;
   uint64_t refused_count;
+  uint64_t wanted_bytes;
   void (*on_room) (void *data);
   void *on_room_data;
 };
@@ -100,6 +101,24 @@
   budget->on_room_data = data;
 }
 
+void
+mm_budget_add_wanted (MmBudget *budget, uint64_t bytes)
+{
+  budget->wanted_bytes += bytes;
+}
+
+void
+mm_budget_remove_wanted (MmBudget *budget, uint64_t bytes)
+{
+  budget->wanted_bytes -= bytes;
+}
+
+uint64_t
+mm_budget_wanted (const MmBudget *budget)
+{
+  return budget->wanted_bytes;
+}
+
 static MmBlock *
 new_block (MmBudget *budget, GByteArray *bytes)
 {
--- a/memory/memory.h
+++ b/memory/memory.h
@@ -54,6 +54,12 @@
 void mm_budget_set_on_room (MmBudget *budget, void (*on_room) (void *data),
                             void *data);
 
+/* Bytes that users wait for, all together; whoever holds some that it can give
+   up asks for them.  */
+void mm_budget_add_wanted (MmBudget *budget, uint64_t bytes);
+void mm_budget_remove_wanted (MmBudget *budget, uint64_t bytes);
+uint64_t mm_budget_wanted (const MmBudget *budget);
+
 /* BUDGET may be NULL, then everything fits.  */
 MmBlock *mm_block_new (MmBudget *budget);
 /* A block with LENGTH bytes at TEXT, which it frees with g_free.  They count
--- a/standin/estate.h
+++ b/standin/estate.h
@@ -69,7 +69,7 @@
                ones until another fault is set
        repeat  reject each request the first time it comes, and send a second
                copy of that where the next response on the connection is due
-       large   succeed with a body of 8 MB
+       large   succeed with a body of 8 MB, but for paths that end in /small
        other   respond with 421 without executing the request, as if the
                address belonged to another target
 
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -94,7 +94,8 @@
   /* The daemon checks only whether the header is present.  */
   if (target->fault != FAULT_NO_SIGNATURE)
     si_add_response_header (x, "X-Comfreywalk-Upstream-Signature", "stamp");
-  if (target->fault == FAULT_LARGE_BODY)
+  if (target->fault == FAULT_LARGE_BODY
+      && !g_str_has_suffix (si_request_path (x), "/small"))
     {
       g_autofree char *body = g_strnfill (LARGE_BODY_BYTES, 'x');
       respond (target, x, 200, body);
--- a/targets/internal.h
+++ b/targets/internal.h
@@ -130,6 +130,7 @@
 
   GQueue in_flight; /* TgAttempt, oldest first */
   uint32_t in_flight_count;
+  uint32_t answered_count;   /* of these, with a response that waits here */
   uint32_t other_load_count; /* requests of other daemons, at
                                 other_load_updated_us */
   int64_t other_load_updated_us;
@@ -165,6 +166,7 @@
   gboolean fills_cache; /* see tg_attempt_fills_cache */
   gboolean was_queued;  /* it was expected to wait in the target's queue */
   int64_t started_us;
+  int64_t answered_us; /* by tg_attempt_note_answered; 0: not yet */
   int64_t cold_us;     /* cold_ms of the query */
   int64_t wait_max_us; /* of the query */
   GList node;
--- a/targets/pick.c
+++ b/targets/pick.c
@@ -84,6 +84,20 @@
                 < target->service_us << TG_QUEUE_PAUSE_DOUBLINGS_MAX;
 }
 
+/* Returns the oldest attempt without a response, or NULL.  */
+static const TgAttempt *
+find_oldest_at_target (const TgTarget *target)
+{
+  for (const GList *node = target->in_flight.head; node != NULL;
+       node = node->next)
+    {
+      const TgAttempt *attempt = node->data;
+      if (attempt->answered_us == 0)
+        return attempt;
+    }
+  return NULL;
+}
+
 double
 tg_current_slowness (const TgTarget *target, const TgRoute *route,
                      int64_t now_us)
@@ -91,12 +105,10 @@
   double decayed = 1
                    + (target->slowness - 1)
                          * decay_factor (now_us - target->slowness_updated_us);
-  const TgAttempt *oldest;
+  const TgAttempt *oldest = find_oldest_at_target (target);
 
-  if (target->in_flight_count == 0)
-    return decayed;
-  oldest = target->in_flight.head->data;
-  if (now_us - oldest->started_us < OVERDUE_FACTOR * route->miss_us)
+  if (oldest == NULL
+      || now_us - oldest->started_us < OVERDUE_FACTOR * route->miss_us)
     return decayed;
   return MAX (decayed, (double)(now_us - oldest->started_us)
                            / (double)MAX (1, route->miss_us));
@@ -108,7 +120,7 @@
   double age = (double)(now_us - target->other_load_updated_us)
                / TG_OTHER_LOAD_DECAY_US;
 
-  return target->in_flight_count
+  return target->in_flight_count - target->answered_count
          + target->other_load_count * MAX (0.0, 1.0 - age);
 }
 
@@ -187,7 +199,8 @@
 tg_is_unanswered (const TgAttempt *attempt, uint32_t miss_count,
                   int64_t now_us)
 {
-  return attempt->target->last_success_us < attempt->started_us
+  return attempt->answered_us == 0
+         && attempt->target->last_success_us < attempt->started_us
          && now_us - attempt->started_us
                 >= miss_count * attempt->route->miss_us;
 }
@@ -198,9 +211,9 @@
 gboolean
 tg_is_in_backoff (const TgTarget *target, int64_t now_us)
 {
-  if (target->in_flight_count > 0
-      && tg_is_unanswered (target->in_flight.head->data, UNANSWERED_FACTOR,
-                           now_us))
+  const TgAttempt *oldest = find_oldest_at_target (target);
+
+  if (oldest != NULL && tg_is_unanswered (oldest, UNANSWERED_FACTOR, now_us))
     return TRUE;
   if (target->no_response_count == 0)
     return FALSE;
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -440,7 +440,9 @@
 update_service_times (TgAttempt *attempt, int64_t now_us)
 {
   TgRoute *route = attempt->route;
-  int64_t elapsed_us = MAX (1, now_us - attempt->started_us);
+  int64_t responded_us
+      = attempt->answered_us > 0 ? attempt->answered_us : now_us;
+  int64_t elapsed_us = MAX (1, responded_us - attempt->started_us);
   int64_t middle_us = (route->hit_us + route->miss_us) / 2;
   gboolean was_hit
       = attempt->cached
@@ -583,6 +585,15 @@
   attempt->target->limit_pause_until_us = until_us;
 }
 
+void
+tg_attempt_note_answered (TgAttempt *attempt, int64_t now_us)
+{
+  if (attempt->answered_us > 0)
+    return;
+  attempt->answered_us = now_us;
+  attempt->target->answered_count++;
+}
+
 void
 tg_attempt_end (TgSet *set, TgAttempt *attempt, const TgResult *result,
                 int64_t now_us)
@@ -592,6 +603,7 @@
   (void)set;
   g_queue_unlink (&target->in_flight, &attempt->node);
   target->in_flight_count--;
+  target->answered_count -= attempt->answered_us > 0 ? 1 : 0;
   if (result->has_load)
     update_load (attempt, result, now_us);
   switch (result->kind)
@@ -607,6 +619,8 @@
       update_error_fraction (target, TRUE, now_us);
       break;
     case TG_RESULT_TIMEOUT:
+      if (attempt->answered_us > 0)
+        break;
       update_error_fraction (target, TRUE, now_us);
       /* The deadline may leave little more than one service time.  */
       if (tg_is_unanswered (attempt, 1, now_us))
--- a/targets/targets.h
+++ b/targets/targets.h
@@ -323,6 +323,10 @@
 /* The target has no token before UNTIL_US; it is not picked until then, or
    until its limit ends.  */
 void tg_pause_limited (TgAttempt *attempt, int64_t until_us);
+/* The target has responded, and this daemon has no room yet to read the rest.
+   The attempt no longer occupies a slot, nor tells whether the target
+   responds.  */
+void tg_attempt_note_answered (TgAttempt *attempt, int64_t now_us);
 /* Updates what is known of the target and frees ATTEMPT.  */
 void tg_attempt_end (TgSet *set, TgAttempt *attempt, const TgResult *result,
                      int64_t now_us);
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -506,6 +506,31 @@
   EndAttempt (next, TG_RESULT_SUCCESS);
 }
 
+/* Guards against taking a target for silent, slow or full because this daemon
+   has no room for its responses.  */
+TEST_F (Target, IsNotBlamedForResponsesThatWaitAtThisDaemon)
+{
+  std::vector<TgAttempt *> answered;
+  AddTarget ("t1");
+  for (int i = 0; i < 6; i++)
+    {
+      answered.push_back (BeginAttempt (Query ()));
+      ASSERT_NE (answered.back (), nullptr);
+      now_us += 10 * kMs;
+      tg_attempt_note_answered (answered.back (), now_us);
+    }
+  now_us += 3 * kSecond;
+  TgAttempt *next = BeginAttempt (Query ());
+  ASSERT_NE (next, nullptr);
+  EndAttempt (next, TG_RESULT_SUCCESS);
+  for (size_t i = 0; i < answered.size (); i++)
+    EndAttempt (answered[i], i == 0 ? TG_RESULT_TIMEOUT : TG_RESULT_SUCCESS);
+  for (int i = 0; i < 3; i++)
+    ASSERT_NE (answered[(size_t)i] = BeginAttempt (Query ()), nullptr);
+  for (int i = 0; i < 3; i++)
+    EndAttempt (answered[(size_t)i], TG_RESULT_SUCCESS);
+}
+
 /* Guards against a burst spreading objects over targets that do not have them
    cached, each of which then evicts other objects (ctdc-lidar, scale-2).  */
 TEST_F (Target, RefusesInsteadOfSpreadingAnObject)
