front: large bodies and responses that stand still make room

Callers with large bodies got 503, or waited for a response until their deadline, beside callers that hold such memory without using it.

Cause: a large body kept its reservation until it timed out, 3 s without a byte or 30 s in all, and a large response until write_timeout_s, 30 s, without reading; a byte now and then renewed both. Nobody compared what addresses hold.

Change: large incomplete bodies and large responses are holders as connections are. For a body that does not fit, or while a response waits for room, the one that made less than 16 KB of progress in a second goes, or, for another address, one of that which holds most; a response that is read gets a second first. An incomplete body is rejected with 503, not run. Unused pages of the heap go back to the system every 10 s.

--- a/backend/answer.c
+++ b/backend/answer.c
@@ -43,7 +43,9 @@
     return fail_call (call, BK_FAILURE_MEMORY);
   call->waits_for_room = TRUE;
   conn->target->room_waiter_count++;
-  mm_budget_add_wanted (call->pool->memory, call->head.content_length_bytes);
+  call->want.bytes = call->head.content_length_bytes;
+  call->want.since_us = bk_now_us ();
+  mm_budget_add_want (call->pool->memory, &call->want);
   g_queue_push_tail_link (&call->pool->room_waiters, &call->room_node);
   event_del (conn->read_event);
   if (call->on_waiting != NULL)
--- a/backend/backend.c
+++ b/backend/backend.c
@@ -124,8 +124,7 @@
     return;
   call->waits_for_room = FALSE;
   call->target->room_waiter_count--;
-  mm_budget_remove_wanted (call->pool->memory,
-                           call->head.content_length_bytes);
+  mm_budget_remove_want (call->pool->memory, &call->want);
   g_queue_unlink (&call->pool->room_waiters, &call->room_node);
 }
 
@@ -480,6 +479,9 @@
   call->idle_max_us = request->idle_max_us;
   call->on_done = request->on_done;
   call->on_waiting = request->on_waiting;
+  if (request->caller_address != NULL)
+    memcpy (call->want.address, request->caller_address,
+            sizeof call->want.address);
   call->data = request->data;
   if (!format_request (call->encoded_head, request))
     {
--- a/backend/backend.h
+++ b/backend/backend.h
@@ -146,6 +146,8 @@
   int64_t idle_max_us; /* longest idle time of a reused connection;
                           0: any */
   int64_t deadline_us;
+  const uint8_t *caller_address; /* 16 bytes, for whom the response is; may be
+                                    NULL */
   BkDone on_done;
   /* The head of the response has arrived, and its body waits for room; must
      not cancel the call.  May be NULL.  */
--- a/backend/link.h
+++ b/backend/link.h
@@ -93,6 +93,7 @@
   uint32_t skipped_count; /* interim (1xx) and late responses */
   MmBlock *body;
   gboolean waits_for_room;
+  MmWant want; /* of the body, while it waits */
   GList room_node;
 };
 
--- a/entry/connections.c
+++ b/entry/connections.c
@@ -12,10 +12,14 @@
   MtCounter *closed;
   MtCounter *displaced;
   MtCounter *timeouts;
+  MtCounter *bodies;
+  MtCounter *responses;
   MtCounter *refused[MM_REFUSAL_COUNT];
   /* At the last log line.  */
   MmHolderCounters logged;
   uint64_t logged_timeout_count;
+  uint64_t logged_body_count;
+  uint64_t logged_response_count;
 } Listener;
 
 struct EnConnections
@@ -31,17 +35,28 @@
   [MM_REFUSED_MEMORY] = "memory",
 };
 
+static uint64_t
+count_given_up (const MmHolderCounters *counters)
+{
+  return counters->closed_count + counters->displaced_count;
+}
+
 static void
 log_changes (Listener *listener, TrTrace *trace)
 {
   const MmHolderCounters *counters = fr_holder_counters (listener->server);
   uint64_t timeout_count = fr_counters (listener->server)->timeout_count;
+  uint64_t body_count = count_given_up (fr_body_counters (listener->server));
+  uint64_t response_count
+      = count_given_up (fr_response_counters (listener->server));
   uint64_t refused_counts[MM_REFUSAL_COUNT];
   uint64_t closed_count
       = counters->closed_count - listener->logged.closed_count;
   uint64_t displaced_count
       = counters->displaced_count - listener->logged.displaced_count;
-  uint64_t sum = closed_count + displaced_count;
+  uint64_t sum = closed_count + displaced_count + body_count
+                 - listener->logged_body_count + response_count
+                 - listener->logged_response_count;
 
   for (guint i = 0; i < MM_REFUSAL_COUNT; i++)
     {
@@ -50,20 +65,26 @@
       sum += refused_counts[i];
     }
   if (sum > 0)
-    tr_log (trace, EV_CONNECTIONS_LIMITED,
-            "listener=%s open=%u bytes=%" G_GUINT64_FORMAT
-            " refused_for_count=%" G_GUINT64_FORMAT
-            " refused_for_address=%" G_GUINT64_FORMAT
-            " refused_for_memory=%" G_GUINT64_FORMAT
-            " closed_for_others=%" G_GUINT64_FORMAT
-            " displaced=%" G_GUINT64_FORMAT " timed_out=%" G_GUINT64_FORMAT,
-            listener->name, counters->count, counters->used_bytes,
-            refused_counts[MM_REFUSED_COUNT],
-            refused_counts[MM_REFUSED_ADDRESS],
-            refused_counts[MM_REFUSED_MEMORY], closed_count, displaced_count,
-            timeout_count - listener->logged_timeout_count);
+    tr_log (
+        trace, EV_CONNECTIONS_LIMITED,
+        "listener=%s open=%u bytes=%" G_GUINT64_FORMAT
+        " refused_for_count=%" G_GUINT64_FORMAT
+        " refused_for_address=%" G_GUINT64_FORMAT
+        " refused_for_memory=%" G_GUINT64_FORMAT
+        " closed_for_others=%" G_GUINT64_FORMAT " displaced=%" G_GUINT64_FORMAT
+        " bodies_given_up=%" G_GUINT64_FORMAT
+        " responses_given_up=%" G_GUINT64_FORMAT
+        " timed_out=%" G_GUINT64_FORMAT,
+        listener->name, counters->count, counters->used_bytes,
+        refused_counts[MM_REFUSED_COUNT], refused_counts[MM_REFUSED_ADDRESS],
+        refused_counts[MM_REFUSED_MEMORY], closed_count, displaced_count,
+        body_count - listener->logged_body_count,
+        response_count - listener->logged_response_count,
+        timeout_count - listener->logged_timeout_count);
   listener->logged = *counters;
   listener->logged_timeout_count = timeout_count;
+  listener->logged_body_count = body_count;
+  listener->logged_response_count = response_count;
 }
 
 static void
@@ -75,6 +96,7 @@
   (void)what;
   for (guint i = 0; i < connections->listeners->len; i++)
     log_changes (connections->listeners->pdata[i], connections->options.trace);
+  mm_trim_heap ();
 }
 
 EnConnections *
@@ -149,6 +171,14 @@
   listener->timeouts
       = add_gauge (metrics, "connection_timeouts_total", name,
                    "Connections closed, or requests rejected, by a timeout");
+  listener->bodies
+      = add_gauge (metrics, "request_bodies_given_up_total", name,
+                   "Large bodies of requests rejected for others before they "
+                   "were complete");
+  listener->responses
+      = add_gauge (metrics, "responses_given_up_total", name,
+                   "Connections closed with a large response that was read "
+                   "too slowly while others waited for memory");
   register_refusals (listener, metrics);
   g_ptr_array_add (connections->listeners, listener);
 }
@@ -163,6 +193,10 @@
   mt_set (listener->peak_bytes, (int64_t)counters->peak_bytes);
   mt_set (listener->closed, (int64_t)counters->closed_count);
   mt_set (listener->displaced, (int64_t)counters->displaced_count);
+  mt_set (listener->bodies,
+          (int64_t)count_given_up (fr_body_counters (listener->server)));
+  mt_set (listener->responses,
+          (int64_t)count_given_up (fr_response_counters (listener->server)));
   mt_set (listener->timeouts,
           (int64_t)fr_counters (listener->server)->timeout_count);
   for (guint i = 0; i < MM_REFUSAL_COUNT; i++)
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -634,6 +634,7 @@
   register_metrics (proxy);
   create_memory (proxy);
   front.memory = proxy->request_memory;
+  front.response_memory = proxy->response_memory;
   connection_pool.memory = proxy->response_memory;
   proxy->front = fr_new (&front, error);
   if (proxy->front == NULL)
--- a/entry/send.c
+++ b/entry/send.c
@@ -114,6 +114,7 @@
     .sends = &request->sends,
     .idle_max_us = request->route->idempotent ? 0 : UNSAFE_IDLE_MAX_US,
     .deadline_us = request->deadline_us,
+    .caller_address = request->front->peer_address,
     .on_done = on_done,
     .on_waiting = on_waiting,
     .data = request,
--- a/entry/untrusted_callers_test.cc
+++ b/entry/untrusted_callers_test.cc
@@ -575,6 +575,8 @@
 constexpr int64_t kConnectionsKb = 16 * 1024;
 /* What a crowd may cost besides what it is counted for.  */
 constexpr int64_t kUncountedKb = 16 * 1024;
+/* Of an ordinary caller with a large body.  */
+constexpr size_t kLargeBytes = 8 * 1024 * 1024;
 /* A caller asks this often, each time over a new connection.  */
 constexpr int kOrdinaryTries = 40;
 
@@ -652,13 +654,30 @@
       thread.join ();
   }
 
+  /* With a large body.  */
+  int
+  SendLarge ()
+  {
+    const char *headers[] = { "X-Comfreywalk-Attempt-Id: large",
+                              "X-Comfreywalk-Deadline-Ms: 3000",
+                              "Authorization: Token key-1", nullptr };
+    std::string body (kLargeBytes, 'x');
+    SiResponse answer = {};
+    int status = 0;
+    if (si_http_request ("POST", front.c_str (), "/read/small", headers,
+                         body.c_str (), 4000, &answer, nullptr))
+      status = answer.status;
+    si_response_clear (&answer);
+    return status;
+  }
+
   /* Whether an ordinary caller gets an answer while the crowd goes on.  */
   bool
   IsOrdinaryServed ()
   {
     for (int i = 0; i < kOrdinaryTries && IsWithinBounds (); i++)
       {
-        if (SendOrdinary () == 200)
+        if ((sends_large ? SendLarge () : SendOrdinary ()) == 200)
           return true;
         si_sleep_ms (50);
       }
@@ -729,6 +748,7 @@
         << error->message;
   }
 
+  bool sends_large = false; /* the ordinary caller */
   std::thread thread;
   std::atomic<bool> is_over{ false };
 };
@@ -741,6 +761,17 @@
   CheckBesideCrowd (kBodiesKb + kConnectionsKb + kUncountedKb);
 }
 
+/* Guards against one address whose bodies leave no memory for a large one of
+   another caller.  */
+TEST_F (UntrustedCrowds, LargeBodyBesideChunkedBodiesOfOneAddress)
+{
+  AddChunkedBodies ();
+  for (Hostile &hostile : crowd)
+    hostile.source = "127.0.0.2";
+  sends_large = true;
+  CheckBesideCrowd (kBodiesKb + kConnectionsKb + kUncountedKb);
+}
+
 /* Guards against bodies of requests and responses that are each within their
    budget and together take the daemon over its memory.  */
 TEST_F (UntrustedCrowds, ChunkedBodiesAndUnreadResponses)
--- a/front/conn.c
+++ b/front/conn.c
@@ -99,6 +99,7 @@
 fr_conn_free_body (FrConn *conn)
 {
   g_clear_pointer (&conn->body, mm_block_unref);
+  g_clear_pointer (&conn->body_holder, mm_holder_free);
   conn->encoded_bytes = 0;
 }
 
@@ -113,6 +114,8 @@
   conn->head_bytes = 0;
   conn->block_bytes = 0;
   conn->unread_bytes = 0;
+  conn->progress_bytes = 0;
+  g_clear_pointer (&conn->response_holder, mm_holder_free);
   memset (&conn->chunk_decoder, 0, sizeof conn->chunk_decoder);
 }
 
@@ -127,6 +130,8 @@
     server->connections = conn->next;
   if (conn->next != NULL)
     conn->next->previous = conn->previous;
+  if (server->next_checked == conn)
+    server->next_checked = conn->next;
   server->counters.connection_count--;
 }
 
@@ -229,6 +234,12 @@
                        error);
 }
 
+void
+fr_conn_reject_for_memory (FrConn *conn)
+{
+  reject_for_memory (conn, "no_memory_for_body");
+}
+
 /* Returns FALSE if there is no room for what the connection holds, and its
    request, which is incomplete, was rejected.  */
 static gboolean
@@ -295,6 +306,71 @@
   return TRUE;
 }
 
+static MmHolder *
+new_large_holder (const FrConn *conn, MmHolders *holders, uint64_t bytes)
+{
+  return mm_holder_new (
+      holders, &(MmHolderRequest){ .owner = (void *)conn,
+                                   .address = conn->request.peer_address,
+                                   .bytes = bytes,
+                                   .now_us = fr_now_us () });
+}
+
+void
+fr_conn_hold_response (FrConn *conn, gsize bytes)
+{
+  conn->block_bytes = bytes;
+  conn->progress_bytes = G_MAXSIZE;
+  conn->response_holder
+      = new_large_holder (conn, conn->server->response_holders, bytes);
+}
+
+/* Counts BYTES of a large body.  */
+static void
+hold_body (FrConn *conn, uint64_t bytes)
+{
+  if (bytes <= MM_SMALL_BYTES)
+    return;
+  if (conn->body_holder == NULL)
+    conn->body_holder
+        = new_large_holder (conn, conn->server->body_holders, bytes);
+  else
+    mm_holder_resize (conn->body_holder, bytes, fr_now_us ());
+}
+
+/* Reserves BYTES for the body, for which others that are incomplete may have
+   to make room.  Returns FALSE if there is none, and the body was rejected. */
+static gboolean
+reserve_body (FrConn *conn, uint64_t bytes)
+{
+  MmHolderDemand demand = { .address = conn->request.peer_address,
+                            .growing = conn->body_holder,
+                            .bytes = bytes,
+                            .now_us = fr_now_us () };
+
+  while (!mm_block_reserve (conn->body, bytes))
+    if (!mm_holders_close_one (conn->server->body_holders, &demand))
+      {
+        reject_for_memory (conn, "no_memory_for_body");
+        return FALSE;
+      }
+  hold_body (conn, bytes);
+  return TRUE;
+}
+
+/* A body that comes byte by byte makes none.  */
+static void
+note_body_progress (FrConn *conn)
+{
+  gsize length = conn->body != NULL ? mm_block_bytes (conn->body)->len : 0;
+
+  if (conn->body_holder == NULL
+      || length < conn->progress_bytes + FR_PROGRESS_BYTES)
+    return;
+  conn->progress_bytes = length;
+  mm_holder_set_waiting (conn->body_holder, fr_now_us ());
+}
+
 /* Returns FALSE if there is no memory for the body, and it was rejected.  */
 static gboolean
 begin_body (FrConn *conn)
@@ -303,10 +379,7 @@
   if (conn->head.body_framing == HT_BODY_NONE)
     return TRUE;
   conn->body = mm_block_new (conn->server->options.memory);
-  if (mm_block_reserve (conn->body, conn->head.content_length_bytes))
-    return TRUE;
-  reject_for_memory (conn, "no_memory_for_body");
-  return FALSE;
+  return reserve_body (conn, conn->head.content_length_bytes);
 }
 
 /* Returns TRUE if the head is complete and valid; it is then taken out of the
@@ -365,11 +438,8 @@
     {
       gsize used;
 
-      if (!mm_block_reserve (conn->body, body->len + length))
-        {
-          reject_for_memory (conn, "no_memory_for_body");
-          return FALSE;
-        }
+      if (!reserve_body (conn, body->len + length))
+        return FALSE;
       result = ht_chunk_decode (
           &conn->chunk_decoder,
           (char *)evbuffer_pullup (input, (ev_ssize_t)length), length, &used,
@@ -409,10 +479,15 @@
 static gboolean
 read_body (FrConn *conn)
 {
+  gboolean is_complete;
+
   if (conn->body == NULL)
     return TRUE;
-  return conn->head.body_framing == HT_BODY_CHUNKED ? read_chunked (conn)
-                                                    : read_length (conn);
+  is_complete = conn->head.body_framing == HT_BODY_CHUNKED
+                    ? read_chunked (conn)
+                    : read_length (conn);
+  note_body_progress (conn);
+  return is_complete;
 }
 
 /* While a request is handled, reads on only up to the bound.  Each request
@@ -701,9 +776,21 @@
   server->counters.running_count++;
   conn->state = FR_CONN_RUNNING;
   mm_holder_set_busy (conn->holder);
+  if (conn->body_holder != NULL)
+    mm_holder_set_busy (conn->body_holder);
   server->options.on_request (request, server->options.data);
 }
 
+static void
+note_response_progress (FrConn *conn, gsize output_bytes, int64_t now_us)
+{
+  if (conn->response_holder == NULL
+      || output_bytes + FR_PROGRESS_BYTES > conn->progress_bytes)
+    return;
+  conn->progress_bytes = output_bytes;
+  mm_holder_set_waiting (conn->response_holder, now_us);
+}
+
 /* Whether output has made no progress for TIMEOUT_US.  */
 static gboolean
 is_output_stalled (FrConn *conn, int64_t now_us, int64_t timeout_us)
@@ -711,6 +798,7 @@
   gsize output_bytes
       = evbuffer_get_length (bufferevent_get_output (conn->bev));
 
+  note_response_progress (conn, output_bytes, now_us);
   if (output_bytes != conn->unwritten_bytes)
     {
       if (output_bytes < conn->unwritten_bytes)
--- a/front/conn.h
+++ b/front/conn.h
@@ -36,6 +36,8 @@
   FrConn *next;
   FrConn *previous;
   MmHolder *holder;
+  MmHolder *body_holder;     /* of a large body, until it is freed, or NULL */
+  MmHolder *response_holder; /* of a large response, or NULL */
 
   evhtp_connection_t *evhtp;
   evhtp_request_t *evhtp_request; /* while running or responding */
@@ -63,14 +65,16 @@
   gboolean closed;        /* EVHTP is being freed or was freed */
 
   HtHead head;
-  gsize checked_bytes; /* of the head, by earlier reads */
-  gsize head_bytes;    /* 0 while the head is incomplete */
-  gsize block_bytes;   /* of a large response body, counted elsewhere */
-  gsize seen_bytes;    /* length of the input after the last read */
-  gsize unread_bytes;  /* held by the kernel while reading is disabled, at the
-                          last timeout check */
-  MmBlock *body;       /* NULL: the request has none */
-  gsize encoded_bytes; /* of a chunked body, so far */
+  gsize checked_bytes;  /* of the head, by earlier reads */
+  gsize head_bytes;     /* 0 while the head is incomplete */
+  gsize block_bytes;    /* of a large response body, counted elsewhere */
+  gsize progress_bytes; /* of the body, or of the output, when it last made
+                           progress */
+  gsize seen_bytes;     /* length of the input after the last read */
+  gsize unread_bytes;   /* held by the kernel while reading is disabled, at the
+                           last timeout check */
+  MmBlock *body;        /* NULL: the request has none */
+  gsize encoded_bytes;  /* of a chunked body, so far */
   HtChunkDecoder chunk_decoder;
 
   FrHandler cancel_handler;
@@ -84,6 +88,9 @@
   struct event *timer;
   FrConn *connections;
   MmHolders *holders;
+  MmHolders *body_holders;
+  MmHolders *response_holders;
+  FrConn *next_checked; /* by the timer, or NULL */
   FrConn *parsing_conn; /* whose request libevhtp is parsing, or NULL */
   FrCounters counters;
   GString *scratch; /* holds a response while it is formatted */
@@ -106,6 +113,10 @@
 /* The same for a response, which is sent whether it fits or not: its request
    may have run.  */
 void fr_conn_count_response (FrConn *conn);
+/* A large response of BYTES is added to the output.  */
+void fr_conn_hold_response (FrConn *conn, gsize bytes);
+/* Gives up the body; the request was not passed to on_request.  */
+void fr_conn_reject_for_memory (FrConn *conn);
 /* The caller has to read the response from now on.  */
 void fr_conn_wait_for_reader (FrConn *conn);
 /* Closes the connection at once; calls the cancel handler of a running
--- a/front/front.c
+++ b/front/front.c
@@ -55,6 +55,12 @@
   fr_conn_close (owner);
 }
 
+static void
+give_up_body (void *owner)
+{
+  fr_conn_reject_for_memory (owner);
+}
+
 static evhtp_res
 on_accept (evhtp_connection_t *evhtp, void *data)
 {
@@ -84,6 +90,30 @@
   server->listening = FALSE;
 }
 
+/* Closes connections of large responses for those that wait for room.  */
+static void
+make_room_for_responses (FrServer *server, int64_t now_us)
+{
+  const MmBudget *memory = server->options.response_memory;
+  const MmWant *want = memory != NULL ? mm_budget_first_want (memory) : NULL;
+
+  for (; want != NULL;
+       want = want->node.next != NULL ? want->node.next->data : NULL)
+    {
+      const MmHolderCounters *counters
+          = mm_holders_counters (server->response_holders);
+      uint64_t before_bytes = counters->used_bytes;
+      MmHolderDemand demand
+          = { .address = want->address,
+              .bytes = want->bytes,
+              .silent_only = now_us - want->since_us < MM_HOLDER_GRACE_US,
+              .now_us = now_us };
+      while (before_bytes - counters->used_bytes < want->bytes
+             && mm_holders_close_one (server->response_holders, &demand))
+        continue;
+    }
+}
+
 /* The listener is closed by the first timer call after fr_stop, so that
    connections in its backlog are still accepted.  */
 static void
@@ -91,17 +121,17 @@
 {
   FrServer *server = data;
   int64_t now_us = fr_now_us ();
-  FrConn *next;
-
   (void)fd;
   (void)what;
   if (server->stopping)
     stop_listening (server);
-  for (FrConn *conn = server->connections; conn != NULL; conn = next)
+  for (FrConn *conn = server->connections; conn != NULL;
+       conn = server->next_checked)
     {
-      next = conn->next;
+      server->next_checked = conn->next;
       fr_conn_check_timeouts (conn, now_us);
     }
+  make_room_for_responses (server, now_us);
   if (server->stopping && server->connections == NULL
       && server->on_stopped != NULL)
     {
@@ -169,6 +199,14 @@
       .count_max = server->options.connections_max,
       .address_count_max = server->options.connections_per_address_max,
       .close = close_holder });
+  server->body_holders
+      = mm_holders_new (&(MmHolderOptions){ .limit_bytes = G_MAXUINT64,
+                                            .turn_us = MM_HOLDER_GRACE_US,
+                                            .close = give_up_body });
+  server->response_holders
+      = mm_holders_new (&(MmHolderOptions){ .limit_bytes = G_MAXUINT64,
+                                            .turn_us = MM_HOLDER_GRACE_US,
+                                            .close = close_holder });
   server->scratch = g_string_sized_new (4096);
   server->evhtp = evhtp_new (options->base, server);
   /* conn.c responds to "Expect: 100-continue", since libevhtp sees a request
@@ -198,6 +236,8 @@
   event_free (server->timer);
   evhtp_free (server->evhtp);
   mm_holders_free (server->holders);
+  mm_holders_free (server->body_holders);
+  mm_holders_free (server->response_holders);
   g_string_free (server->scratch, TRUE);
   g_free (server);
 }
@@ -220,6 +260,18 @@
   return mm_holders_counters (server->holders);
 }
 
+const MmHolderCounters *
+fr_body_counters (const FrServer *server)
+{
+  return mm_holders_counters (server->body_holders);
+}
+
+const MmHolderCounters *
+fr_response_counters (const FrServer *server)
+{
+  return mm_holders_counters (server->response_holders);
+}
+
 MmBlock *
 fr_ref_body (const FrRequest *request)
 {
--- a/front/front.h
+++ b/front/front.h
@@ -28,7 +28,12 @@
 
      Bodies count in the budget of the options.  A large body that does not fit
      is rejected with 503 and Retry-After before it is read, and its connection
-     is closed.
+     is closed.  Before that, large bodies that are incomplete make room, as
+   the holders of memory/holder.h do: those that come slower than
+     FR_PROGRESS_BYTES a second, or of the address that holds most.  While
+     someone waits for room in the budget for responses, the connections of
+     large responses that are read so slowly are closed, and after a second
+     those of the address that holds most.
 
      What connections hold for input and output, with bodies of up to
      MM_SMALL_BYTES, has a bound of its own; see memory/holder.h for which
@@ -69,6 +74,9 @@
    is handled does not grow by what it reads.  */
 #define FR_CONN_BYTES (16 * 1024)
 
+/* A large body, or a large response, makes progress by this much.  */
+#define FR_PROGRESS_BYTES (16 * 1024)
+
 #define FR_ERROR (fr_error_quark ())
 
 typedef enum
@@ -115,8 +123,9 @@
   uint32_t idle_timeout_ms;      /* between requests; default 60000 */
   uint32_t write_timeout_ms;     /* caller reads nothing; default 30000 */
   uint32_t stop_idle_timeout_ms; /* idle after fr_stop; default 1000 */
-  MmBudget *memory; /* for bodies; must outlive the server; NULL: no
-                       limit */
+  /* Both must outlive the server; NULL: no limit.  */
+  MmBudget *memory;          /* for bodies */
+  MmBudget *response_memory; /* in which the user counts large responses */
 } FrOptions;
 
 typedef struct
@@ -142,6 +151,10 @@
 const FrCounters *fr_counters (const FrServer *server);
 const MmHolderCounters *fr_holder_counters (const FrServer *server);
 
+/* Of large bodies, and of large responses.  */
+const MmHolderCounters *fr_body_counters (const FrServer *server);
+const MmHolderCounters *fr_response_counters (const FrServer *server);
+
 /* A field that is 0 leaves the limit unchanged.  */
 typedef struct
 {
--- a/front/front_test.cc
+++ b/front/front_test.cc
@@ -104,9 +104,13 @@
   std::string received;
   bool closed = false;
 
-  Caller (Server &server)
+  Caller (Server &server, const char *source = "127.0.0.1")
   {
     struct sockaddr_in address = {};
+    struct sockaddr_in own = {};
+    own.sin_family = AF_INET;
+    inet_pton (AF_INET, source, &own.sin_addr);
+    (void)!bind (fd, (struct sockaddr *)&own, sizeof own);
     address.sin_family = AF_INET;
     address.sin_port = htons (fr_port (server.front));
     address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
@@ -1000,4 +1004,105 @@
   EXPECT_LE (AllocatedBytes () - before_bytes, kCostMaxBytes);
 }
 
+/* Guards against one address whose incomplete bodies leave no memory for those
+   of others, though a byte of each comes now and then.  */
+TEST (Front, IncompleteBodiesOfOneAddressMakeRoomForOthers)
+{
+  const size_t large = 500000;
+  Memory memory (2 * large);
+  FrOptions options = {};
+  options.memory = memory.budget;
+  Server server (options);
+  Caller first (server, "127.0.0.2"), second (server, "127.0.0.2");
+  Caller other (server), same (server, "127.0.0.2");
+
+  first.send (LargeHead (large) + std::string (1000, 'x'));
+  second.send (LargeHead (large) + std::string (2000, 'x'));
+  EXPECT_TRUE (server.run_until (
+      [&] { return mm_budget_used (memory.budget) == 2 * large; }));
+  other.send (LargeHead (large));
+  EXPECT_TRUE (server.run_until (
+      [&] { return first.receive () || second.receive (); }));
+  Caller &rejected = first.received.empty () ? second : first;
+  EXPECT_EQ (0u, rejected.received.find ("HTTP/1.1 503 "));
+  EXPECT_NE (rejected.received.npos, rejected.received.find ("not_run"));
+  EXPECT_EQ (1u, fr_body_counters (server.front)->displaced_count);
+  /* Both hold as much now.  */
+  same.send (LargeHead (large));
+  EXPECT_TRUE (server.run_until ([&] { return same.receive (); }));
+  EXPECT_EQ (0u, same.received.find ("HTTP/1.1 503 "));
+  EXPECT_TRUE (other.received.empty ());
+}
+
+/* Guards against a body that comes byte by byte and keeps its memory from
+   others of the same address for as long as it may take.  */
+TEST (Front, BodyWithoutProgressMakesRoom)
+{
+  const size_t large = 500000;
+  Memory memory (large + 1000);
+  FrOptions options = {};
+  options.memory = memory.budget;
+  Server server (options);
+  Caller slow (server), other (server);
+
+  slow.send (LargeHead (large) + std::string (1000, 'x'));
+  for (int i = 0; i < 60; i++)
+    {
+      slow.send ("x");
+      ASSERT_FALSE (server.run_until ([&] { return slow.receive (); }, 20));
+    }
+  other.send (LargeHead (large) + std::string (1000, 'x'));
+  EXPECT_TRUE (server.run_until ([&] { return slow.receive (); }));
+  EXPECT_EQ (0u, slow.received.find ("HTTP/1.1 503 "));
+  EXPECT_TRUE (other.received.empty ());
+  EXPECT_EQ (1u, fr_body_counters (server.front)->closed_count);
+}
+
+/* Guards against large responses that nobody reads, or of which a little is
+   read at a time, and that keep those of others waiting.  */
+TEST (Front, UnreadResponsesMakeRoomForThoseThatWait)
+{
+  const size_t large = 8000000;
+  Memory memory (2 * large);
+  FrOptions options = {};
+  options.response_memory = memory.budget;
+  Server server (options);
+  Caller stalled (server), reader (server);
+  MmWant want = {};
+
+  server.handler = [&] (FrRequest *request) {
+    MmBlock *block = mm_block_new (memory.budget);
+    mm_block_reserve (block, large);
+    g_byte_array_set_size (mm_block_bytes (block), large);
+    memset (mm_block_bytes (block)->data, 'y', large);
+    fr_respond_block (request, 200, NULL, block);
+    mm_block_unref (block);
+  };
+  stalled.send ("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  reader.send ("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_FALSE (server.run_until ([&] { return stalled.closed; }, 1500));
+  /* A little at a time.  */
+  char bytes[64];
+  for (int i = 0; i < 20 && mm_budget_used (memory.budget) == 2 * large; i++)
+    {
+      (void)!recv (stalled.fd, bytes, sizeof bytes, 0);
+      reader.receive ();
+      server.run_until ([] { return false; }, 10);
+    }
+  want.address[10] = want.address[11] = 0xff;
+  want.bytes = large;
+  want.since_us = INT64_MAX / 2;
+  mm_budget_add_want (memory.budget, &want);
+  EXPECT_TRUE (server.run_until ([&] {
+    reader.receive ();
+    return fr_response_counters (server.front)->closed_count == 1;
+  }));
+  mm_budget_remove_want (memory.budget, &want);
+  EXPECT_TRUE (server.run_until ([&] {
+    reader.receive ();
+    return reader.received.size () > large;
+  }));
+  EXPECT_FALSE (reader.closed);
+}
+
 }
--- a/front/reply.c
+++ b/front/reply.c
@@ -187,7 +187,7 @@
     {
       evbuffer_add (output, out->str, out->len);
       if (bytes->len > MM_SMALL_BYTES)
-        conn->block_bytes = bytes->len;
+        fr_conn_hold_response (conn, bytes->len);
       evbuffer_add_reference (output, bytes->data, bytes->len, release_block,
                               mm_block_ref (body));
     }
--- a/memory/holder.c
+++ b/memory/holder.c
@@ -92,6 +92,8 @@
   if (options->address_count_max >= options->count_max
       && options->count_max > 0)
     holders->options.address_count_max = 0;
+  if (options->turn_us == 0)
+    holders->options.turn_us = MM_HOLDER_TURN_US;
   g_queue_init (&holders->silent);
   /* Address.bytes is the first member.  */
   holders->addresses
@@ -182,7 +184,8 @@
 /* Returns the first holder of ADDRESS to be displaced, or NULL.  ANY: also one
    whose peer reads or that has not had its turn.  */
 static MmHolder *
-find_displaced (const Address *address, const Demand *demand, gboolean any)
+find_displaced (const MmHolders *holders, const Address *address,
+                const Demand *demand, gboolean any)
 {
   MmHolder *first = NULL;
 
@@ -192,7 +195,8 @@
 
       if (!any
           && (holder->has_read
-              || demand->now_us - holder->progress_us < MM_HOLDER_TURN_US))
+              || demand->now_us - holder->progress_us
+                     < holders->options.turn_us))
         continue;
       if (goes_before (holder, first, demand->resource))
         first = holder;
@@ -216,7 +220,7 @@
       || amount_of (heaviest, demand->resource)
              <= amount_of (own, demand->resource) + demand->amount)
     return FALSE;
-  holder = find_displaced (heaviest, demand, TRUE);
+  holder = find_displaced (holders, heaviest, demand, TRUE);
   if (holder == NULL)
     return FALSE;
   holders->counters.displaced_count++;
@@ -229,7 +233,8 @@
 {
   const Address *own
       = g_hash_table_lookup (holders->addresses, demand->address);
-  MmHolder *holder = own != NULL ? find_displaced (own, demand, FALSE) : NULL;
+  MmHolder *holder
+      = own != NULL ? find_displaced (holders, own, demand, FALSE) : NULL;
 
   if (holder == NULL || holder == demand->growing)
     return FALSE;
@@ -260,6 +265,21 @@
          || displace_own (holders, demand);
 }
 
+gboolean
+mm_holders_close_one (MmHolders *holders, const MmHolderDemand *demand)
+{
+  uint8_t address[ADDRESS_BYTES];
+  Demand internal = { .address = address,
+                      .growing = demand->growing,
+                      .resource = RESOURCE_MEMORY,
+                      .amount = demand->bytes,
+                      .now_us = demand->now_us };
+
+  copy_address (address, demand->address);
+  return demand->silent_only ? close_silent (holders, &internal)
+                             : close_one (holders, &internal);
+}
+
 static gboolean
 refuse (MmHolders *holders, MmRefusal refusal)
 {
--- a/memory/holder.h
+++ b/memory/holder.h
@@ -63,6 +63,9 @@
   /* Holders of one address; for more, only others of the address are closed.
      0 or count_max: no limit of its own.  */
   uint32_t address_count_max;
+  /* Time without progress after which a holder makes room for others of its
+     address; default MM_HOLDER_TURN_US.  */
+  int64_t turn_us;
   /* Closes the connection of OWNER; must free the holder before it returns,
      and call no other function of the package.  */
   void (*close) (void *owner);
@@ -95,11 +98,26 @@
   int64_t now_us;
 } MmHolderRequest;
 
+/* What does not fit elsewhere, as into a budget.  */
+typedef struct
+{
+  const uint8_t *address;  /* 16 bytes, of the peer that needs it */
+  const MmHolder *growing; /* is not closed; may be NULL */
+  uint64_t bytes;
+  gboolean silent_only; /* only closes what was silent for the grace */
+  int64_t now_us;
+} MmHolderDemand;
+
 MmHolders *mm_holders_new (const MmHolderOptions *options);
 /* No holder may be left.  */
 void mm_holders_free (MmHolders *holders);
 const MmHolderCounters *mm_holders_counters (const MmHolders *holders);
 
+/* Closes the holder that is the first to make room for DEMAND.  FALSE if none
+   may be closed.  */
+gboolean mm_holders_close_one (MmHolders *holders,
+                               const MmHolderDemand *demand);
+
 /* Returns a waiting, silent holder, or NULL.  */
 MmHolder *mm_holder_new (MmHolders *holders, const MmHolderRequest *request);
 void mm_holder_free (MmHolder *holder);
--- a/memory/memory.c
+++ b/memory/memory.c
@@ -12,6 +12,8 @@
    Without a threshold of its own, glibc raises it to the largest mapping that
    was freed, after which bodies grow within the heap, by copying.  */
 #define MAPPED_MIN_BYTES (2 * MM_SMALL_BYTES)
+/* Unused bytes of the heap that are worth the time to return them.  */
+#define TRIM_MIN_BYTES ((size_t)4 * 1024 * 1024)
 /* Also on the smallest machines the largest response fits.  */
 #define SHARE_MIN_BYTES ((uint64_t)20 * 1024 * 1024)
 
@@ -22,7 +24,7 @@
   uint64_t used_bytes;
   uint64_t peak_bytes;
   uint64_t refused_count;
-  uint64_t wanted_bytes;
+  GQueue wants; /* of MmWant, oldest first */
   void (*on_room) (void *data);
   void *on_room_data;
 };
@@ -41,6 +43,13 @@
   mallopt (M_MMAP_THRESHOLD, MAPPED_MIN_BYTES);
 }
 
+void
+mm_trim_heap (void)
+{
+  if (mallinfo2 ().fordblks >= TRIM_MIN_BYTES)
+    malloc_trim (0);
+}
+
 /* GByteArray allocates powers of two.  */
 uint64_t
 mm_small_cost_bytes (uint64_t length_bytes)
@@ -102,21 +111,22 @@
 }
 
 void
-mm_budget_add_wanted (MmBudget *budget, uint64_t bytes)
+mm_budget_add_want (MmBudget *budget, MmWant *want)
 {
-  budget->wanted_bytes += bytes;
+  want->node.data = want;
+  g_queue_push_tail_link (&budget->wants, &want->node);
 }
 
 void
-mm_budget_remove_wanted (MmBudget *budget, uint64_t bytes)
+mm_budget_remove_want (MmBudget *budget, MmWant *want)
 {
-  budget->wanted_bytes -= bytes;
+  g_queue_unlink (&budget->wants, &want->node);
 }
 
-uint64_t
-mm_budget_wanted (const MmBudget *budget)
+const MmWant *
+mm_budget_first_want (const MmBudget *budget)
 {
-  return budget->wanted_bytes;
+  return budget->wants.head != NULL ? budget->wants.head->data : NULL;
 }
 
 static MmBlock *
--- a/memory/memory.h
+++ b/memory/memory.h
@@ -38,6 +38,9 @@
    copied within the heap, leaves no holes there, and returns its memory when
    it is freed.  Call it once, before the first allocation of a body.  */
 void mm_configure_allocator (void);
+/* Returns unused pages of the heap to the system, if there are many.  Small
+   allocations of a crowd leave them behind.  */
+void mm_trim_heap (void);
 /* What an array of LENGTH_BYTES, at most MM_SMALL_BYTES, costs.  */
 uint64_t mm_small_cost_bytes (uint64_t length_bytes);
 
@@ -54,11 +57,21 @@
 void mm_budget_set_on_room (MmBudget *budget, void (*on_room) (void *data),
                             void *data);
 
-/* Bytes that users wait for, all together; whoever holds some that it can give
-   up asks for them.  */
-void mm_budget_add_wanted (MmBudget *budget, uint64_t bytes);
-void mm_budget_remove_wanted (MmBudget *budget, uint64_t bytes);
-uint64_t mm_budget_wanted (const MmBudget *budget);
+/* Bytes for which a user waits; whoever holds some that it can give up looks
+   for them.  */
+typedef struct
+{
+  uint8_t address[16]; /* of the caller for whom they are */
+  uint64_t bytes;
+  int64_t since_us;
+  GList node; /* private */
+} MmWant;
+
+/* WANT must stay valid until it is removed.  */
+void mm_budget_add_want (MmBudget *budget, MmWant *want);
+void mm_budget_remove_want (MmBudget *budget, MmWant *want);
+/* The oldest one, or NULL; the others follow in node.next.  */
+const MmWant *mm_budget_first_want (const MmBudget *budget);
 
 /* BUDGET may be NULL, then everything fits.  */
 MmBlock *mm_block_new (MmBudget *budget);
