--- a/backend/answer.c
+++ b/backend/answer.c
@@ -4,9 +4,6 @@
 
 /* Interim (1xx) and late responses that are skipped for one request.  */
 #define SKIPPED_MAX_COUNT 16
-/* Of the connections to a target, those whose responses may wait for room.  */
-#define WAITERS_DIVISOR 3
-#define WAITERS_MIN 2
 
 typedef enum
 {
@@ -34,12 +31,10 @@
 wait_for_room (BkConn *conn)
 {
   BkCall *call = conn->call;
-  uint32_t waiters_max = MAX (WAITERS_MIN, call->pool->options.connections_max
-                                               / WAITERS_DIVISOR);
 
   if (call->head.content_length_bytes > mm_budget_limit (call->pool->memory))
     return fail_call (call, BK_FAILURE_TOO_LARGE);
-  if (conn->target->room_waiter_count >= waiters_max)
+  if (conn->target->room_waiter_count >= call->pool->options.waiting_max)
     return fail_call (call, BK_FAILURE_MEMORY);
   call->waits_for_room = TRUE;
   conn->target->room_waiter_count++;
--- a/backend/backend.c
+++ b/backend/backend.c
@@ -7,6 +7,8 @@
 
 #define IDLE_TIMEOUT_MS 5000
 #define CONNECT_TIMEOUT_MS 1000
+#define WAITING_DIVISOR 3
+#define WAITING_MIN 2
 
 int64_t
 bk_now_us (void)
@@ -74,6 +76,9 @@
   if (copy->connections_max == 0)
     copy->connections_max = BK_CONNECTIONS_PER_TARGET;
   copy->connections_max = MIN (copy->connections_max, BK_CONNECTIONS_MAX);
+  if (copy->waiting_max == 0)
+    copy->waiting_max
+        = MAX (WAITING_MIN, copy->connections_max / WAITING_DIVISOR);
   if (copy->idle_timeout_ms == 0)
     copy->idle_timeout_ms = IDLE_TIMEOUT_MS;
   if (copy->connect_timeout_ms == 0)
--- a/backend/backend.h
+++ b/backend/backend.h
@@ -45,8 +45,8 @@
      A response may never end.  Its head and its body are limited, and so are
      all bodies together, by the budget of the options.  A body with a length
      for which there is no room yet is read once there is: until then it waits
-     at the target, at most until the deadline.  At most a third of the
-     connections to a target may wait so, or it would get no other request; the
+     at the target, at most until the deadline.  At most waiting_max of the
+     connections to a target wait so, or it would get no other request; the
      response of one more is given up.  Where bodies without a length
      take the budget above its limit, the call with the largest of them ends
      with BK_FAILURE_TOO_LARGE.
@@ -159,6 +159,8 @@
 {
   struct event_base *base;
   uint32_t connections_max;    /* per target; default 3 */
+  uint32_t waiting_max;        /* per target, for room; default a third of
+                                  connections_max, at least 2 */
   uint32_t idle_timeout_ms;    /* of connections; default 5000 */
   uint32_t connect_timeout_ms; /* default 1000 */
   uint32_t unacked_timeout_ms; /* for sent bytes that the target's host does
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -618,12 +618,14 @@
     .connections_bytes = (uint64_t)limits->memory_mib << 20,
     .body_timeout_ms = limits->body_timeout_ms,
     .write_timeout_ms = limits->write_timeout_ms,
+    .progress_bytes = limits->progress_kib * 1024,
     .on_request = on_request,
     .data = proxy,
   };
   BkOptions connection_pool = {
     .base = options->base,
     .connections_max = CONNECTIONS_PER_TARGET,
+    .waiting_max = limits->waiting_max,
     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
     .unacked_timeout_ms = UNACKED_TIMEOUT_MS,
     .idle_timeout_ms = TARGET_IDLE_TIMEOUT_MS,
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -33,6 +33,8 @@
   uint32_t memory_mib;       /* for input and output of callers' connections */
   uint32_t body_timeout_ms;  /* first byte of a head to last byte of a body */
   uint32_t write_timeout_ms; /* without reading by the caller */
+  uint32_t progress_kib;     /* a second, of large bodies and responses */
+  uint32_t waiting_max;      /* responses of a target that wait for memory */
 } EnConnectionLimits;
 
 typedef struct
--- a/front/conn.c
+++ b/front/conn.c
@@ -365,7 +365,7 @@
   gsize length = conn->body != NULL ? mm_block_bytes (conn->body)->len : 0;
 
   if (conn->body_holder == NULL
-      || length < conn->progress_bytes + FR_PROGRESS_BYTES)
+      || length < conn->progress_bytes + conn->server->options.progress_bytes)
     return;
   conn->progress_bytes = length;
   mm_holder_set_waiting (conn->body_holder, fr_now_us ());
@@ -785,7 +785,8 @@
 note_response_progress (FrConn *conn, gsize output_bytes, int64_t now_us)
 {
   if (conn->response_holder == NULL
-      || output_bytes + FR_PROGRESS_BYTES > conn->progress_bytes)
+      || output_bytes + conn->server->options.progress_bytes
+             > conn->progress_bytes)
     return;
   conn->progress_bytes = output_bytes;
   mm_holder_set_waiting (conn->response_holder, now_us);
--- a/front/front.c
+++ b/front/front.c
@@ -31,6 +31,7 @@
     .body_timeout_ms = 30000,
     .idle_timeout_ms = 60000,
     .write_timeout_ms = 30000,
+    .progress_bytes = 16 * 1024,
     .stop_idle_timeout_ms = 1000,
     .connections_bytes = G_MAXUINT64,
   };
@@ -44,6 +45,7 @@
   SET_DEFAULT (body_timeout_ms);
   SET_DEFAULT (idle_timeout_ms);
   SET_DEFAULT (write_timeout_ms);
+  SET_DEFAULT (progress_bytes);
   SET_DEFAULT (stop_idle_timeout_ms);
   SET_DEFAULT (connections_bytes);
 #undef SET_DEFAULT
--- a/front/front.h
+++ b/front/front.h
@@ -30,7 +30,7 @@
      is rejected with 503 and Retry-After before it is read, and its connection
      is closed.  Before that, large bodies that are incomplete make room, as
    the holders of memory/holder.h do: those that come slower than
-     FR_PROGRESS_BYTES a second, or of the address that holds most.  While
+     progress_bytes a second, or of the address that holds most.  While
      someone waits for room in the budget for responses, the connections of
      large responses that are read so slowly are closed, and after a second
      those of the address that holds most.
@@ -74,9 +74,6 @@
    is handled does not grow by what it reads.  */
 #define FR_CONN_BYTES (16 * 1024)
 
-/* A large body, or a large response, makes progress by this much.  */
-#define FR_PROGRESS_BYTES (16 * 1024)
-
 #define FR_ERROR (fr_error_quark ())
 
 typedef enum
@@ -122,6 +119,8 @@
                                     body; default 30000 */
   uint32_t idle_timeout_ms;      /* between requests; default 60000 */
   uint32_t write_timeout_ms;     /* caller reads nothing; default 30000 */
+  uint32_t progress_bytes;       /* by which a large body, or a large response,
+                                    makes progress; default 16 KB */
   uint32_t stop_idle_timeout_ms; /* idle after fr_stop; default 1000 */
   /* Both must outlive the server; NULL: no limit.  */
   MmBudget *memory;          /* for bodies */
