daemon: limits on callers of the own interface

Callers saw nothing; the daemon could be ended for its memory.

Cause: the listener for callers of the daemon's own interface had no budget for bodies and no bound on what connections hold; 4,096 connections may hold 1 MB each. The limits were added to the platform's listeners only.

Change: settings memory_mb (1024), connections_max (4096) and connections_per_address_max (90%), checked; metrics and event 107 as on the platform, for which entry/connections.h calls a log function.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -294,15 +294,52 @@
 static gboolean
 listen_for_callers (DmDaemon *daemon, GError **error)
 {
-  FrOptions options = { .base = daemon->base,
-                        .listen = daemon->http_address,
-                        .on_request = dm_on_request,
-                        .data = daemon };
-
+  const SeSettings *settings = daemon->settings;
+  uint64_t memory_bytes = (uint64_t)settings->memory_mib << 20;
+  FrOptions options
+      = { .base = daemon->base,
+          .listen = daemon->http_address,
+          .on_request = dm_on_request,
+          .data = daemon,
+          .connections_max = settings->connections_max,
+          .connections_per_address_max
+          = settings->per_address_max > 0
+                ? settings->per_address_max
+                : mm_per_address_default (settings->connections_max),
+          .connections_bytes = mm_connections_bytes (memory_bytes) };
+
+  daemon->request_memory = mm_budget_new (mm_share_bytes (memory_bytes));
+  options.memory = daemon->request_memory;
   daemon->front = fr_new (&options, error);
   return daemon->front != NULL;
 }
 
+static void
+log_limited_connections (const EnConnectionsReport *report, void *data)
+{
+  uint64_t refused_count = 0;
+
+  for (guint i = 0; i < MM_REFUSAL_COUNT; i++)
+    refused_count += report->refused_counts[i];
+  dm_record_detail (
+      data, EV_CONNECTIONS_LIMITED,
+      "%s: %u open, %" G_GUINT64_FORMAT " refused, %" G_GUINT64_FORMAT
+      " closed for others, %" G_GUINT64_FORMAT " bodies given up",
+      report->listener, report->open_count, refused_count,
+      report->closed_count + report->displaced_count, report->body_count);
+}
+
+static void
+watch_connections (DmDaemon *daemon)
+{
+  daemon->connections = en_connections_new (
+      &(EnConnectionsOptions){ .base = daemon->base,
+                               .metrics = daemon->registry,
+                               .log = log_limited_connections,
+                               .data = daemon });
+  en_connections_add (daemon->connections, "callers", daemon->front);
+}
+
 static gboolean
 listen_for_operators (DmDaemon *daemon, GError **error)
 {
@@ -368,6 +405,7 @@
       dm_free (daemon);
       return NULL;
     }
+  watch_connections (daemon);
   add_loop_events (daemon);
   dm_record_detail (daemon, EV_DAEMON_STARTED, "callers %s, peers %s",
                     daemon->http_address, daemon->peer_address);
@@ -437,10 +475,12 @@
 void
 dm_free (DmDaemon *daemon)
 {
+  en_connections_free (daemon->connections);
   if (daemon->admin != NULL)
     ad_free (daemon->admin);
   if (daemon->front != NULL)
     fr_free (daemon->front);
+  mm_budget_unref (daemon->request_memory);
   bk_pool_free (daemon->backend);
   pr_net_free (daemon->net);
   st_free (daemon->store);
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -39,6 +39,7 @@
 #include "backend/backend.h"
 #include "clock/clock.h"
 #include "conf/conf.h"
+#include "entry/connections.h"
 #include "event/event.h"
 #include "fair/fair.h"
 #include "front/front.h"
@@ -171,6 +172,8 @@
   struct event *sigint;
   uint64_t random_state; /* of dm_random */
 
+  MmBudget *request_memory; /* for bodies of requests */
+  EnConnections *connections;
   EvRing *ring;
   MtRegistry *registry;
   DmMetrics metrics;
--- a/daemon/status.c
+++ b/daemon/status.c
@@ -88,6 +88,7 @@
   mt_set (daemon->metrics.store_reads, (int64_t)daemon->store->read_count);
   mt_set (daemon->metrics.store_writes, (int64_t)daemon->store->write_count);
   mt_set (daemon->metrics.store_watches, (int64_t)daemon->store->watch_count);
+  en_connections_update_metrics (daemon->connections);
 }
 
 static void
--- a/entry/connections.c
+++ b/entry/connections.c
@@ -1,6 +1,7 @@
 #include "entry/connections.h"
 
 #include <event2/event.h>
+#include <string.h>
 
 typedef struct
 {
@@ -15,11 +16,7 @@
   MtCounter *bodies;
   MtCounter *responses;
   MtCounter *refused[MM_REFUSAL_COUNT];
-  /* At the last log line.  */
-  MmHolderCounters logged;
-  uint64_t logged_timeout_count;
-  uint64_t logged_body_count;
-  uint64_t logged_response_count;
+  EnConnectionsReport totals; /* at the last log line */
 } Listener;
 
 struct EnConnections
@@ -41,50 +38,50 @@
   return counters->closed_count + counters->displaced_count;
 }
 
-static void
-log_changes (Listener *listener, TrTrace *trace)
+static EnConnectionsReport
+get_totals (const Listener *listener)
 {
   const MmHolderCounters *counters = fr_holder_counters (listener->server);
-  uint64_t timeout_count = fr_counters (listener->server)->timeout_count;
-  uint64_t body_count = count_given_up (fr_body_counters (listener->server));
-  uint64_t response_count
-      = count_given_up (fr_response_counters (listener->server));
-  uint64_t refused_counts[MM_REFUSAL_COUNT];
-  uint64_t closed_count
-      = counters->closed_count - listener->logged.closed_count;
-  uint64_t displaced_count
-      = counters->displaced_count - listener->logged.displaced_count;
-  uint64_t sum = closed_count + displaced_count + body_count
-                 - listener->logged_body_count + response_count
-                 - listener->logged_response_count;
+  EnConnectionsReport totals
+      = { .listener = listener->name,
+          .open_count = counters->count,
+          .held_bytes = counters->used_bytes,
+          .closed_count = counters->closed_count,
+          .displaced_count = counters->displaced_count,
+          .body_count = count_given_up (fr_body_counters (listener->server)),
+          .response_count
+          = count_given_up (fr_response_counters (listener->server)),
+          .timeout_count = fr_counters (listener->server)->timeout_count };
+
+  memcpy (totals.refused_counts, counters->refused_counts,
+          sizeof totals.refused_counts);
+  return totals;
+}
 
+/* Timeouts alone are no sign of a limit.  */
+static void
+log_changes (Listener *listener, const EnConnectionsOptions *options)
+{
+  EnConnectionsReport report = get_totals (listener);
+  const EnConnectionsReport *before = &listener->totals;
+  EnConnectionsReport totals = report;
+  uint64_t sum;
+
+  report.closed_count -= before->closed_count;
+  report.displaced_count -= before->displaced_count;
+  report.body_count -= before->body_count;
+  report.response_count -= before->response_count;
+  report.timeout_count -= before->timeout_count;
+  sum = report.closed_count + report.displaced_count + report.body_count
+        + report.response_count;
   for (guint i = 0; i < MM_REFUSAL_COUNT; i++)
     {
-      refused_counts[i]
-          = counters->refused_counts[i] - listener->logged.refused_counts[i];
-      sum += refused_counts[i];
+      report.refused_counts[i] -= before->refused_counts[i];
+      sum += report.refused_counts[i];
     }
+  listener->totals = totals;
   if (sum > 0)
-    tr_log (
-        trace, EV_CONNECTIONS_LIMITED,
-        "listener=%s open=%u bytes=%" G_GUINT64_FORMAT
-        " refused_for_count=%" G_GUINT64_FORMAT
-        " refused_for_address=%" G_GUINT64_FORMAT
-        " refused_for_memory=%" G_GUINT64_FORMAT
-        " closed_for_others=%" G_GUINT64_FORMAT " displaced=%" G_GUINT64_FORMAT
-        " bodies_given_up=%" G_GUINT64_FORMAT
-        " responses_given_up=%" G_GUINT64_FORMAT
-        " timed_out=%" G_GUINT64_FORMAT,
-        listener->name, counters->count, counters->used_bytes,
-        refused_counts[MM_REFUSED_COUNT], refused_counts[MM_REFUSED_ADDRESS],
-        refused_counts[MM_REFUSED_MEMORY], closed_count, displaced_count,
-        body_count - listener->logged_body_count,
-        response_count - listener->logged_response_count,
-        timeout_count - listener->logged_timeout_count);
-  listener->logged = *counters;
-  listener->logged_timeout_count = timeout_count;
-  listener->logged_body_count = body_count;
-  listener->logged_response_count = response_count;
+    options->log (&report, options->data);
 }
 
 static void
@@ -95,7 +92,7 @@
   (void)fd;
   (void)what;
   for (guint i = 0; i < connections->listeners->len; i++)
-    log_changes (connections->listeners->pdata[i], connections->options.trace);
+    log_changes (connections->listeners->pdata[i], &connections->options);
   mm_trim_heap ();
 }
 
@@ -186,21 +183,19 @@
 static void
 update_listener (const Listener *listener)
 {
-  const MmHolderCounters *counters = fr_holder_counters (listener->server);
-
-  mt_set (listener->open, counters->count);
-  mt_set (listener->bytes, (int64_t)counters->used_bytes);
-  mt_set (listener->peak_bytes, (int64_t)counters->peak_bytes);
-  mt_set (listener->closed, (int64_t)counters->closed_count);
-  mt_set (listener->displaced, (int64_t)counters->displaced_count);
-  mt_set (listener->bodies,
-          (int64_t)count_given_up (fr_body_counters (listener->server)));
-  mt_set (listener->responses,
-          (int64_t)count_given_up (fr_response_counters (listener->server)));
-  mt_set (listener->timeouts,
-          (int64_t)fr_counters (listener->server)->timeout_count);
+  EnConnectionsReport totals = get_totals (listener);
+
+  mt_set (listener->open, totals.open_count);
+  mt_set (listener->bytes, (int64_t)totals.held_bytes);
+  mt_set (listener->peak_bytes,
+          (int64_t)fr_holder_counters (listener->server)->peak_bytes);
+  mt_set (listener->closed, (int64_t)totals.closed_count);
+  mt_set (listener->displaced, (int64_t)totals.displaced_count);
+  mt_set (listener->bodies, (int64_t)totals.body_count);
+  mt_set (listener->responses, (int64_t)totals.response_count);
+  mt_set (listener->timeouts, (int64_t)totals.timeout_count);
   for (guint i = 0; i < MM_REFUSAL_COUNT; i++)
-    mt_set (listener->refused[i], (int64_t)counters->refused_counts[i]);
+    mt_set (listener->refused[i], (int64_t)totals.refused_counts[i]);
 }
 
 void
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -379,11 +379,36 @@
   en_timer_start (entry->end_timer, entry->stop.end_us);
 }
 
+static void
+log_limited_connections (const EnConnectionsReport *report, void *data)
+{
+  EnEntry *entry = data;
+
+  tr_log (entry->trace, EV_CONNECTIONS_LIMITED,
+          "listener=%s open=%u bytes=%" G_GUINT64_FORMAT
+          " refused_for_count=%" G_GUINT64_FORMAT
+          " refused_for_address=%" G_GUINT64_FORMAT
+          " refused_for_memory=%" G_GUINT64_FORMAT
+          " closed_for_others=%" G_GUINT64_FORMAT
+          " displaced=%" G_GUINT64_FORMAT " bodies_given_up=%" G_GUINT64_FORMAT
+          " responses_given_up=%" G_GUINT64_FORMAT
+          " timed_out=%" G_GUINT64_FORMAT,
+          report->listener, report->open_count, report->held_bytes,
+          report->refused_counts[MM_REFUSED_COUNT],
+          report->refused_counts[MM_REFUSED_ADDRESS],
+          report->refused_counts[MM_REFUSED_MEMORY], report->closed_count,
+          report->displaced_count, report->body_count, report->response_count,
+          report->timeout_count);
+}
+
 static void
 watch_connections (EnEntry *entry)
 {
-  entry->connections = en_connections_new (&(EnConnectionsOptions){
-      .base = entry->base, .trace = entry->trace, .metrics = entry->metrics });
+  entry->connections = en_connections_new (
+      &(EnConnectionsOptions){ .base = entry->base,
+                               .metrics = entry->metrics,
+                               .log = log_limited_connections,
+                               .data = entry });
   en_connections_add (entry->connections, "callers",
                       en_proxy_front (entry->proxy));
   en_connections_add (entry->connections, "lookups",
--- a/memory/memory.c
+++ b/memory/memory.c
@@ -17,6 +17,11 @@
 /* Also on the smallest machines the largest response fits.  */
 #define SHARE_MIN_BYTES ((uint64_t)20 * 1024 * 1024)
 
+/* Of the part that is not for bodies.  */
+#define CONNECTIONS_PERCENT 10
+#define CONNECTIONS_MIN_BYTES ((uint64_t)8 * 1024 * 1024)
+#define PER_ADDRESS_PERCENT 90
+
 struct MmBudget
 {
   guint ref_count; /* of its user and its blocks */
@@ -225,3 +230,15 @@
 
   return MAX (SHARE_MIN_BYTES, bodies_bytes / SHARE_COUNT);
 }
+
+uint64_t
+mm_connections_bytes (uint64_t memory_bytes)
+{
+  return MAX (CONNECTIONS_MIN_BYTES, memory_bytes / 100 * CONNECTIONS_PERCENT);
+}
+
+uint32_t
+mm_per_address_default (uint32_t count)
+{
+  return MAX (1, (uint32_t)((uint64_t)count * PER_ADDRESS_PERCENT / 100));
+}
--- a/memory/memory.h
+++ b/memory/memory.h
@@ -92,6 +92,11 @@
 /* Memory of all bodies of requests, and of all bodies of responses, for a
    process that may use MEMORY_BYTES.  */
 uint64_t mm_share_bytes (uint64_t memory_bytes);
+/* The same of what connections hold for input and output.  */
+uint64_t mm_connections_bytes (uint64_t memory_bytes);
+/* Of COUNT connections, those that one address may have by default, so that
+   others always get in.  */
+uint32_t mm_per_address_default (uint32_t count);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (MmBlock, mm_block_unref)
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (MmBudget, mm_budget_unref)
--- a/proof/run.cc
+++ b/proof/run.cc
@@ -80,6 +80,7 @@
   harness_options.proxied = options_.proxied;
   harness_options.work_ms = options_.work_ms;
   harness_options.drain_max_ms = options_.drain_max_ms;
+  harness_options.memory_mb = options_.memory_mb;
   harness_options.log = "info";
   harness_ = si_harness_new (&harness_options, &error);
   CHECK_OR_RETURN (harness_ != NULL);
--- a/proof/run.h
+++ b/proof/run.h
@@ -66,6 +66,7 @@
   uint32_t burst = 0;        /* 0: the rate of the customer */
   uint32_t work_ms = 5;      /* service time of targets */
   uint32_t drain_max_ms = 0; /* of daemons; 0: the harness's default */
+  uint32_t memory_mb = 0;    /* of daemons; 0: their default */
 };
 
 class TestRun
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -268,6 +268,12 @@
     MEMBER_OFFSET (trust_client_address) },
   { "drain_max_ms", TRUE, read_number, MEMBER_OFFSET (drain_max_ms), NULL, 0,
     SE_DRAIN_MAX_MS },
+  { "memory_mb", TRUE, read_number, MEMBER_OFFSET (memory_mib), NULL,
+    SE_MEMORY_MIN_MIB, G_MAXINT32 },
+  { "connections_max", TRUE, read_number, MEMBER_OFFSET (connections_max),
+    NULL, 1, SE_CONNECTIONS_MAX },
+  { "connections_per_address_max", TRUE, read_number,
+    MEMBER_OFFSET (per_address_max), NULL, 1, SE_CONNECTIONS_MAX },
 };
 
 static void
@@ -300,6 +306,8 @@
   g_array_set_clear_func (settings->target_connect, override_clear);
   settings->log = SE_LOG_INFO;
   settings->drain_max_ms = SE_DRAIN_DEFAULT_MS;
+  settings->memory_mib = SE_MEMORY_DEFAULT_MIB;
+  settings->connections_max = SE_CONNECTIONS_DEFAULT;
   return settings;
 }
 
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -35,6 +35,11 @@
 #define SE_DRAIN_DEFAULT_MS 30000
 #define SE_DRAIN_MAX_MS 600000
 
+#define SE_MEMORY_DEFAULT_MIB 1024
+#define SE_MEMORY_MIN_MIB 128
+#define SE_CONNECTIONS_DEFAULT 4096
+#define SE_CONNECTIONS_MAX 1000000
+
 typedef enum
 {
   SE_ERROR_FILE,
@@ -108,6 +113,9 @@
   SeLogLevel log;
   gboolean trust_client_address; /* use the header X-Client-Address */
   uint32_t drain_max_ms;         /* longest drain before the daemon stops */
+  uint32_t memory_mib;           /* that the daemon may use */
+  uint32_t connections_max;      /* of callers */
+  uint32_t per_address_max;      /* of these, from one address; 0: default */
 } SeSettings;
 
 /* Reads and checks the file at PATH.  On error returns NULL and sets PROBLEMS
--- a/settings/settings_test.cc
+++ b/settings/settings_test.cc
@@ -19,7 +19,8 @@
       "  \"store\": \"127.0.0.1:8500\", \"peers\": [\"127.0.0.1:9002\"],\n"
       "  \"policy\": \"least-reported\", \"admission\": \"split\",\n"
       "  \"trust_client_address\": true, \"log\": \"debug\", "
-      "\"drain_max_ms\": 100\n"
+      "\"memory_mb\": 300, \"connections_max\": 70, "
+      "\"connections_per_address_max\": 60, \"drain_max_ms\": 100\n"
       "}\n";
 
 static SeSettings *
@@ -50,6 +51,9 @@
   EXPECT_EQ (s->log, SE_LOG_DEBUG);
   EXPECT_TRUE (s->trust_client_address);
   EXPECT_EQ (s->drain_max_ms, 100u);
+  EXPECT_EQ (s->memory_mib, 300u);
+  EXPECT_EQ (s->connections_max, 70u);
+  EXPECT_EQ (s->per_address_max, 60u);
 }
 
 /* Guards against a daemon that starts with other settings than the operator
@@ -74,6 +78,12 @@
     { "\"split\"", "\"spilt\"", SE_ERROR_KEYWORD, "admission: " },
     { "true", "\"yes\"", SE_ERROR_TYPE, "trust_client_address" },
     { "100", "600001", SE_ERROR_RANGE, "drain_max_ms" },
+    { "\"memory_mb\": 300", "\"memory_mb\": 127", SE_ERROR_RANGE,
+      "memory_mb" },
+    { "\"connections_max\": 70", "\"connections_max\": 0", SE_ERROR_RANGE,
+      "connections_max" },
+    { "_max\": 60", "_max\": 0", SE_ERROR_RANGE,
+      "connections_per_address_max" },
     { "127.0.0.1:9001", "127.0.0.1:8001", SE_ERROR_CONFLICT, "peer_listen" },
     { "\"log\"", "\"vm\": \"vm3\", \"log\"", SE_ERROR_CONFLICT, "vm: " },
     { "{\"vm2\"", "{\"vm1\"", SE_ERROR_CONFLICT, "peer_connect" },
--- a/standin/deployment.c
+++ b/standin/deployment.c
@@ -417,6 +417,9 @@
                           json_object_new_int64 (options->drain_max_ms == 0
                                                      ? 30000
                                                      : options->drain_max_ms));
+  if (options->memory_mb > 0)
+    json_object_object_add (root, "memory_mb",
+                            json_object_new_int64 (options->memory_mb));
   add_address_overrides (deployment, root, vm);
   add_seed_peers (deployment, root, vm);
   text = g_strdup (
--- a/standin/harness.h
+++ b/standin/harness.h
@@ -75,6 +75,7 @@
   gboolean client_links; /* needs `proxied` */
   gboolean trust_client_address;
   uint32_t drain_max_ms; /* default 30000 */
+  uint32_t memory_mb;    /* default: that of the daemon */
   uint32_t work_ms;      /* service time of targets; default 5 */
 } SiHarnessOptions;
 
