--- a/entry/untrusted_callers_test.cc
+++ b/entry/untrusted_callers_test.cc
@@ -820,6 +820,14 @@
   CheckBesideCrowd (kConnectionsKb + kUncountedKb, true, 500);
 }
 
+/* Guards against connections that send ahead and never read, which count as
+   read from for as long as the kernel takes their responses.  */
+TEST_F (UntrustedCrowds, SendAheadOnAllConnections)
+{
+  AddCrowd (kManyCrowd, front, unknown_path);
+  CheckBesideCrowd (kConnectionsKb + kUncountedKb);
+}
+
 /* Guards against the same at the other listeners, which probes and lookups
    need.  */
 TEST_F (UntrustedCrowds, ReadinessAndLookupsBesideACrowd)
