peer: limits on connections that peers open

Cause: accepted connections counted nowhere and had no timeout.

Change: they are holders, at most peer_connections_max (1024, checked) with 32 MB of input; the one without a message for the longest time makes room. Evidence: Peer.IdleConnectionsMakeRoomForPeers (needs the new options, so it was not run on the old code, which keeps all eight connections).

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -210,6 +210,7 @@
   dm_lending_tick (daemon, now_us);
   dm_fleet_tick (daemon, now_us);
   dm_orders_tick (daemon, now_us);
+  dm_status_tick (daemon, now_us);
   mt_add (daemon->metrics.control_cpu, ck_cpu_us () - cpu_us);
   dm_request_tick (daemon, now_us);
   dm_dispatch_tick (daemon, now_us);
@@ -285,7 +286,8 @@
                         .ring = daemon->ring,
                         .metrics = daemon->registry,
                         .on_message = dm_on_message,
-                        .data = daemon };
+                        .data = daemon,
+                        .accepted_max = daemon->settings->peers_max };
 
   daemon->net = pr_net_new (&options, error);
   return daemon->net != NULL;
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -159,6 +159,8 @@
   MtCounter *store_reads;
   MtCounter *store_writes;
   MtCounter *store_watches;
+  MtCounter *peers_open;
+  MtCounter *peers_limited;
 } DmMetrics;
 
 struct DmDaemon
@@ -174,6 +176,8 @@
 
   MmBudget *request_memory; /* for bodies of requests */
   EnConnections *connections;
+  uint64_t logged_limited_count; /* of connections of peers */
+  int64_t next_limited_log_us;
   EvRing *ring;
   MtRegistry *registry;
   DmMetrics metrics;
@@ -551,6 +555,9 @@
 extern const AdCallbacks dm_admin_class;
 void dm_metrics_register (DmDaemon *daemon);
 void dm_metrics_update (DmDaemon *daemon);
+/* Logs that a limit refused or closed connections of peers, once in a while.
+ */
+void dm_status_tick (DmDaemon *daemon, int64_t now_us);
 
 /* log.c */
 
--- a/daemon/status.c
+++ b/daemon/status.c
@@ -44,6 +44,10 @@
     "Writes to the store" },
   { offsetof (DmMetrics, store_watches), "store_watches_total",
     "Watches of the store, counted each time one is armed" },
+  { offsetof (DmMetrics, peers_open), "peer_connections_open",
+    "Connections that other daemons opened" },
+  { offsetof (DmMetrics, peers_limited), "peer_connections_limited_total",
+    "Connections of other daemons refused or closed by a limit" },
 };
 
 static MtCounter **
@@ -81,6 +85,35 @@
   return (int64_t)pages * sysconf (_SC_PAGESIZE);
 }
 
+static uint64_t
+count_limited_peers (const DmDaemon *daemon)
+{
+  const MmHolderCounters *counters = pr_accepted_counters (daemon->net);
+  uint64_t limited_count = counters->closed_count + counters->displaced_count;
+
+  for (guint i = 0; i < MM_REFUSAL_COUNT; i++)
+    limited_count += counters->refused_counts[i];
+  return limited_count;
+}
+
+void
+dm_status_tick (DmDaemon *daemon, int64_t now_us)
+{
+  uint64_t limited_count = count_limited_peers (daemon);
+
+  if (limited_count == daemon->logged_limited_count
+      || now_us < daemon->next_limited_log_us)
+    return;
+  dm_record_detail (daemon, EV_CONNECTIONS_LIMITED,
+                    "peers: %u open, %" G_GUINT64_FORMAT
+                    " refused or closed for others",
+                    pr_accepted_counters (daemon->net)->count,
+                    limited_count - daemon->logged_limited_count);
+  daemon->logged_limited_count = limited_count;
+  daemon->next_limited_log_us
+      = now_us + EN_CONNECTIONS_LOG_INTERVAL_S * CK_US_PER_S;
+}
+
 void
 dm_metrics_update (DmDaemon *daemon)
 {
@@ -88,6 +121,10 @@
   mt_set (daemon->metrics.store_reads, (int64_t)daemon->store->read_count);
   mt_set (daemon->metrics.store_writes, (int64_t)daemon->store->write_count);
   mt_set (daemon->metrics.store_watches, (int64_t)daemon->store->watch_count);
+  mt_set (daemon->metrics.peers_open,
+          pr_accepted_counters (daemon->net)->count);
+  mt_set (daemon->metrics.peers_limited,
+          (int64_t)count_limited_peers (daemon));
   en_connections_update_metrics (daemon->connections);
 }
 
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -18,11 +18,16 @@
 /* A timer that is so late shows that the daemon was paused.  */
 #define OWN_PAUSE_MIN_US (500 * CK_US_PER_MS)
 #define NEVER INT64_MAX
+#define ACCEPTED_DEFAULT 1024
+#define ACCEPTED_DEFAULT_BYTES ((uint64_t)32 * 1024 * 1024)
+/* What a connection counts for without input.  */
+#define CONNECTION_BYTES 4096
 
 struct PrConnection
 {
   PrNet *net;
   struct bufferevent *bev;
+  MmHolder *holder;    /* NULL: opened by this side */
   char *vm;            /* NULL until the first message is received */
   int64_t received_us; /* time of the last message received */
   /* When the first request was sent since that message, or NEVER.  */
@@ -62,6 +67,7 @@
   struct evconnlistener *listener;
   GHashTable *endpoints;   /* vm -> Endpoint */
   GHashTable *connections; /* set of PrConnection */
+  MmHolders *accepted;     /* those that peers opened */
   GHashTable *pending;     /* id -> PendingRequest */
   uint64_t next_id;
   MtCounter *bytes_received;
@@ -174,6 +180,7 @@
   CLOSE_END_OF_INPUT,
   CLOSE_SOCKET_ERROR,
   CLOSE_UNANSWERED,
+  CLOSE_LIMIT,
 } CloseReason;
 
 static const char *const close_reasons[] = {
@@ -182,6 +189,7 @@
   [CLOSE_END_OF_INPUT] = "closed by the peer",
   [CLOSE_SOCKET_ERROR] = "socket error",
   [CLOSE_UNANSWERED] = "requests not answered",
+  [CLOSE_LIMIT] = "limit on connections of peers",
 };
 
 static void
@@ -216,6 +224,7 @@
     record_lost (connection, reason);
   clear_endpoint_connection (net, connection);
   fail_requests (net, connection);
+  mm_holder_free (connection->holder);
   bufferevent_free (connection->bev);
   g_free (connection->vm);
   g_free (connection);
@@ -244,6 +253,8 @@
         (EvStamp){ envelope->stamp->wall_ms, envelope->stamp->count });
   connection->received_us = ck_boot_us ();
   connection->waiting_since_us = NEVER;
+  if (connection->holder != NULL)
+    mm_holder_set_waiting (connection->holder, connection->received_us);
   if (envelope->id != 0)
     pending = g_hash_table_lookup (net->pending, &envelope->id);
   if (pending != NULL && pending->connection == connection)
@@ -252,6 +263,16 @@
     net->options.on_message (connection, envelope, net->options.data);
 }
 
+/* Counts the part of a frame that waits for its rest.  */
+static void
+count_input (PrConnection *connection, size_t length_bytes)
+{
+  if (connection->holder != NULL
+      && !mm_holder_resize (connection->holder,
+                            CONNECTION_BYTES + length_bytes, ck_boot_us ()))
+    connection_close (connection, CLOSE_LIMIT);
+}
+
 static void
 on_read (struct bufferevent *bev, void *data)
 {
@@ -273,6 +294,7 @@
         {
           connection->examined_bytes
               = connection->drained_bytes + length_bytes;
+          count_input (connection, length_bytes);
           return;
         }
       if (result == WR_INVALID)
@@ -348,15 +370,49 @@
   return connection;
 }
 
+static void
+close_for_others (void *owner)
+{
+  connection_close (owner, CLOSE_LIMIT);
+}
+
+/* IPv4 as ::ffff:a.b.c.d.  */
+static void
+copy_address (uint8_t bytes[16], const struct sockaddr *address)
+{
+  const struct sockaddr_in *v4 = (const void *)address;
+  const struct sockaddr_in6 *v6 = (const void *)address;
+
+  memset (bytes, 0, 16);
+  if (address->sa_family == AF_INET6)
+    {
+      memcpy (bytes, &v6->sin6_addr, 16);
+      return;
+    }
+  bytes[10] = bytes[11] = 0xff;
+  memcpy (bytes + 12, &v4->sin_addr, 4);
+}
+
 static void
 on_accept (struct evconnlistener *listener, evutil_socket_t fd,
            struct sockaddr *address, int length, void *data)
 {
+  PrNet *net = data;
+  PrConnection *connection;
+  uint8_t bytes[16];
+
   (void)listener;
-  (void)address;
   (void)length;
+  copy_address (bytes, address);
   set_no_delay (fd);
-  connection_new (data, fd);
+  connection = connection_new (net, fd);
+  connection->holder = mm_holder_new (
+      net->accepted, &(MmHolderRequest){ .owner = connection,
+                                         .address = bytes,
+                                         .bytes = CONNECTION_BYTES,
+                                         .now_us = ck_boot_us () });
+  if (connection->holder == NULL)
+    connection_close (connection, CLOSE_LIMIT);
 }
 
 static void
@@ -401,6 +457,12 @@
   net->endpoints
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, endpoint_free);
   net->connections = g_hash_table_new (NULL, NULL);
+  net->accepted = mm_holders_new (&(MmHolderOptions){
+      .limit_bytes = options->accepted_bytes > 0 ? options->accepted_bytes
+                                                 : ACCEPTED_DEFAULT_BYTES,
+      .count_max
+      = options->accepted_max > 0 ? options->accepted_max : ACCEPTED_DEFAULT,
+      .close = close_for_others });
   net->pending = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                         pending_free);
   /* Each process of a VM starts at a different id, so that no two use the same
@@ -444,6 +506,7 @@
   close_connections (net);
   g_hash_table_unref (net->pending);
   g_hash_table_unref (net->connections);
+  mm_holders_free (net->accepted);
   g_hash_table_unref (net->endpoints);
   g_free (net->vm);
   g_free (net);
@@ -456,6 +519,12 @@
   event_base_free (base);
 }
 
+const MmHolderCounters *
+pr_accepted_counters (const PrNet *net)
+{
+  return mm_holders_counters (net->accepted);
+}
+
 void
 pr_set_incarnation (PrNet *net, uint64_t incarnation)
 {
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -22,6 +22,10 @@
      limited to PR_OUTPUT_MAX_BYTES; a message that does not fit is dropped and
      counted.
 
+     Connections that peers open are holders, see memory/holder.h: for more
+     than accepted_max of them, or more input than accepted_bytes, those make
+     room from which nothing was received for the longest time.
+
    ERRORS
      PR_ERROR_ADDRESS  an address is not an IP address with a port
      PR_ERROR_LISTEN   listening on the address failed  */
@@ -33,6 +37,7 @@
 #include <stdint.h>
 
 #include "event/event.h"
+#include "memory/holder.h"
 #include "metric/metric.h"
 #include "wire/wire.h"
 
@@ -77,7 +82,9 @@
   EvRing *ring; /* for events of connections; its clock stamps messages */
   MtRegistry *metrics;
   PrOnMessage on_message;
-  void *data; /* of on_message */
+  void *data;              /* of on_message */
+  uint32_t accepted_max;   /* connections that peers open; default 1024 */
+  uint64_t accepted_bytes; /* of their input; default 32 MB */
 } PrOptions;
 
 GQuark pr_error_quark (void);
@@ -94,6 +101,8 @@
    event_base_free alone drops them and leaks that memory.  */
 void pr_event_base_free (struct event_base *base);
 
+const MmHolderCounters *pr_accepted_counters (const PrNet *net);
+
 /* Sets the incarnation of this daemon that is sent in later messages.  */
 void pr_set_incarnation (PrNet *net, uint64_t incarnation);
 
--- a/peer/peer_test.cc
+++ b/peer/peer_test.cc
@@ -48,14 +48,14 @@
   std::vector<int64_t> sent_us;
   std::string last_detail; /* of the events that were counted */
 
-  Node (event_base *b, const char *vm) : base (b), port (free_port ())
+  Node (event_base *b, const char *vm, PrOptions options = {})
+      : base (b), port (free_port ())
   {
     EvOptions ring_options = {};
     ring_options.vm = vm;
     ring_options.capacity_count = 64;
     ring = ev_ring_new (&ring_options);
     metrics = mt_registry_new ();
-    PrOptions options = {};
     options.base = base;
     options.vm = vm;
     options.incarnation = 1;
@@ -401,6 +401,51 @@
   close (fd);
 }
 
+/* Guards against connections of no peer that take all files or all memory, and
+   keep peers out.  */
+TEST_F (Peer, IdleConnectionsMakeRoomForPeers)
+{
+  PrOptions options = {};
+  options.accepted_max = 4;
+  options.accepted_bytes = 64 * 1024;
+  Node a (base, "vm1", options), b (base, "vm2");
+  std::vector<int> fds;
+  sockaddr_in address = {};
+  /* The length of a frame, and a part of it.  */
+  std::string part = std::string ("\0\1\0\0", 4) + std::string (30000, 'x');
+  auto count_open = [&] {
+    int count = 0;
+    char byte;
+    for (int fd : fds)
+      count += recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+               && errno == EAGAIN;
+    return count;
+  };
+
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons (a.port);
+  for (int i = 0; i < 8; i++)
+    {
+      fds.push_back (socket (AF_INET, SOCK_STREAM, 0));
+      ASSERT_EQ (0,
+                 connect (fds.back (), (sockaddr *)&address, sizeof address));
+      (void)!send (fds.back (), part.data (), part.size (), MSG_NOSIGNAL);
+    }
+  run_until (base, [&] { return count_open () <= 4; });
+  run_until (base, [&] {
+    return pr_accepted_counters (a.net)->used_bytes <= options.accepted_bytes;
+  });
+  usleep (2 * MM_HOLDER_TURN_US);
+  pr_set_address (b.net, "vm1", "127.0.0.1", a.port);
+  b.send_request ("vm1", 2000);
+  run_until (base, [&] { return b.replies.size () == 1; });
+  EXPECT_EQ ("vm1:promise_reply", b.replies[0]);
+  EXPECT_LE (pr_accepted_counters (a.net)->count, 4u);
+  for (int fd : fds)
+    close (fd);
+}
+
 /* Guards against two processes of one VM that run at the same time: a new
    process takes over the VM's lease record, relying on the exclusive address
    to keep any other from running.  */
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -274,6 +274,8 @@
     NULL, 1, SE_CONNECTIONS_MAX },
   { "connections_per_address_max", TRUE, read_number,
     MEMBER_OFFSET (per_address_max), NULL, 1, SE_CONNECTIONS_MAX },
+  { "peer_connections_max", TRUE, read_number, MEMBER_OFFSET (peers_max), NULL,
+    SE_PEERS_MIN, SE_CONNECTIONS_MAX },
 };
 
 static void
@@ -308,6 +310,7 @@
   settings->drain_max_ms = SE_DRAIN_DEFAULT_MS;
   settings->memory_mib = SE_MEMORY_DEFAULT_MIB;
   settings->connections_max = SE_CONNECTIONS_DEFAULT;
+  settings->peers_max = SE_PEERS_DEFAULT;
   return settings;
 }
 
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -39,6 +39,8 @@
 #define SE_MEMORY_MIN_MIB 128
 #define SE_CONNECTIONS_DEFAULT 4096
 #define SE_CONNECTIONS_MAX 1000000
+#define SE_PEERS_DEFAULT 1024
+#define SE_PEERS_MIN 8
 
 typedef enum
 {
@@ -116,6 +118,7 @@
   uint32_t memory_mib;           /* that the daemon may use */
   uint32_t connections_max;      /* of callers */
   uint32_t per_address_max;      /* of these, from one address; 0: default */
+  uint32_t peers_max;            /* connections that peers open */
 } SeSettings;
 
 /* Reads and checks the file at PATH.  On error returns NULL and sets PROBLEMS
--- a/settings/settings_test.cc
+++ b/settings/settings_test.cc
@@ -20,7 +20,8 @@
       "  \"policy\": \"least-reported\", \"admission\": \"split\",\n"
       "  \"trust_client_address\": true, \"log\": \"debug\", "
       "\"memory_mb\": 300, \"connections_max\": 70, "
-      "\"connections_per_address_max\": 60, \"drain_max_ms\": 100\n"
+      "\"connections_per_address_max\": 60, \"peer_connections_max\": 50, "
+      "\"drain_max_ms\": 100\n"
       "}\n";
 
 static SeSettings *
@@ -54,6 +55,7 @@
   EXPECT_EQ (s->memory_mib, 300u);
   EXPECT_EQ (s->connections_max, 70u);
   EXPECT_EQ (s->per_address_max, 60u);
+  EXPECT_EQ (s->peers_max, 50u);
 }
 
 /* Guards against a daemon that starts with other settings than the operator
@@ -82,6 +84,7 @@
       "memory_mb" },
     { "\"connections_max\": 70", "\"connections_max\": 0", SE_ERROR_RANGE,
       "connections_max" },
+    { "_max\": 50", "_max\": 7", SE_ERROR_RANGE, "peer_connections_max" },
     { "_max\": 60", "_max\": 0", SE_ERROR_RANGE,
       "connections_per_address_max" },
     { "127.0.0.1:9001", "127.0.0.1:8001", SE_ERROR_CONFLICT, "peer_listen" },
