tests: bounds on memory hold for the allocator that ships

The crowds ran on the sanitizers' build only, where shadow memory and red zones are a third of the bound and freed memory does not come back: 131,256 KB at 131,072 in one run, 29 MB of which were there before the crowd. They run on the optimised build, too, with the bounds as they were fixed; with sanitizers 48 MB more are allowed. A test of backend/ kept a body that was gone.

--- a/backend/backend_test.cc
+++ b/backend/backend_test.cc
@@ -945,12 +945,13 @@
   options.connections_max = 6;
   Fixture f (options);
   Outcome outcomes[4];
+  const std::string body = "body";
   const std::string head = status_line + "Content-Length: 150000\r\n\r\n";
   int waiting_count = 0;
 
   for (Outcome &outcome : outcomes)
     {
-      BkRequest request = f.make_request (&outcome, "POST", 5000, "body");
+      BkRequest request = f.make_request (&outcome, "POST", 5000, body);
       request.on_waiting
           = [] (void *data) { ((Outcome *)data)->is_waiting = true; };
       bk_request (f.pool, &request);
--- a/entry/untrusted_callers_test.cc
+++ b/entry/untrusted_callers_test.cc
@@ -351,7 +351,7 @@
   {
     files_peak = std::max (files_peak, CountFiles ());
     return !si_process_ended (daemon_pid, nullptr)
-           && GetMemoryKb ("VmHWM") <= kMemoryBoundKb
+           && GetMemoryKb ("VmHWM") <= memory_bound_kb
            && files_peak <= GetFilesBound ();
   }
 
@@ -397,7 +397,7 @@
     printf ("VmHWM %lld KB, VmRSS %lld KB, files %d\n", (long long)peak_kb,
             (long long)GetMemoryKb ("VmRSS"), files_peak);
     ASSERT_TRUE (is_alive) << LogTail ();
-    EXPECT_LE (peak_kb, kMemoryBoundKb);
+    EXPECT_LE (peak_kb, memory_bound_kb);
     EXPECT_LE (files_peak, GetFilesBound ());
     for (Hostile &hostile : crowd)
       hostile.Close ();
@@ -421,6 +421,7 @@
   std::vector<Hostile> crowd;
   pid_t estate_pid = 0, daemon_pid = 0;
   int files_max = kFilesMax;
+  int64_t memory_bound_kb = kMemoryBoundKb;
   int files_peak = 0;
 };
 
@@ -575,6 +576,14 @@
 constexpr int64_t kConnectionsKb = 16 * 1024;
 /* What a crowd may cost besides what it is counted for.  */
 constexpr int64_t kUncountedKb = 16 * 1024;
+/* Shadow memory, red zones, and what the sanitizer's allocator does not
+   return: not the daemon's.  run-tests checks the bounds without them on the
+   build that ships.  */
+#ifdef __SANITIZE_ADDRESS__
+constexpr int64_t kSanitizerKb = 48 * 1024;
+#else
+constexpr int64_t kSanitizerKb = 0;
+#endif
 /* Of an ordinary caller with a large body.  */
 constexpr size_t kLargeBytes = 8 * 1024 * 1024;
 /* A caller asks this often, each time over a new connection.  */
@@ -583,7 +592,11 @@
 class UntrustedCrowds : public UntrustedCallers
 {
 protected:
-  UntrustedCrowds () { files_max = kManyFiles; }
+  UntrustedCrowds ()
+  {
+    files_max = kManyFiles;
+    memory_bound_kb += kSanitizerKb;
+  }
 
   /* With the limits that operators set.  */
   void
@@ -700,10 +713,10 @@
     printf ("VmRSS before %lld KB, cost at most %lld KB\n",
             (long long)before_kb, (long long)(peak_kb - before_kb));
     EXPECT_TRUE (is_served) << LogTail ();
-    EXPECT_LE (peak_kb - before_kb, cost_kb);
+    EXPECT_LE (peak_kb - before_kb, cost_kb + kSanitizerKb);
     CheckDaemon ();
     EXPECT_TRUE (WaitFor ([&] {
-      return GetMemoryKb ("VmRSS") <= before_kb + kUncountedKb;
+      return GetMemoryKb ("VmRSS") <= before_kb + kUncountedKb + kSanitizerKb;
     })) << "VmRSS "
         << GetMemoryKb ("VmRSS") << " KB after the crowd";
   }
--- a/front/front_test.cc
+++ b/front/front_test.cc
@@ -11,7 +11,8 @@
 #include <vector>
 
 #ifdef __SANITIZE_ADDRESS__
-#include <sanitizer/allocator_interface.h>
+/* Not all packages of the compiler have its header.  */
+extern "C" size_t __sanitizer_get_current_allocated_bytes ();
 #endif
 
 extern "C"
--- a/proof/untrusted_test.cc
+++ b/proof/untrusted_test.cc
@@ -73,6 +73,10 @@
    requests.  */
 TEST (Untrusted, BodiesShortOfTheirEnd)
 {
+  /* Memory that the sanitizer keeps after it was freed is not the daemon's.
+   */
+  setenv ("ASAN_OPTIONS",
+          "quarantine_size_mb=1:thread_local_quarantine_size_kb=64", 0);
   TestRunOptions options;
   options.memory_mb = kMemoryMb;
   TestRun run (options);
