--- a/backend/answer.c
+++ b/backend/answer.c
@@ -35,7 +35,10 @@
   if (call->head.content_length_bytes > mm_budget_limit (call->pool->memory))
     return fail_call (call, BK_FAILURE_TOO_LARGE);
   if (conn->target->room_waiter_count >= call->pool->options.waiting_max)
-    return fail_call (call, BK_FAILURE_MEMORY);
+    {
+      call->pool->counters.no_room_count++;
+      return fail_call (call, BK_FAILURE_MEMORY);
+    }
   call->waits_for_room = TRUE;
   conn->target->room_waiter_count++;
   call->want.bytes = call->head.content_length_bytes;
--- a/backend/backend.h
+++ b/backend/backend.h
@@ -178,6 +178,8 @@
   uint64_t late_response_count;
   /* Connections that were closed for bytes that belong to no request.  */
   uint64_t stray_close_count;
+  /* Responses that were given up, since as many waited for room already.  */
+  uint64_t no_room_count;
 } BkCounters;
 
 typedef struct BkPool BkPool;
--- a/backend/backend_test.cc
+++ b/backend/backend_test.cc
@@ -965,6 +965,7 @@
   EXPECT_EQ (2, waiting_count);
   ASSERT_TRUE (outcomes[3].done);
   EXPECT_EQ (BK_FAILURE_MEMORY, outcomes[3].result.failure);
+  EXPECT_EQ (1u, bk_counters (f.pool)->no_room_count);
   EXPECT_EQ (BK_SENT_MAYBE, outcomes[3].result.sent);
   EXPECT_FALSE (outcomes[0].done || outcomes[1].done || outcomes[2].done);
 }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -62,6 +62,7 @@
     MtCounter *refused; /* of requests; responses wait */
   } request_memory, response_memory;
   MtCounter *stray_closes;
+  MtCounter *responses_without_room;
   struct
   {
     MtCounter *rebuilds;
@@ -192,6 +193,7 @@
   mt_set (entry->front_over_limit, (int64_t)front->over_limit_count);
   mt_set (entry->late_responses, (int64_t)target->late_response_count);
   mt_set (entry->stray_closes, (int64_t)target->stray_close_count);
+  mt_set (entry->responses_without_room, (int64_t)target->no_room_count);
   update_memory_metrics (entry);
   update_placement_metrics (entry);
   en_connections_update_metrics (entry->connections);
@@ -272,6 +274,10 @@
   entry->stray_closes
       = mt_gauge (metrics, "target_stray_closes_total",
                   "Connections closed for bytes that are of no request");
+  entry->responses_without_room
+      = mt_gauge (metrics, "target_responses_without_room_total",
+                  "Responses given up since as many of their target waited "
+                  "for memory");
 }
 
 /* Applies the bounds only; other settings need a restart.  */
