memory: the only request of an address is not displaced

A large body of legal size from one caller would have been given up midway for a smaller one of another: neither does more than the pages allow. Found when reading the diff.

--- a/memory/holder.c
+++ b/memory/holder.c
@@ -207,7 +207,7 @@
 }
 
 /* Closes a holder of the address that holds most, if that is another one and
-   holds more.  */
+   holds more.  A single holder is that address's only request.  */
 static gboolean
 displace_other (MmHolders *holders, const Demand *demand)
 {
@@ -216,7 +216,7 @@
   const Address *heaviest = find_heaviest (holders, demand->resource);
   MmHolder *holder;
 
-  if (heaviest == NULL || heaviest == own
+  if (heaviest == NULL || heaviest == own || heaviest->count == 1
       || amount_of (heaviest, demand->resource)
              <= amount_of (own, demand->resource) + demand->amount)
     return FALSE;
--- a/memory/holder.h
+++ b/memory/holder.h
@@ -24,10 +24,10 @@
 
      1. the silent one without progress for the longest time, provided that it
         made none for MM_HOLDER_GRACE_US;
-     2. one of the address that holds most, if that is more than the one that
-        asks would hold: that without progress for the longest time or, where
-        memory is short, the largest.  So no address, however active, keeps
-        others out;
+     2. one of the address that holds most, if it has several and holds more
+        than the one that asks would: that without progress for the longest
+   time or, where memory is short, the largest.  So no address, however active,
+   keeps others out;
      3. one of the same address, as in 2, that is silent and made no progress
         for MM_HOLDER_TURN_US: those that came first have had their turn.
 
