--- a/entry/untrusted_callers_test.cc
+++ b/entry/untrusted_callers_test.cc
@@ -554,8 +554,9 @@
   RunCrowd ();
   EXPECT_TRUE (WaitFor ([&] { return count_lines () > 0; })) << LogTail ();
   EXPECT_LE (count_lines (), 3) << LogTail ();
-  /* Later idle ones take the places of those that came first.  */
-  EXPECT_GT (GetMetric ("connections_displaced_total{listener=\"callers\"}"),
+  /* They have one address, whose limit comes first.  */
+  EXPECT_GT (GetMetric ("connections_refused_total{listener=\"callers\","
+                        "reason=\"address\"}"),
              0);
   EXPECT_GT (GetMetric ("connections_open{listener=\"callers\"}"), 0);
   EXPECT_GT (GetMetric ("connection_peak_bytes{listener=\"callers\"}"), 0);
