--- a/memory/holder.h
+++ b/memory/holder.h
@@ -135,7 +135,8 @@
 
 /* The request of the peer is complete and handled from now on.  */
 void mm_holder_set_busy (MmHolder *holder);
-/* The peer has to send or to read something from now on.  */
+/* The peer has to send or to read something from now on.  NOW_US may be
+   earlier: when it last did its part.  */
 void mm_holder_set_waiting (MmHolder *holder, int64_t now_us);
 /* The peer has read output.  */
 void mm_holder_note_read (MmHolder *holder, int64_t now_us);
