--- a/memory/holder.h
+++ b/memory/holder.h
@@ -26,14 +26,14 @@
         made none for MM_HOLDER_GRACE_US;
      2. one of the address that holds most, if it has several and holds more
         than the one that asks would: that without progress for the longest
-   time or, where memory is short, the largest.  So no address, however active,
-   keeps others out;
+        time or, where memory is short, the largest.  So no address, however
+        active, keeps others out;
      3. one of the same address, as in 2, that is silent and made no progress
         for MM_HOLDER_TURN_US: those that came first have had their turn.
 
      Those of 2 and 3 are displaced.  A busy holder is never closed.  If none
-   is left, or the one that grows would itself be the first to be closed, it is
-     refused.  Addresses of IPv6 with the same upper half count as one.
+     is left, or the one that grows would itself be the first to be closed, it
+     is refused.  Addresses of IPv6 with the same upper half count as one.
 
      The package has no clock and no I/O.  Times are in microseconds and must
      not decrease from call to call.
