route: an empty table of customers admits no key

Cause: whether the configuration contains the table was not kept. rt_has_customers asked whether a customer had been added, so an empty table was read as an absent one, which requires no key.

Ruled out: a configuration that is not applied (it is in force by the log), and a late watch (the requests come 6 s after the change).

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -443,6 +443,19 @@
              const std::string &limit = "\"rate_per_s\":0,\"burst\":0",
              const std::string &routes = "", const std::string &limits = "",
              const std::string &services = "")
+  {
+    PutConfigWithTenants (version,
+                          ",\"tenants\":{\"c1\":{\"api_keys\":[" + keys + "],"
+                              + limit + "}}",
+                          routes, limits, services);
+  }
+
+  /* TENANTS: the field after a comma, or empty.  */
+  void
+  PutConfigWithTenants (int version, const std::string &tenants,
+                        const std::string &routes = "",
+                        const std::string &limits = "",
+                        const std::string &services = "")
   {
     PostControl ("/put?key=op/config",
                  "{\"version\":\"r" + std::to_string (version) + "\"," + limits
@@ -453,9 +466,8 @@
                      + RouteJson ("object", "safe", false) + "},\"services\":{"
                      + services
                      + "\"s\":{\"max_connections\":100,"
-                       "\"cold_start_s\":1,\"cold_per_s\":5}},\"tenants\":{"
-                       "\"c1\":{\"api_keys\":["
-                     + keys + "]," + limit + "}}}");
+                       "\"cold_start_s\":1,\"cold_per_s\":5}}"
+                     + tenants + "}");
   }
 
   void
@@ -823,6 +835,70 @@
   }));
 }
 
+/* Guards against routes that are open to all once the last customer is
+   removed: the table is there, and holds no key.  Also on connections that
+   were opened before, and while the table is taken out and put back.  */
+TEST_F (Entry, EmptyTableOfCustomersAdmitsNoKey)
+{
+  static const char *const keys[] = { "key-1", "never-held", "" };
+  int fd = OpenSocket (vms[0].front, false);
+  SendOrder (fd, "c1", 2000);
+  EXPECT_EQ (ReceiveResponse (fd).rfind ("HTTP/1.1 200 ", 0), 0u);
+  PutConfigWithTenants (2, ",\"tenants\":{}");
+  si_sleep_ms (2000);
+  for (const char *key : keys)
+    EXPECT_TRUE (AllRespond ("/read/1", key, 401)) << key;
+  EXPECT_TRUE (AllRespond ("/open/1", "", 200));
+  SendOrder (fd, "c2", 2000);
+  EXPECT_EQ (ReceiveResponse (fd).rfind ("HTTP/1.1 401 ", 0), 0u);
+  PutConfigWithTenants (3, "");
+  si_sleep_ms (2000);
+  for (const char *key : keys)
+    EXPECT_TRUE (AllRespond ("/read/1", key, 200)) << key;
+  PutConfig (4, "\"key-2\"");
+  si_sleep_ms (2000);
+  for (const char *key : keys)
+    EXPECT_TRUE (AllRespond ("/read/1", key, 401)) << key;
+  EXPECT_TRUE (AllRespond ("/read/1", "key-2", 200));
+  PutConfigWithTenants (5, ",\"tenants\":{}");
+  si_sleep_ms (2000);
+  EXPECT_TRUE (AllRespond ("/read/1", "key-2", 401));
+  SendOrder (fd, "c3", 2000);
+  EXPECT_EQ (ReceiveResponse (fd).rfind ("HTTP/1.1 401 ", 0), 0u);
+  close (fd);
+  EXPECT_EQ (CountLines ("/runs", "c2") + CountLines ("/runs", "c3"), 0);
+}
+
+/* Guards against a request that was admitted, and is cut off or sent twice,
+   because the last customer is removed while it is held or at its target.  */
+TEST_F (Entry, RequestsInProgressOutliveTheRemovalOfTheLastCustomer)
+{
+  std::vector<std::future<Exchange> > requests;
+  PostControl ("/target?id=t1&service_ms=1200");
+  PostControl ("/target?id=t2&service_ms=1200");
+  requests.push_back (std::async (std::launch::async, SendAndReceive,
+                                  vms[0].front, "h1",
+                                  std::string ("/read/1")));
+  for (int i = 2; i < 5; i++)
+    requests.push_back (std::async (std::launch::async, [this, i] {
+      Exchange exchange = {};
+      exchange.response = std::to_string (
+          RequestObject (vms[0].front, "h" + std::to_string (i), "3000"));
+      return exchange;
+    }));
+  si_sleep_ms (300);
+  PutConfigWithTenants (2, ",\"tenants\":{}");
+  EXPECT_EQ (requests[0].get ().response.rfind ("HTTP/1.1 200 ", 0), 0u);
+  for (int i = 2; i < 5; i++)
+    EXPECT_EQ (requests[(size_t)i - 1].get ().response, "200") << i;
+  for (int i = 1; i < 5; i++)
+    EXPECT_EQ (CountLines ("/runs", "h" + std::to_string (i)), 1) << i;
+  PostControl ("/target?id=t1&service_ms=20");
+  PostControl ("/target?id=t2&service_ms=20");
+  EXPECT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-1", 401); }, 2000));
+}
+
 /* Guards against sending requests to a target that is draining or removed,
    also by the daemon that learns of it from the other one.  */
 TEST_F (Entry, SendsNothingToDrainingOrRemovedTarget)
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -372,7 +372,7 @@
   const EnProxy *proxy = request->proxy;
   gboolean has_members = en_shares_has_members (proxy->options.shares);
 
-  if (!rt_has_customers (request->config))
+  if (!rt_requires_keys (request->config))
     return TRUE;
   if (request->route->open)
     return request->customer == NULL || has_members
@@ -395,7 +395,7 @@
 {
   g_autofree char *key = get_api_key (request->proxy, request->front->headers);
 
-  if (key != NULL && rt_has_customers (request->config))
+  if (key != NULL)
     request->customer = rt_find_customer (request->config, key);
   return key != NULL;
 }
--- a/route/route.c
+++ b/route/route.c
@@ -22,6 +22,7 @@
   GHashTable *urgencies; /* service name to GArray of Urgency */
   GHashTable *customers; /* name to RtCustomer */
   GHashTable *keys;      /* digest (GBytes) to RtCustomer */
+  gboolean requires_keys;
   GStringChunk *strings;
   GError *first_error; /* found while building, or NULL */
 };
@@ -257,12 +258,19 @@
   return g_bytes_new (digest, sizeof digest);
 }
 
+void
+rt_require_keys (RtConfig *config)
+{
+  config->requires_keys = TRUE;
+}
+
 gboolean
 rt_add_customer (RtConfig *config, const RtCustomer *customer,
                  const char *const *keys)
 {
   RtCustomer *copy = g_new (RtCustomer, 1);
 
+  rt_require_keys (config);
   *copy = *customer;
   copy->name = intern_string (config, customer->name);
   copy->home_regions = copy_home_regions (customer->home_regions);
@@ -388,9 +396,9 @@
 }
 
 gboolean
-rt_has_customers (const RtConfig *config)
+rt_requires_keys (const RtConfig *config)
 {
-  return g_hash_table_size (config->customers) > 0;
+  return config->requires_keys;
 }
 
 void
--- a/route/route.h
+++ b/route/route.h
@@ -107,8 +107,12 @@
 
 void rt_add_service (RtConfig *config, const RtService *service);
 void rt_add_route (RtConfig *config, const RtRoute *route);
-/* Returns FALSE if another customer has one of KEYS, after which rt_validate
-   fails too.  */
+/* Requires the key of a customer on all routes that are not open, also if no
+   customer is added.  A configuration without a table of customers requires
+   none, one with an empty table admits no key.  */
+void rt_require_keys (RtConfig *config);
+/* Implies rt_require_keys.  Returns FALSE if another customer has one of KEYS,
+   after which rt_validate fails too.  */
 gboolean rt_add_customer (RtConfig *config, const RtCustomer *customer,
                           const char *const *keys);
 
@@ -131,7 +135,7 @@
 /* DIGEST is the SHA-256 of a key.  */
 const RtCustomer *rt_find_customer_by_digest (const RtConfig *config,
                                               const uint8_t *digest);
-gboolean rt_has_customers (const RtConfig *config);
+gboolean rt_requires_keys (const RtConfig *config);
 void rt_each_customer (const RtConfig *config,
                        void (*visit) (const RtCustomer *customer, void *data),
                        void *data);
--- a/route/route_test.cc
+++ b/route/route_test.cc
@@ -109,6 +109,22 @@
   EXPECT_FALSE (rt_validate (config, nullptr));
 }
 
+/* Guards against a configuration that admits all once its last customer is
+   removed.  */
+TEST_F (Route, RequiresKeysAlsoWithoutACustomer)
+{
+  RtCustomer customer = { .name = "a" };
+
+  EXPECT_FALSE (rt_requires_keys (config));
+  EXPECT_TRUE (rt_add_customer (config, &customer, nullptr));
+  EXPECT_TRUE (rt_requires_keys (config));
+  RtConfig *empty = rt_config_new (8);
+  rt_require_keys (empty);
+  EXPECT_TRUE (rt_requires_keys (empty));
+  EXPECT_EQ (rt_find_customer (empty, "key-1"), nullptr);
+  rt_config_unref (empty);
+}
+
 /* Guards against an explanation that finds another customer than the key does,
    and against a host that counts as unknown because of its case or port.  */
 TEST_F (Route, FindsCustomerByDigestAndKnowsHosts)
