entry: a key is checked against a confirmed configuration without a table, too

Callers would see: with the table of customers taken out and later put back, a daemon that is cut off from the store in between runs requests with keys that were withdrawn, for as long as it is cut off.

Cause: without the table en_request_check_key returned before the check that the configuration was confirmed lately enough.

Change: only a request without a key skips that check. Where no key is required, callers send none and are served as before.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -899,6 +899,23 @@
       WaitFor ([&] { return AllRespond ("/read/1", "key-1", 401); }, 2000));
 }
 
+/* Guards against a daemon that cannot reach the store and runs requests with
+   any key by a configuration without a table of customers: a later one may
+   have withdrawn the key.  */
+TEST_F (Entry, RefusesKeysWithoutATableWhileStoreIsUnreachable)
+{
+  PutConfigWithTenants (2, "");
+  ASSERT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "other", 200); }, 2000));
+  PostControl ("/store?fault=silent");
+  EXPECT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "other", 503); }, 4000));
+  EXPECT_TRUE (AllRespond ("/read/1", "", 200));
+  PostControl ("/store?fault=none");
+  EXPECT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "other", 200); }, 4000));
+}
+
 /* Guards against sending requests to a target that is draining or removed,
    also by the daemon that learns of it from the other one.  */
 TEST_F (Entry, SendsNothingToDrainingOrRemovedTarget)
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -372,18 +372,20 @@
   const EnProxy *proxy = request->proxy;
   gboolean has_members = en_shares_has_members (proxy->options.shares);
 
-  if (!rt_requires_keys (request->config))
-    return TRUE;
   if (request->route->open)
     return request->customer == NULL || has_members
                ? TRUE
                : refuse_not_ready (refusal, "keys_not_confirmed");
+  /* Where no key is required, a later configuration may still have withdrawn
+     the one that the request carries.  */
+  if (!rt_requires_keys (request->config) && !has_key)
+    return TRUE;
   if (!en_view_has_fresh_keys (proxy->options.view, ck_boot_us ())
       || !has_members)
     return refuse_not_ready (refusal, "keys_not_confirmed");
   if (is_behind (request))
     return refuse_not_ready (refusal, "config_older_than_others");
-  if (request->customer != NULL)
+  if (request->customer != NULL || !rt_requires_keys (request->config))
     return TRUE;
   return reject (request, refusal, EN_OUTCOME_UNAUTHORIZED,
                  has_key ? "key_unknown" : "key_missing");
