entry: a configuration that cannot be read confirms no keys

Callers would see: the operator writes a configuration that daemons cannot read, and all keys of the one before stay valid for as long as it is there.

Cause: on_config_unreadable left the configuration in force confirmed unless the store had been restored. Since the store takes only valid ones, a text that names a version is a later configuration, which may withdraw keys.

Change: such a text counts as one that confirms no keys, like a missing one; open routes go on. A text that names no version changes nothing, as before.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -1347,6 +1347,26 @@
       WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
 }
 
+/* Guards against accepting a key without an end by the configuration in force
+   although a later one, which may withdraw it, cannot be read.  */
+TEST_F (Entry, RefusesKeysWhileALaterConfigurationIsUnreadable)
+{
+  static const char *const tables[] = { "null", "[]", "{\"c1\":[\"key-1\"]}" };
+  int version = 1;
+  for (const char *table : tables)
+    {
+      PutConfigWithTenants (++version, std::string (",\"tenants\":") + table);
+      EXPECT_TRUE (
+          WaitFor ([&] { return AllRespond ("/read/1", "key-1", 503); }, 4000))
+          << table;
+      EXPECT_TRUE (AllRespond ("/open/1", "", 200)) << table;
+      PutConfig (++version);
+      EXPECT_TRUE (
+          WaitFor ([&] { return AllRespond ("/read/1", "key-1", 200); }, 2000))
+          << table;
+    }
+}
+
 /* Guards against refusing keys after a restore because the store holds a
    configuration that cannot be read, although it held the same one before.  */
 TEST_F (Entry, AcceptsKeysIfConfigurationWasUnreadableBeforeRestore)
--- a/entry/view.c
+++ b/entry/view.c
@@ -39,8 +39,9 @@
   PfWatcher *operator_watcher;
   int64_t confirmed_us; /* last confirmation; 0: none */
   gboolean store_down;
-  /* The store holds an older configuration than the one in force, or none that
-     can be read, so it cannot confirm that no later one withdrew a key.  */
+  /* The store holds an older configuration than the one in force, none, or one
+     that cannot be read, so it cannot confirm that no later one withdrew a
+     key.  */
   gboolean store_is_older;
   gboolean was_older;   /* the value of store_is_older before a restore */
   uint64_t stored_hash; /* text of the configuration that was read last */
@@ -112,16 +113,19 @@
   note_stored_config (view, 0, view->config != NULL);
 }
 
-/* A store that came back with the text that it had before has lost no later
-   configuration that was read here.  */
+/* A text that names a version is a configuration, which may have withdrawn
+   keys.  Of others, a store that came back with the one that it had before has
+   lost no later configuration that was read here.  */
 static void
-on_config_unreadable (uint64_t text_hash, void *data)
+on_config_unreadable (uint64_t text_hash, uint64_t version, void *data)
 {
   EnView *view = data;
+  gboolean was_read_before = text_hash == view->stored_hash;
 
-  note_stored_config (view, text_hash,
-                      text_hash == view->stored_hash ? view->was_older
-                                                     : view->store_is_older);
+  note_stored_config (
+      view, text_hash,
+      version != 0
+          || (was_read_before ? view->was_older : view->store_is_older));
 }
 
 static void
