front: all limits of a configuration apply, also lower ones and none

Change: a configuration replaces all limits. No body is accepted where the limit is 0; the other limits must not be 0. Heads above max_header_bytes, up to 16 KB as before, get 431.

In front_test a test that relied on "0 leaves unchanged" now states all limits; its checks are the same.

--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -676,6 +676,7 @@
   fr_set_limits (
       proxy->front,
       &(FrLimits){
+          .head_max_bytes = limits->head_max_bytes,
           .body_max_bytes = (uint32_t)MIN (limits->body_max_bytes, G_MAXINT32),
           .request_timeout_ms = limits->head_timeout_ms,
           .idle_timeout_ms = limits->idle_timeout_ms,
--- a/front/conn.c
+++ b/front/conn.c
@@ -388,7 +388,8 @@
 read_head (FrConn *conn)
 {
   struct evbuffer *input = input_buffer (conn);
-  gsize length = MIN (evbuffer_get_length (input), HT_HEAD_MAX_BYTES);
+  gsize max_bytes = conn->server->options.head_max_bytes;
+  gsize length = MIN (evbuffer_get_length (input), max_bytes);
   const char *bytes = (char *)evbuffer_pullup (input, (ev_ssize_t)length);
   gsize head_bytes = ht_head_length (bytes, length, conn->checked_bytes);
   g_autoptr (GError) error = NULL;
@@ -398,7 +399,7 @@
     {
       if (has_bare_lf (bytes, length))
         reject_malformed (conn, 400, "malformed");
-      else if (length == HT_HEAD_MAX_BYTES)
+      else if (length == max_bytes)
         reject_malformed (conn, 431, "head_too_large");
       return FALSE;
     }
--- a/front/front.c
+++ b/front/front.c
@@ -25,6 +25,7 @@
 set_defaults (FrOptions *options)
 {
   static const FrOptions defaults = {
+    .head_max_bytes = HT_HEAD_MAX_BYTES,
     .body_max_bytes = FR_BODY_MAX_BYTES,
     .connections_max = 4096,
     .request_timeout_ms = 10000,
@@ -39,6 +40,7 @@
 #define SET_DEFAULT(field)                                                    \
   if (options->field == 0)                                                    \
   options->field = defaults.field
+  SET_DEFAULT (head_max_bytes);
   SET_DEFAULT (body_max_bytes);
   SET_DEFAULT (connections_max);
   SET_DEFAULT (request_timeout_ms);
@@ -49,6 +51,7 @@
   SET_DEFAULT (stop_idle_timeout_ms);
   SET_DEFAULT (connections_bytes);
 #undef SET_DEFAULT
+  options->head_max_bytes = MIN (options->head_max_bytes, HT_HEAD_MAX_BYTES);
 }
 
 static void
@@ -296,12 +299,10 @@
 {
   FrOptions *options = &server->options;
 
-  if (limits->body_max_bytes > 0)
-    options->body_max_bytes = limits->body_max_bytes;
-  if (limits->request_timeout_ms > 0)
-    options->request_timeout_ms = limits->request_timeout_ms;
-  if (limits->idle_timeout_ms > 0)
-    options->idle_timeout_ms = limits->idle_timeout_ms;
+  options->head_max_bytes = MIN (limits->head_max_bytes, HT_HEAD_MAX_BYTES);
+  options->body_max_bytes = limits->body_max_bytes;
+  options->request_timeout_ms = limits->request_timeout_ms;
+  options->idle_timeout_ms = limits->idle_timeout_ms;
 }
 
 void
--- a/front/front.h
+++ b/front/front.h
@@ -109,6 +109,7 @@
   FrHandler on_request;
   void *data;
   gboolean host_optional;   /* accepts requests without a Host line */
+  uint32_t head_max_bytes;  /* default, and at most, HT_HEAD_MAX_BYTES */
   uint32_t body_max_bytes;  /* default FR_BODY_MAX_BYTES */
   uint32_t connections_max; /* default 4096 */
   uint32_t connections_per_address_max; /* default: no limit of its own */
@@ -154,18 +155,19 @@
 const MmHolderCounters *fr_body_counters (const FrServer *server);
 const MmHolderCounters *fr_response_counters (const FrServer *server);
 
-/* A field that is 0 leaves the limit unchanged.  */
+/* Of a configuration.  Only body_max_bytes may be 0: no bodies.  */
 typedef struct
 {
+  uint32_t head_max_bytes; /* at most HT_HEAD_MAX_BYTES has an effect */
   uint32_t body_max_bytes;
   uint32_t request_timeout_ms;
   uint32_t idle_timeout_ms;
 } FrLimits;
 
-/* Replaces limits of the server's options.  Checks made from now on use the
-   new ones, also for open connections and requests in progress, except that a
-   lower idle timeout applies to a connection from its next request on: its
-   caller may rely on the timeout that was in force when it became idle.  */
+/* Replaces these limits of the server's options.  Checks made from now on use
+   the new ones, also for open connections and requests in progress, except
+   that a lower idle timeout applies to a connection from its next request on:
+   its caller may rely on the timeout that was in force when it became idle. */
 void fr_set_limits (FrServer *server, const FrLimits *limits);
 
 /* Sends the response and ends the request.  HEADERS may be NULL; a body then
--- a/front/front_test.cc
+++ b/front/front_test.cc
@@ -467,13 +467,57 @@
       [&] { return fr_counters (server.front)->connection_count == 0; }));
 }
 
+/* As of a server without limits of its own.  */
+const FrLimits kLimits = { .head_max_bytes = 16 * 1024,
+                           .body_max_bytes = FR_BODY_MAX_BYTES,
+                           .request_timeout_ms = 10000,
+                           .idle_timeout_ms = 60000 };
+
+/* Guards against limits that are ignored: a lower one on heads, and one of no
+   bytes on bodies, which left the limit of an earlier configuration.  */
+TEST (Front, AppliesLowerLimitsOnHeadsAndBodies)
+{
+  Server server;
+  auto status_of = [&] (const std::string &request) {
+    Caller caller (server);
+    caller.send (request);
+    server.run_until (
+        [&] { return caller.receive () || caller.response_count () > 0; });
+    return caller.received.substr (0, 12);
+  };
+  const std::string post = "POST /" + version_and_host;
+  const std::string long_head = "GET /" + version_and_host + "X-Long: "
+                                + std::string (400, 'x') + "\r\n\r\n";
+  const std::string body = post + "Content-Length: 4\r\n\r\nabcd";
+  const std::string chunks
+      = post + "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n";
+  FrLimits limits = kLimits;
+
+  limits.head_max_bytes = 300;
+  limits.body_max_bytes = 4;
+  fr_set_limits (server.front, &limits);
+  EXPECT_EQ ("HTTP/1.1 431", status_of (long_head));
+  EXPECT_EQ ("HTTP/1.1 431",
+             status_of (long_head.substr (0, long_head.size () - 4)));
+  EXPECT_EQ ("HTTP/1.1 200", status_of (body));
+  EXPECT_EQ ("HTTP/1.1 200", status_of (chunks));
+  limits.body_max_bytes = 0;
+  fr_set_limits (server.front, &limits);
+  EXPECT_EQ ("HTTP/1.1 413", status_of (body));
+  EXPECT_EQ ("HTTP/1.1 413", status_of (chunks));
+  EXPECT_EQ ("HTTP/1.1 200", status_of ("GET /" + version_and_host + "\r\n"));
+  fr_set_limits (server.front, &kLimits);
+  EXPECT_EQ ("HTTP/1.1 200", status_of (long_head));
+  EXPECT_EQ ("HTTP/1.1 200", status_of (body));
+}
+
 /* Guards against a lower idle limit that closes connections which their
    callers still take for usable, many at once.  */
 TEST (Front, LowerIdleLimitSparesConnectionsThatAreIdle)
 {
   Server server;
   Caller caller (server);
-  FrLimits limits = {};
+  FrLimits limits = kLimits;
 
   ASSERT_TRUE (server.run_until (
       [&] { return fr_counters (server.front)->connection_count == 1; }));
--- a/route/route.c
+++ b/route/route.c
@@ -118,12 +118,6 @@
   return config->text_hash;
 }
 
-void
-rt_set_limits (RtConfig *config, const RtLimits *limits)
-{
-  config->limits = *limits;
-}
-
 const RtLimits *
 rt_limits (const RtConfig *config)
 {
@@ -153,6 +147,16 @@
                  problem);
 }
 
+void
+rt_set_limits (RtConfig *config, const RtLimits *limits)
+{
+  config->limits = *limits;
+  if (limits->head_max_bytes == 0 || limits->head_timeout_ms == 0
+      || limits->idle_timeout_ms == 0)
+    set_first_error (config, RT_ERROR_INVALID_LIMIT, "a limit is zero",
+                     "limits");
+}
+
 void
 rt_add_service (RtConfig *config, const RtService *service)
 {
--- a/route/route.h
+++ b/route/route.h
@@ -17,7 +17,9 @@
      RT_ERROR_DUPLICATE_KEY    two customers have the same key
      RT_ERROR_INVALID_ROUTE    a route has no service or allows no attempt, or
                                its prefix does not begin and end with a slash
-     RT_ERROR_NO_TIMEOUT       the timeout of a route is zero  */
+     RT_ERROR_NO_TIMEOUT       the timeout of a route is zero
+     RT_ERROR_INVALID_LIMIT    a limit other than that of bodies is zero, so
+                               that no request could be sent  */
 
 #ifndef RT_ROUTE_H
 #define RT_ROUTE_H
@@ -33,6 +35,7 @@
   RT_ERROR_DUPLICATE_KEY,
   RT_ERROR_INVALID_ROUTE,
   RT_ERROR_NO_TIMEOUT,
+  RT_ERROR_INVALID_LIMIT,
 } RtError;
 
 /* One of the services among which a route's requests are split by weight.  */
@@ -84,7 +87,7 @@
 typedef struct
 {
   uint32_t head_max_bytes;
-  uint64_t body_max_bytes;
+  uint64_t body_max_bytes; /* 0: no bodies */
   uint32_t head_timeout_ms;
   uint32_t idle_timeout_ms; /* between the requests of a connection */
 } RtLimits;
