--- a/route/route.h
+++ b/route/route.h
@@ -42,7 +42,7 @@
 typedef struct
 {
   const char *service;
-  uint32_t weight;
+  uint32_t weight; /* relative to the other parts */
 } RtSplitPart;
 
 /* Strings and arrays are copied when a route is added.  */
