limit: a retry budget without a window refills nothing

Callers would see: with budget_window_s 0 every failed request that may be repeated is repeated, however many fail.

Cause: the refill is divided by the window; 0 / 0 makes the tokens NaN, which is not below 1.

Budget.WindowOfZeroRefillsNothing failed before (3 of 1000 allowed) and passes.

--- a/limit/budget.c
+++ b/limit/budget.c
@@ -39,6 +39,16 @@
   budget->options = *options;
 }
 
+/* Tokens of a bucket of RESERVE_COUNT that return in ELAPSED_US.  */
+static double
+refill (const LmRetryBudgetOptions *options, double reserve_count,
+        int64_t elapsed_us)
+{
+  if (options->window_us <= 0)
+    return 0;
+  return reserve_count * (double)elapsed_us / (double)options->window_us;
+}
+
 /* A window can use up both a full bucket and the tokens refilled during it, so
    each of the two is limited to half of the reserve.  The capacity is at
    least one token, or a small reserve would never allow a retry.  */
@@ -56,11 +66,10 @@
       bucket->refilled_us = now_us;
       g_hash_table_insert (budget->buckets, g_strdup (service), bucket);
     }
-  bucket->tokens
-      = MIN (MAX (half_reserve, 1),
-             bucket->tokens
-                 + half_reserve * (double)(now_us - bucket->refilled_us)
-                       / (double)options->window_us);
+  bucket->tokens = MIN (
+      MAX (half_reserve, 1),
+      bucket->tokens
+          + refill (options, half_reserve, now_us - bucket->refilled_us));
   bucket->refilled_us = now_us;
   return bucket;
 }
--- a/limit/budget.h
+++ b/limit/budget.h
@@ -29,7 +29,7 @@
 {
   double ratio;         /* retries for each request */
   double reserve_count; /* further retries in a window */
-  int64_t window_us;
+  int64_t window_us;    /* 0: the reserve is not refilled */
 } LmRetryBudgetOptions;
 
 /* Free with lm_retry_budget_free.  */
--- a/limit/limit_test.cc
+++ b/limit/limit_test.cc
@@ -206,6 +206,18 @@
   lm_free (tables[1]);
 }
 
+/* Guards against a division by a window of zero that allows all retries.  */
+TEST (Budget, WindowOfZeroRefillsNothing)
+{
+  LmRetryBudgetOptions options = { 0, 6, 0 };
+  LmRetryBudget *budget = lm_retry_budget_new (&options);
+  int taken = 0;
+  for (int i = 0; i < 1000; i++)
+    taken += lm_retry_budget_take (budget, "s", i * kSecond);
+  EXPECT_EQ (taken, 3);
+  lm_retry_budget_free (budget);
+}
+
 /* Guards against more retries in a window than the budget allows.  */
 TEST (Budget, LimitsRetriesInAWindow)
 {
