targets: one customer or address leaves places to others

Callers saw: beside 200 connections of one customer that send complete requests ahead, most requests of other customers got 503, no_target or targets_full, also while the crowd was within its rate.

Cause: a request gets a place in a target's queue or is refused at once, and a crowd has a request ready for each place that becomes free. Ruled out: memory, connections (none refused) and processor time (refusals took 0 ms).

Change: occupancy/ counts the attempts in flight by customer and by address. Who holds more than half of a service's leaves a place at each target to others, unless nobody else has asked for 5 s.

Without the places Target.CrowdOfOneCustomerLeavesPlacesToOthers fails in all 27 checks of its rounds.

--- a/entry/send.c
+++ b/entry/send.c
@@ -1,5 +1,6 @@
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "clock/clock.h"
 #include "entry/request.h"
@@ -67,6 +68,23 @@
   return (int64_t)latency_target_ms * CK_US_PER_MS * percent / 100;
 }
 
+/* 0: none */
+static uint64_t
+hash_customer (const EnRequest *request)
+{
+  const char *name = request->customer != NULL ? request->customer->name : "";
+
+  return *name != '\0' ? MAX (1, XXH3_64bits (name, strlen (name))) : 0;
+}
+
+static uint64_t
+hash_address (const EnRequest *request)
+{
+  const uint8_t *address = request->front->peer_address;
+
+  return MAX (1, XXH3_64bits (address, sizeof request->front->peer_address));
+}
+
 static TgQuery
 make_query (const EnRequest *request)
 {
@@ -82,6 +100,8 @@
     .object_hash = request->object_hash,
     .has_large_response = route->has_large_responses,
     .request_hash = request->id_hash,
+    .customer_hash = hash_customer (request),
+    .address_hash = hash_address (request),
     .home_regions = route->home_regions,
     .customer_home_regions
     = request->customer != NULL ? request->customer->home_regions : NULL,
--- a/entry/untrusted_callers_test.cc
+++ b/entry/untrusted_callers_test.cc
@@ -258,7 +258,10 @@
 
   /* LIMITS: a field of the configuration with a comma, or empty.  */
   void
-  PutConfig (const std::string &version, const std::string &limits)
+  PutConfig (const std::string &version, const std::string &limits,
+             const std::string &tenants
+             = "\"c1\":{\"api_keys\":[\"key-1\"],\"rate_per_s\":0,"
+               "\"burst\":0}")
   {
     Put ("op/config",
          "{\"version\":\"" + version + "\"," + limits
@@ -267,8 +270,8 @@
                "\"target_latency_s\":0.5,\"priority\":1,\"service\":\"s\","
                "\"max_attempts\":2,\"sticky\":false,\"anonymous\":false}},"
                "\"services\":{\"s\":{\"max_connections\":100,"
-               "\"cold_start_s\":1,\"cold_per_s\":5}},\"tenants\":{\"c1\":{"
-               "\"api_keys\":[\"key-1\"],\"rate_per_s\":0,\"burst\":0}}}");
+               "\"cold_start_s\":1,\"cold_per_s\":5}},\"tenants\":{"
+             + tenants + "}}");
   }
 
   int
@@ -287,9 +290,10 @@
   int
   SendOrdinary ()
   {
-    const char *headers[] = { "X-Comfreywalk-Attempt-Id: ordinary",
-                              "X-Comfreywalk-Deadline-Ms: 2000",
-                              "Authorization: Token key-1", nullptr };
+    std::string key = "Authorization: Token " + ordinary_key;
+    const char *headers[]
+        = { "X-Comfreywalk-Attempt-Id: ordinary",
+            "X-Comfreywalk-Deadline-Ms: 2000", key.c_str (), nullptr };
     return GetStatus (front, "/read/small", headers);
   }
 
@@ -418,6 +422,7 @@
       = "GET /ready HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n";
 
   std::string folder, store, control, front, ready, directory, log_path;
+  std::string ordinary_key = "key-1";
   std::vector<Hostile> crowd;
   pid_t estate_pid = 0, daemon_pid = 0;
   int files_max = kFilesMax;
@@ -569,6 +574,7 @@
 constexpr int kManyFiles = 1200;
 constexpr size_t kManyCrowd = 700;
 constexpr size_t kBodyCrowd = 48;
+constexpr size_t kAheadCrowd = 100;
 /* Each of legal size, so that they are above the budget together.  */
 constexpr size_t kChunkedBytes = 64 * 1024 * 1024 - 1;
 constexpr size_t kChunkBytes = 64 * 1024;
@@ -842,7 +848,30 @@
   CheckBesideCrowd (kConnectionsKb + kUncountedKb);
 }
 
-/* Guards against the same at the other listeners, which probes and lookups
+/* Guards against one customer that takes all places at the targets with
+   complete requests on many connections, some within its rate, answers
+   unread.  */
+TEST_F (UntrustedCrowds, CompleteRequestsAheadOfOneCustomer)
+{
+  PutConfig ("r3",
+             "\"limits\":{\"max_header_bytes\":16384,"
+             "\"max_body_bytes\":67108864,\"header_timeout_s\":3,"
+             "\"idle_timeout_s\":15},",
+             "\"c1\":{\"api_keys\":[\"key-1\"],\"rate_per_s\":5000,"
+             "\"burst\":5000},\"c2\":{\"api_keys\":[\"key-2\"],"
+             "\"rate_per_s\":100,\"burst\":100}");
+  ordinary_key = "key-2";
+  ASSERT_TRUE (WaitFor ([&] { return SendOrdinary () == 200; })) << LogTail ();
+  PostControl ("/target?id=t1&service_ms=500");
+  for (size_t body_bytes : { 60000, 600 })
+    AddCrowd (kAheadCrowd, front,
+              MakeHead ("POST", "Content-Length: "
+                                    + std::to_string (body_bytes) + "\r\n")
+                  + std::string (body_bytes, 'x'));
+  CheckBesideCrowd (kConnectionsKb + kUncountedKb);
+}
+
+/* Guards against crowds at the other listeners, which probes and lookups
    need.  */
 TEST_F (UntrustedCrowds, ReadinessAndLookupsBesideACrowd)
 {
--- a/targets/explain.c
+++ b/targets/explain.c
@@ -111,7 +111,7 @@
     return TG_CANDIDATE_EVACUATED;
   if (target->id_hash == query->exclude)
     return TG_CANDIDATE_EXCLUDED;
-  if (target->in_flight_count >= query->in_flight_max)
+  if (target->in_flight_count >= tg_in_flight_max (search, target))
     return TG_CANDIDATE_BUSY;
   if (!rt_is_home_region (query->home_regions, target->region)
       || !rt_is_home_region (query->customer_home_regions, target->region))
@@ -143,8 +143,8 @@
     return TG_CANDIDATE_BACKOFF;
   if (tg_is_in_queue_pause (target, search->now_us))
     return TG_CANDIDATE_QUEUE_PAUSE;
-  return wait_us > search->query->wait_max_us ? TG_CANDIDATE_LONG_WAIT
-                                              : TG_CANDIDATE_ALLOWED;
+  return tg_is_wait_too_long (search, target, wait_us) ? TG_CANDIDATE_LONG_WAIT
+                                                       : TG_CANDIDATE_ALLOWED;
 }
 
 /* NULL if TARGET was not considered.  */
--- a/targets/internal.h
+++ b/targets/internal.h
@@ -3,6 +3,7 @@
 #ifndef TG_INTERNAL_H
 #define TG_INTERNAL_H
 
+#include "occupancy/occupancy.h"
 #include "place/place.h"
 #include "targets/targets.h"
 
@@ -96,6 +97,8 @@
   gboolean placement_stale; /* the targets have changed since placed_us */
   int64_t placed_us;        /* time of the last rebuild of the placement */
   int64_t service_us;       /* EWMA of the service time; 0: none yet */
+  OcTable *customers;       /* their attempts in flight */
+  OcTable *addresses;       /* the same of callers */
 } TgService;
 
 struct TgTarget
@@ -169,6 +172,8 @@
   int64_t answered_us; /* by tg_attempt_note_answered; 0: not yet */
   int64_t cold_us;     /* cold_ms of the query */
   int64_t wait_max_us; /* of the query */
+  uint64_t customer_hash;
+  uint64_t address_hash;
   GList node;
 };
 
@@ -209,6 +214,7 @@
   const TgQuery *query;
   const TgRoute *route;
   int64_t queue_service_us; /* service time of the requests in a queue */
+  uint32_t yield_count;     /* places at each target that are left to others */
   int64_t now_us;
   gboolean any_allowed;
   int64_t paused_until_us; /* when the first target that wants no requests
@@ -219,6 +225,12 @@
                          target, gets a TgChoice for each target compared */
 } TgSearch;
 
+/* Requests of this daemon that TARGET may have in flight, with the one that is
+   searched for.  */
+uint32_t tg_in_flight_max (const TgSearch *search, const TgTarget *target);
+/* WAIT_US is the estimate for the queue of TARGET.  */
+gboolean tg_is_wait_too_long (const TgSearch *search, const TgTarget *target,
+                              int64_t wait_us);
 /* Chooses a target for an object, which is NULL for a request without one.  */
 TgPick tg_search_targets (TgSearch *search, const TgService *service,
                           const TgObject *object);
--- a/targets/pick.c
+++ b/targets/pick.c
@@ -158,6 +158,16 @@
                                target->id_hash);
 }
 
+uint32_t
+tg_in_flight_max (const TgSearch *search, const TgTarget *target)
+{
+  uint32_t max = search->query->in_flight_max;
+  uint32_t yield_count = search->yield_count;
+  uint32_t share = MAX (max >> yield_count, target->slot_count);
+
+  return yield_count < max ? MIN (max - yield_count, share) : 1;
+}
+
 static gboolean
 may_use (const TgSearch *search, TgTarget *target)
 {
@@ -166,7 +176,7 @@
   double cold_tokens;
 
   if (!tg_is_available (set, target) || target->id_hash == query->exclude
-      || target->in_flight_count >= query->in_flight_max)
+      || target->in_flight_count >= tg_in_flight_max (search, target))
     return FALSE;
   if (!rt_is_home_region (query->home_regions, target->region)
       || !rt_is_home_region (query->customer_home_regions, target->region))
@@ -246,6 +256,32 @@
   return costs_us[distance];
 }
 
+/* Time that a request waits behind QUEUE_LENGTH others.  */
+static int64_t
+queue_wait_us (const TgTarget *target, double queue_length, double slowness,
+               int64_t queue_service_us)
+{
+  return queue_length > 0
+             ? (int64_t)(queue_length * slowness * (double)queue_service_us
+                         / target->slot_count)
+             : 0;
+}
+
+gboolean
+tg_is_wait_too_long (const TgSearch *search, const TgTarget *target,
+                     int64_t wait_us)
+{
+  double slowness
+      = tg_current_slowness (target, search->route, search->now_us);
+  double queue_length = tg_estimate_load (target, search->now_us) + 1
+                        + search->yield_count - target->slot_count;
+
+  if (search->yield_count > 0)
+    wait_us = MAX (wait_us, queue_wait_us (target, queue_length, slowness,
+                                           search->queue_service_us));
+  return wait_us > search->query->wait_max_us;
+}
+
 void
 tg_estimate_cost (const TgTarget *target, const TgQuery *query,
                   const TgRoute *route, int64_t queue_service_us,
@@ -266,10 +302,8 @@
                   + (int64_t)(target->miss_fraction
                               * (double)(route->miss_us - route->hit_us))
             : route->miss_us;
-  choice->wait_us = queue_length > 0 ? (int64_t)(queue_length * slowness
-                                                 * (double)queue_service_us
-                                                 / target->slot_count)
-                                     : 0;
+  choice->wait_us
+      = queue_wait_us (target, queue_length, slowness, queue_service_us);
   if (target->shed_until_us > now_us)
     choice->wait_us = MAX (choice->wait_us, target->shed_until_us - now_us);
   choice->cost_us
@@ -311,7 +345,7 @@
   candidate.cost_us += extra_cost_us;
   if (search->considered != NULL)
     g_array_append_val (search->considered, candidate);
-  if (candidate.wait_us > search->query->wait_max_us)
+  if (tg_is_wait_too_long (search, target, candidate.wait_us))
     return;
   if (search->found && candidate.cost_us >= search->choice->cost_us)
     return;
@@ -465,6 +499,36 @@
     }
 }
 
+/* Slots of the targets of SERVICE, or enough of them for oc_must_yield.  */
+static uint32_t
+count_slots (const TgService *service)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < service->targets->len && count < 2 * OC_YIELD_MIN; i++)
+    count += ((const TgTarget *)service->targets->pdata[i])->slot_count;
+  return count;
+}
+
+/* A place for each kind of user that holds most attempts of the service.  So a
+   crowd of one customer at one address leaves one to the customer's other
+   callers, and another one to everybody else.  */
+static uint32_t
+count_places_to_yield (const TgSearch *search, const TgService *service)
+{
+  const TgQuery *query = search->query;
+  uint32_t slot_count = count_slots (service);
+  uint32_t count = 0;
+
+  if (oc_must_yield (service->customers, query->customer_hash, slot_count,
+                     search->now_us))
+    count++;
+  if (oc_must_yield (service->addresses, query->address_hash, slot_count,
+                     search->now_us))
+    count++;
+  return count;
+}
+
 /* Requests for a placed object use few targets: a cache miss takes several
    times as long and evicts another object from the target's cache.  */
 TgPick
@@ -473,6 +537,7 @@
 {
   TgChoice *choice = search->choice;
 
+  search->yield_count = count_places_to_yield (search, service);
   search->queue_service_us
       = service->service_us != 0 ? service->service_us : search->route->hit_us;
   consider_replicas (search, service, object);
@@ -508,5 +573,7 @@
     .choice = choice,
   };
 
+  oc_note (service->customers, query->customer_hash, now_us);
+  oc_note (service->addresses, query->address_hash, now_us);
   return tg_search_targets (&search, service, object);
 }
--- a/targets/targets.c
+++ b/targets/targets.c
@@ -25,6 +25,8 @@
   TgService *service = data;
 
   g_hash_table_unref (service->objects);
+  oc_free (service->customers);
+  oc_free (service->addresses);
   rp_free (service->map);
   g_ptr_array_unref (service->placed);
   g_ptr_array_unref (service->targets);
@@ -97,6 +99,8 @@
       service->targets = g_ptr_array_new ();
       service->placed = g_ptr_array_new ();
       service->map = rp_new (&set->place_options);
+      service->customers = oc_new ();
+      service->addresses = oc_new ();
       service->objects
           = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
       g_hash_table_insert (set->services, service->name, service);
@@ -388,6 +392,10 @@
   attempt->started_us = now_us;
   attempt->cold_us = query->cold_ms * 1000;
   attempt->wait_max_us = query->wait_max_us;
+  attempt->customer_hash = query->customer_hash;
+  attempt->address_hash = query->address_hash;
+  oc_add (attempt->service->customers, query->customer_hash);
+  oc_add (attempt->service->addresses, query->address_hash);
   attempt->node.data = attempt;
   target->service_us
       = target->service_us == 0
@@ -603,6 +611,8 @@
   (void)set;
   g_queue_unlink (&target->in_flight, &attempt->node);
   target->in_flight_count--;
+  oc_remove (attempt->service->customers, attempt->customer_hash);
+  oc_remove (attempt->service->addresses, attempt->address_hash);
   target->answered_count -= attempt->answered_us > 0 ? 1 : 0;
   if (result->has_load)
     update_load (attempt, result, now_us);
--- a/targets/targets.h
+++ b/targets/targets.h
@@ -143,7 +143,9 @@
   uint64_t object_hash;        /* 0: none */
   gboolean has_large_response; /* use a replica of the own zone, if there is
                                   one */
-  uint64_t request_hash; /* rendezvous key of a request without an object */
+  uint64_t request_hash;  /* rendezvous key of a request without an object */
+  uint64_t customer_hash; /* 0: none; see occupancy/occupancy.h */
+  uint64_t address_hash;  /* of the caller; 0: unknown */
   const char *const *home_regions;          /* of the route; NULL: all */
   const char *const *customer_home_regions; /* NULL: all */
   uint64_t exclude; /* tg_id_hash of a target that failed this request, or 0 */
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -118,6 +118,77 @@
   uint64_t request_hash = 0;
 };
 
+/* Guards against a crowd that keeps all others out of the targets: of one
+   customer, at one address, or both, whose requests fill each place that
+   becomes free.  A caller of the same customer at another address, and one of
+   another customer at the same address, get a place; so does anybody else
+   after them.  */
+TEST_F (Target, CrowdOfOneCustomerLeavesPlacesToOthers)
+{
+  constexpr uint64_t kCrowd = 1, kOther = 2;
+  struct
+  {
+    int64_t wait_max_us;
+    uint32_t in_flight_max;
+  } const cases[] = { { 100 * kMs, 16 }, { 1000 * kMs, 16 }, { 0, 100 } };
+  AddTarget ("t1");
+  AddTarget ("t2");
+  AddTarget ("t3");
+  for (const auto &test_case : cases)
+    {
+      std::vector<TgAttempt *> attempts;
+      auto begin = [&] (uint64_t customer, uint64_t address) {
+        TgQuery query = Query ();
+        query.customer_hash = customer;
+        query.address_hash = address;
+        query.wait_max_us = test_case.wait_max_us;
+        query.in_flight_max = test_case.in_flight_max;
+        TgAttempt *attempt = BeginAttempt (query);
+        if (attempt != nullptr)
+          attempts.push_back (attempt);
+        return attempt != nullptr;
+      };
+      auto fill = [&] {
+        int count = 0;
+        while (begin (kCrowd, kCrowd))
+          count++;
+        return count;
+      };
+      begin (kOther, kOther);
+      begin (kCrowd, kOther);
+      EXPECT_GE (fill (), 6);
+      for (int round = 0; round < 3; round++)
+        {
+          EXPECT_TRUE (begin (kCrowd, kOther)) << test_case.wait_max_us;
+          EXPECT_TRUE (begin (kOther, kCrowd)) << test_case.wait_max_us;
+          EXPECT_TRUE (begin (kOther, kOther)) << test_case.wait_max_us;
+          for (int i = 0; i < 6; i++)
+            {
+              EndAttempt (attempts.front (), TG_RESULT_SUCCESS);
+              attempts.erase (attempts.begin ());
+            }
+          fill ();
+        }
+      for (TgAttempt *attempt : attempts)
+        EndAttempt (attempt, TG_RESULT_SUCCESS);
+    }
+}
+
+/* Guards against places that are kept free although nobody else asks.  */
+TEST_F (Target, CustomerThatIsAloneUsesAllPlaces)
+{
+  std::vector<TgAttempt *> attempts;
+  TgQuery query = Query ();
+  query.customer_hash = query.address_hash = 1;
+  query.wait_max_us = 10 * kSecond;
+  AddTarget ("t1");
+  while (TgAttempt *attempt = BeginAttempt (query))
+    attempts.push_back (attempt);
+  EXPECT_EQ (attempts.size (), query.in_flight_max);
+  for (TgAttempt *attempt : attempts)
+    EndAttempt (attempt, TG_RESULT_SUCCESS);
+}
+
 /* Guards against requests to a target that is draining, was removed, or is in
    an evacuated zone.  */
 TEST_F (Target, SkipsDrainingEvacuatedAndRemovedTargets)
