targets: a refusal tells that places were left to others

The reason share_used, not targets_full or no_target, is logged and explained where a customer or an address holds most places. It gets a place in the virtual queue of its service as Retry-After, since targets are full.

Target.CrowdOfOneCustomerLeavesPlacesToOthers checks the places.

--- a/client/explain.c
+++ b/client/explain.c
@@ -60,6 +60,9 @@
   { "reason=targets_full",
     "refused, not run: the replicas of its object had longer queues than its "
     "latency target allows" },
+  { "reason=share_used",
+    "refused, not run: its customer or address held more than half of the "
+    "requests at the targets, and the places left were for others" },
   { "reason=no_target",
     "refused, not run: no target could be used, for instance because of home "
     "regions, drains, evacuations or lost targets" },
--- a/entry/send.c
+++ b/entry/send.c
@@ -178,17 +178,29 @@
                       .left_us = request->deadline_us - now_us };
 }
 
+/* Whether the request could have been sent for another customer or from
+   another address.  */
+static gboolean
+is_share_used (TgPick pick, const TgChoice *choice)
+{
+  return (pick == TG_PICK_FULL || pick == TG_PICK_NONE)
+         && choice->yield_count > 0;
+}
+
 /* Of a request that no target has received.  FULL_RETRY_US is the place in the
    virtual queue of its service.  */
 static EnRefusal
-refusal_without_target (TgPick pick, int64_t wait_us, int64_t full_retry_us)
+refusal_without_target (TgPick pick, const TgChoice *choice,
+                        int64_t full_retry_us)
 {
+  if (is_share_used (pick, choice))
+    return (EnRefusal){ EN_OUTCOME_UNAVAILABLE, full_retry_us, "share_used" };
   if (pick == TG_PICK_FULL)
     return (EnRefusal){ EN_OUTCOME_UNAVAILABLE, full_retry_us,
                         "targets_full" };
   if (pick == TG_PICK_LIMITED)
     return (EnRefusal){ EN_OUTCOME_UNAVAILABLE,
-                        MAX (FULL_RETRY_AFTER_US, wait_us),
+                        MAX (FULL_RETRY_AFTER_US, choice->wait_us),
                         "targets_limited" };
   return (EnRefusal){ EN_OUTCOME_UNAVAILABLE, NO_TARGET_RETRY_AFTER_US,
                       "no_target" };
@@ -213,12 +225,11 @@
 static void
 fail_without_target (EnRequest *request, TgPick pick)
 {
-  EnRefusal refusal
-      = refusal_without_target (pick, request->choice.wait_us, 0);
+  EnRefusal refusal = refusal_without_target (pick, &request->choice, 0);
 
   if (request->may_have_run)
     refusal = (EnRefusal){ EN_OUTCOME_UNKNOWN, 0, "no_second_target" };
-  else if (pick == TG_PICK_FULL)
+  else if (pick == TG_PICK_FULL || is_share_used (pick, &request->choice))
     {
       fail_for_capacity (request, refusal.reason);
       return;
@@ -410,7 +421,7 @@
     return TRUE;
   else
     *refusal = refusal_without_target (
-        explanation->pick, explanation->choice.wait_us,
+        explanation->pick, &explanation->choice,
         ac_peek_retry_after (request->proxy->returns, &rejected, now_us));
   return FALSE;
 }
--- a/targets/pick.c
+++ b/targets/pick.c
@@ -551,6 +551,7 @@
     return TG_PICK_HOLD;
   if (search->found)
     return TG_PICK_FOUND;
+  choice->yield_count = search->yield_count;
   if (search->any_allowed)
     return TG_PICK_FULL;
   if (search->paused_until_us == 0)
--- a/targets/targets.h
+++ b/targets/targets.h
@@ -173,12 +173,14 @@
 typedef struct
 {
   TgTarget *target;
-  gboolean cached;     /* the target is expected to have the object cached */
-  gboolean is_replica; /* the target is the first replica of the object */
-  int64_t service_us;  /* estimated, without the queue */
-  int64_t wait_us;     /* estimated queueing time; with TG_PICK_LIMITED, time
-                          until a target may have a token again */
-  int64_t cost_us;     /* estimated time to a response */
+  gboolean cached;      /* the target is expected to have the object cached */
+  gboolean is_replica;  /* the target is the first replica of the object */
+  int64_t service_us;   /* estimated, without the queue */
+  int64_t wait_us;      /* estimated queueing time; with TG_PICK_LIMITED, time
+                           until a target may have a token again */
+  int64_t cost_us;      /* estimated time to a response */
+  uint32_t yield_count; /* with TG_PICK_NONE and FULL: places at each target
+                           that were left to other customers or addresses */
 } TgChoice;
 
 #define TG_REPLICAS_MAX 3
--- a/targets/targets_test.cc
+++ b/targets/targets_test.cc
@@ -157,6 +157,13 @@
       begin (kOther, kOther);
       begin (kCrowd, kOther);
       EXPECT_GE (fill (), 6);
+      TgQuery refused = Query ();
+      TgChoice choice;
+      refused.customer_hash = refused.address_hash = kCrowd;
+      refused.wait_max_us = test_case.wait_max_us;
+      refused.in_flight_max = test_case.in_flight_max;
+      EXPECT_NE (tg_pick (set, &refused, now_us, &choice), TG_PICK_FOUND);
+      EXPECT_EQ (choice.yield_count, 2u);
       for (int round = 0; round < 3; round++)
         {
           EXPECT_TRUE (begin (kCrowd, kOther)) << test_case.wait_max_us;
