occupancy: every user above an equal share leaves places to others

The bound is now an equal share among the users that asked within 5 s. Addresses of one IPv6 network count as one, as they do for connections.

--- a/client/explain.c
+++ b/client/explain.c
@@ -61,7 +61,7 @@
     "refused, not run: the replicas of its object had longer queues than its "
     "latency target allows" },
   { "reason=share_used",
-    "refused, not run: its customer or address held more than half of the "
+    "refused, not run: its customer or address held more than a share of the "
     "requests at the targets, and the places left were for others" },
   { "reason=no_target",
     "refused, not run: no target could be used, for instance because of home "
--- a/entry/send.c
+++ b/entry/send.c
@@ -80,9 +80,10 @@
 static uint64_t
 hash_address (const EnRequest *request)
 {
-  const uint8_t *address = request->front->peer_address;
+  uint8_t network[MM_ADDRESS_BYTES];
 
-  return MAX (1, XXH3_64bits (address, sizeof request->front->peer_address));
+  mm_network (network, request->front->peer_address);
+  return MAX (1, XXH3_64bits (network, sizeof network));
 }
 
 static TgQuery
--- a/memory/holder.c
+++ b/memory/holder.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#define ADDRESS_BYTES 16
 /* Networks of IPv6 hosts have at least the lower half of their addresses.  */
 #define NETWORK_BYTES 8
 
@@ -15,7 +14,7 @@
 /* The holders of one address.  */
 typedef struct
 {
-  uint8_t bytes[ADDRESS_BYTES];
+  uint8_t bytes[MM_ADDRESS_BYTES];
   uint32_t count;
   uint64_t held_bytes;
   GQueue waiting; /* of MmHolder, by progress_us */
@@ -60,7 +59,7 @@
   const uint8_t *bytes = key;
   guint hash = 5381;
 
-  for (guint i = 0; i < ADDRESS_BYTES; i++)
+  for (guint i = 0; i < MM_ADDRESS_BYTES; i++)
     hash = hash * 33 + bytes[i];
   return hash;
 }
@@ -68,18 +67,17 @@
 static gboolean
 equal_addresses (gconstpointer a, gconstpointer b)
 {
-  return memcmp (a, b, ADDRESS_BYTES) == 0;
+  return memcmp (a, b, MM_ADDRESS_BYTES) == 0;
 }
 
-/* Keeps of an IPv6 address the network.  */
-static void
-copy_address (uint8_t *copy, const uint8_t *address)
+void
+mm_network (uint8_t network[MM_ADDRESS_BYTES], const uint8_t *address)
 {
   static const uint8_t ipv4_prefix[12] = { [10] = 0xff, [11] = 0xff };
   gboolean is_ipv4 = memcmp (address, ipv4_prefix, sizeof ipv4_prefix) == 0;
 
-  memset (copy, 0, ADDRESS_BYTES);
-  memcpy (copy, address, is_ipv4 ? ADDRESS_BYTES : NETWORK_BYTES);
+  memset (network, 0, MM_ADDRESS_BYTES);
+  memcpy (network, address, is_ipv4 ? MM_ADDRESS_BYTES : NETWORK_BYTES);
 }
 
 MmHolders *
@@ -268,14 +266,14 @@
 gboolean
 mm_holders_close_one (MmHolders *holders, const MmHolderDemand *demand)
 {
-  uint8_t address[ADDRESS_BYTES];
+  uint8_t address[MM_ADDRESS_BYTES];
   Demand internal = { .address = address,
                       .growing = demand->growing,
                       .resource = RESOURCE_MEMORY,
                       .amount = demand->bytes,
                       .now_us = demand->now_us };
 
-  copy_address (address, demand->address);
+  mm_network (address, demand->address);
   return demand->silent_only ? close_silent (holders, &internal)
                              : close_one (holders, &internal);
 }
@@ -370,7 +368,7 @@
   if (address != NULL)
     return address;
   address = g_new0 (Address, 1);
-  memcpy (address->bytes, bytes, ADDRESS_BYTES);
+  memcpy (address->bytes, bytes, MM_ADDRESS_BYTES);
   g_queue_init (&address->waiting);
   g_hash_table_add (holders->addresses, address);
   return address;
@@ -379,10 +377,10 @@
 MmHolder *
 mm_holder_new (MmHolders *holders, const MmHolderRequest *request)
 {
-  uint8_t address[ADDRESS_BYTES];
+  uint8_t address[MM_ADDRESS_BYTES];
   MmHolder *holder;
 
-  copy_address (address, request->address);
+  mm_network (address, request->address);
   if (!admit (holders, address, request))
     return NULL;
   holder = g_new0 (MmHolder, 1);
--- a/memory/holder.h
+++ b/memory/holder.h
@@ -53,6 +53,8 @@
    last packet of the handshake.  */
 #define MM_HOLDER_TURN_US 50000
 
+#define MM_ADDRESS_BYTES 16
+
 typedef struct MmHolders MmHolders;
 typedef struct MmHolder MmHolder;
 
@@ -143,6 +145,10 @@
 /* The peer has read nothing for long, though there is output for it.  */
 void mm_holder_set_stalled (MmHolder *holder);
 
+/* Sets NETWORK to what counts as one address: ADDRESS for IPv4, given as
+   ::ffff:a.b.c.d, and the /64 of IPv6.  */
+void mm_network (uint8_t network[MM_ADDRESS_BYTES], const uint8_t *address);
+
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (MmHolders, mm_holders_free)
 
 #endif
--- a/occupancy/occupancy.h
+++ b/occupancy/occupancy.h
@@ -1,4 +1,4 @@
-/* occupancy.h - which user holds most of a resource that several users share
+/* occupancy.h - which users hold more than a share of a common resource
 
    SYNOPSIS
      OcTable *table = oc_new ();
@@ -13,13 +13,14 @@
      hash, such as that of a customer's name or of a caller's address; 0 stands
      for none and never yields.
 
-     A user must yield while it holds more than half of the places that are
-     held, at least OC_YIELD_MIN or half of all that there are, and another
-   user has asked for one within OC_OTHERS_US.  So at most one user has to
-   yield at a time, and without others no place is left unused.
+     A user is active for OC_ACTIVE_US after it has asked for a place.  It must
+     yield while it holds more than an equal share of the held places among all
+     active users, and at least OC_YIELD_MIN, or more than half of all places
+     that there are.  A user that is alone never yields.
 
      The package reads no clock and does no I/O.  Times are in microseconds of
-     one monotonic clock.  State is bounded by the places held.
+     one monotonic clock.  State is bounded by the places held, and by the
+     OC_ACTIVE_MAX users that were active last.
 
    ERRORS
      None.  */
@@ -33,7 +34,9 @@
 /* Where there are many places, a user with fewer keeps nobody out.  */
 #define OC_YIELD_MIN 8
 /* Callers whose request was refused are back by then.  */
-#define OC_OTHERS_US ((int64_t)5000000)
+#define OC_ACTIVE_US ((int64_t)5000000)
+/* With so many users a share is small, whatever the exact number.  */
+#define OC_ACTIVE_MAX 256
 
 typedef struct OcTable OcTable;
 
@@ -46,7 +49,7 @@
 /* USER gives up a place that was added.  */
 void oc_remove (OcTable *table, uint64_t user);
 
-/* PLACE_COUNT: places that there are.  */
+/* PLACE_COUNT: places that there are, held or not.  */
 gboolean oc_must_yield (const OcTable *table, uint64_t user,
                         uint32_t place_count, int64_t now_us);
 
--- a/occupancy/occupancy_test.cc
+++ b/occupancy/occupancy_test.cc
@@ -32,12 +32,12 @@
   EXPECT_FALSE (oc_must_yield (table, 1, kMany, 0));
   Add (table, 1, 1);
   EXPECT_TRUE (oc_must_yield (table, 1, kMany, 0));
-  EXPECT_TRUE (oc_must_yield (table, 1, kMany, OC_OTHERS_US - 1));
-  EXPECT_FALSE (oc_must_yield (table, 1, kMany, OC_OTHERS_US));
-  oc_note (table, 1, OC_OTHERS_US);
-  EXPECT_FALSE (oc_must_yield (table, 1, kMany, OC_OTHERS_US));
-  oc_note (table, 3, OC_OTHERS_US);
-  EXPECT_TRUE (oc_must_yield (table, 1, kMany, OC_OTHERS_US));
+  EXPECT_TRUE (oc_must_yield (table, 1, kMany, OC_ACTIVE_US - 1));
+  EXPECT_FALSE (oc_must_yield (table, 1, kMany, OC_ACTIVE_US));
+  oc_note (table, 1, OC_ACTIVE_US);
+  EXPECT_FALSE (oc_must_yield (table, 1, kMany, OC_ACTIVE_US));
+  oc_note (table, 3, OC_ACTIVE_US);
+  EXPECT_TRUE (oc_must_yield (table, 1, kMany, OC_ACTIVE_US));
 }
 
 /* Guards against a user that holds all of a few places, since they are fewer
@@ -57,6 +57,37 @@
   EXPECT_FALSE (oc_must_yield (table, 1, 4, 0));
 }
 
+/* Guards against several users that hold everything together, each no more
+   than half, and against users with their share that yield.  */
+TEST (Occupancy, SeveralUsersLeaveAShareToAnother)
+{
+  g_autoptr (OcTable) table = oc_new ();
+  for (uint64_t user = 1; user <= 3; user++)
+    {
+      Add (table, user, OC_YIELD_MIN);
+      oc_note (table, user, 0);
+    }
+  for (uint64_t user = 1; user <= 3; user++)
+    EXPECT_FALSE (oc_must_yield (table, user, kMany, 0)) << user;
+  oc_note (table, 4, 0);
+  for (uint64_t user = 1; user <= 3; user++)
+    EXPECT_TRUE (oc_must_yield (table, user, kMany, 0)) << user;
+  EXPECT_FALSE (oc_must_yield (table, 4, kMany, 0));
+}
+
+/* Guards against state without a bound for users that ask once, and against
+   keeping those that asked first.  */
+TEST (Occupancy, KeepsTheLatestUsers)
+{
+  g_autoptr (OcTable) table = oc_new ();
+  Add (table, 1, OC_YIELD_MIN);
+  oc_note (table, 1, 0);
+  for (uint64_t user = 2; user < 100000; user++)
+    oc_note (table, user, 0);
+  EXPECT_TRUE (oc_must_yield (table, 1, kMany, OC_ACTIVE_US - 1));
+  EXPECT_FALSE (oc_must_yield (table, 1, kMany, OC_ACTIVE_US));
+}
+
 /* Guards against users of equal shares that all yield, and against requests
    without a user that count as one.  */
 TEST (Occupancy, HalfOfThePlacesIsAShare)
@@ -107,13 +138,13 @@
             total += holder.second;
           for (uint64_t other = 1; other <= 4; other++)
             {
-              bool has_others = false;
+              uint32_t active = 1;
               for (const auto &ask : asked)
-                has_others |= ask.first != other
-                              && now_us - ask.second < OC_OTHERS_US;
+                active += ask.first != other
+                          && now_us - ask.second < OC_ACTIVE_US;
               EXPECT_EQ (oc_must_yield (table, other, kMany, now_us),
                          counts[other] >= OC_YIELD_MIN
-                             && counts[other] * 2 > total && has_others)
+                             && counts[other] * active > total && active > 1)
                   << "seed " << seed << " step " << step;
             }
         }
