route: an empty key admits nobody

Found in review: an empty string among a customer's keys was a key. No request was found that carries it, since white space at the end of a header is removed. It is ignored now.

Route.EmptyKeyIsNoKey failed before and passes now.

--- a/entry/send.c
+++ b/entry/send.c
@@ -179,7 +179,7 @@
                       .left_us = request->deadline_us - now_us };
 }
 
-/* Whether the request could have been sent for another customer or from
+/* Whether the request might have been sent for another customer or from
    another address.  */
 static gboolean
 is_share_used (TgPick pick, const TgChoice *choice)
--- a/route/route.c
+++ b/route/route.c
@@ -281,8 +281,12 @@
   g_hash_table_replace (config->customers, (gpointer)copy->name, copy);
   for (; keys != NULL && *keys != NULL; keys++)
     {
-      GBytes *digest = digest_key (*keys);
-      const RtCustomer *owner = g_hash_table_lookup (config->keys, digest);
+      GBytes *digest;
+      const RtCustomer *owner;
+      if (**keys == '\0')
+        continue;
+      digest = digest_key (*keys);
+      owner = g_hash_table_lookup (config->keys, digest);
       if (owner != NULL && owner != copy)
         {
           set_first_error (config, RT_ERROR_DUPLICATE_KEY,
--- a/route/route.h
+++ b/route/route.h
@@ -114,8 +114,8 @@
    customer is added.  A configuration without a table of customers requires
    none, one with an empty table admits no key.  */
 void rt_require_keys (RtConfig *config);
-/* Implies rt_require_keys.  Returns FALSE if another customer has one of KEYS,
-   after which rt_validate fails too.  */
+/* Implies rt_require_keys.  Ignores keys that are empty.  Returns FALSE if
+   another customer has one of KEYS, after which rt_validate fails too.  */
 gboolean rt_add_customer (RtConfig *config, const RtCustomer *customer,
                           const char *const *keys);
 
--- a/route/route_test.cc
+++ b/route/route_test.cc
@@ -125,6 +125,19 @@
   rt_config_unref (empty);
 }
 
+/* Guards against an empty key, which a caller without one could match.  */
+TEST_F (Route, EmptyKeyIsNoKey)
+{
+  const char *keys[] = { "", "key-1", nullptr };
+  RtCustomer a = { .name = "a" };
+  RtCustomer b = { .name = "b" };
+
+  EXPECT_TRUE (rt_add_customer (config, &a, keys));
+  EXPECT_TRUE (rt_add_customer (config, &b, keys + 2));
+  EXPECT_EQ (rt_find_customer (config, ""), nullptr);
+  EXPECT_STREQ (rt_find_customer (config, "key-1")->name, "a");
+}
+
 /* Guards against an explanation that finds another customer than the key does,
    and against a host that counts as unknown because of its case or port.  */
 TEST_F (Route, FindsCustomerByDigestAndKnowsHosts)
