entry, targets: names and comments, as found in reading the diff

store_is_older also stands for a configuration that cannot be read; it is store_is_unsure now. Comments say what is left to others, and why.

--- a/entry/send.c
+++ b/entry/send.c
@@ -68,7 +68,7 @@
   return (int64_t)latency_target_ms * CK_US_PER_MS * percent / 100;
 }
 
-/* 0: none */
+/* Returns 0 for a request without a customer.  */
 static uint64_t
 hash_customer (const EnRequest *request)
 {
--- a/entry/view.c
+++ b/entry/view.c
@@ -42,8 +42,8 @@
   /* The store holds an older configuration than the one in force, none, or one
      that cannot be read, so it cannot confirm that no later one withdrew a
      key.  */
-  gboolean store_is_older;
-  gboolean was_older;   /* the value of store_is_older before a restore */
+  gboolean store_is_unsure;
+  gboolean was_unsure;  /* the value of store_is_unsure before a restore */
   uint64_t stored_hash; /* text of the configuration that was read last */
   int64_t evacuations_kept_until_us; /* although the store lacks them */
   GHashTable *kept_zones;            /* evacuated, but not in the store */
@@ -71,11 +71,11 @@
 }
 
 static void
-note_stored_config (EnView *view, uint64_t text_hash, gboolean is_older)
+note_stored_config (EnView *view, uint64_t text_hash, gboolean is_unsure)
 {
   view->stored_hash = text_hash;
-  view->store_is_older = is_older;
-  view->was_older = is_older;
+  view->store_is_unsure = is_unsure;
+  view->was_unsure = is_unsure;
 }
 
 static void
@@ -89,7 +89,7 @@
                           && version < rt_config_version (view->config));
   if (is_known (view, config))
     {
-      if (view->store_is_older)
+      if (view->store_is_unsure)
         tr_log (view->options.trace, EV_CONFIG_REFUSED,
                 "config=%" G_GUINT64_FORMAT
                 " reason=older in_force=%" G_GUINT64_FORMAT,
@@ -125,7 +125,7 @@
   note_stored_config (
       view, text_hash,
       version != 0
-          || (was_read_before ? view->was_older : view->store_is_older));
+          || (was_read_before ? view->was_unsure : view->store_is_unsure));
 }
 
 static void
@@ -263,7 +263,7 @@
   /* A change that the region leader announced is read by a single call.  */
   if (event_pending (view->leader_timer, EV_TIMEOUT, NULL))
     pf_watcher_set_paused (view->operator_watcher, TRUE);
-  if (view->store_is_older)
+  if (view->store_is_unsure)
     return;
   set_confirmed (view, requested_us);
   view->options.on_store_read (&store_read, view->options.data);
@@ -278,8 +278,8 @@
   tr_log (view->options.trace, EV_STORE_RESTORED,
           "era=%" G_GUINT64_FORMAT " config=%" G_GUINT64_FORMAT, era,
           view->config != NULL ? rt_config_version (view->config) : 0);
-  view->was_older = view->store_is_older;
-  view->store_is_older = view->config != NULL; /* until it is read */
+  view->was_unsure = view->store_is_unsure;
+  view->store_is_unsure = view->config != NULL; /* until it is read */
   view->evacuations_kept_until_us = now_us + RESTORED_KEEP_US;
   en_timer_start (view->kept_zones_timer, view->evacuations_kept_until_us);
 }
@@ -325,7 +325,7 @@
     }
   pf_watcher_advance (view->operator_watcher, confirmation->revision);
   /* Without a stamp, the age of the confirmation is unknown.  */
-  if (confirmation->stamp.stamp_us == 0 || view->store_is_older)
+  if (confirmation->stamp.stamp_us == 0 || view->store_is_unsure)
     return;
   set_confirmed (view, confirmation->stamp.stamp_us);
   if (!may_follow)
--- a/targets/pick.c
+++ b/targets/pick.c
@@ -158,6 +158,8 @@
                                target->id_hash);
 }
 
+/* Who leaves places to others has at most half of the requests at TARGET, but
+   one for each slot where the limit allows it: slots would stand idle.  */
 uint32_t
 tg_in_flight_max (const TgSearch *search, const TgTarget *target)
 {
@@ -256,7 +258,7 @@
   return costs_us[distance];
 }
 
-/* Time that a request waits behind QUEUE_LENGTH others.  */
+/* Time that a request waits in a queue of QUEUE_LENGTH with itself.  */
 static int64_t
 queue_wait_us (const TgTarget *target, double queue_length, double slowness,
                int64_t queue_service_us)
@@ -267,6 +269,7 @@
              : 0;
 }
 
+/* Who leaves places has to find them free behind its own.  */
 gboolean
 tg_is_wait_too_long (const TgSearch *search, const TgTarget *target,
                      int64_t wait_us)
@@ -510,9 +513,10 @@
   return count;
 }
 
-/* A place for each kind of user that holds most attempts of the service.  So a
-   crowd of one customer at one address leaves one to the customer's other
-   callers, and another one to everybody else.  */
+/* A place for each kind of user, customer or address, that holds more than its
+   share of the attempts of the service.  So a crowd of one customer at one
+   address leaves one to the customer's other callers, and another one to
+   everybody else.  */
 static uint32_t
 count_places_to_yield (const TgSearch *search, const TgService *service)
 {
