--- a/client/client.c
+++ b/client/client.c
@@ -1,5 +1,7 @@
 #include "client/internal.h"
 
+#include "release/release.h"
+
 #include <event2/event.h>
 #include <stddef.h>
 #include <string.h>
@@ -35,6 +37,8 @@
   { "daemon", G_OPTION_ARG_STRING_ARRAY, OFFSET (daemons),
     "admin address of a daemon; may be given several times", "ADDRESS:PORT" },
   { "json", G_OPTION_ARG_NONE, OFFSET (json), "print JSON", NULL },
+  { "version", G_OPTION_ARG_NONE, OFFSET (version),
+    "print which build this is and exit", NULL },
   { "timeout-ms", G_OPTION_ARG_INT, OFFSET (timeout_ms),
     "timeout of each request (default 5000; 15000 for a change)", "MS" },
   { NULL },
@@ -361,6 +365,11 @@
 
   if (!parse_options (context, NULL, argv, &exit_code))
     return exit_code;
+  if (context->options.version)
+    {
+      rl_print_version ("comfreywalk", context->io.out);
+      return CL_EXIT_DONE;
+    }
   count = (int)g_strv_length (*argv) - 1;
   command = count > 0 ? find_command (*argv + 1, count, &word_count) : NULL;
   if (command == NULL)
--- a/client/internal.h
+++ b/client/internal.h
@@ -27,6 +27,7 @@
 {
   char **daemons;
   gboolean json;
+  gboolean version;
   char *author;
   char *today;
   int timeout_ms; /* 0: CL_TIMEOUT_DEFAULT_MS or CL_WRITE_TIMEOUT_MS */
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -4,6 +4,8 @@
 #include <stdarg.h>
 #include <string.h>
 
+#include "release/release.h"
+
 #define PROBE_CONNECTIONS_MAX 1
 /* Until the report that this VM is leaving has reached them, other daemons
    still return it in lookups.  */
@@ -398,6 +400,7 @@
                                             .log = dm_log_event });
   daemon->registry = mt_registry_new ();
   dm_metrics_register (daemon);
+  rl_register_metric (daemon->registry);
   make_tables (daemon);
   make_modules (daemon);
   make_clients (daemon);
@@ -409,7 +412,8 @@
     }
   watch_connections (daemon);
   add_loop_events (daemon);
-  dm_record_detail (daemon, EV_DAEMON_STARTED, "callers %s, peers %s",
+  dm_record_detail (daemon, EV_DAEMON_STARTED,
+                    "sources %s, callers %s, peers %s", rl_sources_id (),
                     daemon->http_address, daemon->peer_address);
   return daemon;
 }
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -6,6 +6,7 @@
 #include "entry/entry.h"
 #include "memory/memory.h"
 #include "platform/platform.h"
+#include "release/release.h"
 
 #define EXIT_SETTINGS 2
 #define EXIT_LISTEN 3
@@ -61,11 +62,14 @@
   g_autofree char *path = NULL;
   gboolean check = FALSE;
   gboolean on_platform = FALSE;
+  gboolean version = FALSE;
   const GOptionEntry entries[]
       = { { "settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
             "Settings file of this VM", "FILE" },
           { "check", 'c', 0, G_OPTION_ARG_NONE, &check,
             "Check the settings and exit", NULL },
+          { "version", 'V', 0, G_OPTION_ARG_NONE, &version,
+            "Print which build this is and exit", NULL },
           { "platform", 'p', 0, G_OPTION_ARG_NONE, &on_platform,
             "Run on the users' platform; the settings file is named by the "
             "environment unless --settings is given",
@@ -85,6 +89,11 @@
       fprintf (stderr, "comfreywalkd: %s\n", error->message);
       return EXIT_SETTINGS;
     }
+  if (version)
+    {
+      rl_print_version ("comfreywalkd", stdout);
+      return 0;
+    }
   if (path == NULL && on_platform)
     path = g_strdup (pf_settings_path ());
   if (path == NULL)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -14,6 +14,7 @@
 #include "entry/view.h"
 #include "entry/where.h"
 #include "platform/platform.h"
+#include "release/release.h"
 #include "stop/stop.h"
 
 /* Interval at which the settings file is checked for changes.  */
@@ -251,6 +252,7 @@
   entry->metrics = metrics;
   create_memory_metrics (entry);
   create_placement_metrics (entry);
+  rl_register_metric (metrics);
   entry->config_age = mt_gauge (metrics, "config_age_us",
                                 "Since the store confirmed the configuration");
   entry->store_reads = mt_gauge (metrics, "store_reads_total", "Reads");
@@ -535,8 +537,10 @@
   entry->exit_timer = en_timer_new (entry->base, on_exit_timer, entry);
   event_add (entry->settings_timer, &poll_interval);
   tr_log (entry->trace, EV_DAEMON_STARTED,
-          "zone=%s region=%s front=%s store=%s", settings->zone,
-          settings->region, settings->front_listen, settings->store_address);
+          "zone=%s region=%s front=%s store=%s version=%s sources=%s build=%s",
+          settings->zone, settings->region, settings->front_listen,
+          settings->store_address, rl_version (), rl_sources_id (),
+          rl_build ());
   return entry;
 }
 
