cmake: outputs of other sources, tools or folders are not kept

Cause: build files compare times, and files that come with theirs are older than objects that were built later from other sources.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 .PHONY: all demo check bench lint format packages clean
 
 all: packages
-	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo
+	cmake --fresh -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo
 	cmake --build $(BUILD) -j $(JOBS)
 
 packages:
@@ -19,7 +19,7 @@
 	$(BUILD)/demo/demo --bin $(BUILD) --deployment tammemets
 
 check: packages
-	cmake -S . -B $(BUILD)-check -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCW_SANITIZE=ON
+	cmake --fresh -S . -B $(BUILD)-check -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCW_SANITIZE=ON
 	cmake --build $(BUILD)-check -j $(JOBS)
 	tools/run-tests $(BUILD)-check
 
