daemon: a start that fails is logged

Seen: a daemon whose address is in use ended with status 3 and a log without a reason; the reason was on standard error in another form, for three listeners with the address twice.

Cause: main printed the error, and modules that listen added their own text to that of front/, which has the address.

Change: event 108, start-failed, of a new level for errors, so that it is logged also where the own interface logs errors only.

--- a/admin/admin.c
+++ b/admin/admin.c
@@ -245,9 +245,7 @@
   FrServer *http = fr_new (&options, &cause);
 
   if (http == NULL)
-    g_set_error (error, AD_ERROR, AD_ERROR_LISTEN,
-                 "cannot listen for operators on %s:%u: %s", address, port,
-                 cause->message);
+    g_set_error_literal (error, AD_ERROR, AD_ERROR_LISTEN, cause->message);
   return http;
 }
 
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -407,6 +407,7 @@
   if (!listen_for_peers (daemon, error) || !listen_for_callers (daemon, error)
       || !listen_for_operators (daemon, error))
     {
+      dm_record_detail (daemon, EV_START_FAILED, "%s", (*error)->message);
       dm_free (daemon);
       return NULL;
     }
--- a/daemon/log.c
+++ b/daemon/log.c
@@ -20,6 +20,13 @@
   log4c_category_set_appender (category, log4c_appender_get ("stderr"));
 }
 
+static const int level_priorities[] = {
+  [EV_LEVEL_DEBUG] = LOG4C_PRIORITY_DEBUG,
+  [EV_LEVEL_INFO] = LOG4C_PRIORITY_INFO,
+  [EV_LEVEL_WARNING] = LOG4C_PRIORITY_WARN,
+  [EV_LEVEL_ERROR] = LOG4C_PRIORITY_ERROR,
+};
+
 static void
 append_field (GString *line, const char *name, const char *value)
 {
@@ -45,10 +52,8 @@
                             event->config_version);
   if (*event->detail != '\0')
     g_string_append_printf (line, " detail=\"%s\"", event->detail);
-  log4c_category_log (category,
-                      kind->level == EV_LEVEL_WARNING ? LOG4C_PRIORITY_WARN
-                                                      : LOG4C_PRIORITY_INFO,
-                      "%s", line->str);
+  log4c_category_log (category, level_priorities[kind->level], "%s",
+                      line->str);
 }
 
 void
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -47,10 +47,7 @@
   signal (SIGPIPE, SIG_IGN);
   entry = en_new (settings, path, &error);
   if (entry == NULL)
-    {
-      fprintf (stderr, "comfreywalkd: %s\n", error->message);
-      return EXIT_LISTEN;
-    }
+    return EXIT_LISTEN;
   en_run (entry);
   en_free (entry);
   return 0;
@@ -115,10 +112,7 @@
   dm_log_start (settings->log);
   daemon = dm_new (settings, &error);
   if (daemon == NULL)
-    {
-      fprintf (stderr, "comfreywalkd: %s\n", error->message);
-      return EXIT_LISTEN;
-    }
+    return EXIT_LISTEN;
   dm_run (daemon);
   /* Without the loop, the default action of a signal would end the process. */
   en_block_signals ();
--- a/docs/docs_test.cc
+++ b/docs/docs_test.cc
@@ -34,7 +34,7 @@
       std::string head = "\n### " + std::to_string (kinds[i].number) + " "
                          + kinds[i].name + "\n";
       EXPECT_EQ (text.find (head) != std::string::npos,
-                 kinds[i].level == EV_LEVEL_WARNING)
+                 kinds[i].level >= EV_LEVEL_WARNING)
           << head;
     }
 }
--- a/entry/directory.c
+++ b/entry/directory.c
@@ -208,8 +208,8 @@
   FrServer *server = fr_new (&options, &cause);
 
   if (server == NULL)
-    g_set_error (error, EN_DIRECTORY_ERROR, EN_DIRECTORY_ERROR_LISTEN,
-                 "cannot listen on %s: %s", address, cause->message);
+    g_set_error_literal (error, EN_DIRECTORY_ERROR, EN_DIRECTORY_ERROR_LISTEN,
+                         cause->message);
   return server;
 }
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -527,6 +527,8 @@
   handle_signals (entry);
   if (!start_modules (entry, error))
     {
+      tr_log (entry->trace, EV_START_FAILED, "reason=\"%s\" sources=%s",
+              (*error)->message, rl_sources_id ());
       en_free (entry);
       return NULL;
     }
--- a/event/catalogue.c
+++ b/event/catalogue.c
@@ -20,6 +20,8 @@
     "tells a long turn from a process that was not scheduled." },
   { EV_CONNECTIONS_LIMITED, EV_LEVEL_WARNING, "connections-limited",
     "A limit refused or closed connections of callers." },
+  { EV_START_FAILED, EV_LEVEL_ERROR, "start-failed",
+    "The daemon cannot listen on an address, and ends." },
   { EV_CONFIG_IN_FORCE, EV_LEVEL_INFO, "config-in-force",
     "A new configuration version is in force on this daemon." },
   { EV_CONFIG_REFUSED, EV_LEVEL_WARNING, "config-refused",
--- a/event/event.h
+++ b/event/event.h
@@ -39,6 +39,7 @@
   EV_LINES_DROPPED = 105,
   EV_LOOP_LATE = 106,
   EV_CONNECTIONS_LIMITED = 107,
+  EV_START_FAILED = 108,
 
   EV_CONFIG_IN_FORCE = 200,
   EV_CONFIG_REFUSED = 201,
@@ -114,6 +115,7 @@
   EV_LEVEL_DEBUG, /* may occur for each request; not passed to EvOptions.log */
   EV_LEVEL_INFO,
   EV_LEVEL_WARNING, /* may need an operator's attention */
+  EV_LEVEL_ERROR,   /* the daemon ends */
 } EvLevel;
 
 /* An entry of the catalogue.  */
