--- a/release/release.h
+++ b/release/release.h
@@ -27,7 +27,7 @@
 const char *rl_sources_id (void);
 
 /* Words without spaces, separated by commas: the build type, the compiler, the
-   kind of machine, and "sanitized" if built so.  */
+   kind of machine, "sanitized" if built so, and flags of the environment.  */
 const char *rl_build (void);
 
 /* Prints a line with PROGRAM and all of the above.  */
