entry: the customer of an unconfirmed key is named to nobody

Cause: whether the configuration is confirmed was asked only where a route needs a key; all users took the customer that was found by the key.

Ruled out: a late watch (the daemon is cut off, and refuses the key with 503 on the other route), and a header of the caller (the daemon sets its own).

Change: en_request_check_key decides whether the customer is confirmed, and the header for targets, the log, where and the priority ask en_request_confirmed_customer. Rate, home regions and share of targets limit the request as before.

--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -2133,6 +2133,39 @@
       [&] { return SendRequest (vms[0], "/read/1", "r3") == 200; }, 5000));
 }
 
+/* Guards against telling a target, or the log, that a request is of a customer
+   from whom its key may have been withdrawn: on a route that needs no key the
+   request is served, without a name.  */
+TEST_F (Entry, UnconfirmedKeyNamesNoCustomerOnAnOpenRoute)
+{
+  Link link (store);
+  Vm vm = StartFollower (link);
+  EXPECT_EQ (SendRequest (vm, "/open/1", "named"), 200);
+  EXPECT_EQ (CountLines ("/runs", "named c1"), 1) << GetControl ("/runs");
+  link.Cut ();
+  PutConfig (2, "\"key-2\"");
+  si_sleep_ms (3500);
+  EXPECT_EQ (SendRequest (vm, "/open/1", "late"), 200);
+  EXPECT_EQ (SendRequest (vm, "/read/1", "refused"), 503);
+  EXPECT_EQ (CountLines ("/runs", "late -"), 1) << GetControl ("/runs");
+  EXPECT_EQ (CountLines ("/runs", "refused"), 0);
+  /* Lines are written every 0.2 s.  */
+  si_sleep_ms (400);
+  std::istringstream lines (ReadLog (vm));
+  for (std::string line; std::getline (lines, line);)
+    {
+      bool is_unconfirmed = line.find ("request=late ") != line.npos
+                            || line.find ("request=refused ") != line.npos;
+      EXPECT_FALSE (is_unconfirmed && line.find ("customer=c1") != line.npos)
+          << line;
+    }
+  Answer where
+      = RunWhere (vm.ready, { "--host", "127.0.0.1", "--path", "/open/1",
+                              "--key-file", KeyFile ("key-1") });
+  EXPECT_EQ (where.exit_code, CL_EXIT_DONE);
+  EXPECT_EQ (where.out.find ("customer c1"), std::string::npos) << where.out;
+}
+
 /* Guards against rejecting a route that was added while this daemon could not
    read the store.  */
 TEST_F (Entry, RejectsNoRouteWhileConfigurationIsUnconfirmed)
--- a/entry/proxy.c
+++ b/entry/proxy.c
@@ -100,8 +100,8 @@
           " config_age_ms=%" G_GINT64_FORMAT,
           request->id != NULL ? request->id : "-", outcomes[outcome].name,
           reason, request->route != NULL ? request->route->name : "-",
-          request->customer != NULL ? request->customer->name : "-",
-          request->send_count, (now_us - request->front->arrived_us) / 1000,
+          en_request_customer_name (request), request->send_count,
+          (now_us - request->front->arrived_us) / 1000,
           (request->deadline_us - now_us) / 1000, retry_after_us / 1000,
           request->config != NULL ? rt_config_version (request->config) : 0,
           en_view_config_age_us (proxy->options.view, now_us) / 1000);
@@ -316,6 +316,7 @@
 make_target_headers (EnRequest *request)
 {
   const EnDialect *dialect = request->proxy->options.dialect;
+  const RtCustomer *customer = en_request_confirmed_customer (request);
   HtHeaders *headers = ht_headers_copy (request->front->headers);
 
   ht_remove_hop_by_hop (headers);
@@ -324,8 +325,8 @@
   ht_headers_remove (headers, "Accept-Encoding");
   ht_headers_remove (headers, dialect->customer);
   ht_headers_remove (headers, dialect->expected_target_id);
-  if (request->customer != NULL)
-    ht_headers_add (headers, dialect->customer, request->customer->name);
+  if (customer != NULL)
+    ht_headers_add (headers, dialect->customer, customer->name);
   request->headers = headers;
 }
 
@@ -365,26 +366,50 @@
   return refuse_not_ready (refusal, "config_not_confirmed");
 }
 
+const RtCustomer *
+en_request_confirmed_customer (const EnRequest *request)
+{
+  return request->customer_is_confirmed ? request->customer : NULL;
+}
+
+const char *
+en_request_customer_name (const EnRequest *request)
+{
+  const RtCustomer *customer = en_request_confirmed_customer (request);
+
+  return customer != NULL ? customer->name : "-";
+}
+
+/* Returns why a later configuration may have changed whose a key is, or
+   NULL.  */
+static const char *
+find_key_doubt (const EnRequest *request)
+{
+  const EnProxyOptions *options = &request->proxy->options;
+
+  if (!en_view_has_fresh_keys (options->view, ck_boot_us ())
+      || !en_shares_has_members (options->shares))
+    return "keys_not_confirmed";
+  return is_behind (request) ? "config_older_than_others" : NULL;
+}
+
 gboolean
-en_request_check_key (const EnRequest *request, gboolean has_key,
-                      EnRefusal *refusal)
+en_request_check_key (EnRequest *request, gboolean has_key, EnRefusal *refusal)
 {
-  const EnProxy *proxy = request->proxy;
-  gboolean has_members = en_shares_has_members (proxy->options.shares);
+  const char *doubt = find_key_doubt (request);
 
+  request->customer_is_confirmed = request->customer != NULL && doubt == NULL;
   if (request->route->open)
-    return request->customer == NULL || has_members
+    return request->customer == NULL
+                   || en_shares_has_members (request->proxy->options.shares)
                ? TRUE
                : refuse_not_ready (refusal, "keys_not_confirmed");
   /* Where no key is required, a later configuration may still have withdrawn
      the one that the request carries.  */
   if (!rt_requires_keys (request->config) && !has_key)
     return TRUE;
-  if (!en_view_has_fresh_keys (proxy->options.view, ck_boot_us ())
-      || !has_members)
-    return refuse_not_ready (refusal, "keys_not_confirmed");
-  if (is_behind (request))
-    return refuse_not_ready (refusal, "config_older_than_others");
+  if (doubt != NULL)
+    return refuse_not_ready (refusal, doubt);
   if (request->customer != NULL || !rt_requires_keys (request->config))
     return TRUE;
   return reject (request, refusal, EN_OUTCOME_UNAUTHORIZED,
@@ -421,11 +446,11 @@
 en_request_classify (EnRequest *request)
 {
   const FrRequest *front = request->front;
+  const RtCustomer *customer = en_request_confirmed_customer (request);
 
-  request->priority
-      = request->customer != NULL && request->customer->has_priority
-            ? request->customer->priority
-            : request->route->priority;
+  request->priority = customer != NULL && customer->has_priority
+                          ? customer->priority
+                          : request->route->priority;
   request->object_hash = hash_object_cookie (request, front->headers);
   request->id_hash = XXH3_64bits (request->id, strlen (request->id));
   request->path_and_query
--- a/entry/request.h
+++ b/entry/request.h
@@ -64,8 +64,12 @@
   GList node;       /* in EnProxy.requests */
   RtConfig *config;
   const RtRoute *route;
-  const RtCustomer *customer; /* may be NULL: open route, or no customers */
-  const char *service;        /* chosen by the route's traffic split */
+  /* Whose key it carries by CONFIG, for what limits the request: rate, home
+     regions, share of targets.  NULL: open route, or no customers.  What tells
+     of the customer asks en_request_confirmed_customer.  */
+  const RtCustomer *customer;
+  gboolean customer_is_confirmed;
+  const char *service; /* chosen by the route's traffic split */
   char *id;
   char *path_and_query;  /* as sent by the caller */
   uint64_t object_hash;  /* of route and object cookie; 0: none */
@@ -114,10 +118,15 @@
 
    en_request_check_route needs proxy, front and config; it sets id, route and
    deadline_us.  en_request_check_key needs customer, that of the request's key
-   if it has one that is known.  */
+   if it has one that is known, and sets customer_is_confirmed.  */
 gboolean en_request_check_route (EnRequest *request, EnRefusal *refusal);
-gboolean en_request_check_key (const EnRequest *request, gboolean has_key,
+gboolean en_request_check_key (EnRequest *request, gboolean has_key,
                                EnRefusal *refusal);
+/* The customer, or NULL if a later configuration may have withdrawn the key:
+   for targets, logs, answers and what a customer has more of than others.  */
+const RtCustomer *en_request_confirmed_customer (const EnRequest *request);
+/* Its name, or "-".  */
+const char *en_request_customer_name (const EnRequest *request);
 /* Sets the priority, the hashes and path_and_query.  */
 void en_request_classify (EnRequest *request);
 /* Service of the next request of ROUTE.  */
--- a/entry/send.c
+++ b/entry/send.c
@@ -158,8 +158,7 @@
           " cost_ms=%" G_GINT64_FORMAT " left_ms=%s config=%" G_GUINT64_FORMAT
           " config_age_ms=%" G_GINT64_FORMAT,
           request->id, request->content_hash, request->route->name,
-          request->service,
-          request->customer != NULL ? request->customer->name : "-",
+          request->service, en_request_customer_name (request),
           tg_id (choice->target), tg_zone (choice->target),
           (uint32_t)(request->object_hash & 0xffff), choice->is_replica,
           choice->cached, choice->wait_us / 1000, choice->cost_us / 1000,
--- a/entry/where.c
+++ b/entry/where.c
@@ -85,8 +85,8 @@
            (request->deadline_us - request->front->arrived_us) / CK_US_PER_MS);
   add_bool (object, "sticky", route->sticky);
   json_object_object_add (answer, "route", object);
-  if (request->customer != NULL)
-    add_string (answer, "customer", request->customer->name);
+  if (en_request_confirmed_customer (request) != NULL)
+    add_string (answer, "customer", en_request_customer_name (request));
 }
 
 static struct json_object *
@@ -180,7 +180,8 @@
   verdict
       = en_pool_peek_token (en_shares_pool (request->proxy->options.shares),
                             request->customer->name, &token);
-  add_string (answer, "token", verdicts[verdict]);
+  if (en_request_confirmed_customer (request) != NULL)
+    add_string (answer, "token", verdicts[verdict]);
   *refusal
       = (EnRefusal){ EN_OUTCOME_RATE_LIMITED, token.wait_us, "rate_exceeded" };
   return verdict != EN_POOL_REFUSED;
