--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -10,7 +10,8 @@
 #   Build tools compare times only, so objects that are newer than sources of
 #   another commit count as up to date: in a build directory that came with a
 #   copy of the tree, for example.  cw_drop_stale_outputs compares contents with
-#   those of the configuration before and removes such outputs.
+#   those of the configuration before and removes such outputs, with all else in
+#   the build folders of DIRS.
 #
 #   The id is a hash of contents, so it needs no version control and is the same
 #   in each copy of a tree.  tools/sources-id prints that of any commit.
@@ -87,8 +88,9 @@
   set (${out} ${outputs} PARENT_SCOPE)
 endfunction ()
 
-# Sets OUT to a source that build tools would take for unchanged since OUTPUTS,
-# although its line in MANIFEST is not among those RECORDED, or to "".
+# Sets OUT to a source that has changed, that is whose line in MANIFEST is not
+# among those RECORDED, and that build tools would take for unchanged since it is
+# not newer than each of OUTPUTS; or to "".
 function (cw_find_hidden_change out manifest recorded outputs)
   set (${out} "" PARENT_SCOPE)
   foreach (line ${manifest})
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -272,7 +272,7 @@
 
 /* daemon.c */
 
-/* Logs its failure as EV_START_FAILED, also where ERROR is given.  */
+/* ERROR must not be NULL; the failure is also logged as EV_START_FAILED.  */
 DmDaemon *dm_new (SeSettings *settings, GError **error);
 /* Runs the loop until a graceful stop is complete.  */
 void dm_run (DmDaemon *daemon);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -31,8 +31,8 @@
    settings.  Otherwise one that comes during the start ends the process, or
    settings that change then are not read.  */
 void en_block_signals (void);
-/* Takes ownership of SETTINGS, which were read from PATH.  Logs its failure as
-   EV_START_FAILED, also where ERROR is given.  */
+/* Takes ownership of SETTINGS, which were read from PATH.  ERROR must not be
+   NULL; the failure is also logged as EV_START_FAILED.  */
 EnEntry *en_new (EnSettings *settings, const char *path, GError **error);
 void en_run (EnEntry *entry);
 void en_free (EnEntry *entry);
