era: a started daemon waits until a restored store has settled

Cause: a daemon takes the first configuration that it reads for the newest one. The guards against an older one need a daemon that knows a later one.

Ruled out: a daemon that kept the old configuration (all were killed), and a late watch (the store holds the old one).

Change: a process that starts at an era of the store other than the first confirms no keys until the configuration is written again, the fleet has recorded the era as settled (cw/era, one write for each region and restore), the region leader confirms it, or 6 s have passed. Daemons that ran through the restore go on as before.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -23,7 +23,7 @@
 # Directories of what ships, and of what only tests and measures.  The order
 # does not matter, since libraries are linked by target name.
 set (cw_product_dirs
-     wire event memory metric clock settings conf sheet prefix place plan steer
+     wire event era memory metric clock settings conf sheet prefix place plan steer
      slot fair quota lease assign member http key order store peer front backend
      admin route notice quarantine targets admit occupancy limit fleet gossip
      trace platform stop question entry release daemon client)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -123,9 +123,14 @@
 {
   EnEntry *entry = data;
 
-  if (entry->shares != NULL)
-    en_relay_publish_confirmation (en_shares_relay (entry->shares), store_read,
-                                   ck_boot_us ());
+  int64_t now_us = ck_boot_us ();
+
+  if (entry->shares == NULL)
+    return;
+  en_relay_publish_confirmation (en_shares_relay (entry->shares), store_read,
+                                 now_us);
+  if (en_relay_is_leader (en_shares_relay (entry->shares), now_us))
+    en_view_record_era (entry->view, now_us);
 }
 
 static void
--- a/entry/entry_test.cc
+++ b/entry/entry_test.cc
@@ -677,6 +677,24 @@
     return true;
   }
 
+  bool
+  AnyResponds (const std::string &path, const char *key, int status)
+  {
+    bool any = false;
+    for (const Vm &vm : vms)
+      any = SendRequest (vm, path, "a", key) == status || any;
+    return any;
+  }
+
+  void
+  RestartAllKilled ()
+  {
+    for (Vm &vm : vms)
+      si_process_kill (vm.pid);
+    for (Vm &vm : vms)
+      Start (vm);
+  }
+
   /* Sends CONFIRMATION to the gossip address of VM, as a daemon does.  */
   void
   SendConfirmation (const Vm &vm, GoConfirmation confirmation)
@@ -1384,6 +1402,68 @@
     }
 }
 
+/* Guards against serving a withdrawn key by the copy from which the store was
+   restored, when no daemon is left that knows of the withdrawal.  */
+TEST_F (Entry, KilledFleetConfirmsNoKeysByARestoredCopy)
+{
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PutConfig (2, "\"key-2\"");
+  ASSERT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-1", 401); }, 2000));
+  PostControl ("/store?fault=silent");
+  RestartAllKilled ();
+  si_sleep_ms (500);
+  PostControl ("/restore");
+  PostControl ("/store?fault=none");
+  for (int i = 0; i < 25; i++)
+    {
+      EXPECT_FALSE (AnyResponds ("/read/1", "key-1", 200)) << i;
+      EXPECT_FALSE (AnyResponds ("/read/1", "key-2", 401)) << i;
+      EXPECT_FALSE (AnyResponds ("/none/1", "key-1", 404)) << i;
+      si_sleep_ms (100);
+    }
+  PutConfig (2, "\"key-2\"");
+  EXPECT_TRUE (
+      WaitFor ([&] { return AllRespond ("/read/1", "key-2", 200); }, 2000));
+  EXPECT_TRUE (AllRespond ("/read/1", "key-1", 401));
+  EXPECT_EQ (CountLines ("/runs", "a"), 0) << GetControl ("/runs");
+}
+
+/* Guards against refusing keys for ever when the operator has nothing to write
+   again, and after each later start of all daemons.  */
+TEST_F (Entry, KilledFleetConfirmsKeysOnceTheRestoredStoreHasSettled)
+{
+  /* Of a restored store, and of a start.  */
+  constexpr uint32_t kSettleMs = 6000, kStartMs = 3000;
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PostControl ("/restore");
+  RestartAllKilled ();
+  EXPECT_TRUE (WaitFor ([&] { return AllRespond ("/read/1", "key-1", 200); },
+                        kSettleMs + kStartMs));
+  EXPECT_TRUE (WaitFor ([&] { return GetRevision ("cw/era") != 0; }));
+  RestartAllKilled ();
+  EXPECT_TRUE (WaitFor ([&] { return AllRespond ("/read/1", "key-1", 200); },
+                        kStartMs));
+  EXPECT_EQ (ReadLog (vms[0]).find ("name=config-unsettled",
+                                    ReadLog (vms[0]).rfind ("daemon-started")),
+             std::string::npos);
+}
+
+/* Guards against refusing keys at daemons that ran through a restore.  */
+TEST_F (Entry, RunningDaemonsConfirmKeysThroughARestore)
+{
+  si_sleep_ms (2000);
+  PostControl ("/save");
+  PostControl ("/restore");
+  for (int i = 0; i < 30; i++)
+    {
+      EXPECT_TRUE (AllRespond ("/read/1", "key-1", 200)) << i;
+      si_sleep_ms (100);
+    }
+}
+
 /* Guards against a daemon that starts while the store holds an older
    configuration than other daemons, and rejects a route that was added, or
    serves one as it was before.  */
--- a/entry/relay.c
+++ b/entry/relay.c
@@ -78,6 +78,14 @@
   return !context->has_other_leader;
 }
 
+gboolean
+en_relay_is_leader (const EnRelay *relay, int64_t now_us)
+{
+  PeerContext context = { .relay = (EnRelay *)relay, .now_us = now_us };
+
+  return is_leader (&context);
+}
+
 static void
 send_target_delta (const FlMember *member, void *data)
 {
--- a/entry/view.c
+++ b/entry/view.c
@@ -4,6 +4,7 @@
 
 #include "clock/clock.h"
 #include "entry/timer.h"
+#include "era/era.h"
 
 /* Timeout of a watch, in percent of the age at which the configuration is
    stale.  A watch that returns without a change confirms the configuration as
@@ -27,16 +28,15 @@
    second, and serving a request takes a moment.  */
 #define KEY_REVOCATION_MARGIN_US 1100000
 
-/* Operators write again what a restored store has lost; until then the
-   evacuations that it lacks stay in force.  */
-#define RESTORED_KEEP_US ((int64_t)6000000)
-
 struct EnView
 {
   EnViewOptions options;
   RtConfig *config;
   EnListing *listing;
   PfWatcher *operator_watcher;
+  ErGuard era;
+  PfEraRecord *era_record;
+  int64_t synced_us;    /* request of the last complete read */
   int64_t confirmed_us; /* last confirmation; 0: none */
   gboolean store_down;
   /* The store holds an older configuration than the one in force, none, or one
@@ -84,6 +84,7 @@
   EnView *view = data;
   uint64_t version = rt_config_version (config);
 
+  er_on_config (&view->era, pf_watcher_item_revision (view->operator_watcher));
   note_stored_config (view, rt_text_hash (config),
                       view->config != NULL
                           && version < rt_config_version (view->config));
@@ -245,6 +246,44 @@
     }
 }
 
+/* Of a process that has started at a store that was restored; also called when
+   the record is written.  */
+static void
+on_era_record (uint64_t era, void *data)
+{
+  EnView *view = data;
+  gboolean was_settled = view->era.is_settled;
+
+  er_on_record (&view->era, era);
+  if (!view->era.is_settled)
+    tr_log (view->options.trace, EV_CONFIG_UNSETTLED,
+            "era=%" G_GUINT64_FORMAT " recorded=%" G_GUINT64_FORMAT
+            " config=%" G_GUINT64_FORMAT,
+            view->era.era, era,
+            view->config != NULL ? rt_config_version (view->config) : 0);
+  else if (!was_settled && !view->store_is_unsure)
+    set_confirmed (view, view->synced_us);
+}
+
+/* A read is complete.  */
+static void
+note_read (EnView *view)
+{
+  gboolean is_first = view->era.era == 0;
+
+  er_on_read (&view->era, pf_watcher_era (view->operator_watcher),
+              pf_watcher_revision (view->operator_watcher), ck_boot_us ());
+  if (is_first && !view->era.is_settled)
+    pf_era_record_read (view->era_record);
+}
+
+void
+en_view_record_era (EnView *view, int64_t now_us)
+{
+  if (er_wants_record (&view->era, now_us))
+    pf_era_record_write (view->era_record, view->era.era);
+}
+
 static void
 on_operator_synced (int64_t requested_us, void *data)
 {
@@ -257,13 +296,15 @@
     .config_hash = view->config != NULL ? rt_text_hash (view->config) : 0,
   };
 
+  note_read (view);
+  view->synced_us = requested_us;
   if (view->store_down)
     tr_log (view->options.trace, EV_STORE_UP, "part=operator");
   view->store_down = FALSE;
   /* A change that the region leader announced is read by a single call.  */
   if (event_pending (view->leader_timer, EV_TIMEOUT, NULL))
     pf_watcher_set_paused (view->operator_watcher, TRUE);
-  if (view->store_is_unsure)
+  if (view->store_is_unsure || !view->era.is_settled)
     return;
   set_confirmed (view, requested_us);
   view->options.on_store_read (&store_read, view->options.data);
@@ -278,9 +319,10 @@
   tr_log (view->options.trace, EV_STORE_RESTORED,
           "era=%" G_GUINT64_FORMAT " config=%" G_GUINT64_FORMAT, era,
           view->config != NULL ? rt_config_version (view->config) : 0);
+  er_on_restored (&view->era, era, now_us);
   view->was_unsure = view->store_is_unsure;
   view->store_is_unsure = view->config != NULL; /* until it is read */
-  view->evacuations_kept_until_us = now_us + RESTORED_KEEP_US;
+  view->evacuations_kept_until_us = now_us + ER_SETTLE_US;
   en_timer_start (view->kept_zones_timer, view->evacuations_kept_until_us);
 }
 
@@ -327,6 +369,7 @@
   /* Without a stamp, the age of the confirmation is unknown.  */
   if (confirmation->stamp.stamp_us == 0 || view->store_is_unsure)
     return;
+  er_on_confirmation (&view->era);
   set_confirmed (view, confirmation->stamp.stamp_us);
   if (!may_follow)
     return;
@@ -391,6 +434,7 @@
                            .on_loaded = options->on_readiness_change,
                            .on_target_delta = options->on_target_delta,
                            .data = options->data });
+  view->era_record = pf_era_record_new (options->store, on_era_record, view);
   view->operator_watcher = pf_watcher_new (options->store, &operator_watcher);
   return view;
 }
@@ -400,6 +444,7 @@
 {
   if (view == NULL)
     return;
+  pf_era_record_free (view->era_record);
   pf_watcher_free (view->operator_watcher);
   en_listing_free (view->listing);
   en_timer_free (view->kept_zones_timer);
--- a/entry/view.h
+++ b/entry/view.h
@@ -55,6 +55,10 @@
                                  const GoConfirmation *confirmation,
                                  gboolean may_follow);
 
+/* Records the era of the store as settled if that is due; for the region
+   leader.  */
+void en_view_record_era (EnView *view, int64_t now_us);
+
 /* Time since the store last confirmed the configuration, or -1 before the
    first confirmation.  */
 int64_t en_view_config_age_us (const EnView *view, int64_t now_us);
--- a/event/catalogue.c
+++ b/event/catalogue.c
@@ -39,6 +39,9 @@
     "An entry in the store could not be decoded; the others stay in force." },
   { EV_SHARES_CHANGED, EV_LEVEL_INFO, "shares-changed",
     "The number of daemons that share rates and budgets has changed." },
+  { EV_CONFIG_UNSETTLED, EV_LEVEL_WARNING, "config-unsettled",
+    "The daemon has started at a store that was restored; keys are refused "
+    "until the configuration is written again, or for some seconds." },
   { EV_LEASE_ACTIVE, EV_LEVEL_INFO, "lease-active",
     "The lease is active; the daemon may use all its shares and slots." },
   { EV_LEASE_LAPSED, EV_LEVEL_WARNING, "lease-lapsed",
