--- a/entry/view.c
+++ b/entry/view.c
@@ -28,6 +28,10 @@
    second, and serving a request takes a moment.  */
 #define KEY_REVOCATION_MARGIN_US 1100000
 
+/* Operators write again what a restored store has lost; until then the
+   evacuations that it lacks stay in force.  */
+#define RESTORED_KEEP_US ((int64_t)6000000)
+
 struct EnView
 {
   EnViewOptions options;
@@ -322,7 +326,7 @@
   er_on_restored (&view->era, era, now_us);
   view->was_unsure = view->store_is_unsure;
   view->store_is_unsure = view->config != NULL; /* until it is read */
-  view->evacuations_kept_until_us = now_us + ER_SETTLE_US;
+  view->evacuations_kept_until_us = now_us + RESTORED_KEEP_US;
   en_timer_start (view->kept_zones_timer, view->evacuations_kept_until_us);
 }
 
--- a/era/era.h
+++ b/era/era.h
@@ -9,15 +9,14 @@
    DESCRIPTION
      A store that was restored from a copy has lost the latest writes; what was
      withdrawn by one of them is granted again until the operator writes again.
-     Each restore begins a new era of the store.  A daemon that ran before
-   knows what it had read; one that starts later cannot tell a lost
-   configuration from one that there never was.
+     Each restore begins a new era of the store.  A daemon that ran before has
+     read what there was; one that starts later cannot tell a lost
+     configuration from one that there never was.
 
      So a started daemon takes an era for unsettled until it has the
      configuration written again, or the fleet has recorded the era as settled,
-     or ER_SETTLE_US have passed, in which operators write again what was lost.
-     The fleet records an era that it has seen for as long.  The first era of a
-     store is settled.
+     or ER_SETTLE_US have passed.  The fleet records an era that it has seen
+     for as long.  The first era of a store is settled.
 
      The package reads no clock and does no I/O.
 
@@ -32,7 +31,8 @@
 
 /* Eras count from it; 0 is a store that names none.  */
 #define ER_FIRST 1
-#define ER_SETTLE_US ((int64_t)6000000)
+/* Other writers are back within some two seconds of the store's return.  */
+#define ER_SETTLE_US ((int64_t)3000000)
 
 /* Of one process; zeroed at its start.  */
 typedef struct
