--- a/entry/relay.h
+++ b/entry/relay.h
@@ -59,8 +59,7 @@
 EnRelay *en_relay_new (const EnRelayOptions *options);
 void en_relay_free (EnRelay *relay);
 
-/* Whether this daemon is ready, and none with a lower name is in its region.
- */
+/* Whether this daemon is the ready one with the lowest name in its region.  */
 gboolean en_relay_is_leader (const EnRelay *relay, int64_t now_us);
 
 /* Both send to the other daemons of the region, and send nothing unless this
--- a/entry/view.c
+++ b/entry/view.c
@@ -38,7 +38,7 @@
   RtConfig *config;
   EnListing *listing;
   PfWatcher *operator_watcher;
-  ErGuard era;
+  ErGuard era_guard;
   PfEraRecord *era_record;
   int64_t synced_us;    /* request of the last complete read */
   int64_t confirmed_us; /* last confirmation; 0: none */
@@ -88,7 +88,8 @@
   EnView *view = data;
   uint64_t version = rt_config_version (config);
 
-  er_on_config (&view->era, pf_watcher_item_revision (view->operator_watcher));
+  er_on_config (&view->era_guard,
+                pf_watcher_item_revision (view->operator_watcher));
   note_stored_config (view, rt_text_hash (config),
                       view->config != NULL
                           && version < rt_config_version (view->config));
@@ -256,14 +257,14 @@
 on_era_record (uint64_t era, void *data)
 {
   EnView *view = data;
-  gboolean was_settled = view->era.is_settled;
+  gboolean was_settled = view->era_guard.is_settled;
 
-  er_on_record (&view->era, era);
-  if (!view->era.is_settled)
+  er_on_record (&view->era_guard, era);
+  if (!view->era_guard.is_settled)
     tr_log (view->options.trace, EV_CONFIG_UNSETTLED,
             "era=%" G_GUINT64_FORMAT " recorded=%" G_GUINT64_FORMAT
             " config=%" G_GUINT64_FORMAT,
-            view->era.era, era,
+            view->era_guard.era, era,
             view->config != NULL ? rt_config_version (view->config) : 0);
   else if (!was_settled && !view->store_is_unsure)
     set_confirmed (view, view->synced_us);
@@ -273,19 +274,19 @@
 static void
 note_read (EnView *view)
 {
-  gboolean is_first = view->era.era == 0;
+  gboolean is_first = view->era_guard.era == 0;
 
-  er_on_read (&view->era, pf_watcher_era (view->operator_watcher),
+  er_on_read (&view->era_guard, pf_watcher_era (view->operator_watcher),
               pf_watcher_revision (view->operator_watcher), ck_boot_us ());
-  if (is_first && !view->era.is_settled)
+  if (is_first && !view->era_guard.is_settled)
     pf_era_record_read (view->era_record);
 }
 
 void
 en_view_record_era (EnView *view, int64_t now_us)
 {
-  if (er_wants_record (&view->era, now_us))
-    pf_era_record_write (view->era_record, view->era.era);
+  if (er_wants_record (&view->era_guard, now_us))
+    pf_era_record_write (view->era_record, view->era_guard.era);
 }
 
 static void
@@ -308,7 +309,7 @@
   /* A change that the region leader announced is read by a single call.  */
   if (event_pending (view->leader_timer, EV_TIMEOUT, NULL))
     pf_watcher_set_paused (view->operator_watcher, TRUE);
-  if (view->store_is_unsure || !view->era.is_settled)
+  if (view->store_is_unsure || !view->era_guard.is_settled)
     return;
   set_confirmed (view, requested_us);
   view->options.on_store_read (&store_read, view->options.data);
@@ -323,7 +324,7 @@
   tr_log (view->options.trace, EV_STORE_RESTORED,
           "era=%" G_GUINT64_FORMAT " config=%" G_GUINT64_FORMAT, era,
           view->config != NULL ? rt_config_version (view->config) : 0);
-  er_on_restored (&view->era, era, now_us);
+  er_on_restored (&view->era_guard, era, now_us);
   view->was_unsure = view->store_is_unsure;
   view->store_is_unsure = view->config != NULL; /* until it is read */
   view->evacuations_kept_until_us = now_us + RESTORED_KEEP_US;
@@ -373,7 +374,7 @@
   /* Without a stamp, the age of the confirmation is unknown.  */
   if (confirmation->stamp.stamp_us == 0 || view->store_is_unsure)
     return;
-  er_on_confirmation (&view->era);
+  er_on_confirmation (&view->era_guard);
   set_confirmed (view, confirmation->stamp.stamp_us);
   if (!may_follow)
     return;
